--- /dev/null
+++ b/crates/pistachioyard_standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/pistachioyard_standins/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the stand-ins.
+
+fn main() {}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the router and its client.
+
+fn main() {}
