--- /dev/null
+++ b/crates/pistachioyard_wire/src/platform.rs
@@ -0,0 +1,14 @@
+//! What the platform's object API and host list exchange with the router.
+//!
+//! HTTP with JSON bodies:
+//! `GET /objects/{key}`, `PUT /objects/{key}` with an [`ObjectWrite`],
+//! `GET /objects?prefix=` and
+//! `GET /watch?prefix=&after=&wait_ms=` with a [`WatchPage`], and
+//! `GET /hosts` with a list of [`HostRecord`]s. Keys hold `/`, written as `%2F`
+//! in paths.
+
+mod host;
+mod object;
+
+pub use host::{HostKind, HostRecord, HostState};
+pub use object::{ObjectKey, ObjectRecord, ObjectWrite, WatchPage, WriteAnswer, WriteCondition};
--- /dev/null
+++ b/crates/pistachioyard_wire/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The names that nearly every module of the router uses.
+
+pub use crate::{
+    Attempt, BootId, DataCentre, EndpointId, EntryId, LayerRange, ModelName, Priority, RequestId,
+    Revision, StreamId, VersionName, WorkspaceName,
+};
