Add the platform and service stand-ins, the launcher and the HTTP client

Change: subcommands platform and service, the Launcher, AddressPool and Child handles, a JSON client with line and event streams, and tests by process.

--- a/crates/pistachioyard_standins/src/lib.rs
+++ b/crates/pistachioyard_standins/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! Small stand-ins of the platform, engines and services, and what drives them.
+//!
+//! The stand-ins are real processes that speak the border protocols of
+//! [`pistachioyard_wire`] and can be told to misbehave through `/control/` calls.
+//! They are small on purpose: they show the router faults, not performance.
+//! Integration tests, the demo and the bench start them with a [`Launcher`] and
+//! talk to them with an [`HttpClient`].
+
+mod http;
+mod launch;
+mod platform;
+mod server;
+mod service;
+
+pub use http::{BodyLines, HttpAnswer, HttpClient, HttpClientConfig, HttpClientError, SseReader};
+pub use launch::{AddressPool, Child, LaunchError, Launcher, exit_when_stdin_closes, wait_until};
+pub use platform::{CallCounts, PlatformArgs, PlatformFaults, run_platform};
+pub use server::ServeError;
+pub use service::{EffectAnswer, EffectRecord, ServiceArgs, ServiceFaults, run_service};
--- /dev/null
+++ b/crates/pistachioyard_standins/tests/standins/launch.rs
@@ -0,0 +1,52 @@
+//! The launcher and its children.
+
+use std::time::Duration;
+
+use pistachioyard_standins::LaunchError;
+
+use crate::support::{Bench, LONG};
+
+#[tokio::test]
+async fn a_frozen_process_does_not_answer_until_it_is_thawed() {
+    let bench = Bench::new();
+    let (mut child, address) = bench.start("platform", &[]).await;
+    child.freeze().unwrap();
+    let call = bench
+        .client
+        .get_json::<serde_json::Value>(address, "/control/counts");
+    let mut call = std::pin::pin!(call);
+    let early = tokio::time::timeout(Duration::from_millis(200), &mut call).await;
+    assert!(early.is_err(), "a frozen process answered: {early:?}");
+    child.thaw().unwrap();
+    call.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_child_ends_by_signal_and_by_its_handle() {
+    let bench = Bench::new();
+    let (mut child, _) = bench.start("platform", &[]).await;
+    let early = child.wait(Duration::ZERO).await;
+    assert!(matches!(early, Err(LaunchError::Timeout { .. })));
+    child.terminate().unwrap();
+    child.wait(LONG).await.unwrap();
+    assert!(!child.is_running().unwrap());
+
+    let (mut child, address) = bench.start("platform", &[]).await;
+    child.freeze().unwrap();
+    drop(child);
+    let gone = tokio::net::TcpStream::connect(address).await;
+    assert!(gone.is_err());
+}
+
+#[tokio::test]
+async fn a_stand_in_ends_when_its_standard_input_closes() {
+    let mut process = std::process::Command::new(crate::support::program())
+        .args(["--exit-with-stdin", "platform", "--listen", "127.0.0.1:0"])
+        .stdin(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    assert!(process.try_wait().unwrap().is_none());
+    drop(process.stdin.take());
+    let status = tokio::task::spawn_blocking(move || process.wait()).await;
+    assert!(status.unwrap().unwrap().success());
+}
--- /dev/null
+++ b/crates/pistachioyard_standins/tests/standins/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the stand-ins as real processes.
+
+mod launch;
+mod platform;
+mod service;
+mod support;
--- /dev/null
+++ b/crates/pistachioyard_standins/tests/standins/platform.rs
@@ -0,0 +1,211 @@
+//! The platform stand-in: races, watches and faults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use expect_test::expect;
+use pistachioyard_standins::{CallCounts, HttpClient, HttpClientError, PlatformFaults, wait_until};
+use pistachioyard_wire::{
+    HostRecord, ObjectKey, ObjectRecord, ObjectWrite, WatchPage, WriteAnswer, WriteCondition,
+};
+
+use crate::support::{Bench, LONG};
+
+const KEY_PATH: &str = "/objects/config%2Fhead";
+
+async fn write(
+    client: &HttpClient,
+    platform: SocketAddr,
+    condition: WriteCondition,
+    value: &str,
+) -> Result<WriteAnswer, HttpClientError> {
+    let write = ObjectWrite {
+        condition,
+        value: Some(value.to_owned()),
+    };
+    client.put_json(platform, KEY_PATH, &write).await
+}
+
+async fn set_faults(client: &HttpClient, platform: SocketAddr, faults: PlatformFaults) {
+    client
+        .put_json::<_, ()>(platform, "/control/faults", &faults)
+        .await
+        .expect("accepted faults");
+}
+
+#[tokio::test]
+async fn one_of_many_racing_conditional_writes_takes_effect() {
+    let bench = Bench::new();
+    let (_child, platform) = bench.start("platform", &[]).await;
+    for condition in [WriteCondition::Absent, WriteCondition::Version(1)] {
+        let racers = (0..16).map(|n| {
+            let client = bench.client.clone();
+            tokio::spawn(async move { write(&client, platform, condition, &n.to_string()).await })
+        });
+        let mut winners = Vec::new();
+        for racer in racers.collect::<Vec<_>>() {
+            match racer.await.unwrap().unwrap() {
+                WriteAnswer::Written(version) => winners.push(version),
+                WriteAnswer::Conflict(now) => assert!(now.is_some()),
+            }
+        }
+        assert_eq!(winners.len(), 1, "{condition:?}");
+        let object: ObjectRecord = bench.client.get_json(platform, KEY_PATH).await.unwrap();
+        assert_eq!(object.version, winners[0]);
+        assert_eq!(object.key, ObjectKey("config/head".into()));
+    }
+    let counts: CallCounts = bench
+        .client
+        .get_json(platform, "/control/counts")
+        .await
+        .unwrap();
+    expect![[r#"
+        CallCounts {
+            reads: 2,
+            writes: 32,
+            lists: 0,
+            watches: 0,
+            hosts: 0,
+            refused: 0,
+            conflicts: 30,
+        }
+    "#]]
+    .assert_debug_eq(&counts);
+}
+
+#[tokio::test]
+async fn absent_objects_and_large_values_are_refused() {
+    let bench = Bench::new();
+    let (_child, platform) = bench.start("platform", &[]).await;
+    let absent = bench.client.get_json::<ObjectRecord>(platform, KEY_PATH);
+    let absent = absent.await.unwrap_err();
+    assert!(matches!(absent, HttpClientError::Status { status, .. } if status == 404));
+
+    // Quotes double in size when they are escaped.
+    let largest = "\"".repeat(1_000_000);
+    let any = WriteCondition::Any;
+    write(&bench.client, platform, any, &largest).await.unwrap();
+    let larger = write(&bench.client, platform, any, &(largest + "x")).await;
+    let refused = larger.unwrap_err();
+    assert!(matches!(refused, HttpClientError::Status { status, .. } if status == 413));
+}
+
+#[tokio::test]
+async fn a_watch_wakes_on_a_change_under_its_prefix_only() {
+    let bench = Bench::new();
+    let (_child, platform) = bench.start("platform", &[]).await;
+    let watch = |prefix: &str, wait_ms: u64| {
+        let path = format!("/watch?prefix={prefix}&after=0&wait_ms={wait_ms}");
+        let client = bench.client.clone();
+        tokio::spawn(async move { client.get_json::<WatchPage>(platform, &path).await })
+    };
+    let woken = watch("config/", 60_000);
+    let other = watch("lease/", 60_000);
+    let (client, lone) = (&bench.client, watch("lease/", 1));
+    wait_until(LONG, "waiting watches", async || {
+        let counts: CallCounts = client.get_json(platform, "/control/counts").await.unwrap();
+        counts.watches == 3
+    })
+    .await
+    .unwrap();
+    let any = WriteCondition::Any;
+    write(client, platform, any, "one").await.unwrap();
+    let page = woken.await.unwrap().unwrap();
+    assert_eq!(page.version, 1);
+    assert_eq!(page.changed[0].value, "one");
+    assert!(lone.await.unwrap().unwrap().changed.is_empty());
+
+    // A change that came before the watch is answered at once.
+    assert_eq!(watch("config/", 60_000).await.unwrap().unwrap(), page);
+
+    // An outage ends a waiting watch.
+    assert!(!other.is_finished());
+    let down = PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    };
+    set_faults(client, platform, down).await;
+    let ended = other.await.unwrap().unwrap_err();
+    assert!(matches!(ended, HttpClientError::Status { status, .. } if status == 503));
+}
+
+#[tokio::test]
+async fn a_write_whose_answer_is_lost_has_taken_effect() {
+    let bench = Bench::new();
+    let (_child, platform) = bench.start("platform", &[]).await;
+    let lose_one = PlatformFaults {
+        lose_answers: 1,
+        ..PlatformFaults::default()
+    };
+    set_faults(&bench.client, platform, lose_one).await;
+    let absent = WriteCondition::Absent;
+    let lost = write(&bench.client, platform, absent, "mine").await;
+    assert!(
+        matches!(lost, Err(HttpClientError::NoAnswer { .. })),
+        "{lost:?}"
+    );
+    let again = write(&bench.client, platform, absent, "mine").await;
+    let Ok(WriteAnswer::Conflict(Some(object))) = again else {
+        panic!("the lost write did not take effect: {again:?}");
+    };
+    assert_eq!(object.value, "mine");
+}
+
+#[tokio::test]
+async fn a_delayed_write_takes_effect_after_its_writer_gave_up() {
+    let bench = Bench::new();
+    let (_child, platform) = bench.start("platform", &[]).await;
+    let delay = PlatformFaults {
+        delay_writes_ms: 300,
+        ..PlatformFaults::default()
+    };
+    set_faults(&bench.client, platform, delay).await;
+    let late = write(&bench.client, platform, WriteCondition::Absent, "late");
+    let given_up = tokio::time::timeout(Duration::from_millis(100), late).await;
+    assert!(given_up.is_err());
+    wait_until(LONG, "the late write", async || {
+        let object = bench.client.get_json::<ObjectRecord>(platform, KEY_PATH);
+        object.await.is_ok()
+    })
+    .await
+    .unwrap();
+}
+
+#[tokio::test]
+async fn the_host_list_lags() {
+    let bench = Bench::new();
+    let (_child, platform) = bench.start("platform", &[]).await;
+    let client = &bench.client;
+    let record: HostRecord = serde_json::from_value(serde_json::json!({
+        "host": "host-1",
+        "endpoint": "engine-1",
+        "address": "127.0.0.1:7400",
+        "region": "hr-jadran",
+        "data_centre": "split-a",
+        "kind": {"engine": {"accelerator": "a"}},
+        "checks_fence": true,
+        "state": "live",
+    }))
+    .unwrap();
+    let lag = |host_lag_ms| PlatformFaults {
+        host_lag_ms,
+        ..PlatformFaults::default()
+    };
+    let hosts = async || -> Vec<HostRecord> { client.get_json(platform, "/hosts").await.unwrap() };
+    let put = async |hosts: &[HostRecord]| {
+        let done = client.put_json::<_, ()>(platform, "/control/hosts", hosts);
+        done.await.unwrap();
+    };
+    put(std::slice::from_ref(&record)).await;
+    set_faults(client, platform, lag(3_600_000)).await;
+    assert!(hosts().await.is_empty());
+    set_faults(client, platform, lag(500)).await;
+    wait_until(LONG, "the host in the list", async || {
+        !hosts().await.is_empty()
+    })
+    .await
+    .unwrap();
+    put(&[]).await;
+    set_faults(client, platform, lag(0)).await;
+    assert!(hosts().await.is_empty());
+}
--- /dev/null
+++ b/crates/pistachioyard_standins/tests/standins/support.rs
@@ -0,0 +1,66 @@
+//! Starts one stand-in and waits until it listens.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use pistachioyard_standins::{
+    AddressPool, Child, HttpClient, HttpClientConfig, Launcher, wait_until,
+};
+
+/// A generous bound on anything that is waited for.
+pub(crate) const LONG: Duration = Duration::from_secs(30);
+
+/// The path of the stand-ins' binary.
+pub(crate) fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_pistachioyard_standins"))
+}
+
+/// What a test starts processes with.
+pub(crate) struct Bench {
+    pub(crate) client: HttpClient,
+    pub(crate) launcher: Launcher,
+    pub(crate) pool: AddressPool,
+}
+
+impl Bench {
+    pub(crate) fn new() -> Self {
+        Self {
+            client: HttpClient::new(HttpClientConfig::default()),
+            launcher: Launcher::new().expect("a directory for logs"),
+            pool: AddressPool::new().expect("a free prefix"),
+        }
+    }
+
+    /// Starts a stand-in by its subcommand and waits until it accepts connections.
+    pub(crate) async fn start(&self, command: &str, more: &[&str]) -> (Child, SocketAddr) {
+        let address = self.pool.next_address().expect("a free address");
+        let listen = address.to_string();
+        let flag = match command {
+            "proxy" => "--listen-control",
+            _ => "--listen",
+        };
+        let mut args = vec!["--exit-with-stdin", command, flag, &listen];
+        args.extend(more);
+        let child = self
+            .launcher
+            .spawn(command, program(), args)
+            .expect("a started stand-in");
+        wait_until(LONG, "listening", async || {
+            tokio::net::TcpStream::connect(address).await.is_ok()
+        })
+        .await
+        .expect("a listening stand-in");
+        (child, address)
+    }
+
+    pub(crate) async fn start_service(&self) -> (Child, SocketAddr) {
+        let args = [
+            "--endpoint=service-1",
+            "--host=host-1",
+            "--data-centre=split-a",
+            "--service=submissions",
+        ];
+        self.start("service", &args).await
+    }
+}
