Add the view of endpoints

Cause: choices need one view of endpoints from a lagging list, reports that arrive late or twice, and marks of peers.

--- /dev/null
+++ b/crates/pistachioyard_policy/src/fleet/endpoint_view.rs
@@ -0,0 +1,298 @@
+//! What is known of one endpoint.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use pistachioyard_wire::{
+    BootId, DataCentre, EndpointId, EndpointMark, EndpointMarkKind, EndpointReport, EntryId,
+    HostKind, HostRecord, HostState, Region, ServiceName,
+};
+
+use super::load::Load;
+use super::marks::{DeadMark, Marks};
+use super::{VANISHED_KEEP, millis};
+
+/// The age up to which a report shows that an unlisted endpoint lives.
+const REPORTING_AGE: Duration = Duration::from_secs(5);
+/// The age up to which a dead mark is told to peers.
+const DEAD_GOSSIP_AGE: Duration = Duration::from_secs(3);
+/// The age up to which a leaving mark is told to peers.
+const LEAVING_GOSSIP_AGE: Duration = Duration::from_secs(30);
+/// The most earlier runs remembered, whose late reports are dropped.
+const MAX_EARLIER_RUNS: usize = 8;
+
+/// What is known of one endpoint, from the host list, reports and marks.
+#[derive(Debug)]
+pub struct EndpointView {
+    host: HostRecord,
+    unlisted_since: Option<Instant>,
+    report: Option<EndpointReport>,
+    measured_at: Option<Instant>,
+    earlier_runs: Vec<BootId>,
+    marks: Marks,
+    load: Load,
+}
+
+impl EndpointView {
+    /// Makes the view of an endpoint that the host list names.
+    pub(super) fn new(host: &HostRecord, now: Instant) -> Self {
+        let mut view = Self {
+            host: host.clone(),
+            unlisted_since: None,
+            report: None,
+            measured_at: None,
+            earlier_runs: Vec::new(),
+            marks: Marks::default(),
+            load: Load::default(),
+        };
+        if host.state == HostState::Leaving {
+            view.marks.note_leaving(None, now);
+        }
+        view
+    }
+
+    /// Returns the endpoint's name.
+    pub fn id(&self) -> &EndpointId {
+        &self.host.endpoint
+    }
+
+    /// Returns where the endpoint listens.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address
+    }
+
+    /// Returns the data centre that it stands in.
+    pub fn data_centre(&self) -> &DataCentre {
+        &self.host.data_centre
+    }
+
+    /// Returns the region of its data centre.
+    pub fn region(&self) -> &Region {
+        &self.host.region
+    }
+
+    /// Returns what runs there.
+    pub fn kind(&self) -> &HostKind {
+        &self.host.kind
+    }
+
+    /// Tells whether it refuses orders with an old fencing number.
+    pub fn checks_fence(&self) -> bool {
+        self.host.checks_fence
+    }
+
+    /// Returns the service that it answers for, if it is a plain service.
+    pub fn service(&self) -> Option<&ServiceName> {
+        match &self.host.kind {
+            HostKind::Service { service } => Some(service),
+            HostKind::Engine { .. } => None,
+        }
+    }
+
+    /// Returns its newest report.
+    pub fn report(&self) -> Option<&EndpointReport> {
+        self.report.as_ref()
+    }
+
+    /// Returns when its newest report was measured.
+    pub fn measured_at(&self) -> Option<Instant> {
+        self.measured_at
+    }
+
+    /// Returns the newest run known.
+    pub fn boot(&self) -> Option<BootId> {
+        self.report.as_ref().map(|report| report.boot)
+    }
+
+    /// Returns this entry's streams in flight there.
+    pub fn own_in_flight(&self) -> u32 {
+        self.load.own()
+    }
+
+    /// Returns the peers' streams in flight there.
+    pub fn peers_in_flight(&self) -> u32 {
+        self.load.peers()
+    }
+
+    /// Estimates its streams now, running and waiting.
+    pub fn work(&self) -> u32 {
+        let reported = self.report.as_ref().zip(self.measured_at);
+        self.load.estimate(reported.map(|(report, at)| {
+            let work = report.running.saturating_add(report.waiting);
+            (work, at)
+        }))
+    }
+
+    /// Tells whether the host list names it.
+    pub fn is_listed(&self) -> bool {
+        self.unlisted_since.is_none()
+    }
+
+    /// Tells whether it is leaving in its present run.
+    ///
+    /// While the list calls its host leaving, a restarted process is too.
+    pub fn is_leaving(&self) -> bool {
+        self.host.state == HostState::Leaving || self.marks.leaving_since(self.boot()).is_some()
+    }
+
+    /// Tells whether it is taken to be dead.
+    pub fn is_dead(&self, now: Instant) -> bool {
+        self.marks.dead(self.boot(), now).is_some()
+    }
+
+    /// Tells whether it is loading weights and cannot run yet.
+    pub fn is_loading(&self) -> bool {
+        self.report.as_ref().is_some_and(|report| report.loading)
+    }
+
+    /// Tells whether it was slow a short time ago.
+    pub fn is_suspect(&self, now: Instant) -> bool {
+        self.marks.is_suspect(now)
+    }
+
+    /// Tells whether it may get new work.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        let present = self.is_listed() || self.is_vanished_but_reporting(now);
+        present && !self.is_leaving() && !self.is_dead(now) && !self.is_loading()
+    }
+
+    /// Tells whether the view is still needed.
+    pub(super) fn is_kept(&self, now: Instant) -> bool {
+        self.is_listed() || self.is_vanished_but_reporting(now) || self.own_in_flight() > 0
+    }
+
+    fn is_vanished_but_reporting(&self, now: Instant) -> bool {
+        let vanished = self
+            .unlisted_since
+            .is_some_and(|since| now.saturating_duration_since(since) < VANISHED_KEEP);
+        let reporting = self
+            .measured_at
+            .is_some_and(|at| now.saturating_duration_since(at) < REPORTING_AGE);
+        vanished && reporting
+    }
+
+    /// Takes over the host list's word.
+    pub(super) fn apply_host(&mut self, host: &HostRecord, now: Instant) {
+        let was_leaving = self.host.state == HostState::Leaving;
+        self.host = host.clone();
+        self.unlisted_since = None;
+        if host.state == HostState::Leaving && !was_leaving {
+            self.marks.note_leaving(self.boot(), now);
+        }
+    }
+
+    /// Notes that the host list does not name it any more.
+    pub(super) fn note_unlisted(&mut self, now: Instant) {
+        self.unlisted_since.get_or_insert(now);
+    }
+
+    /// Takes over a report if it is newer; tells whether it was.
+    pub(super) fn apply_report(&mut self, report: EndpointReport, measured_at: Instant) -> bool {
+        let stale = self.measured_at.is_some_and(|known| measured_at <= known);
+        if stale || self.earlier_runs.contains(&report.boot) {
+            return false;
+        }
+        let earlier = self.boot();
+        if let Some(earlier) = earlier.filter(|boot| *boot != report.boot) {
+            self.remember_run(earlier);
+        }
+        self.marks
+            .note_report(report.boot, earlier.is_none(), measured_at);
+        if report.draining {
+            self.marks.note_leaving(Some(report.boot), measured_at);
+        }
+        self.load.note_report(measured_at);
+        self.report = Some(report);
+        self.measured_at = Some(measured_at);
+        true
+    }
+
+    fn remember_run(&mut self, boot: BootId) {
+        if self.earlier_runs.len() == MAX_EARLIER_RUNS {
+            self.earlier_runs.remove(0);
+        }
+        self.earlier_runs.push(boot);
+    }
+
+    /// Takes over a peer's mark, unless it is about an earlier run.
+    pub(super) fn apply_mark(&mut self, mark: &EndpointMark, now: Instant) {
+        let age = Duration::from_millis(mark.age_ms);
+        let Some(at) = now.checked_sub(age) else {
+            return;
+        };
+        let newer_report = self.measured_at.is_some_and(|measured| at < measured);
+        let other_run = mark.boot.is_some() && self.boot().is_some() && mark.boot != self.boot();
+        if other_run && newer_report {
+            return;
+        }
+        match mark.kind {
+            EndpointMarkKind::Leaving if mark.boot.is_none() && newer_report => {}
+            EndpointMarkKind::Leaving => {
+                self.marks.note_leaving(mark.boot.or(self.boot()), at);
+            }
+            EndpointMarkKind::Dead if newer_report => {}
+            EndpointMarkKind::Dead => self.marks.note_dead(DeadMark {
+                at,
+                boot: mark.boot,
+                own: false,
+            }),
+        }
+    }
+
+    /// Notes that this entry could not reach it.
+    pub(super) fn note_unreachable(&mut self, now: Instant) {
+        self.marks.note_dead(DeadMark {
+            at: now,
+            boot: self.boot(),
+            own: true,
+        });
+    }
+
+    /// Notes that it was slow once.
+    pub(super) fn note_suspect(&mut self, now: Instant) {
+        self.marks.note_suspect(now);
+    }
+
+    /// Counts one more own stream.
+    pub(super) fn begin(&mut self, now: Instant) {
+        self.load.begin(now);
+    }
+
+    /// Ends one own stream.
+    pub(super) fn end(&mut self, now: Instant) {
+        self.load.end(self.measured_at, now);
+    }
+
+    /// Takes over a peer's streams in flight.
+    pub(super) fn set_peer_in_flight(&mut self, peer: &EntryId, count: u32, now: Instant) {
+        self.load.set_peer(peer, count, now);
+    }
+
+    /// Forgets a peer's streams in flight.
+    pub(super) fn forget_peer(&mut self, peer: &EntryId) {
+        self.load.forget_peer(peer);
+    }
+
+    /// Returns its marks that are young enough to be told to peers.
+    pub(super) fn marks(&self, now: Instant) -> Vec<EndpointMark> {
+        let boot = self.boot();
+        let mark = |boot, kind, at: Instant, limit: Duration| {
+            let age = now.saturating_duration_since(at);
+            (age < limit).then(|| EndpointMark {
+                endpoint: self.id().clone(),
+                boot,
+                kind,
+                age_ms: millis(age),
+            })
+        };
+        let leaving = self
+            .marks
+            .leaving_since(boot)
+            .and_then(|at| mark(boot, EndpointMarkKind::Leaving, at, LEAVING_GOSSIP_AGE));
+        let dead = self
+            .marks
+            .dead(boot, now)
+            .and_then(|dead| mark(dead.boot, EndpointMarkKind::Dead, dead.at, DEAD_GOSSIP_AGE));
+        leaving.into_iter().chain(dead).collect()
+    }
+}
