--- /dev/null
+++ b/crates/pistachioyard_policy/src/burn/report.rs
@@ -0,0 +1,154 @@
+//! The report on service-level burn, merged over entries.
+
+use std::time::Duration;
+
+use pistachioyard_wire::ServiceLevel;
+use serde::{Deserialize, Serialize};
+
+/// The pairs of windows, in seconds, and the burn rate that both must pass.
+///
+/// The long window shows that the burn matters, the short one that it goes on.
+const ALERT_PAIRS: [AlertPair; 2] = [
+    AlertPair {
+        short_s: 5 * 60,
+        long_s: 60 * 60,
+        burn_rate: 14.4,
+    },
+    AlertPair {
+        short_s: 30 * 60,
+        long_s: 6 * 60 * 60,
+        burn_rate: 6.0,
+    },
+];
+
+struct AlertPair {
+    short_s: u64,
+    long_s: u64,
+    burn_rate: f64,
+}
+
+/// The events of one window at one entry, or merged over entries.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WindowCount {
+    /// The length of the window, in seconds.
+    pub window_s: u64,
+    /// The events that met the service level.
+    pub good: u64,
+    /// All events.
+    pub total: u64,
+}
+
+impl WindowCount {
+    /// Makes an empty count of a window.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window_s: window.as_secs(),
+            good: 0,
+            total: 0,
+        }
+    }
+
+    /// Adds the events of other entries, window by window.
+    pub fn merge(into: &mut Vec<Self>, other: &[Self]) {
+        for count in other {
+            match into.iter_mut().find(|c| c.window_s == count.window_s) {
+                Some(known) => {
+                    known.good += count.good;
+                    known.total += count.total;
+                }
+                None => into.push(*count),
+            }
+        }
+    }
+}
+
+/// One window of the report.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct BurnWindow {
+    /// The length of the window, in seconds.
+    pub window_s: u64,
+    /// The events that met the service level.
+    pub good: u64,
+    /// All events.
+    pub total: u64,
+    /// The share of bad events relative to the share allowed; 1 uses the budget
+    /// exactly.
+    pub burn_rate: f64,
+}
+
+/// Whether a pair of windows burns too fast.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct BurnAlert {
+    /// The short window, in seconds.
+    pub short_s: u64,
+    /// The long window, in seconds.
+    pub long_s: u64,
+    /// The burn rate that both must reach.
+    pub burn_rate: f64,
+    /// Whether both do.
+    pub firing: bool,
+}
+
+/// The burn of one service level.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct BurnReport {
+    /// The service level.
+    pub level: ServiceLevel,
+    /// The windows, the shortest first.
+    pub windows: Vec<BurnWindow>,
+    /// The pairs of windows.
+    pub alerts: Vec<BurnAlert>,
+    /// The share of the longest window's budget that is left; below 0 when it is
+    /// overdrawn.
+    pub budget_left: f64,
+}
+
+impl BurnReport {
+    /// Makes the report from counts merged over entries.
+    pub fn new(level: ServiceLevel, counts: &[WindowCount]) -> Self {
+        let mut windows: Vec<BurnWindow> = counts
+            .iter()
+            .map(|count| BurnWindow {
+                window_s: count.window_s,
+                good: count.good,
+                total: count.total,
+                burn_rate: burn_rate(count, level.target),
+            })
+            .collect();
+        windows.sort_by_key(|window| window.window_s);
+        let alerts = ALERT_PAIRS
+            .iter()
+            .map(|pair| alert(pair, &windows))
+            .collect();
+        let budget_left = windows.last().map_or(1.0, |window| 1.0 - window.burn_rate);
+        Self {
+            level,
+            windows,
+            alerts,
+            budget_left,
+        }
+    }
+}
+
+/// Returns the share of bad events relative to the share that is allowed.
+fn burn_rate(count: &WindowCount, target: f64) -> f64 {
+    if count.total == 0 {
+        return 0.0;
+    }
+    let bad = count.total.saturating_sub(count.good) as f64;
+    bad / count.total as f64 / (1.0 - target).max(f64::EPSILON)
+}
+
+fn alert(pair: &AlertPair, windows: &[BurnWindow]) -> BurnAlert {
+    let burns = |window_s: u64| {
+        windows
+            .iter()
+            .any(|window| window.window_s == window_s && window.burn_rate >= pair.burn_rate)
+    };
+    BurnAlert {
+        short_s: pair.short_s,
+        long_s: pair.long_s,
+        burn_rate: pair.burn_rate,
+        firing: burns(pair.short_s) && burns(pair.long_s),
+    }
+}
