--- /dev/null
+++ b/crates/pistachioyard_policy/tests/fleet/chain.rs
@@ -0,0 +1,236 @@
+//! Choice of chains.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use pistachioyard_policy::{
+    Chain, ChoicePolicy, FleetView, NoChain, PrefixIndex, choose_chain, choose_chain_by, free_slots,
+};
+use pistachioyard_wire::{EndpointReport, HostState};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::fixture::{Asked, endpoint, host, layers, millis, report, view_of};
+
+const POLICIES: [ChoicePolicy; 4] = [
+    ChoicePolicy::Cost,
+    ChoicePolicy::LeastReported,
+    ChoicePolicy::Random,
+    ChoicePolicy::RoundRobin,
+];
+
+fn choose(view: &FleetView, asked: &Asked, now: Instant, seed: u64) -> Result<Chain, NoChain> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    choose_chain(view, &PrefixIndex::new(), &asked.query(), now, &mut rng)
+}
+
+fn ids(chain: &Chain) -> Vec<String> {
+    let endpoints = chain.stages.iter().map(|stage| stage.endpoint.to_string());
+    endpoints.collect()
+}
+
+/// Asserts that the stages run each layer once, in order, on endpoints apart.
+fn assert_whole(chain: &Chain, view: &FleetView, asked: &Asked) {
+    let mut border = 0;
+    let mut seen = Vec::new();
+    for stage in chain.stages.iter() {
+        assert_eq!(stage.layers.first(), border, "{:?}", chain.stages);
+        border = stage.layers.end();
+        let known = view.get(&stage.endpoint).unwrap();
+        assert!(known.report().unwrap().layers.unwrap().covers(stage.layers));
+        assert!(!asked.exclude.contains(&stage.endpoint));
+        assert!(!seen.contains(&&stage.endpoint), "{:?}", chain.stages);
+        seen.push(&stage.endpoint);
+    }
+    assert_eq!(border, asked.layers);
+}
+
+fn random_fleet(rng: &mut ChaCha8Rng, layer_count: u32) -> Vec<EndpointReport> {
+    let count = rng.random_range(1..24);
+    let random_report = |i| {
+        let first = rng.random_range(0..layer_count);
+        let end = rng.random_range(first + 1..=layer_count);
+        let mut report = report(&format!("e{i}"), layers(first, end));
+        report.running = rng.random_range(0..20);
+        report.step_ms = rng.random_range(1.0..40.0);
+        report
+    };
+    (0..count).map(random_report).collect()
+}
+
+/// Tells by brute force whether the usable, allowed endpoints reach the end.
+fn can_cover(view: &FleetView, asked: &Asked, now: Instant) -> bool {
+    (0..asked.layers).all(|layer| {
+        view.endpoints().any(|e| {
+            let held = e.report().and_then(|r| r.layers).unwrap();
+            let holds = held.first() <= layer && layer < held.end();
+            holds && e.is_usable(now) && !asked.exclude.contains(e.id())
+        })
+    })
+}
+
+#[test]
+fn chains_cover_every_layer_once_in_order_over_random_fleets() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut found = 0;
+    for round in 0..2_000 {
+        let layer_count = rng.random_range(1..12);
+        let fleet = random_fleet(&mut rng, layer_count);
+        let mut view = view_of(&fleet, now);
+        let mut asked = Asked::new(layer_count);
+        for held in &fleet {
+            match rng.random_range(0..10) {
+                0 => drop(asked.exclude.insert(held.endpoint.clone())),
+                1 => view.note_unreachable(&held.endpoint, now + millis(1)),
+                2..5 => asked
+                    .keep
+                    .push((held.endpoint.clone(), held.layers.unwrap())),
+                _ => {}
+            }
+        }
+        for policy in POLICIES {
+            let prefixes = PrefixIndex::new();
+            let later = now + millis(2);
+            let query = asked.query();
+            let chain = choose_chain_by(policy, &view, &prefixes, &query, later, &mut rng);
+            assert_eq!(
+                chain.is_ok(),
+                can_cover(&view, &asked, later),
+                "round {round}"
+            );
+            if let Ok(chain) = chain {
+                assert_whole(&chain, &view, &asked);
+                found += 1;
+            }
+        }
+    }
+    assert!(found > 1_000, "only {found} fleets had a chain");
+}
+
+#[test]
+fn leaving_dead_and_loading_endpoints_get_no_new_work() {
+    let now = Instant::now();
+    let mut loading = report("loading", layers(0, 8));
+    loading.loading = true;
+    let mut other_version = report("other-version", layers(0, 8));
+    other_version.version = Some("v2".parse().unwrap());
+    let fleet = [
+        report("dead", layers(0, 8)),
+        report("leaving", layers(0, 8)),
+        loading,
+        other_version,
+        report("slow", layers(0, 8)),
+    ];
+    let mut view = view_of(&fleet, now);
+    let mut hosts: Vec<_> = fleet
+        .iter()
+        .map(|r| host(r.endpoint.as_str(), "split-a"))
+        .collect();
+    hosts[1].state = HostState::Leaving;
+    view.apply_hosts(&hosts, now);
+    view.note_unreachable(&endpoint("dead"), now);
+    view.note_suspect(&endpoint("slow"), now);
+    let mut asked = Asked::new(8);
+    for seed in 0..20 {
+        assert_eq!(ids(&choose(&view, &asked, now, seed).unwrap()), ["slow"]);
+    }
+    asked.exclude.insert(endpoint("slow"));
+    assert_eq!(choose(&view, &asked, now, 0), Err(NoChain::AllExcluded));
+    view.note_unreachable(&endpoint("slow"), now);
+    assert_eq!(choose(&view, &asked, now, 0), Err(NoChain::NoneCovers));
+}
+
+#[test]
+fn entries_with_the_same_stale_view_do_not_herd() {
+    const ENTRIES: u32 = 4;
+    const ROUNDS: u32 = 200;
+    const WIDTH: u32 = 10;
+    let now = Instant::now();
+    let fleet: Vec<_> = (0..2 * WIDTH)
+        .map(|i| {
+            let first = if i < WIDTH { 0 } else { 4 };
+            report(&format!("e{i}"), layers(first, first + 4))
+        })
+        .collect();
+    let view = view_of(&fleet, now);
+    let asked = Asked::new(8);
+    let mut picks: BTreeMap<String, u32> = BTreeMap::new();
+    for seed in 0..u64::from(ENTRIES * ROUNDS) {
+        for id in ids(&choose(&view, &asked, now, seed).unwrap()) {
+            *picks.entry(id).or_default() += 1;
+        }
+    }
+    // Drawn evenly, an endpoint gets a binomial count; five standard deviations
+    // above its mean is out of reach for twenty endpoints.
+    let draws = f64::from(ENTRIES * ROUNDS);
+    let share = 1.0 / f64::from(WIDTH);
+    let most = draws * share + 5.0 * (draws * share * (1.0 - share)).sqrt();
+    for (id, count) in picks {
+        assert!(f64::from(count) <= most, "{id} got {count} of {draws}");
+    }
+}
+
+#[test]
+fn kept_stages_stay_and_only_the_lost_one_is_replaced() {
+    let now = Instant::now();
+    let mut busy = report("second", layers(4, 8));
+    busy.running = 8;
+    let mut long = report("long", layers(0, 12));
+    // A third of its layers takes twice the time of the idle one.
+    long.step_ms = 60.0;
+    let fleet = [
+        report("first", layers(0, 4)),
+        report("idle", layers(4, 8)),
+        long,
+        report("third", layers(8, 12)),
+        busy,
+    ];
+    let mut view = view_of(&fleet, now);
+    let mut asked = Asked::new(12);
+    asked.keep = vec![
+        (endpoint("first"), layers(0, 4)),
+        (endpoint("second"), layers(4, 8)),
+        (endpoint("third"), layers(8, 12)),
+    ];
+    for seed in 0..20 {
+        let chain = choose(&view, &asked, now, seed).unwrap();
+        assert_eq!(ids(&chain), ["first", "second", "third"]);
+    }
+    view.note_unreachable(&endpoint("second"), now);
+    let chain = choose(&view, &asked, now, 1).unwrap();
+    assert_eq!(ids(&chain), ["first", "idle", "third"]);
+    // One that holds more can also take the place, and stops where the kept goes on.
+    asked.exclude.insert(endpoint("idle"));
+    let chain = choose(&view, &asked, now, 1).unwrap();
+    assert_eq!(ids(&chain), ["first", "long", "third"]);
+    assert_eq!(chain.stages[1].layers, layers(4, 8));
+}
+
+#[test]
+fn a_stalled_link_is_avoided_for_a_while() {
+    let now = Instant::now();
+    let mut slow = report("spare", layers(4, 8));
+    slow.step_ms = 100.0;
+    let fleet = [report("a", layers(0, 4)), report("b", layers(4, 8)), slow];
+    let mut view = view_of(&fleet, now);
+    let mut asked = Asked::new(8);
+    asked.keep = vec![(endpoint("a"), layers(0, 4)), (endpoint("b"), layers(4, 8))];
+    view.set_degraded_link(&endpoint("a"), &endpoint("b"), now);
+    let second = |at| ids(&choose(&view, &asked, at, 1).unwrap())[1].clone();
+    assert_eq!(second(now + millis(9_999)), "spare");
+    assert_eq!(second(now + millis(10_000)), "b");
+}
+
+#[test]
+fn free_slots_are_those_of_the_narrowest_layer() {
+    let now = Instant::now();
+    let mut busy = report("b", layers(2, 8));
+    busy.running = 5;
+    let fleet = [report("a", layers(0, 4)), busy];
+    let view = view_of(&fleet, now);
+    let asked = Asked::new(8);
+    assert_eq!(free_slots(&view, &asked.query(), now), 3);
+    assert_eq!(free_slots(&view, &Asked::new(9).query(), now), 0);
+    assert!(choose(&view, &asked, now, 1).unwrap().free);
+}
--- /dev/null
+++ b/crates/pistachioyard_policy/tests/fleet/fleet_view.rs
@@ -0,0 +1,180 @@
+//! Sources that lag or contradict each other.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use pistachioyard_policy::FleetView;
+use pistachioyard_wire::{EndpointMark, EndpointMarkKind, EntryId, HostState};
+
+use crate::fixture::{boot, data_centre, endpoint, host, layers, millis, report, stage, view_of};
+
+fn mark(kind: EndpointMarkKind, run: Option<u128>, age_ms: u64) -> EndpointMark {
+    EndpointMark {
+        endpoint: endpoint("a"),
+        boot: run.map(boot),
+        kind,
+        age_ms,
+    }
+}
+
+fn usable(view: &FleetView, now: Instant) -> bool {
+    view.is_usable(&endpoint("a"), now)
+}
+
+#[test]
+fn late_reports_change_nothing() {
+    let start = Instant::now();
+    let mut view = view_of(&[report("a", layers(0, 4))], start);
+    let mut second_run = report("a", layers(4, 8));
+    second_run.boot = boot(2);
+    view.apply_report(second_run.clone(), start + millis(500));
+    let mut earlier = report("a", layers(0, 4));
+    earlier.draining = true;
+    view.apply_report(earlier.clone(), start + millis(400));
+    // A report of the first run that a peer dates too late.
+    view.apply_report(earlier, start + millis(600));
+    let known = view.get(&endpoint("a")).unwrap();
+    assert_eq!(known.report(), Some(&second_run));
+    assert!(usable(&view, start + millis(600)));
+}
+
+#[test]
+fn an_unreachable_endpoint_is_dead_until_it_reports_later() {
+    let start = Instant::now();
+    let mut view = view_of(&[report("a", layers(0, 4))], start);
+    view.note_unreachable(&endpoint("a"), start + millis(500));
+    view.apply_report(report("a", layers(0, 4)), start + millis(400));
+    assert!(!usable(&view, start + millis(60_000)));
+    view.apply_report(report("a", layers(0, 4)), start + millis(600));
+    assert!(usable(&view, start + millis(600)));
+}
+
+#[test]
+fn a_peers_dead_mark_expires_and_yields_to_a_newer_report() {
+    let start = Instant::now();
+    let mut view = view_of(&[report("a", layers(0, 4))], start);
+    let now = start + millis(1_000);
+    view.apply_mark(&mark(EndpointMarkKind::Dead, Some(1), 200), now);
+    assert!(!usable(&view, now));
+    assert!(!usable(&view, start + millis(3_799)));
+    assert!(usable(&view, start + millis(3_800)));
+
+    let mut view = view_of(&[report("a", layers(0, 4))], start + millis(900));
+    view.apply_mark(&mark(EndpointMarkKind::Dead, Some(1), 200), now);
+    assert!(usable(&view, now));
+}
+
+#[test]
+fn marks_of_another_run_do_not_touch_this_one() {
+    let start = Instant::now();
+    let mut view = view_of(&[report("a", layers(0, 4))], start);
+    let now = start + millis(1_000);
+    view.apply_mark(&mark(EndpointMarkKind::Leaving, Some(9), 500), now);
+    assert!(
+        usable(&view, now),
+        "it is about a run that is not known yet"
+    );
+    let mut next_run = report("a", layers(0, 4));
+    next_run.boot = boot(9);
+    view.apply_report(next_run, now + millis(100));
+    assert!(!usable(&view, now + millis(100)));
+    let mut third_run = report("a", layers(0, 4));
+    third_run.boot = boot(10);
+    view.apply_report(third_run, now + millis(200));
+    view.apply_mark(
+        &mark(EndpointMarkKind::Leaving, Some(9), 500),
+        now + millis(300),
+    );
+    view.apply_mark(
+        &mark(EndpointMarkKind::Dead, Some(9), 500),
+        now + millis(300),
+    );
+    assert!(usable(&view, now + millis(300)));
+}
+
+#[test]
+fn leaving_lasts_for_the_run_whoever_said_it() {
+    let start = Instant::now();
+    let mut leaving = host("a", "split-a");
+    leaving.state = HostState::Leaving;
+    let live = [host("a", "split-a")];
+    let mut view = view_of(&[report("a", layers(0, 4))], start);
+    view.apply_hosts(&[leaving], start + millis(100));
+    assert!(!usable(&view, start + millis(100)));
+    // The list lags and falls back; the run stays leaving.
+    view.apply_hosts(&live, start + millis(200));
+    view.apply_report(report("a", layers(0, 4)), start + millis(300));
+    assert!(!usable(&view, start + millis(300)));
+    let told = view.marks(start + millis(300));
+    assert_eq!(told, [mark(EndpointMarkKind::Leaving, Some(1), 200)]);
+    let mut next_run = report("a", layers(0, 4));
+    next_run.boot = boot(2);
+    view.apply_report(next_run.clone(), start + millis(400));
+    assert!(usable(&view, start + millis(400)));
+
+    next_run.draining = true;
+    view.apply_report(next_run.clone(), start + millis(500));
+    next_run.draining = false;
+    view.apply_report(next_run, start + millis(600));
+    assert!(!usable(&view, start + millis(600)));
+}
+
+#[test]
+fn a_vanished_endpoint_stays_while_it_reports() {
+    let start = Instant::now();
+    let mut view = view_of(&[report("a", layers(0, 4))], start);
+    for second in 1..=29 {
+        let now = start + millis(1_000 * second);
+        view.apply_report(report("a", layers(0, 4)), now);
+        view.apply_hosts(&[], now);
+        assert!(usable(&view, now), "after {second} s");
+    }
+    let now = start + millis(31_000);
+    view.apply_report(report("a", layers(0, 4)), now);
+    assert!(!usable(&view, now));
+    view.apply_hosts(&[], now);
+    assert!(view.get(&endpoint("a")).is_none());
+
+    let mut silent = view_of(&[report("a", layers(0, 4))], start);
+    silent.apply_hosts(&[], start + millis(6_000));
+    assert!(silent.get(&endpoint("a")).is_none());
+}
+
+#[test]
+fn work_counts_no_stream_twice() {
+    let start = Instant::now();
+    let chain = [stage("a", layers(0, 4))];
+    let peer: EntryId = "entry-2".parse().unwrap();
+    let in_flight = |count| BTreeMap::from([(endpoint("a"), count)]);
+    let work = |view: &FleetView| view.get(&endpoint("a")).unwrap().work();
+
+    let mut view = view_of(&[report("a", layers(0, 4))], start);
+    for _ in 0..3 {
+        view.begin(&chain, start + millis(100));
+    }
+    view.set_peer_in_flight(&peer, &in_flight(2), start + millis(100));
+    assert_eq!(work(&view), 5);
+    let mut loaded = report("a", layers(0, 4));
+    loaded.running = 5;
+    view.apply_report(loaded, start + millis(1_000));
+    assert_eq!(work(&view), 5, "the report counts all of them");
+    view.begin(&chain, start + millis(1_100));
+    view.set_peer_in_flight(&peer, &in_flight(4), start + millis(1_100));
+    assert_eq!(work(&view), 8, "one own and two of the peer came after it");
+    view.end(&chain, start + millis(1_200));
+    assert_eq!(work(&view), 7);
+    view.forget_peer(&peer);
+    assert_eq!(work(&view), 5);
+    assert_eq!(view.own_in_flight(), in_flight(3));
+}
+
+#[test]
+fn link_times_move_towards_what_is_observed() {
+    let (a, b) = (data_centre("split-a"), data_centre("split-b"));
+    let mut view = FleetView::new();
+    view.observe_link(&a, &b, 2.0);
+    view.observe_link(&a, &b, f64::NAN);
+    view.observe_link(&a, &b, 7.0);
+    assert!((view.link_ms(&a, &b) - 3.0).abs() < 1e-9);
+    assert!(view.link_ms(&b, &a) < 2.0);
+}
