Let the round-robin baseline take turns

Cause: it went by streams in flight, so that short streams all went to one endpoint. Change: it goes by the streams begun so far; a test for it.

--- a/crates/pistachioyard_policy/src/chain/baseline.rs
+++ b/crates/pistachioyard_policy/src/chain/baseline.rs
@@ -71,6 +71,6 @@
             (!next.is_empty()).then(|| next[rng.random_range(0..next.len())])
         }
         ChoicePolicy::LeastReported => next.into_iter().min_by_key(|c| c.reported_work),
-        ChoicePolicy::RoundRobin => next.into_iter().min_by_key(|c| c.view.own_in_flight()),
+        ChoicePolicy::RoundRobin => next.into_iter().min_by_key(|c| c.view.own_begun()),
     }
 }
--- a/crates/pistachioyard_policy/src/fleet/endpoint_view.rs
+++ b/crates/pistachioyard_policy/src/fleet/endpoint_view.rs
@@ -109,6 +109,11 @@
         self.load.own()
     }
 
+    /// Returns the number of this entry's streams begun there, ended ones included.
+    pub fn own_begun(&self) -> u64 {
+        self.load.begun()
+    }
+
     /// Returns the peers' streams in flight there.
     pub fn peers_in_flight(&self) -> u32 {
         self.load.peers()
--- a/crates/pistachioyard_policy/src/fleet/load.rs
+++ b/crates/pistachioyard_policy/src/fleet/load.rs
@@ -22,6 +22,7 @@
 /// What this entry and its peers have in flight at one endpoint.
 #[derive(Debug, Default)]
 pub(super) struct Load {
+    begun: u64,
     begins: VecDeque<Instant>,
     ends: VecDeque<Instant>,
     peers: BTreeMap<EntryId, VecDeque<PeerSample>>,
@@ -30,6 +31,7 @@
 impl Load {
     /// Counts one more own stream.
     pub(super) fn begin(&mut self, now: Instant) {
+        self.begun += 1;
         self.begins.push_back(now);
     }
 
@@ -72,6 +74,11 @@
         count(self.begins.len())
     }
 
+    /// Returns the number of own streams begun so far, ended ones included.
+    pub(super) fn begun(&self) -> u64 {
+        self.begun
+    }
+
     /// Returns the peers' streams in flight.
     pub(super) fn peers(&self) -> u32 {
         self.peers
--- a/crates/pistachioyard_policy/tests/fleet/chain.rs
+++ b/crates/pistachioyard_policy/tests/fleet/chain.rs
@@ -234,3 +234,25 @@
     assert_eq!(free_slots(&view, &Asked::new(9).query(), now), 0);
     assert!(choose(&view, &asked, now, 1).unwrap().free);
 }
+
+#[test]
+fn round_robin_takes_turns_though_streams_end_at_once() {
+    let now = Instant::now();
+    let fleet = ["a", "b", "c"].map(|id| report(id, layers(0, 8)));
+    let mut view = view_of(&fleet, now);
+    let asked = Asked::new(8);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut picks: BTreeMap<String, u32> = BTreeMap::new();
+    for _ in 0..9 {
+        let (policy, prefixes) = (ChoicePolicy::RoundRobin, PrefixIndex::new());
+        let query = asked.query();
+        let chain = choose_chain_by(policy, &view, &prefixes, &query, now, &mut rng).unwrap();
+        view.begin(&chain.stages, now);
+        view.end(&chain.stages, now);
+        *picks
+            .entry(chain.stages[0].endpoint.to_string())
+            .or_default() += 1;
+    }
+    assert!(picks.values().all(|count| *count == 3), "{picks:?}");
+    assert_eq!(picks.len(), 3);
+}
