Add membership, the retry budget and controller leases

Cause: entries need to know each other, and retries and controllers need bounds. Change: membership by heartbeat records with gossip and caller targets; a retry budget in whole units; the lease decision and the holder's monotonic view.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -5,13 +5,19 @@
 //! `docs/design/`.
 
 mod adoption;
+mod lease;
 mod ledger;
+mod membership;
+mod retry_budget;
 
 pub use adoption::{
     ActiveConfig, Adoption, ApplyDecision, ConfigRejected, Standing, decide_apply, next_accepted,
     text_digest,
 };
+pub use lease::{LeaseHold, LeaseMove, LeaseRecord, decide};
 pub use ledger::{
     ChangeAnswer, Claim, ClaimState, KeyAgeFault, LedgerChange, LedgerFault, LedgerPage,
     LedgerShape,
 };
+pub use membership::Membership;
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/pistachioyard_policy/tests/membership.rs
@@ -0,0 +1,132 @@
+//! Entries learn of each other and lead callers to those that take new work.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use pistachioyard_policy::Membership;
+use pistachioyard_wire::{
+    BootId, DataCentre, EntryId, EntryState, MemberRecord, Revision, WorkspaceName,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+fn entry(number: u16) -> EntryId {
+    EntryId::try_from(format!("entry-{number}")).expect("the name is valid")
+}
+
+fn centre(name: &str) -> DataCentre {
+    DataCentre::try_from(name).expect("the name is valid")
+}
+
+fn record(number: u16, boot: u128, heartbeat: u64, data_centre: &str) -> MemberRecord {
+    MemberRecord {
+        entry: entry(number),
+        boot: BootId(Uuid::from_u128(boot)),
+        heartbeat,
+        state: EntryState::Live,
+        address: ([127, 0, 0, 1], 8_000 + number).into(),
+        peer_address: ([127, 0, 0, 1], 9_000 + number).into(),
+        data_centre: centre(data_centre),
+        revision: Revision(1),
+    }
+}
+
+fn three_centres(now: Instant, size: u16) -> Membership {
+    let mut membership = Membership::new(record(0, 1, 0, "a"), TIMEOUT, now);
+    let others: Vec<_> = (1..size)
+        .map(|n| record(n, 1, 1, ["a", "b", "c"][usize::from(n) % 3]))
+        .collect();
+    membership.merge(&others, now);
+    membership
+}
+
+#[test]
+fn a_later_run_replaces_an_earlier_one_and_never_the_other_way() {
+    let now = Instant::now();
+    let mut membership = Membership::new(record(0, 5, 0, "a"), TIMEOUT, now);
+    assert_eq!(membership.merge(&[record(1, 1, 9, "a")], now), [entry(1)]);
+    assert_eq!(membership.merge(&[record(1, 2, 0, "a")], now), [entry(1)]);
+    let later = now + TIMEOUT * 2;
+    assert!(
+        membership
+            .merge(&[record(1, 1, 99, "a"), record(1, 2, 0, "a")], later)
+            .is_empty()
+    );
+    assert_eq!(membership.state_of(&entry(1), later), EntryState::Lost);
+    membership.merge(&[record(0, 9, 7, "b")], later);
+    assert_eq!(membership.own(), &record(0, 5, 0, "a"));
+}
+
+#[test]
+fn a_forgotten_entry_is_not_brought_back_by_old_gossip() {
+    let now = Instant::now();
+    let mut membership = three_centres(now, 2);
+    let later = now + TIMEOUT * 11;
+    assert_eq!(membership.records(later).len(), 1);
+    membership.expire(later);
+    assert_eq!(membership.all(later).len(), 1);
+    assert!(membership.merge(&[record(1, 1, 1, "b")], later).is_empty());
+    assert_eq!(membership.merge(&[record(1, 1, 2, "b")], later), [entry(1)]);
+}
+
+#[test]
+fn callers_are_led_to_live_entries_only_and_all_entries_agree() {
+    let now = Instant::now();
+    let workspace = WorkspaceName::try_from("alpha").unwrap();
+    let mut here = three_centres(now, 12);
+    let mut there = Membership::new(record(7, 1, 1, "b"), TIMEOUT, now);
+    there.merge(&here.records(now), now);
+    let list = |m: &Membership, at| -> Vec<EntryId> {
+        let found = m.entries_for(&workspace, Some(&centre("a")), 3, at);
+        found.into_iter().map(|r| r.entry.clone()).collect()
+    };
+    let before = list(&here, now);
+    assert_eq!(before, list(&there, now));
+    let centres: Vec<_> = here
+        .entries_for(&workspace, Some(&centre("a")), 3, now)
+        .iter()
+        .map(|r| r.data_centre.to_string())
+        .collect();
+    assert_eq!(centres[..2], ["a", "a"]);
+    assert_ne!(centres[2], "a");
+
+    let mut leaving = here.all(now).into_iter().map(|(r, _)| r);
+    let mut leaving = leaving.find(|r| r.entry == before[0]).unwrap();
+    leaving.state = EntryState::Draining;
+    leaving.heartbeat += 1;
+    here.merge(&[leaving.clone()], now);
+    here.set_own(EntryState::Draining, Revision(1));
+    let after = list(&here, now);
+    assert!(!after.contains(&leaving.entry) && !after.contains(&entry(0)));
+    assert!(list(&here, now + TIMEOUT * 2).is_empty());
+}
+
+#[test]
+fn gossip_stays_bounded_and_reaches_other_data_centres_and_lost_entries() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let few = three_centres(now, 4);
+    assert_eq!(few.gossip_targets(3, now, &mut rng).len(), 3);
+    assert_eq!(few.gossip_targets(3, now + TIMEOUT * 2, &mut rng).len(), 3);
+
+    let mut many = three_centres(now, 30);
+    let later = now + TIMEOUT * 2;
+    let heard: Vec<_> = (1..20)
+        .map(|n| record(n, 1, 2, ["a", "b", "c"][usize::from(n) % 3]))
+        .collect();
+    many.merge(&heard, later);
+    let mut reached = BTreeSet::new();
+    for _ in 0..300 {
+        let targets = many.gossip_targets(3, later, &mut rng);
+        let far = targets[..3]
+            .iter()
+            .filter(|(_, a)| (a.port() - 9_000) % 3 != 0)
+            .count();
+        assert_eq!((targets.len(), far), (4, 1));
+        reached.extend(targets.into_iter().map(|(e, _)| e));
+    }
+    assert_eq!(reached.len(), 29);
+}
