--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -1,15 +1,28 @@
 //! Decisions of the router, without I/O, tasks or a clock.
 //!
-//! Time and randomness come in as arguments, so that every rule can be tested
-//! with made-up time and seeded randomness.
+//! Time, randomness and views of the world come in as arguments, so that each
+//! rule can be tested with made-up time and seeded randomness. The rules are
+//! explained in `docs/design/`.
 
+mod adoption;
 mod bound;
 mod burn;
 mod chain;
+mod fair_queue;
 mod fleet;
+mod lease;
+mod ledger;
+mod membership;
 mod placement;
 mod prefix_index;
+mod quarantine;
+mod retry_budget;
+mod stream_guard;
 
+pub use adoption::{
+    ActiveConfig, Adoption, ApplyDecision, ConfigRejected, Standing, decide_apply, next_accepted,
+    text_digest,
+};
 pub use bound::{throughput_bound, throughput_bound_with_links};
 pub use burn::{
     BURN_WINDOWS, BurnAlert, BurnCounter, BurnReport, BurnWindow, Measure, WindowCount,
@@ -17,9 +30,19 @@
 pub use chain::{
     Chain, ChainQuery, ChoicePolicy, NoChain, choose_chain, choose_chain_by, free_slots,
 };
+pub use fair_queue::{DrainRate, FairQueue, QueueFull, Ticket};
 pub use fleet::{EndpointView, FleetView};
+pub use lease::{LeaseHold, LeaseMove, LeaseRecord, decide};
+pub use ledger::{
+    ChangeAnswer, Claim, ClaimState, KeyAgeFault, LedgerChange, LedgerFault, LedgerPage,
+    LedgerShape,
+};
+pub use membership::Membership;
 pub use placement::{
     Held, LoadPacer, PlacementChange, PlacementEndpoint, PlacementInput, PlacementModel,
     next_rollout_step, place,
 };
 pub use prefix_index::PrefixIndex;
+pub use quarantine::{Quarantine, SuspectLanes, Verdict};
+pub use retry_budget::RetryBudget;
+pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
