Add the fault proxy and make freeze wait until the process has stopped

Cause: failures between processes need a proxy that can cut, stall, delay and drop connections. Change: subcommand proxy; a connection on which bytes vanished is reset when the rule is lifted, so that no stream with a gap comes through. freeze waits for the stop with waitid and leaves the exit status alone.

--- a/crates/pistachioyard_standins/src/launch/child.rs
+++ b/crates/pistachioyard_standins/src/launch/child.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use nix::errno::Errno;
 use nix::sys::signal::{self, Signal};
+use nix::sys::wait::{self, Id, WaitPidFlag};
 use nix::unistd::Pid;
 use tempfile::TempDir;
 
@@ -63,13 +65,21 @@
         status.map_err(|source| wait_error(&self.name, source))
     }
 
-    /// Pauses the process (SIGSTOP); its connections stay open.
+    /// Pauses the process (SIGSTOP) and waits until all its threads have stopped;
+    /// its connections stay open.
     ///
     /// # Errors
     ///
-    /// Fails when the process cannot be signalled.
+    /// Fails when the process cannot be signalled or waited for.
     pub fn freeze(&mut self) -> Result<(), LaunchError> {
-        self.send(Signal::SIGSTOP)
+        self.send(Signal::SIGSTOP)?;
+        // The status is left for `exit_status` to collect should the process have ended.
+        let flags = WaitPidFlag::WSTOPPED | WaitPidFlag::WEXITED | WaitPidFlag::WNOWAIT;
+        match wait::waitid(Id::Pid(self.pid()), flags) {
+            // The end of the process has been collected before.
+            Ok(_) | Err(Errno::ECHILD) => Ok(()),
+            Err(errno) => Err(wait_error(&self.name, errno.into())),
+        }
     }
 
     /// Lets a paused process go on (SIGCONT).
@@ -123,13 +133,17 @@
         status.map_err(|source| wait_error(&self.name, source))
     }
 
+    fn pid(&self) -> Pid {
+        let id = i32::try_from(self.process.id());
+        Pid::from_raw(id.expect("process ids fit into an i32 on Linux"))
+    }
+
     /// Signals the process unless it has ended, since its id may then be another's.
     fn send(&mut self, signal: Signal) -> Result<(), LaunchError> {
         if !self.is_running()? {
             return Ok(());
         }
-        let id = i32::try_from(self.process.id()).expect("process ids fit into an i32 on Linux");
-        signal::kill(Pid::from_raw(id), signal).map_err(|errno| LaunchError::Signal {
+        signal::kill(self.pid(), signal).map_err(|errno| LaunchError::Signal {
             name: self.name.clone(),
             signal,
             errno,
--- a/crates/pistachioyard_standins/src/lib.rs
+++ b/crates/pistachioyard_standins/src/lib.rs
@@ -9,11 +9,13 @@
 mod http;
 mod launch;
 mod platform;
+mod proxy;
 mod server;
 mod service;
 
 pub use http::{BodyLines, HttpAnswer, HttpClient, HttpClientConfig, HttpClientError, SseReader};
 pub use launch::{AddressPool, Child, LaunchError, Launcher, exit_when_stdin_closes, wait_until};
 pub use platform::{CallCounts, PlatformArgs, PlatformFaults, run_platform};
+pub use proxy::{FaultKind, FaultRule, ProxyArgs, Route, RouteFault, run_proxy};
 pub use server::ServeError;
 pub use service::{EffectAnswer, EffectRecord, ServiceArgs, ServiceFaults, run_service};
--- a/crates/pistachioyard_standins/src/main.rs
+++ b/crates/pistachioyard_standins/src/main.rs
@@ -2,7 +2,8 @@
 
 use clap::{Parser, Subcommand};
 use pistachioyard_standins::{
-    PlatformArgs, ServiceArgs, exit_when_stdin_closes, run_platform, run_service,
+    PlatformArgs, ProxyArgs, ServiceArgs, exit_when_stdin_closes, run_platform, run_proxy,
+    run_service,
 };
 
 /// Stand-ins for tests and the demo.
@@ -19,6 +20,8 @@
 enum Command {
     /// The platform's object API and host list.
     Platform(PlatformArgs),
+    /// A TCP proxy that injects faults.
+    Proxy(ProxyArgs),
     /// A plain service that counts its effects.
     Service(ServiceArgs),
 }
@@ -31,6 +34,7 @@
     }
     match cli.command {
         Command::Platform(args) => run_platform(args).await?,
+        Command::Proxy(args) => run_proxy(args).await?,
         Command::Service(args) => run_service(args).await?,
     }
     Ok(())
--- /dev/null
+++ b/crates/pistachioyard_standins/src/proxy/state.rs
@@ -0,0 +1,125 @@
+//! The routes and rules of the fault proxy.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use super::connection;
+use super::control::{FaultKind, FaultRule, Route};
+use crate::server::ServeError;
+
+/// The pause after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// The rules in force.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RuleSet {
+    /// Grows with each replacement, so that byte counts can start anew.
+    pub(crate) generation: u64,
+    rules: Arc<[FaultRule]>,
+}
+
+/// What all rules together mean for one connection.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Verdict {
+    pub(crate) cut: bool,
+    pub(crate) cut_to_target: bool,
+    pub(crate) cut_from_target: bool,
+    pub(crate) delay: Duration,
+    pub(crate) drop_after: Option<u64>,
+    pub(crate) stall: bool,
+}
+
+impl RuleSet {
+    pub(crate) fn verdict(&self, source: IpAddr, listen: SocketAddr) -> Verdict {
+        let mut verdict = Verdict::default();
+        for rule in self.rules.iter().filter(|r| r.is_for(source, listen)) {
+            verdict.add(rule.kind);
+        }
+        verdict
+    }
+}
+
+impl Verdict {
+    fn add(&mut self, kind: FaultKind) {
+        match kind {
+            FaultKind::Cut => self.cut = true,
+            FaultKind::CutToTarget => self.cut_to_target = true,
+            FaultKind::CutFromTarget => self.cut_from_target = true,
+            FaultKind::Delay { ms } => self.delay += Duration::from_millis(ms),
+            FaultKind::DropAfter { bytes } => {
+                let least = self.drop_after.map_or(bytes, |known| known.min(bytes));
+                self.drop_after = Some(least);
+            }
+            FaultKind::Stall => self.stall = true,
+        }
+    }
+}
+
+/// The state of the fault proxy.
+#[derive(Debug)]
+pub(crate) struct ProxyState {
+    routes: Mutex<BTreeMap<SocketAddr, SocketAddr>>,
+    rules: watch::Sender<RuleSet>,
+}
+
+impl ProxyState {
+    pub(crate) fn new() -> Self {
+        Self {
+            routes: Mutex::default(),
+            rules: watch::Sender::new(RuleSet::default()),
+        }
+    }
+
+    /// Opens a route, or gives an open one a new target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub(crate) async fn add_route(self: &Arc<Self>, route: Route) -> Result<(), ServeError> {
+        let Route { listen, target } = route;
+        if let Some(known) = self.routes.lock().get_mut(&listen) {
+            *known = target;
+            return Ok(());
+        }
+        let listener = TcpListener::bind(listen)
+            .await
+            .map_err(|source| ServeError::Route { listen, source })?;
+        self.routes.lock().insert(listen, target);
+        tokio::spawn(Arc::clone(self).accept(listener, listen));
+        Ok(())
+    }
+
+    pub(crate) fn routes(&self) -> Vec<Route> {
+        let routes = self.routes.lock();
+        let route = |(&listen, &target)| Route { listen, target };
+        routes.iter().map(route).collect()
+    }
+
+    pub(crate) fn set_rules(&self, rules: Vec<FaultRule>) {
+        self.rules.send_modify(|set| {
+            set.generation += 1;
+            set.rules = rules.into();
+        });
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener, listen: SocketAddr) {
+        loop {
+            let Ok((client, peer)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            };
+            let target = self.routes.lock().get(&listen).copied();
+            if let Some(target) = target {
+                let route = Route { listen, target };
+                let rules = self.rules.subscribe();
+                tokio::spawn(connection::forward(client, peer.ip(), route, rules));
+            }
+        }
+    }
+}
--- a/crates/pistachioyard_standins/tests/standins/main.rs
+++ b/crates/pistachioyard_standins/tests/standins/main.rs
@@ -2,5 +2,6 @@
 
 mod launch;
 mod platform;
+mod proxy;
 mod service;
 mod support;
