--- /dev/null
+++ b/crates/pistachioyard_standins/src/engine/loss.rs
@@ -0,0 +1,61 @@
+//! What a lost neighbour means for the streams that need it.
+
+use std::sync::Arc;
+
+use pistachioyard_wire::{Attempt, EndpointId, StageFailure, StreamId};
+
+use super::core::{Core, Engine};
+use super::stream::StageJob;
+
+impl Engine {
+    /// Fails the attempts that cannot go on without an endpoint.
+    pub(crate) fn lose_neighbour(self: &Arc<Self>, core: &mut Core, lost: &EndpointId) {
+        let needs = |job: &StageJob| {
+            let is_lost = |at: usize| {
+                let stage = job.request.chain.get(at);
+                stage.is_some_and(|s| s.endpoint == *lost)
+            };
+            let chain_ends = job.head.is_some() || job.next_stage().is_none();
+            let adjacent = is_lost(job.position.wrapping_sub(1)) || is_lost(job.position + 1);
+            adjacent || (chain_ends && job.request.chain.iter().any(|s| s.endpoint == *lost))
+        };
+        let jobs = core.streams.values().filter_map(|s| s.job.as_ref());
+        let hit: Vec<_> = jobs
+            .filter(|job| needs(job))
+            .map(|job| (job.request.stream, job.request.attempt))
+            .collect();
+        for (stream, attempt) in hit {
+            self.lose_stage(core, stream, attempt, lost);
+        }
+    }
+
+    fn lose_stage(
+        self: &Arc<Self>,
+        core: &mut Core,
+        stream: StreamId,
+        attempt: Attempt,
+        lost: &EndpointId,
+    ) {
+        let Some(job) = core
+            .streams
+            .get_mut(&stream)
+            .and_then(|s| s.job_of(attempt))
+        else {
+            return;
+        };
+        if job.next_stage().is_some_and(|next| next.endpoint == *lost) {
+            job.opened_next = false;
+        }
+        // The stage before sees its own link break and tells the head.
+        let before = job.position.checked_sub(1);
+        let is_before = before.is_some_and(|at| job.request.chain[at].endpoint == *lost);
+        if is_before || job.head_stage().endpoint == *lost {
+            self.close(core, stream, attempt);
+            return;
+        }
+        let failure = StageFailure::Lost {
+            endpoint: lost.clone(),
+        };
+        self.fail(core, stream, attempt, failure);
+    }
+}
