--- a/crates/pistachioyard_policy/src/burn.rs
+++ b/crates/pistachioyard_policy/src/burn.rs
@@ -9,9 +9,9 @@
 
 use std::time::{Duration, Instant};
 
-use pistachioyard_wire::{Objective, Priority, ServiceLevel, WorkspaceName};
+use pistachioyard_wire::{Objective, Priority, ServiceLevel, WindowCount, WorkspaceName};
 
-pub use report::{BurnAlert, BurnReport, BurnWindow, WindowCount};
+pub use report::{BurnAlert, BurnReport, BurnWindow, merge_counts};
 use ring::SlotRing;
 
 /// The windows that burn is reported over.
--- a/crates/pistachioyard_policy/src/burn/report.rs
+++ b/crates/pistachioyard_policy/src/burn/report.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pistachioyard_wire::ServiceLevel;
+use pistachioyard_wire::{ServiceLevel, WindowCount};
 use serde::{Deserialize, Serialize};
 
 /// The pairs of windows, in seconds, and the burn rate that both must pass.
@@ -27,37 +27,24 @@
     burn_rate: f64,
 }
 
-/// The events of one window at one entry, or merged over entries.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct WindowCount {
-    /// The length of the window, in seconds.
-    pub window_s: u64,
-    /// The events that met the service level.
-    pub good: u64,
-    /// All events.
-    pub total: u64,
-}
-
-impl WindowCount {
-    /// Makes an empty count of a window.
-    pub fn new(window: Duration) -> Self {
-        Self {
-            window_s: window.as_secs(),
-            good: 0,
-            total: 0,
-        }
+/// Makes an empty count of a window.
+pub(crate) fn empty_count(window: Duration) -> WindowCount {
+    WindowCount {
+        window_s: window.as_secs(),
+        good: 0,
+        total: 0,
     }
+}
 
-    /// Adds the events of other entries, window by window.
-    pub fn merge(into: &mut Vec<Self>, other: &[Self]) {
-        for count in other {
-            match into.iter_mut().find(|c| c.window_s == count.window_s) {
-                Some(known) => {
-                    known.good += count.good;
-                    known.total += count.total;
-                }
-                None => into.push(*count),
+/// Adds the events of another entry, window by window.
+pub fn merge_counts(into: &mut Vec<WindowCount>, other: &[WindowCount]) {
+    for count in other {
+        match into.iter_mut().find(|c| c.window_s == count.window_s) {
+            Some(known) => {
+                known.good += count.good;
+                known.total += count.total;
             }
+            None => into.push(*count),
         }
     }
 }
--- a/crates/pistachioyard_policy/src/burn/ring.rs
+++ b/crates/pistachioyard_policy/src/burn/ring.rs
@@ -58,7 +58,7 @@
         let len = (window.as_millis() / self.slot.as_millis()) as u64;
         let in_window =
             |slot: &&Slot| slot.number <= newest && slot.number.saturating_add(len) > newest;
-        let mut count = WindowCount::new(window);
+        let mut count = super::report::empty_count(window);
         for slot in self.slots.iter().filter(in_window) {
             count.good += slot.good;
             count.total += slot.total;
--- a/crates/pistachioyard_policy/src/ledger/change.rs
+++ b/crates/pistachioyard_policy/src/ledger/change.rs
@@ -43,6 +43,15 @@
     },
 }
 
+impl LedgerChange {
+    /// Returns the operation's key.
+    pub fn key(&self) -> OperationKey {
+        match self {
+            Self::Claim { key, .. } | Self::Release { key, .. } | Self::Settle { key, .. } => *key,
+        }
+    }
+}
+
 /// What a change came to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ChangeAnswer {
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -25,7 +25,7 @@
 };
 pub use bound::{throughput_bound, throughput_bound_with_links};
 pub use burn::{
-    BURN_WINDOWS, BurnAlert, BurnCounter, BurnReport, BurnWindow, Measure, WindowCount,
+    BURN_WINDOWS, BurnAlert, BurnCounter, BurnReport, BurnWindow, Measure, merge_counts,
 };
 pub use chain::{
     Chain, ChainQuery, ChoicePolicy, NoChain, choose_chain, choose_chain_by, free_slots,
--- a/crates/pistachioyard_policy/src/stream_guard.rs
+++ b/crates/pistachioyard_policy/src/stream_guard.rs
@@ -100,6 +100,7 @@
     attempt: Attempt,
     max_tokens: u32,
     tokens: Vec<u64>,
+    tokens_at_attempt: usize,
     digest: TokenDigest,
     ended: bool,
 }
@@ -114,6 +115,7 @@
             attempt: Attempt::default(),
             max_tokens,
             tokens: received.to_vec(),
+            tokens_at_attempt: received.len(),
             digest,
             ended: false,
         }
@@ -130,9 +132,20 @@
     /// attempts are dropped from now on.
     pub fn raise_attempt(&mut self) -> Attempt {
         self.attempt = self.attempt.next();
+        self.tokens_at_attempt = self.tokens.len();
         self.attempt
     }
 
+    /// Tells whether the caller has every token of the answer.
+    pub fn is_whole(&self) -> bool {
+        self.count() >= self.max_tokens
+    }
+
+    /// Returns the number of tokens that the current attempt has produced.
+    pub fn produced_in_attempt(&self) -> usize {
+        self.tokens.len() - self.tokens_at_attempt
+    }
+
     /// Returns the current attempt.
     pub fn attempt(&self) -> Attempt {
         self.attempt
--- a/crates/pistachioyard_policy/tests/fleet/burn.rs
+++ b/crates/pistachioyard_policy/tests/fleet/burn.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use pistachioyard_policy::{BurnCounter, BurnReport, Measure, WindowCount};
+use pistachioyard_policy::{BurnCounter, BurnReport, Measure, merge_counts};
 use pistachioyard_wire::{Objective, Priority, ServiceLevel};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -35,7 +35,7 @@
     let now = start + millis(ms);
     let mut merged = Vec::new();
     for entry in &entries {
-        WindowCount::merge(&mut merged, &entry.windows(now));
+        merge_counts(&mut merged, &entry.windows(now));
     }
     assert_eq!(merged, alone.windows(now));
     assert!(merged.iter().all(|count| count.total > 0));
--- /dev/null
+++ b/crates/pistachioyard_standins/src/cluster/processes.rs
@@ -0,0 +1,519 @@
+//! The processes of a cluster.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pistachioyard_wire::{
+    ApplyAnswer, ApplyId, ApplyRequest, DataCentre, EndpointId, ForceStatus, HostKind, HostName,
+    HostRecord, HostState, Region, Revision, ServiceName,
+};
+
+use super::{Binaries, ClusterError, ClusterPlan, EngineSpec};
+use crate::{
+    AddressPool, Child, FaultRule, HttpClient, HttpClientConfig, Launcher, PlatformFaults, Route,
+    wait_until,
+};
+
+/// How long the processes of a cluster may take to be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// One entry process.
+#[derive(Debug)]
+pub struct EntryProcess {
+    /// Its name.
+    pub name: String,
+    /// Where it listens for callers.
+    pub caller: SocketAddr,
+    /// Where it listens for peers.
+    pub peer: SocketAddr,
+    /// The peer address that others are told.
+    pub advertised_peer: SocketAddr,
+    /// The process.
+    pub child: Child,
+    settings: std::path::PathBuf,
+}
+
+/// One engine or plain-service process.
+#[derive(Debug)]
+pub struct EndpointProcess {
+    /// Its endpoint id.
+    pub name: String,
+    /// The place of its data centre in the deployment's list.
+    pub data_centre: usize,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The address in the host list; the proxy's where there is one.
+    pub listed: SocketAddr,
+    /// The process.
+    pub child: Child,
+    args: Vec<String>,
+}
+
+/// A deployment of stand-ins and entries; dropped, all its processes end.
+#[derive(Debug)]
+pub struct Cluster {
+    /// What it was built from.
+    pub plan: ClusterPlan,
+    /// Where the platform stand-in listens.
+    pub platform: SocketAddr,
+    /// The platform's process.
+    pub platform_child: Child,
+    /// The entries.
+    pub entries: Vec<EntryProcess>,
+    /// The engines.
+    pub engines: Vec<EndpointProcess>,
+    /// The plain services.
+    pub services: Vec<EndpointProcess>,
+    /// The host list as the platform was told.
+    pub hosts: Vec<HostRecord>,
+    /// The proxy's control address.
+    pub proxy: Option<SocketAddr>,
+    /// The address that entries know the platform by.
+    pub listed_platform: SocketAddr,
+    /// Speaks to the processes.
+    pub client: HttpClient,
+    launcher: Launcher,
+    pool: AddressPool,
+    binaries: Binaries,
+    _proxy_child: Option<Child>,
+    /// The addresses of all entries, known before they are started.
+    seeds: Vec<SocketAddr>,
+    directory: tempfile::TempDir,
+}
+
+impl Cluster {
+    /// Starts all processes and waits until the operators' file is in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started or is not ready in time.
+    pub async fn start(plan: ClusterPlan) -> Result<Self, ClusterError> {
+        let cluster = Self::start_without_config(plan).await?;
+        let text = cluster.plan.deployment.config_text().to_owned();
+        cluster.apply(0, Revision(0), text).await?;
+        cluster.wait_ready().await?;
+        Ok(cluster)
+    }
+
+    /// Starts all processes but applies no file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process cannot be started or is not ready in time.
+    pub async fn start_without_config(plan: ClusterPlan) -> Result<Self, ClusterError> {
+        let binaries = Binaries::find()?;
+        let launcher = Launcher::new()?;
+        let pool = AddressPool::new()?;
+        let client = HttpClient::new(HttpClientConfig::default());
+        let platform = pool.next_address()?;
+        let platform_child = launcher.spawn(
+            "platform",
+            &binaries.standins,
+            standin_args("platform", &[("--listen", platform.to_string())]),
+        )?;
+        let mut cluster = Self {
+            platform,
+            platform_child,
+            entries: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            hosts: Vec::new(),
+            proxy: None,
+            listed_platform: platform,
+            client,
+            launcher,
+            pool,
+            binaries,
+            _proxy_child: None,
+            seeds: Vec::new(),
+            directory: tempfile::TempDir::new().map_err(ClusterError::Settings)?,
+            plan,
+        };
+        cluster.start_proxy().await?;
+        cluster.listed_platform = cluster.listed(platform).await?;
+        cluster.start_engines().await?;
+        cluster.start_services().await?;
+        cluster.wait_until_up(platform, "the platform").await?;
+        cluster.put_hosts().await?;
+        cluster.start_entries().await?;
+        Ok(cluster)
+    }
+
+    async fn wait_until_up(&self, address: SocketAddr, what: &str) -> Result<(), ClusterError> {
+        Ok(wait_until(READY_TIMEOUT, what, || async move {
+            tokio::net::TcpStream::connect(address).await.is_ok()
+        })
+        .await?)
+    }
+
+    async fn start_proxy(&mut self) -> Result<(), ClusterError> {
+        if !self.plan.is_proxied {
+            return Ok(());
+        }
+        let control = self.pool.next_address()?;
+        let args = standin_args("proxy", &[("--listen-control", control.to_string())]);
+        self._proxy_child = Some(
+            self.launcher
+                .spawn("proxy", &self.binaries.standins, args)?,
+        );
+        self.wait_until_up(control, "the proxy").await?;
+        self.proxy = Some(control);
+        Ok(())
+    }
+
+    /// Returns the address that others shall use for a process.
+    async fn listed(&self, target: SocketAddr) -> Result<SocketAddr, ClusterError> {
+        let Some(control) = self.proxy else {
+            return Ok(target);
+        };
+        let listen = self.pool.next_address()?;
+        let routes = [Route { listen, target }];
+        let _: () = self
+            .client
+            .put_json(control, "/control/routes", &routes)
+            .await?;
+        Ok(listen)
+    }
+
+    async fn start_engines(&mut self) -> Result<(), ClusterError> {
+        for spec in self.plan.engines.clone() {
+            let address = self.pool.next_address()?;
+            let args = self.engine_args(&spec, address);
+            let listed = self.listed(address).await?;
+            let child = self
+                .launcher
+                .spawn(&spec.name, &self.binaries.standins, &args)?;
+            let kind = HostKind::Engine {
+                accelerator: spec.accelerator.to_owned(),
+            };
+            let host = self.host(
+                &spec.name,
+                listed,
+                spec.data_centre,
+                kind,
+                spec.checks_fence,
+            )?;
+            self.hosts.push(host);
+            self.engines.push(EndpointProcess {
+                name: spec.name,
+                data_centre: spec.data_centre,
+                address,
+                listed,
+                child,
+                args,
+            });
+        }
+        Ok(())
+    }
+
+    fn engine_args(&self, spec: &EngineSpec, address: SocketAddr) -> Vec<String> {
+        let deployment = self.plan.deployment;
+        let data_centres = deployment.data_centres();
+        let mut args = standin_args(
+            "engine",
+            &[
+                ("--listen", address.to_string()),
+                ("--endpoint", spec.name.clone()),
+                ("--host", format!("host-{}", spec.name)),
+                ("--data-centre", data_centres[spec.data_centre].to_owned()),
+                ("--model", deployment.model().to_owned()),
+                ("--version", deployment.version().to_owned()),
+                (
+                    "--layers",
+                    format!("{}..{}", spec.first_layer, spec.end_layer),
+                ),
+                (
+                    "--layer-capacity",
+                    (spec.end_layer - spec.first_layer).to_string(),
+                ),
+                ("--slots", spec.slots.to_string()),
+                ("--tokens-per-second", spec.tokens_per_second.to_string()),
+                ("--step-ms", spec.step_ms.to_string()),
+            ],
+        );
+        for (place, name) in data_centres.iter().enumerate() {
+            let ms = deployment.link_ms(spec.data_centre, place);
+            args.push("--link".to_owned());
+            args.push(format!("{name}={ms}"));
+        }
+        if spec.checks_fence {
+            args.push("--checks-fence".to_owned());
+        }
+        args
+    }
+
+    async fn start_services(&mut self) -> Result<(), ClusterError> {
+        let (service, _) = self.plan.deployment.service_call();
+        for place in 0..self.plan.services {
+            let name = format!("{service}-{place}");
+            let data_centre = place % 3;
+            let address = self.pool.next_address()?;
+            let args = standin_args(
+                "service",
+                &[
+                    ("--listen", address.to_string()),
+                    ("--endpoint", name.clone()),
+                    ("--host", format!("host-{name}")),
+                    (
+                        "--data-centre",
+                        self.plan.deployment.data_centres()[data_centre].to_owned(),
+                    ),
+                    ("--service", service.to_owned()),
+                ],
+            );
+            let listed = self.listed(address).await?;
+            let child = self.launcher.spawn(&name, &self.binaries.standins, &args)?;
+            let kind = HostKind::Service {
+                service: ServiceName::try_from(service)?,
+            };
+            let host = self.host(&name, listed, data_centre, kind, false)?;
+            self.hosts.push(host);
+            self.services.push(EndpointProcess {
+                name,
+                data_centre,
+                address,
+                listed,
+                child,
+                args,
+            });
+        }
+        Ok(())
+    }
+
+    fn host(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        data_centre: usize,
+        kind: HostKind,
+        checks_fence: bool,
+    ) -> Result<HostRecord, ClusterError> {
+        Ok(HostRecord {
+            host: HostName::try_from(format!("host-{name}"))?,
+            endpoint: EndpointId::try_from(name)?,
+            address,
+            region: Region::try_from(self.plan.deployment.region())?,
+            data_centre: DataCentre::try_from(self.plan.deployment.data_centres()[data_centre])?,
+            kind,
+            checks_fence,
+            state: HostState::Live,
+        })
+    }
+
+    /// Tells the platform the host list as it stands in [`Cluster::hosts`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer.
+    pub async fn put_hosts(&self) -> Result<(), ClusterError> {
+        Ok(self
+            .client
+            .put_json(self.platform, "/control/hosts", &self.hosts)
+            .await?)
+    }
+
+    async fn start_entries(&mut self) -> Result<(), ClusterError> {
+        let mut addresses = Vec::new();
+        for _ in 0..self.plan.entries {
+            let caller = self.pool.next_address()?;
+            let peer = SocketAddr::new(caller.ip(), caller.port() + 1);
+            let advertised = self.listed(peer).await?;
+            addresses.push((caller, peer, advertised));
+        }
+        self.seeds = addresses.iter().map(|(_, _, peer)| *peer).collect();
+        for (place, (caller, peer, advertised_peer)) in addresses.into_iter().enumerate() {
+            let name = format!("entry-{place}");
+            let settings = self.write_settings(&name, place, caller, peer, advertised_peer)?;
+            let child = self.spawn_entry(&name, &settings)?;
+            self.entries.push(EntryProcess {
+                name,
+                caller,
+                peer,
+                advertised_peer,
+                child,
+                settings,
+            });
+        }
+        for entry in &self.entries {
+            self.wait_until_up(entry.caller, &entry.name).await?;
+        }
+        Ok(())
+    }
+
+    fn write_settings(
+        &self,
+        name: &str,
+        place: usize,
+        caller: SocketAddr,
+        peer: SocketAddr,
+        advertised_peer: SocketAddr,
+    ) -> Result<std::path::PathBuf, ClusterError> {
+        let data_centre = self.plan.deployment.data_centres()[place % 3];
+        let peers: Vec<String> = self
+            .seeds
+            .iter()
+            .filter(|seed| **seed != advertised_peer)
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
+        let text = format!(
+            "entry = \"{name}\"\n\
+             data_centre = \"{data_centre}\"\n\
+             caller_address = \"{caller}\"\n\
+             peer_address = \"{peer}\"\n\
+             advertised_peer_address = \"{advertised_peer}\"\n\
+             platform = \"{}\"\n\
+             peers = [{}]\n{}",
+            self.listed_platform,
+            peers.join(", "),
+            self.plan.entry_settings,
+        );
+        let path = self.directory.path().join(format!("{name}.toml"));
+        std::fs::write(&path, text).map_err(ClusterError::Settings)?;
+        Ok(path)
+    }
+
+    fn spawn_entry(&self, name: &str, settings: &std::path::Path) -> Result<Child, ClusterError> {
+        let args = [
+            "entry".into(),
+            "--config".into(),
+            settings.as_os_str().to_owned(),
+        ];
+        Ok(self.launcher.spawn(name, &self.binaries.router, args)?)
+    }
+
+    /// Applies an operators' file at one entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry does not answer or does not accept the file.
+    pub async fn apply(
+        &self,
+        entry: usize,
+        base: Revision,
+        text: String,
+    ) -> Result<Revision, ClusterError> {
+        let req = ApplyRequest {
+            apply: ApplyId::generate(),
+            base,
+            text,
+        };
+        let answer: ApplyAnswer = self
+            .client
+            .post_json(self.entries[entry].caller, "/v1/config", &req)
+            .await?;
+        match answer {
+            ApplyAnswer::Accepted { revision } => Ok(revision),
+            other => Err(ClusterError::NotAccepted {
+                answer: format!("{other:?}"),
+            }),
+        }
+    }
+
+    /// Waits until every entry takes new work and sees every endpoint's report.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that does not happen in time.
+    pub async fn wait_ready(&self) -> Result<(), ClusterError> {
+        for entry in &self.entries {
+            self.wait_entry_ready(entry).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until one entry takes new work and can run the model.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that does not happen in time.
+    pub async fn wait_entry_ready(&self, entry: &EntryProcess) -> Result<(), ClusterError> {
+        let what = format!("{} to be ready", entry.name);
+        let expected = self.engines.len() + self.services.len();
+        Ok(wait_until(READY_TIMEOUT, &what, || async {
+            self.status(entry.caller).await.is_ok_and(|status| {
+                status.ready
+                    && status.usable_endpoints as usize >= expected
+                    && status.entries.len() >= self.entries.len()
+            })
+        })
+        .await?)
+    }
+
+    /// Asks an entry for its status.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the entry does not answer.
+    pub async fn status(&self, entry: SocketAddr) -> Result<ForceStatus, ClusterError> {
+        Ok(self.client.get_json(entry, "/v1/status").await?)
+    }
+
+    /// Sets the platform's faults; each call replaces all of them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform's control interface does not answer.
+    pub async fn set_platform_faults(&self, faults: &PlatformFaults) -> Result<(), ClusterError> {
+        Ok(self
+            .client
+            .put_json(self.platform, "/control/faults", faults)
+            .await?)
+    }
+
+    /// Sets the proxy's faults; each call replaces all of them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the cluster has no proxy that answers.
+    pub async fn set_proxy_faults(&self, rules: &[FaultRule]) -> Result<(), ClusterError> {
+        let control = self.proxy.unwrap_or(self.platform);
+        Ok(self
+            .client
+            .put_json(control, "/control/faults", rules)
+            .await?)
+    }
+
+    /// Starts an entry again that has ended, at the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub async fn restart_entry(&mut self, place: usize) -> Result<(), ClusterError> {
+        let entry = &self.entries[place];
+        let child = self.spawn_entry(&entry.name, &entry.settings)?;
+        let caller = entry.caller;
+        self.entries[place].child = child;
+        self.wait_until_up(caller, "the restarted entry").await
+    }
+
+    /// Starts an engine again that has ended, at the same address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn restart_engine(&mut self, place: usize) -> Result<(), ClusterError> {
+        let engine = &self.engines[place];
+        let child = self
+            .launcher
+            .spawn(&engine.name, &self.binaries.standins, &engine.args)?;
+        self.engines[place].child = child;
+        Ok(())
+    }
+
+    /// Returns the logs of all entries, for a failed test.
+    pub fn entry_logs(&self) -> String {
+        self.entries
+            .iter()
+            .map(|entry| format!("== {}\n{}\n", entry.name, entry.child.log()))
+            .collect()
+    }
+}
+
+fn standin_args(command: &str, pairs: &[(&str, String)]) -> Vec<String> {
+    let mut args = vec!["--exit-with-stdin".to_owned(), command.to_owned()];
+    for (flag, value) in pairs {
+        args.push((*flag).to_owned());
+        args.push(value.clone());
+    }
+    args
+}
--- a/crates/pistachioyard_standins/src/lib.rs
+++ b/crates/pistachioyard_standins/src/lib.rs
@@ -4,18 +4,31 @@
 //! [`pistachioyard_wire`] and can be told to misbehave through `/control/` calls.
 //! They are small on purpose: they show the router faults, not performance.
 //! Integration tests, the demo and the bench start them with a [`Launcher`] and
-//! talk to them with an [`HttpClient`].
+//! talk to them with an [`HttpClient`]; a [`Cluster`] is a whole deployment.
 
+mod cluster;
+mod demo;
+mod deployment;
+mod engine;
 mod http;
 mod launch;
 mod platform;
 mod proxy;
 mod server;
 mod service;
+mod token;
 
+pub use cluster::{
+    Answer, Binaries, Caller, Cluster, ClusterError, ClusterPlan, EndpointProcess, EngineSpec,
+    EntryProcess, GenerateEnd, draft_request,
+};
+pub use demo::{DemoArgs, DemoError, run_demo};
+pub use deployment::{ClusterSize, Deployment};
+pub use engine::{EngineError, EngineFaults, EngineSettings, RunRecord, run_engine};
 pub use http::{BodyLines, HttpAnswer, HttpClient, HttpClientConfig, HttpClientError, SseReader};
 pub use launch::{AddressPool, Child, LaunchError, Launcher, exit_when_stdin_closes, wait_until};
 pub use platform::{CallCounts, PlatformArgs, PlatformFaults, run_platform};
 pub use proxy::{FaultKind, FaultRule, ProxyArgs, Route, RouteFault, run_proxy};
 pub use server::ServeError;
 pub use service::{EffectAnswer, EffectRecord, ServiceArgs, ServiceFaults, run_service};
+pub use token::{PrefixState, reference_tokens, run_layers, seed_state};
--- a/crates/pistachioyard_standins/src/main.rs
+++ b/crates/pistachioyard_standins/src/main.rs
@@ -2,9 +2,10 @@
 
 use clap::{Parser, Subcommand};
 use pistachioyard_standins::{
-    PlatformArgs, ProxyArgs, ServiceArgs, exit_when_stdin_closes, run_platform, run_proxy,
-    run_service,
+    DemoArgs, EngineSettings, PlatformArgs, ProxyArgs, ServiceArgs, exit_when_stdin_closes,
+    run_demo, run_engine, run_platform, run_proxy, run_service,
 };
+use tokio::runtime::{Builder, Runtime};
 
 /// Stand-ins for tests and the demo.
 #[derive(Debug, Parser)]
@@ -18,6 +19,10 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Runs both example deployments, breaks them and checks every answer.
+    Demo(DemoArgs),
+    /// Runs one model engine.
+    Engine(Box<EngineSettings>),
     /// The platform's object API and host list.
     Platform(PlatformArgs),
     /// A TCP proxy that injects faults.
@@ -26,16 +31,28 @@
     Service(ServiceArgs),
 }
 
-#[tokio::main]
-async fn main() -> eyre::Result<()> {
+fn main() -> eyre::Result<()> {
     let cli = Cli::parse();
+    let runtime = build_runtime(&cli.command)?;
+    let _context = runtime.enter();
     if cli.exit_with_stdin {
         exit_when_stdin_closes();
     }
     match cli.command {
-        Command::Platform(args) => run_platform(args).await?,
-        Command::Proxy(args) => run_proxy(args).await?,
-        Command::Service(args) => run_service(args).await?,
+        Command::Demo(args) => runtime.block_on(run_demo(args))?,
+        Command::Engine(settings) => runtime.block_on(run_engine(*settings))?,
+        Command::Platform(args) => runtime.block_on(run_platform(args))?,
+        Command::Proxy(args) => runtime.block_on(run_proxy(args))?,
+        Command::Service(args) => runtime.block_on(run_service(args))?,
     }
     Ok(())
 }
+
+/// Gives engines and services, of which there are many, one thread each.
+fn build_runtime(command: &Command) -> std::io::Result<Runtime> {
+    let mut builder = match command {
+        Command::Engine(_) | Command::Service(_) => Builder::new_current_thread(),
+        Command::Demo(_) | Command::Platform(_) | Command::Proxy(_) => Builder::new_multi_thread(),
+    };
+    builder.enable_all().build()
+}
--- a/crates/pistachioyard_wire/src/caller.rs
+++ b/crates/pistachioyard_wire/src/caller.rs
@@ -3,7 +3,7 @@
 //! - `GET /v1/entries?workspace=` gives an [`EntryList`].
 //! - `POST /v1/generate` takes a [`GenerateRequest`]. The answer is a stream of
 //!   server-sent events, one [`StreamEvent`] each, or a [`Problem`].
-//! - `POST /v1/operations/{service}/{call}` takes an [`OperationRequest`]'s parts as
+//! - `POST /v1/operations/{service}?call=` takes an [`OperationRequest`]'s parts as
 //!   headers and body and answers an [`OperationOutcome`] or a [`Problem`].
 //! - `GET /v1/operations/{key}` answers the recorded [`OperationOutcome`].
 
--- a/crates/pistachioyard_wire/src/lib.rs
+++ b/crates/pistachioyard_wire/src/lib.rs
@@ -36,8 +36,8 @@
 };
 pub use operator::{
     AcceptedConfig, ApplyAnswer, ApplyRequest, CallPolicy, Config, ConfigFault, ConfigFile,
-    EntryStatus, ForceStatus, ModelPolicy, Objective, Priority, ServiceLevel, ServicePolicy,
-    WorkspacePolicy,
+    EntryBurn, EntryStatus, ForceStatus, LevelCounts, ModelPolicy, Objective, Priority,
+    ServiceLevel, ServicePolicy, WindowCount, WorkspacePolicy,
 };
 pub use peer::{
     EndpointMark, EndpointMarkKind, EntryState, GossipState, MemberRecord, PeerFault, PeerMessage,
--- a/crates/pistachioyard_wire/src/operator/status.rs
+++ b/crates/pistachioyard_wire/src/operator/status.rs
@@ -86,6 +86,8 @@
     pub digest: String,
     /// Whether the entry takes new work.
     pub ready: bool,
+    /// The endpoints that it would give new work to.
+    pub usable_endpoints: u32,
     /// Whether the platform answered its last call.
     pub platform_reachable: bool,
     /// All entries it knows, itself included.
--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -27,6 +27,15 @@
     WantConfig,
     /// The configuration that the sender has in force.
     Config(AcceptedConfig),
+    /// Answers a gossip, so that its sender knows when it was heard. Only an
+    /// answer confirms a configuration: gossip that was buffered while a process
+    /// was paused proves nothing about the present.
+    Ack {
+        /// The `sent_ms` of the gossip that is answered.
+        sent_ms: u64,
+        /// The revision in force at the sender of the answer.
+        revision: Revision,
+    },
 }
 
 /// The state of an entry as its peers see it.
@@ -112,6 +121,8 @@
 pub struct GossipState {
     /// The sender.
     pub from: EntryId,
+    /// The sender's monotonic clock, in milliseconds, when it sent this.
+    pub sent_ms: u64,
     /// The members the sender knows, itself included.
     pub members: Vec<MemberRecord>,
     /// The revision in force at the sender.
--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,43 @@
+//! The HTTP interface of an entry, by dropshot.
+
+mod body;
+mod caller;
+mod health;
+mod operator;
+mod respond;
+
+use dropshot::ApiDescription;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::prelude::*;
+
+/// What the handlers share.
+pub(crate) struct ApiContext {
+    /// The entry.
+    pub(crate) node: Arc<Node>,
+    /// Renders the metrics.
+    pub(crate) metrics: PrometheusHandle,
+}
+
+/// Registers all handlers.
+pub(crate) fn describe() -> ApiDescription<ApiContext> {
+    let mut api = ApiDescription::new();
+    caller::register(&mut api);
+    health::register(&mut api);
+    operator::register(&mut api);
+    api
+}
+
+/// Returns the OpenAPI document of an entry, as JSON.
+///
+/// It is committed as `docs/openapi.json`, and a test holds the two together.
+pub fn openapi_document() -> String {
+    let version = dropshot::semver::Version::new(1, 0, 0);
+    let document = describe()
+        .openapi("pistachioyard entry", version)
+        .json()
+        .expect("the handlers have valid schemas");
+    let mut text = serde_json::to_string_pretty(&document).expect("a JSON value can be written");
+    text.push('\n');
+    text
+}
--- /dev/null
+++ b/src/api/operator.rs
@@ -0,0 +1,98 @@
+//! Handlers for the operators' client.
+
+use dropshot::{
+    ApiDescription, HttpError, HttpResponseOk, RequestContext, StreamingBody, endpoint,
+};
+use pistachioyard_wire::{AcceptedConfig, ApplyRequest, EntryBurn, EntryStatus, ForceStatus};
+
+use super::ApiContext;
+use super::body::read_body;
+use super::respond::{HandlerResult, json};
+use crate::prelude::*;
+
+pub(crate) fn register(api: &mut ApiDescription<ApiContext>) {
+    api.register(burn).expect("the path is unique");
+    api.register(apply).expect("the path is unique");
+    api.register(config).expect("the path is unique");
+    api.register(status).expect("the path is unique");
+}
+
+/// Accepts an operators' file as a whole; the body is an ApplyRequest, the answer
+/// an ApplyAnswer.
+#[endpoint { method = POST, path = "/v1/config" }]
+async fn apply(rqctx: RequestContext<ApiContext>, body: StreamingBody) -> HandlerResult {
+    let node = &rqctx.context().node;
+    let answer = async {
+        let body = read_body(body).await?;
+        let req: ApplyRequest = serde_json::from_slice(&body).map_err(|e| {
+            crate::filter::bad_request(format!("the body is not an apply request: {e}"))
+        })?;
+        Ok(crate::controller::apply(node, req).await)
+    };
+    json(answer.await)
+}
+
+/// Tells the configuration in force at this entry.
+#[endpoint { method = GET, path = "/v1/config" }]
+async fn config(rqctx: RequestContext<ApiContext>) -> HandlerResult {
+    let adoption = rqctx.context().node.adoption.lock();
+    let accepted = adoption.current().map_or_else(
+        || AcceptedConfig {
+            revision: Revision(0),
+            digest: String::new(),
+            text: "".into(),
+            applies: Vec::new(),
+        },
+        |active| active.accepted.clone(),
+    );
+    json(Ok(accepted))
+}
+
+/// Tells where the configuration is in force, as this entry sees it.
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn status(
+    rqctx: RequestContext<ApiContext>,
+) -> Result<HttpResponseOk<ForceStatus>, HttpError> {
+    let node = &rqctx.context().node;
+    let digest = node
+        .adoption
+        .lock()
+        .current()
+        .map(|active| active.accepted.digest.clone())
+        .unwrap_or_default();
+    let entries = node
+        .membership
+        .lock()
+        .all(Instant::now())
+        .into_iter()
+        .map(|(record, state)| EntryStatus {
+            entry: record.entry,
+            address: record.address,
+            data_centre: record.data_centre,
+            state,
+            revision: record.revision,
+        })
+        .collect();
+    let now = Instant::now();
+    let usable_endpoints = {
+        let fleet = node.fleet.lock();
+        fleet.endpoints().filter(|view| view.is_usable(now)).count()
+    };
+    Ok(HttpResponseOk(ForceStatus {
+        entry: node.settings.entry.clone(),
+        revision: node.revision(),
+        digest,
+        ready: node.is_ready(),
+        usable_endpoints: usable_endpoints as u32,
+        platform_reachable: node.platform.is_reachable(),
+        entries,
+    }))
+}
+
+/// Tells what this entry has counted against the service levels.
+#[endpoint { method = GET, path = "/v1/burn" }]
+async fn burn(rqctx: RequestContext<ApiContext>) -> Result<HttpResponseOk<EntryBurn>, HttpError> {
+    let node = &rqctx.context().node;
+    let burn = node.burn.report(&node.settings.entry, Instant::now());
+    Ok(HttpResponseOk(burn))
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,186 @@
+//! The command line of the daemon and the operators' client.
+
+mod apply;
+mod call;
+mod entries;
+mod output;
+mod status;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+
+use crate::prelude::*;
+use crate::settings::EntrySettings;
+
+/// Routes requests through model pipelines.
+#[derive(Debug, Parser)]
+#[command(version, about, after_help = EXIT_CODES)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 bad input, 3 conflict with another \
+                          apply, 4 accepted but not yet in force everywhere, 5 outcome open";
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs the daemon of an entry host.
+    Entry {
+        /// The settings file.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Checks a settings or operators' file without touching anything.
+    Check {
+        /// The file.
+        file: PathBuf,
+        /// What the file is.
+        #[arg(long, value_enum, default_value_t = FileKind::Config)]
+        kind: FileKind,
+    },
+    /// Applies an operators' file as a whole.
+    Apply {
+        /// The operators' file.
+        file: PathBuf,
+        /// The revision that the file was made from; the one in force by default.
+        #[arg(long)]
+        base: Option<u64>,
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Shows how an operators' file differs from the configuration in force.
+    Diff {
+        /// The operators' file.
+        file: PathBuf,
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Shows where the configuration is in force.
+    Status {
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Shows which entries callers are told to use.
+    Entries {
+        /// The workspace to ask for.
+        #[arg(long)]
+        workspace: Option<WorkspaceName>,
+        #[command(flatten)]
+        target: Target,
+    },
+    /// Writes the OpenAPI document of an entry.
+    Openapi,
+}
+
+/// Which entries to ask, and how to print.
+#[derive(Args, Clone, Debug)]
+struct Target {
+    /// An entry's caller address; give several to have others asked when it does
+    /// not answer.
+    #[arg(long = "entry", value_name = "ADDRESS", required = true)]
+    entries: Vec<std::net::SocketAddr>,
+    /// How to print.
+    #[arg(long, value_enum, default_value_t = Output::Table)]
+    output: Output,
+}
+
+/// How results are printed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+enum Output {
+    /// For people.
+    Table,
+    /// For programs.
+    Json,
+}
+
+/// The kinds of files that can be checked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
+enum FileKind {
+    /// An operators' file.
+    Config,
+    /// An entry's settings.
+    Settings,
+}
+
+/// How a command ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExitStatus {
+    /// It did what was asked.
+    Done,
+    /// It failed.
+    Failed,
+    /// What was given is faulty; nothing was touched.
+    BadInput,
+    /// Another apply came first; nothing has changed.
+    Conflict,
+    /// The file is accepted but not yet in force everywhere.
+    NotYetInForce,
+    /// The platform did not answer, so whether the file is accepted is open.
+    Undecided,
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        Self::from(match status {
+            ExitStatus::Done => 0,
+            ExitStatus::Failed => 1,
+            ExitStatus::BadInput => 2,
+            ExitStatus::Conflict => 3,
+            ExitStatus::NotYetInForce => 4,
+            ExitStatus::Undecided => 5,
+        })
+    }
+}
+
+/// Runs a command.
+///
+/// # Errors
+///
+/// Fails when the daemon cannot start or no entry answers.
+pub fn run(cli: Cli) -> eyre::Result<ExitStatus> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    match cli.command {
+        Command::Entry { config } => match EntrySettings::load(&config) {
+            Ok(settings) => {
+                crate::logging::init(settings.log_level);
+                runtime.block_on(crate::entry::run_entry(settings))?;
+                Ok(ExitStatus::Done)
+            }
+            Err(faults) => Ok(output::print_faults(&faults)),
+        },
+        Command::Check { file, kind } => check(&file, kind),
+        Command::Apply { file, base, target } => {
+            runtime.block_on(apply::apply(&file, base.map(Revision), &target))
+        }
+        Command::Diff { file, target } => runtime.block_on(apply::diff(&file, &target)),
+        Command::Status { target } => runtime.block_on(status::status(&target)),
+        Command::Entries { workspace, target } => {
+            runtime.block_on(entries::entries(workspace.as_ref(), &target))
+        }
+        Command::Openapi => {
+            print!("{}", crate::api::openapi_document());
+            Ok(ExitStatus::Done)
+        }
+    }
+}
+
+fn check(file: &std::path::Path, kind: FileKind) -> eyre::Result<ExitStatus> {
+    match kind {
+        FileKind::Settings => match EntrySettings::load(file) {
+            Ok(_) => Ok(output::print_fine(file)),
+            Err(faults) => Ok(output::print_faults(&faults)),
+        },
+        FileKind::Config => {
+            let text = std::fs::read_to_string(file)?;
+            match pistachioyard_wire::Config::parse(&text) {
+                Ok(_) => Ok(output::print_fine(file)),
+                Err(faults) => Ok(output::print_faults(&faults)),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,187 @@
+//! The HTTP client of the daemon, over hyper-util.
+//!
+//! Outgoing connections come from the entry's own IP address, and an error tells
+//! whether any byte of the call can have been sent.
+
+use std::net::{IpAddr, SocketAddr};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::CallError;
+use crate::prelude::*;
+
+/// How long a connection attempt may take, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 400;
+/// How long an unused connection is kept, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 20_000;
+/// The largest answer that is read whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 8_000_000;
+
+/// Whether connections are used again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reuse {
+    /// Connections are kept; right for calls that may be sent again.
+    Pooled,
+    /// Each call makes its own connection, so that a failed connection attempt
+    /// proves that nothing was sent.
+    Fresh,
+}
+
+/// A call to another process.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    /// Where to.
+    pub(crate) to: SocketAddr,
+    /// The HTTP method.
+    pub(crate) method: Method,
+    /// The path and query.
+    pub(crate) path: String,
+    /// The extra headers.
+    pub(crate) headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    /// Makes a call without a body.
+    pub(crate) fn new(method: Method, to: SocketAddr, path: impl Into<String>) -> Self {
+        Self {
+            to,
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Makes a `GET` call.
+    pub(crate) fn get(to: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(Method::GET, to, path)
+    }
+
+    /// Sets a JSON body.
+    pub(crate) fn json(mut self, value: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(value).expect("border types can be written as JSON");
+        self.headers
+            .push(("content-type", "application/json".to_owned()));
+        self.body = body.into();
+        self
+    }
+}
+
+/// An answer that was read whole.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    to: SocketAddr,
+    /// The HTTP status.
+    pub(crate) status: StatusCode,
+    /// The headers.
+    pub(crate) headers: http::HeaderMap,
+    /// The body.
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    /// Reads the body as JSON.
+    pub(crate) fn parse<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        serde_json::from_slice(&self.body).map_err(|e| CallError::Malformed {
+            to: self.to,
+            why: e.to_string(),
+        })
+    }
+
+    /// Reads the body as JSON if the status is a success.
+    pub(crate) fn parse_success<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        if self.status.is_success() {
+            self.parse()
+        } else {
+            Err(CallError::Status {
+                to: self.to,
+                status: self.status.as_u16(),
+            })
+        }
+    }
+}
+
+/// Calls other processes.
+#[derive(Clone)]
+pub(crate) struct HttpClient {
+    inner: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// Makes a client whose connections come from `local`.
+    pub(crate) fn new(local: Option<IpAddr>, reuse: Reuse) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_local_address(local);
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder.pool_timer(TokioTimer::new());
+        match reuse {
+            Reuse::Pooled => {
+                builder.pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS));
+            }
+            Reuse::Fresh => {
+                builder.pool_max_idle_per_host(0);
+                builder.retry_canceled_requests(false);
+            }
+        }
+        Self {
+            inner: builder.build(connector),
+        }
+    }
+
+    /// Sends a call and returns the answer's head; the body is still to be read.
+    pub(crate) async fn open(&self, call: Call) -> Result<Response<Incoming>, CallError> {
+        let to = call.to;
+        let mut req = Request::builder()
+            .method(call.method)
+            .uri(format!("http://{to}{}", call.path));
+        for (name, value) in &call.headers {
+            req = req.header(*name, value);
+        }
+        let req = req
+            .body(Full::new(call.body))
+            .map_err(|_| CallError::NotSent { to })?;
+        self.inner.request(req).await.map_err(|e| {
+            if e.is_connect() {
+                CallError::NotSent { to }
+            } else {
+                CallError::AnswerLost { to }
+            }
+        })
+    }
+
+    /// Sends a call and reads its answer whole within `timeout`.
+    pub(crate) async fn send(&self, call: Call, timeout: Duration) -> Result<Answer, CallError> {
+        let to = call.to;
+        tokio::time::timeout(timeout, self.send_unbounded(call))
+            .await
+            .map_err(|_| CallError::Timeout { to })?
+    }
+
+    async fn send_unbounded(&self, call: Call) -> Result<Answer, CallError> {
+        let to = call.to;
+        let (head, body) = self.open(call).await?.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|_| CallError::AnswerLost { to })?
+            .to_bytes();
+        Ok(Answer {
+            to,
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+}
--- /dev/null
+++ b/src/controller.rs
@@ -0,0 +1,22 @@
+//! Controllers: tasks that keep the entry's state up to date.
+//!
+//! Each controller is a loop that goes on after any failure. None of them is
+//! needed to answer a request that is already in progress.
+
+mod config;
+mod gossip;
+mod hosts;
+mod reports;
+
+pub(crate) use config::{adopt, apply};
+
+use crate::prelude::*;
+
+/// Starts all controllers.
+pub(crate) fn start(node: &Arc<Node>) {
+    tokio::spawn(config::run(node.clone()));
+    tokio::spawn(gossip::run(node.clone()));
+    tokio::spawn(hosts::run(node.clone()));
+    tokio::spawn(reports::run(node.clone()));
+    tokio::spawn(crate::filter::Admission::run(node.clone()));
+}
--- /dev/null
+++ b/src/controller/config.rs
@@ -0,0 +1,144 @@
+//! The operators' configuration: accepting it and putting it in force.
+//!
+//! Entries learn of a new revision by a watch on the head object, from their
+//! peers' gossip, and by pushes of the entry that accepted it
+//! (`docs/design/configuration.md`).
+
+use pistachioyard_policy::{ApplyDecision, decide_apply};
+use pistachioyard_wire::{
+    AcceptedConfig, ApplyAnswer, ApplyRequest, Config, ObjectKey, ObjectRecord, PeerMessage,
+    WriteAnswer, WriteCondition,
+};
+
+use crate::prelude::*;
+
+/// The object that holds the accepted configuration.
+const HEAD_KEY: &str = "config/head";
+/// The prefix that is watched.
+const WATCH_PREFIX: &str = "config/";
+/// How long one watch waits, in milliseconds.
+const WATCH_WAIT_MS: u64 = 1_000;
+/// The pause after a failed watch, in milliseconds.
+const BACKOFF_MS: u64 = 250;
+/// How often an apply is tried before its outcome is left open.
+const APPLY_TRIES: u32 = 4;
+
+/// Watches the head object for ever.
+pub(crate) async fn run(node: Arc<Node>) {
+    let mut after = 0;
+    loop {
+        let sent_at = Instant::now();
+        let wait = Duration::from_millis(WATCH_WAIT_MS);
+        match node.platform.watch(WATCH_PREFIX, after, wait).await {
+            Ok(page) => {
+                after = page.version;
+                page.changed
+                    .iter()
+                    .for_each(|record| adopt_record(&node, record));
+                let revision = node.revision();
+                node.adoption.lock().confirm(revision, sent_at);
+            }
+            Err(e) => {
+                spdlog::debug!("config: cannot watch: {e}");
+                tokio::time::sleep(Duration::from_millis(BACKOFF_MS)).await;
+            }
+        }
+    }
+}
+
+fn adopt_record(node: &Arc<Node>, record: &ObjectRecord) {
+    if *record.key.0 != *HEAD_KEY {
+        return;
+    }
+    match serde_json::from_str::<AcceptedConfig>(&record.value) {
+        Ok(accepted) => {
+            adopt(node, accepted);
+        }
+        Err(e) => spdlog::error!("config: the head object cannot be read: {e}"),
+    }
+}
+
+/// Puts a configuration in force if it is newer, and passes it on.
+pub(crate) fn adopt(node: &Arc<Node>, accepted: AcceptedConfig) {
+    let revision = accepted.revision;
+    let offered = node.adoption.lock().offer(accepted.clone());
+    match offered {
+        Ok(true) => {
+            spdlog::info!("config: revision {revision} is in force");
+            set_service_levels(node);
+            node.peers.send(&PeerMessage::Config(accepted));
+            node.peers.push_gossip(node);
+            node.admission.wake();
+        }
+        Ok(false) => {}
+        Err(rejected) => spdlog::error!("config: revision {revision} is not adopted: {rejected}"),
+    }
+}
+
+fn set_service_levels(node: &Node) {
+    let active = node.adoption.lock().current().cloned();
+    if let Some(active) = active {
+        let levels = active.config.service_levels();
+        node.burn
+            .set_levels(active.accepted.revision, levels, Instant::now());
+    }
+}
+
+/// Accepts an operators' file by one conditional write of the head object.
+pub(crate) async fn apply(node: &Arc<Node>, req: ApplyRequest) -> ApplyAnswer {
+    if let Err(faults) = Config::parse(&req.text) {
+        let faults = faults.iter().map(ToString::to_string).collect();
+        return ApplyAnswer::Rejected { faults };
+    }
+    let key = ObjectKey(HEAD_KEY.into());
+    let mut last_error = None;
+    for _ in 0..APPLY_TRIES {
+        match try_apply(node, &key, &req).await {
+            Ok(Some(answer)) => return answer,
+            Ok(None) => {}
+            Err(e) => {
+                last_error = Some(e);
+                tokio::time::sleep(Duration::from_millis(BACKOFF_MS)).await;
+            }
+        }
+    }
+    let detail = last_error.map_or_else(
+        || "other applies kept coming first; apply again".to_owned(),
+        |e| format!("{e}; send the same apply again to settle it"),
+    );
+    ApplyAnswer::Undecided { detail }
+}
+
+/// Tries once; no answer means that the head changed in between.
+async fn try_apply(
+    node: &Arc<Node>,
+    key: &ObjectKey,
+    req: &ApplyRequest,
+) -> Result<Option<ApplyAnswer>, crate::error::CallError> {
+    let record = node.platform.read(key).await?;
+    let current = record
+        .as_ref()
+        .and_then(|r| serde_json::from_str::<AcceptedConfig>(&r.value).ok());
+    let condition = record.as_ref().map_or(WriteCondition::Absent, |r| {
+        WriteCondition::Version(r.version)
+    });
+    let accepted = match decide_apply(current.as_ref(), req) {
+        ApplyDecision::AlreadyAccepted(revision) => {
+            if let Some(current) = current {
+                adopt(node, current);
+            }
+            return Ok(Some(ApplyAnswer::Accepted { revision }));
+        }
+        ApplyDecision::Conflict(revision) => return Ok(Some(ApplyAnswer::Conflict { revision })),
+        ApplyDecision::Write(accepted) => accepted,
+    };
+    let text = serde_json::to_string(&accepted).expect("border types can be written as JSON");
+    match node.platform.write(key, condition, Some(text)).await? {
+        WriteAnswer::Written(_) => {
+            let revision = accepted.revision;
+            adopt(node, accepted);
+            Ok(Some(ApplyAnswer::Accepted { revision }))
+        }
+        WriteAnswer::Conflict(_) => Ok(None),
+    }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,245 @@
+//! The daemon: one process on each entry host.
+//!
+//! [`Node`] holds what the filters and controllers share. Each part of the state
+//! has its own lock, held for the length of one decision and never across an
+//! await point.
+
+mod lifecycle;
+mod run;
+mod streams;
+
+use std::collections::BTreeMap;
+
+pub(crate) use lifecycle::{InFlight, Lifecycle};
+use parking_lot::Mutex;
+use pistachioyard_policy::{
+    ActiveConfig, Adoption, FleetView, Membership, PrefixIndex, Quarantine, RetryBudget, Standing,
+    SuspectLanes,
+};
+use pistachioyard_wire::{EntryState, GossipState, MemberRecord, WorkspaceUsage};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+pub(crate) use run::run_entry;
+pub(crate) use streams::StreamTable;
+
+use crate::burn::BurnRecorder;
+use crate::client::{HttpClient, Reuse};
+use crate::engine::EngineClient;
+use crate::filter::Admission;
+use crate::ledger::Ledger;
+use crate::peer_link::PeerLinks;
+use crate::platform::Platform;
+use crate::prelude::*;
+use crate::service::ServiceClient;
+use crate::settings::EntrySettings;
+
+/// How long a peer may be silent before it counts as lost, in milliseconds.
+const HEARTBEAT_TIMEOUT_MS: u64 = 1_000;
+/// How long a convicted request is refused, in milliseconds.
+const QUARANTINE_HOLD_MS: u64 = 600_000;
+/// The retries allowed for each first try.
+const RETRY_SHARE: f64 = 0.2;
+/// The retries allowed before any first try.
+const RETRY_BURST: f64 = 200.0;
+/// The part of the in-force time after which an unconfirmed configuration is
+/// stale; the rest is left for a request that is just being admitted.
+const STALE_SHARE: f64 = 0.8;
+
+/// What the parts of one entry process share.
+pub(crate) struct Node {
+    pub(crate) settings: EntrySettings,
+    pub(crate) origin: Instant,
+    pub(crate) platform: Arc<Platform>,
+    pub(crate) engines: EngineClient,
+    pub(crate) services: ServiceClient,
+    pub(crate) adoption: Mutex<Adoption>,
+    pub(crate) membership: Mutex<Membership>,
+    pub(crate) fleet: Mutex<FleetView>,
+    pub(crate) prefixes: Mutex<PrefixIndex>,
+    pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) lanes: Mutex<SuspectLanes>,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) peer_usage: Mutex<BTreeMap<EntryId, BTreeMap<WorkspaceName, WorkspaceUsage>>>,
+    pub(crate) rng: Mutex<ChaCha8Rng>,
+    pub(crate) admission: Admission,
+    pub(crate) streams: StreamTable,
+    pub(crate) ledger: Arc<Ledger>,
+    pub(crate) peers: PeerLinks,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) burn: BurnRecorder,
+}
+
+impl Node {
+    /// Makes the state of a new entry process.
+    pub(crate) fn new(settings: EntrySettings, now: Instant) -> Arc<Self> {
+        let local = Some(settings.caller_address.ip());
+        let pooled = HttpClient::new(local, Reuse::Pooled);
+        let fresh = HttpClient::new(local, Reuse::Fresh);
+        let platform = Arc::new(Platform::new(pooled.clone(), settings.platform));
+        let boot = BootId::generate();
+        let own = own_record(&settings, boot);
+        let stale_after = settings.in_force.mul_f64(STALE_SHARE);
+        Arc::new(Self {
+            origin: now,
+            engines: EngineClient::new(pooled),
+            services: ServiceClient::new(fresh),
+            adoption: Mutex::new(Adoption::new(stale_after)),
+            membership: Mutex::new(Membership::new(own, millis(HEARTBEAT_TIMEOUT_MS), now)),
+            fleet: Mutex::new(FleetView::new()),
+            prefixes: Mutex::new(PrefixIndex::new()),
+            quarantine: Mutex::new(Quarantine::new(millis(QUARANTINE_HOLD_MS))),
+            lanes: Mutex::new(SuspectLanes::default()),
+            retries: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
+            peer_usage: Mutex::new(BTreeMap::new()),
+            rng: Mutex::new(ChaCha8Rng::from_os_rng()),
+            admission: Admission::new(),
+            streams: StreamTable::default(),
+            ledger: Arc::new(Ledger::new(platform.clone())),
+            platform,
+            peers: PeerLinks::default(),
+            lifecycle: Lifecycle::default(),
+            burn: BurnRecorder::new(),
+            settings,
+        })
+    }
+
+    /// Returns the configuration to serve new work by.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none, or when neither the platform nor a peer has
+    /// confirmed it within the in-force time, as after a pause of this process.
+    pub(crate) fn config_for_new_work(&self) -> Result<Arc<ActiveConfig>, Problem> {
+        let adoption = self.adoption.lock();
+        let problem = |detail: &str| {
+            Problem::new(ProblemKind::NoConfig, Outcome::NotRun, detail).with_retry_after_ms(1_000)
+        };
+        match adoption.standing(Instant::now()) {
+            Standing::NoConfig => Err(problem(
+                "this entry has no configuration yet; ask another entry or come back",
+            )),
+            Standing::Stale { .. } => Err(problem(
+                "this entry is cut off from the platform and its peers; ask another entry",
+            )),
+            Standing::InForce => adoption
+                .current()
+                .cloned()
+                .ok_or_else(|| problem("this entry has no configuration yet; come back")),
+        }
+    }
+
+    /// Returns the revision in force here; 0 where there is none.
+    pub(crate) fn revision(&self) -> Revision {
+        let adoption = self.adoption.lock();
+        adoption
+            .current()
+            .map_or(Revision(0), |active| active.accepted.revision)
+    }
+
+    /// Records that a peer had a revision in force after `sent_ms`, on this entry's
+    /// own clock.
+    pub(crate) fn confirm_config(&self, sent_ms: u64, revision: Revision) {
+        let heard_after = self.origin + millis(sent_ms);
+        self.adoption.lock().confirm(revision, heard_after);
+    }
+
+    /// Tells whether the entry takes new work.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.lifecycle.is_stopping() && self.config_for_new_work().is_ok()
+    }
+
+    /// Builds what the peers are told at this moment.
+    pub(crate) fn gossip(&self, now: Instant, report_age: Duration) -> GossipState {
+        let revision = self.revision();
+        let state = if self.lifecycle.is_draining() {
+            EntryState::Draining
+        } else {
+            EntryState::Live
+        };
+        let members = {
+            let mut membership = self.membership.lock();
+            membership.set_own(state, revision);
+            membership.beat(now);
+            membership.records(now)
+        };
+        let fleet = self.fleet.lock();
+        GossipState {
+            from: self.settings.entry.clone(),
+            sent_ms: now.duration_since(self.origin).as_millis() as u64,
+            members,
+            revision,
+            in_flight: fleet.own_in_flight(),
+            endpoint_marks: fleet.marks(now),
+            quarantine: self.quarantine.lock().marks(now),
+            usage: self.admission.usage(),
+            reports: fleet.recent_reports(report_age, now),
+        }
+    }
+
+    /// Takes in what a peer told.
+    pub(crate) fn absorb_gossip(&self, gossip: GossipState, now: Instant) {
+        let newcomers = self.membership.lock().merge(&gossip.members, now);
+        for entry in &newcomers {
+            spdlog::info!("peers: entry {entry} is new or was restarted");
+        }
+        self.quarantine.lock().merge(&gossip.quarantine, now);
+        {
+            let mut fleet = self.fleet.lock();
+            fleet.set_peer_in_flight(&gossip.from, &gossip.in_flight, now);
+            for mark in &gossip.endpoint_marks {
+                fleet.apply_mark(mark, now);
+            }
+            for (report, age_ms) in gossip.reports {
+                if let Some(measured_at) = now.checked_sub(millis(age_ms)) {
+                    fleet.apply_report(report, measured_at);
+                }
+            }
+        }
+        self.peer_usage.lock().insert(gossip.from, gossip.usage);
+    }
+
+    /// Forgets what lost peers said and lets old state age out.
+    pub(crate) fn expire(&self, now: Instant) {
+        let lost: Vec<EntryId> = {
+            let mut membership = self.membership.lock();
+            membership.expire(now);
+            let known = membership.all(now);
+            let mut usage = self.peer_usage.lock();
+            let lost = usage
+                .keys()
+                .filter(|entry| {
+                    !known.iter().any(|(record, state)| {
+                        record.entry == **entry && *state != EntryState::Lost
+                    })
+                })
+                .cloned()
+                .collect::<Vec<_>>();
+            usage.retain(|entry, _| !lost.contains(entry));
+            lost
+        };
+        let mut fleet = self.fleet.lock();
+        for entry in &lost {
+            spdlog::warn!("peers: entry {entry} is lost");
+            fleet.forget_peer(entry);
+        }
+        drop(fleet);
+        self.quarantine.lock().expire(now);
+    }
+}
+
+fn own_record(settings: &EntrySettings, boot: BootId) -> MemberRecord {
+    MemberRecord {
+        entry: settings.entry.clone(),
+        boot,
+        heartbeat: 0,
+        state: EntryState::Live,
+        address: settings.advertised_caller_address,
+        peer_address: settings.advertised_peer_address,
+        data_centre: settings.data_centre.clone(),
+        revision: Revision(0),
+    }
+}
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
--- /dev/null
+++ b/src/filter/admit.rs
@@ -0,0 +1,343 @@
+//! Admission: who goes next, and over which chain.
+//!
+//! Requests wait in a fair queue until a chain has free slots at every stage. A
+//! request that cannot be served in time is refused at once, with when to come
+//! back (`docs/design/admission.md`).
+
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+use parking_lot::Mutex;
+use pistachioyard_policy::{
+    Chain, ChainQuery, DrainRate, FairQueue, NoChain, Ticket, choose_chain,
+};
+use pistachioyard_wire::{AdapterName, LayerRange as Layers, StageRef, WorkspaceUsage};
+use tokio::sync::{Notify, oneshot};
+
+use super::GenerateContext;
+use crate::prelude::*;
+
+/// How long a request may wait for admission, in milliseconds; what is left of
+/// the first-token objective is for the prefill.
+const MAX_WAIT_MS: u64 = 1_200;
+/// The most requests that wait at one entry.
+const MAX_WAITING: usize = 4_096;
+/// How often waiting requests are looked at without any event, in milliseconds.
+const PUMP_INTERVAL_MS: u64 = 20;
+/// The shortest time after which a refused caller is told to come back, in
+/// milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 200;
+/// The time over which the rate of completions is averaged, in milliseconds.
+const RATE_TIME_MS: u64 = 2_000;
+/// The prompt bytes that count as one token of work.
+const PROMPT_BYTES_PER_TOKEN: usize = 16;
+
+/// What a chain is chosen for.
+#[derive(Clone, Debug)]
+pub(crate) struct RouteQuery {
+    pub(crate) model: ModelName,
+    pub(crate) version: VersionName,
+    pub(crate) adapter: Option<AdapterName>,
+    pub(crate) layers: u32,
+    pub(crate) tokens: u32,
+    pub(crate) keep: Vec<(EndpointId, Layers)>,
+}
+
+impl RouteQuery {
+    /// Makes the query of a request; a resumed one keeps its stages if it can.
+    pub(crate) fn new(cx: &GenerateContext) -> Self {
+        let call = &cx.call;
+        let prompt_tokens = (call.prompt.len() / PROMPT_BYTES_PER_TOKEN) as u32;
+        Self {
+            model: call.model.clone(),
+            version: cx.version.clone(),
+            adapter: call.adapter.clone(),
+            layers: cx.layers,
+            tokens: prompt_tokens.saturating_add(call.max_tokens),
+            keep: call
+                .resume
+                .as_ref()
+                .map(|token| token.stages.clone())
+                .unwrap_or_default(),
+        }
+    }
+
+    /// Chooses a chain without any of the endpoints in `exclude`.
+    pub(crate) fn choose(
+        &self,
+        node: &Node,
+        exclude: &BTreeSet<EndpointId>,
+        now: Instant,
+    ) -> Result<Chain, NoChain> {
+        let query = ChainQuery {
+            model: &self.model,
+            version: &self.version,
+            adapter: self.adapter.as_ref(),
+            layers: self.layers,
+            prefix_digest: None,
+            tokens: self.tokens,
+            exclude,
+            keep: &self.keep,
+        };
+        let fleet = node.fleet.lock();
+        let prefixes = node.prefixes.lock();
+        let mut rng = node.rng.lock();
+        choose_chain(&fleet, &prefixes, &query, now, &mut *rng)
+    }
+}
+
+/// The right to run one request; gives its slots back when dropped.
+pub(crate) struct Grant {
+    node: Arc<Node>,
+    workspace: WorkspaceName,
+    stages: Arc<[StageRef]>,
+}
+
+impl Grant {
+    fn new(node: &Arc<Node>, workspace: WorkspaceName, stages: Arc<[StageRef]>) -> Self {
+        node.fleet.lock().begin(&stages, Instant::now());
+        *node
+            .admission
+            .in_flight
+            .lock()
+            .entry(workspace.clone())
+            .or_default() += 1;
+        Self {
+            node: node.clone(),
+            workspace,
+            stages,
+        }
+    }
+
+    /// Returns the chain that the request runs on.
+    pub(crate) fn stages(&self) -> &Arc<[StageRef]> {
+        &self.stages
+    }
+
+    /// Moves the request to another chain.
+    pub(crate) fn replace(&mut self, stages: Arc<[StageRef]>) {
+        let now = Instant::now();
+        let mut fleet = self.node.fleet.lock();
+        fleet.end(&self.stages, now);
+        fleet.begin(&stages, now);
+        self.stages = stages;
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        self.node.fleet.lock().end(&self.stages, now);
+        let admission = &self.node.admission;
+        let is_idle = {
+            let mut in_flight = admission.in_flight.lock();
+            if let Some(count) = in_flight.get_mut(&self.workspace) {
+                *count = count.saturating_sub(1);
+            }
+            in_flight.retain(|_, count| *count > 0);
+            in_flight.is_empty()
+        };
+        {
+            let mut rate = admission.rate.lock();
+            rate.on_completion(now);
+            if is_idle {
+                rate.on_idle();
+            }
+        }
+        admission.wake();
+    }
+}
+
+struct Waiter {
+    query: RouteQuery,
+    reply: oneshot::Sender<Result<Grant, Problem>>,
+}
+
+/// The requests that wait at this entry.
+pub(crate) struct Admission {
+    queue: Mutex<FairQueue<Waiter>>,
+    in_flight: Mutex<BTreeMap<WorkspaceName, u32>>,
+    rate: Mutex<DrainRate>,
+    changed: Notify,
+}
+
+impl Admission {
+    /// Makes an empty queue.
+    pub(crate) fn new() -> Self {
+        Self {
+            queue: Mutex::new(FairQueue::new(MAX_WAITING)),
+            in_flight: Mutex::new(BTreeMap::new()),
+            rate: Mutex::new(DrainRate::new(Duration::from_millis(RATE_TIME_MS))),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Has the queue looked at soon.
+    pub(crate) fn wake(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Returns the number of requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.queue.lock().len()
+    }
+
+    /// Returns what each workspace has in progress and waiting here.
+    pub(crate) fn usage(&self) -> BTreeMap<WorkspaceName, WorkspaceUsage> {
+        let mut usage: BTreeMap<WorkspaceName, WorkspaceUsage> = BTreeMap::new();
+        for (workspace, in_flight) in self.in_flight.lock().iter() {
+            usage.entry(workspace.clone()).or_default().in_flight = *in_flight;
+        }
+        for (workspace, waiting) in self.queue.lock().waiting_by_workspace() {
+            usage.entry(workspace).or_default().waiting = waiting;
+        }
+        usage
+    }
+
+    /// Looks at the queue whenever something has changed, for ever.
+    pub(crate) async fn run(node: Arc<Node>) {
+        loop {
+            let pause = Duration::from_millis(PUMP_INTERVAL_MS);
+            let _ = tokio::time::timeout(pause, node.admission.changed.notified()).await;
+            Self::pump(&node);
+        }
+    }
+
+    /// Waits for the right to run a request.
+    pub(crate) async fn admit(
+        node: &Arc<Node>,
+        cx: &GenerateContext,
+        now: Instant,
+    ) -> Result<Grant, Problem> {
+        check_workspace_limit(node, cx)?;
+        let wait = cx.call.deadline.min(Duration::from_millis(MAX_WAIT_MS));
+        let (reply, granted) = oneshot::channel();
+        let ticket = Ticket {
+            workspace: cx.call.workspace.clone(),
+            weight: cx.workspace.weight,
+            priority: cx.priority,
+            give_up_at: now + wait,
+            item: Waiter {
+                query: RouteQuery::new(cx),
+                reply,
+            },
+        };
+        if Self::is_hopeless(node, &ticket, now) {
+            return Err(overloaded(node, now));
+        }
+        if node.admission.queue.lock().push(ticket, now).is_err() {
+            return Err(overloaded(node, now));
+        }
+        Self::pump(node);
+        granted.await.unwrap_or_else(|_| Err(overloaded(node, now)))
+    }
+
+    /// Tells whether the present rate cannot serve a request before it gives up.
+    fn is_hopeless(node: &Node, ticket: &Ticket<Waiter>, now: Instant) -> bool {
+        let ahead = node.admission.queue.lock().waiting_ahead(
+            &ticket.workspace,
+            ticket.weight,
+            ticket.priority,
+        );
+        let wait = node.admission.rate.lock().estimated_wait(ahead, now);
+        now + wait > ticket.give_up_at
+    }
+
+    /// Grants chains to waiting requests as long as there are free slots.
+    pub(crate) fn pump(node: &Arc<Node>) {
+        let now = Instant::now();
+        let mut settled: Vec<(Waiter, Result<Grant, Problem>)> = Vec::new();
+        {
+            let mut queue = node.admission.queue.lock();
+            for ticket in queue.expire(now) {
+                settled.push((ticket.item, Err(overloaded(node, now))));
+            }
+            let mut full: HashSet<ModelName> = HashSet::new();
+            loop {
+                let mut chosen = None;
+                let ticket = queue.pop(
+                    |_, waiter| select(node, waiter, &mut full, &mut chosen, now),
+                    now,
+                );
+                let Some(ticket) = ticket else { break };
+                let outcome = match chosen {
+                    Some(Ok(chain)) => Ok(Grant::new(node, ticket.workspace, chain.stages)),
+                    Some(Err(why)) => Err(no_capacity(&ticket.item.query, why)),
+                    None => continue,
+                };
+                settled.push((ticket.item, outcome));
+            }
+        }
+        for (waiter, outcome) in settled {
+            // A grant whose request has gone gives its slots back on drop.
+            let _ = waiter.reply.send(outcome);
+        }
+    }
+}
+
+/// Decides whether a waiter's turn ends its wait, with a chain or a refusal.
+fn select(
+    node: &Node,
+    waiter: &Waiter,
+    full: &mut HashSet<ModelName>,
+    chosen: &mut Option<Result<Chain, NoChain>>,
+    now: Instant,
+) -> bool {
+    if waiter.reply.is_closed() {
+        return true;
+    }
+    if full.contains(&waiter.query.model) {
+        return false;
+    }
+    match waiter.query.choose(node, &BTreeSet::new(), now) {
+        Ok(chain) if !chain.free => {
+            full.insert(waiter.query.model.clone());
+            false
+        }
+        outcome => {
+            *chosen = Some(outcome);
+            true
+        }
+    }
+}
+
+fn check_workspace_limit(node: &Node, cx: &GenerateContext) -> Result<(), Problem> {
+    let workspace = &cx.call.workspace;
+    let own = node
+        .admission
+        .in_flight
+        .lock()
+        .get(workspace)
+        .copied()
+        .unwrap_or(0);
+    let at_peers: u32 = node
+        .peer_usage
+        .lock()
+        .values()
+        .filter_map(|usage| usage.get(workspace))
+        .map(|usage| usage.in_flight)
+        .sum();
+    let limit = cx.workspace.max_in_flight;
+    if own + at_peers < limit {
+        return Ok(());
+    }
+    let detail = format!("the workspace '{workspace}' has its limit of {limit} in progress");
+    let problem = Problem::new(ProblemKind::WorkspaceLimit, Outcome::NotRun, detail);
+    Err(problem.with_retry_after_ms(retry_after_ms(node, Instant::now())))
+}
+
+fn overloaded(node: &Node, now: Instant) -> Problem {
+    let detail = "no chain is free in time; come back later";
+    Problem::new(ProblemKind::Overloaded, Outcome::NotRun, detail)
+        .with_retry_after_ms(retry_after_ms(node, now))
+}
+
+fn no_capacity(query: &RouteQuery, why: NoChain) -> Problem {
+    let detail = format!("model '{}' cannot be run now: {why}", query.model);
+    Problem::new(ProblemKind::NoCapacity, Outcome::NotRun, detail).with_retry_after_ms(1_000)
+}
+
+/// Estimates when a refused request would be served.
+fn retry_after_ms(node: &Node, now: Instant) -> u64 {
+    let wait = node.admission.rate.lock().estimated_wait(1, now);
+    (wait.as_millis() as u64).clamp(MIN_RETRY_AFTER_MS, MAX_WAIT_MS)
+}
--- /dev/null
+++ b/src/filter/operate.rs
@@ -0,0 +1,239 @@
+//! Operations on plain services.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use pistachioyard_policy::ClaimState;
+use pistachioyard_wire::{
+    EntryState, OperationKey, OperationOutcome, OperationRequest, RequestDigest,
+};
+
+use super::claim::{ClaimHold, Claimed, claim, outcome_of};
+use super::identify::RawOperation;
+use super::identify_operation;
+use crate::entry::Lifecycle;
+use crate::error::CallError;
+use crate::ledger::LedgerError;
+use crate::prelude::*;
+use crate::service::{SERVICE_TIMEOUT_MS, ServiceAnswer};
+
+/// The most endpoints that a call is offered to.
+const MAX_TRIES: usize = 3;
+/// How long a repeated key waits for the first request's outcome, in milliseconds.
+const OUTCOME_WAIT_MS: u64 = 2_000;
+/// The pause between two looks for an outcome, in milliseconds.
+const OUTCOME_POLL_MS: u64 = 100;
+
+/// Serves an operation.
+pub(crate) async fn operate(
+    node: &Arc<Node>,
+    raw: RawOperation<'_>,
+) -> Result<OperationOutcome, Problem> {
+    let _in_flight = Lifecycle::begin(node)?;
+    let (req, repeatable) = identify_operation(node, raw)?;
+    match req.key {
+        Some(key) if !repeatable => operate_once(node, &req, key).await,
+        _ => operate_repeatable(node, &req).await,
+    }
+}
+
+/// Tells what became of an operation.
+pub(crate) async fn recorded_outcome(
+    node: &Arc<Node>,
+    raw_key: &str,
+) -> Result<OperationOutcome, Problem> {
+    let key = OperationKey::try_from(raw_key)
+        .map_err(|e| Problem::new(ProblemKind::BadKey, Outcome::NotRun, e.to_string()))?;
+    match node.ledger.read(key).await {
+        Ok(Some(claim)) => outcome_of(claim),
+        Ok(None) => Err(Problem::new(
+            ProblemKind::NoSuchOperation,
+            Outcome::NotRun,
+            format!("no operation with the key {key} is recorded"),
+        )),
+        Err(e) => Err(ledger_unreadable(&e)),
+    }
+}
+
+/// Says that the ledger cannot be read; that tells nothing about the operation.
+fn ledger_unreadable(e: &LedgerError) -> Problem {
+    spdlog::debug!("ledger: cannot read: {e}");
+    Problem::new(
+        ProblemKind::LedgerUnavailable,
+        Outcome::Unknown,
+        "the platform does not answer, so what became of the operation cannot be read; come back",
+    )
+    .with_retry_after_ms(1_000)
+}
+
+async fn operate_once(
+    node: &Arc<Node>,
+    req: &OperationRequest,
+    key: OperationKey,
+) -> Result<OperationOutcome, Problem> {
+    let digest = RequestDigest::of(&[
+        req.workspace.as_str().as_bytes(),
+        req.service.as_str().as_bytes(),
+        req.call.as_str().as_bytes(),
+        &req.body,
+    ]);
+    match claim(node, key, digest).await? {
+        Claimed::Held(hold) => send_once(node, req, hold).await,
+        Claimed::Elsewhere(claim) => match claim.state {
+            ClaimState::Claimed if is_alive(node, &claim.by) => wait_for_outcome(node, key).await,
+            _ => outcome_of(claim),
+        },
+    }
+}
+
+fn is_alive(node: &Node, entry: &EntryId) -> bool {
+    let membership = node.membership.lock();
+    membership.state_of(entry, Instant::now()) != EntryState::Lost
+}
+
+async fn wait_for_outcome(
+    node: &Arc<Node>,
+    key: OperationKey,
+) -> Result<OperationOutcome, Problem> {
+    let give_up_at = Instant::now() + Duration::from_millis(OUTCOME_WAIT_MS);
+    loop {
+        tokio::time::sleep(Duration::from_millis(OUTCOME_POLL_MS)).await;
+        let outcome = recorded_outcome(node, &key.to_string()).await;
+        let is_open = matches!(&outcome, Err(problem) if problem.outcome == Outcome::Unknown);
+        if !is_open || Instant::now() >= give_up_at {
+            return outcome;
+        }
+    }
+}
+
+/// Sends a claimed call to one endpoint; another is tried only if it is certain
+/// that the one before ran nothing.
+async fn send_once(
+    node: &Arc<Node>,
+    req: &OperationRequest,
+    hold: ClaimHold,
+) -> Result<OperationOutcome, Problem> {
+    let mut tried = BTreeSet::new();
+    while let Some((endpoint, address)) = next_endpoint(node, req, &tried) {
+        if !hold.may_send(Instant::now()) || node.config_for_new_work().is_err() {
+            hold.release_later();
+            return Err(not_run(
+                ProblemKind::DeadlinePassed,
+                "the entry was paused; nothing was sent",
+            ));
+        }
+        tried.insert(endpoint.clone());
+        match send(node, req, &endpoint, address).await {
+            Ok(ServiceAnswer::Ran { status, body }) => {
+                let outcome = OperationOutcome {
+                    key: req.key,
+                    outcome: Outcome::Done,
+                    status: Some(status),
+                    answer: Some(body),
+                    repeated: false,
+                };
+                hold.settle_later(outcome.clone());
+                crate::metric::request_ended("operation", "done");
+                return Ok(outcome);
+            }
+            Ok(ServiceAnswer::NotRun) | Err(CallError::NotSent { .. }) => {}
+            Err(e) => {
+                spdlog::warn!("operate: the result of {endpoint} was lost: {e}");
+                crate::metric::request_ended("operation", "result_lost");
+                return Err(Problem::new(
+                    ProblemKind::ResultLost,
+                    Outcome::Unknown,
+                    "the operation was sent and its result was lost; it may have run once",
+                ));
+            }
+        }
+    }
+    hold.release_later();
+    crate::metric::request_ended("operation", "not_run");
+    Err(not_run(
+        ProblemKind::NoCapacity,
+        "no endpoint of the service took the call; come back with the same key",
+    ))
+}
+
+/// Sends an idempotent call until an endpoint answers.
+async fn operate_repeatable(
+    node: &Arc<Node>,
+    req: &OperationRequest,
+) -> Result<OperationOutcome, Problem> {
+    node.retries.lock().on_first_try();
+    let mut tried = BTreeSet::new();
+    let mut may_have_run = false;
+    while let Some((endpoint, address)) = next_endpoint(node, req, &tried) {
+        if !tried.is_empty() && !node.retries.lock().try_retry() {
+            break;
+        }
+        tried.insert(endpoint.clone());
+        match send(node, req, &endpoint, address).await {
+            Ok(ServiceAnswer::Ran { status, body }) => {
+                crate::metric::request_ended("operation", "done");
+                return Ok(OperationOutcome {
+                    key: req.key,
+                    outcome: Outcome::Done,
+                    status: Some(status),
+                    answer: Some(body),
+                    repeated: false,
+                });
+            }
+            Ok(ServiceAnswer::NotRun) | Err(CallError::NotSent { .. }) => {}
+            Err(e) => {
+                spdlog::debug!("operate: {endpoint}: {e}");
+                may_have_run = true;
+            }
+        }
+    }
+    let mut problem = not_run(
+        ProblemKind::NoCapacity,
+        "no endpoint of the service answered; come back",
+    );
+    if may_have_run {
+        problem.outcome = Outcome::Failed;
+    }
+    crate::metric::request_ended("operation", "no_capacity");
+    Err(problem)
+}
+
+fn next_endpoint(
+    node: &Node,
+    req: &OperationRequest,
+    tried: &BTreeSet<EndpointId>,
+) -> Option<(EndpointId, SocketAddr)> {
+    if tried.len() >= MAX_TRIES {
+        return None;
+    }
+    let fleet = node.fleet.lock();
+    fleet
+        .service_endpoints(&req.service, Instant::now())
+        .into_iter()
+        .find(|view| !tried.contains(view.id()))
+        .map(|view| (view.id().clone(), view.address()))
+}
+
+async fn send(
+    node: &Node,
+    req: &OperationRequest,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+) -> Result<ServiceAnswer, CallError> {
+    let timeout = Duration::from_millis(SERVICE_TIMEOUT_MS);
+    let body = Bytes::from(req.body.clone());
+    let answer = node
+        .services
+        .call(address, &req.call, req.key, body, timeout)
+        .await;
+    if matches!(answer, Err(CallError::NotSent { .. })) {
+        let mut fleet = node.fleet.lock();
+        fleet.note_unreachable(endpoint, Instant::now());
+    }
+    answer
+}
+
+fn not_run(kind: ProblemKind, detail: &str) -> Problem {
+    Problem::new(kind, Outcome::NotRun, detail).with_retry_after_ms(1_000)
+}
--- /dev/null
+++ b/src/filter/recover.rs
@@ -0,0 +1,153 @@
+//! What to do after an attempt that did not end the answer.
+
+use std::collections::BTreeSet;
+
+use pistachioyard_policy::{Chain, Verdict};
+
+use super::dispatch::{AttemptEnd, Generation};
+use super::suspect::{self, Lane};
+use crate::prelude::*;
+
+/// How long a stream waits for endpoints to take the place of lost ones, in
+/// milliseconds.
+const REPLACEMENT_WAIT_MS: u64 = 5_000;
+/// The pause between two looks for a chain, in milliseconds.
+const CHAIN_POLL_MS: u64 = 20;
+
+/// What follows an attempt.
+pub(crate) enum NextStep {
+    /// The grant holds the chain of the next attempt.
+    TryAgain,
+    /// The request ends with this problem.
+    GiveUp(Problem),
+}
+
+/// Finds the chain of the next attempt.
+pub(crate) async fn next_chain(generation: &mut Generation, end: AttemptEnd) -> NextStep {
+    let reason = note_end(generation, &end).await;
+    crate::metric::retry(reason);
+    let verdict = verdict(generation);
+    if let Verdict::Convicted { retry_after } = verdict {
+        spdlog::warn!("quarantine: a request crashed two endpoints and is refused");
+        generation.node.peers.push_gossip(&generation.node);
+        return NextStep::GiveUp(suspect::convicted(Outcome::Failed, retry_after));
+    }
+    if matches!(end, AttemptEnd::OldAttempt) {
+        return NextStep::TryAgain;
+    }
+    // A stream that callers already see is worth more than a first try, so only
+    // attempts that have not begun spend from the retry budget.
+    if !generation.has_started && !generation.node.retries.lock().try_retry() {
+        return NextStep::GiveUp(generation.problem(
+            ProblemKind::RefusedByEndpoints,
+            "the endpoints refuse work and too many requests are being tried again",
+        ));
+    }
+    find_chain(generation, matches!(verdict, Verdict::Suspect { .. })).await
+}
+
+/// Takes in how the attempt ended; returns the reason as a metric label.
+async fn note_end(generation: &mut Generation, end: &AttemptEnd) -> &'static str {
+    let now = Instant::now();
+    match end {
+        AttemptEnd::Lost(endpoint) => {
+            generation.lost_at.get_or_insert(now);
+            generation.exclude.insert(endpoint.clone());
+            generation.note_loss(endpoint).await;
+            "stage_lost"
+        }
+        AttemptEnd::NotReached(endpoint) => {
+            generation.exclude.insert(endpoint.clone());
+            let mut fleet = generation.node.fleet.lock();
+            fleet.note_unreachable(endpoint, now);
+            "not_reached"
+        }
+        AttemptEnd::Refused(endpoint) => {
+            generation.exclude.insert(endpoint.clone());
+            let mut fleet = generation.node.fleet.lock();
+            fleet.note_suspect(endpoint, now);
+            "refused"
+        }
+        AttemptEnd::LinkStalled(from, to) => {
+            generation.lost_at.get_or_insert(now);
+            let mut fleet = generation.node.fleet.lock();
+            fleet.set_degraded_link(from, to, now);
+            "link_stalled"
+        }
+        AttemptEnd::OldAttempt
+        | AttemptEnd::Complete
+        | AttemptEnd::CallerGone
+        | AttemptEnd::DeadlinePassed => "old_attempt",
+    }
+}
+
+fn verdict(generation: &Generation) -> Verdict {
+    let digest = generation.cx.call.digest;
+    generation
+        .node
+        .quarantine
+        .lock()
+        .verdict(digest, Instant::now())
+}
+
+/// Waits for a chain; a suspect also waits for endpoints of its own.
+async fn find_chain(generation: &mut Generation, is_suspect: bool) -> NextStep {
+    generation.lane = None;
+    generation.query.keep = generation
+        .grant
+        .stages()
+        .iter()
+        .map(|stage| (stage.endpoint.clone(), stage.layers))
+        .collect();
+    let patience = Instant::now() + Duration::from_millis(REPLACEMENT_WAIT_MS);
+    let give_up_at = patience.min(generation.deadline);
+    loop {
+        if is_suspect {
+            if let Some(chain) = choose(generation, &Lane::busy(&generation.node)) {
+                let endpoints: Vec<EndpointId> =
+                    chain.stages.iter().map(|s| s.endpoint.clone()).collect();
+                let digest = generation.cx.call.digest;
+                generation.lane = Lane::reserve(&generation.node, digest, &endpoints);
+                if generation.lane.is_some() {
+                    generation.grant.replace(chain.stages);
+                    return NextStep::TryAgain;
+                }
+            }
+            Lane::wait().await;
+        } else {
+            if let Some(chain) = choose(generation, &BTreeSet::new()) {
+                generation.grant.replace(chain.stages);
+                return NextStep::TryAgain;
+            }
+            tokio::time::sleep(Duration::from_millis(CHAIN_POLL_MS)).await;
+        }
+        if Instant::now() >= give_up_at {
+            return NextStep::GiveUp(no_chain(generation));
+        }
+        // An endpoint that was given up on may be the only one left that holds
+        // its layers; the view knows whether it answers again.
+        let node = generation.node.clone();
+        let fleet = node.fleet.lock();
+        let now = Instant::now();
+        generation
+            .exclude
+            .retain(|endpoint| !fleet.is_usable(endpoint, now));
+    }
+}
+
+fn choose(generation: &Generation, busy: &BTreeSet<EndpointId>) -> Option<Chain> {
+    let exclude: BTreeSet<EndpointId> = generation.exclude.union(busy).cloned().collect();
+    generation
+        .query
+        .choose(&generation.node, &exclude, Instant::now())
+        .ok()
+}
+
+fn no_chain(generation: &Generation) -> Problem {
+    let kind = if generation.may_have_run {
+        ProblemKind::ChainLost
+    } else {
+        ProblemKind::NoCapacity
+    };
+    generation.problem(kind, "no endpoints cover the model's layers now; come back")
+}
--- /dev/null
+++ b/src/filter/suspect.rs
@@ -0,0 +1,121 @@
+//! Requests that crash endpoints.
+//!
+//! A request whose attempt had produced no token when its endpoint crashed is a
+//! suspect. Suspects run on endpoints apart from each other, so that a second
+//! crash convicts one of them and clears the rest (`docs/design/quarantine.md`).
+
+use std::collections::BTreeSet;
+
+use pistachioyard_policy::Verdict;
+use pistachioyard_wire::RequestDigest;
+
+use crate::error::CallError;
+use crate::prelude::*;
+
+/// When to come back while a request's suspicion is being settled, in milliseconds.
+const SUSPECT_RETRY_MS: u64 = 1_000;
+/// How long a lost endpoint may take to show whether it still runs, in milliseconds.
+const CRASH_PROBE_TIMEOUT_MS: u64 = 250;
+/// How often a suspect looks for endpoints of its own, in milliseconds.
+const LANE_POLL_MS: u64 = 10;
+
+/// Refuses a new request that is convicted, or that is being tried elsewhere.
+pub(crate) fn refuse_suspects(node: &Node, digest: RequestDigest) -> Result<(), Problem> {
+    match node.quarantine.lock().verdict(digest, Instant::now()) {
+        Verdict::Clear => Ok(()),
+        Verdict::Suspect { .. } => Err(Problem::new(
+            ProblemKind::Quarantined,
+            Outcome::NotRun,
+            "the same request has just lost its endpoint and is being tried again; come back",
+        )
+        .with_retry_after_ms(SUSPECT_RETRY_MS)),
+        Verdict::Convicted { retry_after } => Err(convicted(Outcome::NotRun, retry_after)),
+    }
+}
+
+/// Says that a request crashes the endpoints that run it.
+pub(crate) fn convicted(outcome: Outcome, retry_after: Duration) -> Problem {
+    let detail = "the request crashed two endpoints and is refused for a while; change it";
+    Problem::new(ProblemKind::Quarantined, outcome, detail)
+        .with_retry_after_ms(retry_after.as_millis() as u64)
+}
+
+/// Records the loss of an endpoint; peers hear of suspects before any retry.
+///
+/// An endpoint that still runs, or whose state cannot be seen, is lost but has
+/// not crashed.
+pub(crate) async fn note_loss(
+    node: &Arc<Node>,
+    endpoint: &EndpointId,
+    own: RequestDigest,
+    unproven: bool,
+) {
+    let known = {
+        let mut fleet = node.fleet.lock();
+        let known = fleet
+            .get(endpoint)
+            .map(|view| (view.address(), view.boot()));
+        fleet.note_unreachable(endpoint, Instant::now());
+        known
+    };
+    let mut running = node.streams.unproven_on(endpoint);
+    if unproven && !running.contains(&own) {
+        running.push(own);
+    }
+    let Some((address, Some(boot))) = known else {
+        return;
+    };
+    let timeout = Duration::from_millis(CRASH_PROBE_TIMEOUT_MS);
+    let has_crashed = match node.engines.report(address, timeout).await {
+        Ok(report) => report.boot != boot,
+        Err(CallError::NotSent { .. } | CallError::AnswerLost { .. }) => true,
+        Err(_) => false,
+    };
+    if has_crashed && !running.is_empty() {
+        spdlog::warn!(
+            "quarantine: {endpoint} crashed with {} unproven requests",
+            running.len()
+        );
+        node.quarantine
+            .lock()
+            .crashed(&running, boot, Instant::now());
+        node.peers.push_gossip(node);
+    }
+}
+
+/// Keeps a suspect's endpoints apart from those of other suspects.
+pub(crate) struct Lane {
+    node: Arc<Node>,
+    digest: RequestDigest,
+}
+
+impl Lane {
+    /// Returns the endpoints that other suspects are on.
+    pub(crate) fn busy(node: &Node) -> BTreeSet<EndpointId> {
+        node.lanes.lock().busy_endpoints()
+    }
+
+    /// Reserves endpoints for a suspect; none if another suspect is on them.
+    pub(crate) fn reserve(
+        node: &Arc<Node>,
+        digest: RequestDigest,
+        endpoints: &[EndpointId],
+    ) -> Option<Self> {
+        let reserved = node.lanes.lock().begin(digest, endpoints);
+        reserved.then(|| Self {
+            node: node.clone(),
+            digest,
+        })
+    }
+
+    /// Waits a little before the next look for free endpoints.
+    pub(crate) async fn wait() {
+        tokio::time::sleep(Duration::from_millis(LANE_POLL_MS)).await;
+    }
+}
+
+impl Drop for Lane {
+    fn drop(&mut self) {
+        self.node.lanes.lock().end(self.digest);
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,9 @@
-//! Entry point of the router and its client.
+//! Entry point of the daemon and the operators' client.
 
-fn main() {}
+use clap::Parser;
+use pistachioyard::Cli;
+
+fn main() -> eyre::Result<std::process::ExitCode> {
+    let status = pistachioyard::run(Cli::parse())?;
+    Ok(status.into())
+}
--- /dev/null
+++ b/src/peer_link.rs
@@ -0,0 +1,241 @@
+//! Links between entries: CBOR messages over WebSocket.
+//!
+//! Each entry dials a bounded number of peers and tells them its state at every
+//! gossip interval. A link that falls behind loses gossip, never memory: the next
+//! message says all that the lost one said.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use futures_util::{SinkExt, StreamExt};
+use parking_lot::Mutex;
+use pistachioyard_wire::{PeerMessage, decode_peer_message, encode_peer_message};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::{Bytes, Message};
+
+use crate::prelude::*;
+
+/// The most peers that an entry dials.
+const MAX_DIALED: usize = 8;
+/// The messages that may wait on one link.
+const LINK_QUEUE: usize = 16;
+/// How long dialing a peer may take, in milliseconds.
+const DIAL_TIMEOUT_MS: u64 = 500;
+/// How often a link asks its other end for a sign of life, in milliseconds.
+const PING_INTERVAL_MS: u64 = 1_000;
+/// How long a link may be silent before it is dropped, in milliseconds.
+const SILENCE_LIMIT_MS: u64 = 3_000;
+/// Reports that the sender itself took within this time are passed on, in
+/// milliseconds.
+const REPORT_AGE_MS: u64 = 1_200;
+
+/// The links that this entry has dialed.
+#[derive(Default)]
+pub(crate) struct PeerLinks {
+    dialed: Mutex<HashMap<SocketAddr, mpsc::Sender<Bytes>>>,
+}
+
+impl PeerLinks {
+    /// Tells every dialed peer the entry's state now.
+    pub(crate) fn push_gossip(&self, node: &Node) {
+        let report_age = Duration::from_millis(REPORT_AGE_MS);
+        let gossip = node.gossip(Instant::now(), report_age);
+        self.send(&PeerMessage::Gossip(Box::new(gossip)));
+    }
+
+    /// Sends a message to every dialed peer.
+    pub(crate) fn send(&self, message: &PeerMessage) {
+        let buf = Bytes::from(encode_peer_message(message));
+        for tx in self.dialed.lock().values() {
+            if tx.try_send(buf.clone()).is_ok() {
+                crate::metric::peer_bytes_sent(buf.len());
+            }
+        }
+    }
+
+    /// Dials the peers that shall be linked and are not.
+    pub(crate) fn dial_missing(&self, node: &Arc<Node>) {
+        for address in wanted_peers(node) {
+            let mut dialed = self.dialed.lock();
+            if dialed.contains_key(&address) || dialed.len() >= MAX_DIALED {
+                continue;
+            }
+            let (tx, rx) = mpsc::channel(LINK_QUEUE);
+            dialed.insert(address, tx);
+            tokio::spawn(dial(node.clone(), address, rx));
+        }
+    }
+}
+
+fn wanted_peers(node: &Node) -> Vec<SocketAddr> {
+    let now = Instant::now();
+    let own = node.settings.advertised_peer_address;
+    let mut rng = node.rng.lock();
+    let targets = node
+        .membership
+        .lock()
+        .gossip_targets(MAX_DIALED, now, &mut *rng);
+    let known = targets.into_iter().map(|(_, address)| address);
+    let seeds = node.settings.peers.iter().copied();
+    let mut wanted: Vec<SocketAddr> = Vec::new();
+    for address in known.chain(seeds) {
+        if address != own && !wanted.contains(&address) {
+            wanted.push(address);
+        }
+    }
+    wanted
+}
+
+async fn dial(node: Arc<Node>, address: SocketAddr, rx: mpsc::Receiver<Bytes>) {
+    let timeout = Duration::from_millis(DIAL_TIMEOUT_MS);
+    if let Ok(Some(socket)) = tokio::time::timeout(timeout, connect(&node, address)).await {
+        spdlog::debug!("peers: linked to {address}");
+        run_link(&node, socket, rx, LinkEnd::Dialed).await;
+    }
+    node.peers.dialed.lock().remove(&address);
+}
+
+async fn connect(node: &Node, address: SocketAddr) -> Option<WebSocketStream<TcpStream>> {
+    let socket = TcpSocket::new_v4().ok()?;
+    let local = SocketAddr::new(node.settings.peer_address.ip(), 0);
+    socket.bind(local).ok()?;
+    let stream = socket.connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let url = format!("ws://{address}/v1/peer");
+    let (socket, _) = tokio_tungstenite::client_async(url, stream).await.ok()?;
+    Some(socket)
+}
+
+/// Listens for peers.
+pub(crate) async fn listen(node: Arc<Node>) -> std::io::Result<()> {
+    let listener = TcpListener::bind(node.settings.peer_address).await?;
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(accept(node.clone(), stream));
+                }
+                Err(e) => {
+                    spdlog::warn!("peers: cannot accept: {e}");
+                    tokio::time::sleep(Duration::from_millis(DIAL_TIMEOUT_MS)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn accept(node: Arc<Node>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let timeout = Duration::from_millis(DIAL_TIMEOUT_MS);
+    let handshake = tokio_tungstenite::accept_async(stream);
+    if let Ok(Ok(socket)) = tokio::time::timeout(timeout, handshake).await {
+        let (_tx, rx) = mpsc::channel(1);
+        run_link(&node, socket, rx, LinkEnd::Accepted).await;
+    }
+}
+
+/// Which end of a link this process is.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum LinkEnd {
+    Dialed,
+    Accepted,
+}
+
+async fn run_link(
+    node: &Arc<Node>,
+    mut socket: WebSocketStream<TcpStream>,
+    mut rx: mpsc::Receiver<Bytes>,
+    end: LinkEnd,
+) {
+    let mut heard_at = Instant::now();
+    let mut ping = tokio::time::interval(Duration::from_millis(PING_INTERVAL_MS));
+    let silence_limit = Duration::from_millis(SILENCE_LIMIT_MS);
+    loop {
+        let sent = tokio::select! {
+            Some(buf) = rx.recv(), if end == LinkEnd::Dialed => {
+                socket.send(Message::Binary(buf)).await
+            }
+            received = socket.next() => {
+                heard_at = Instant::now();
+                match received {
+                    Some(Ok(Message::Binary(buf))) => {
+                        send_all(&mut socket, receive(node, &buf)).await
+                    }
+                    Some(Ok(Message::Close(_)) | Err(_)) | None => return,
+                    Some(Ok(_)) => Ok(()),
+                }
+            }
+            _ = ping.tick() => {
+                if heard_at.elapsed() > silence_limit {
+                    return;
+                }
+                socket.send(Message::Ping(Bytes::new())).await
+            }
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+async fn send_all(
+    socket: &mut WebSocketStream<TcpStream>,
+    replies: Vec<Bytes>,
+) -> Result<(), tokio_tungstenite::tungstenite::Error> {
+    for reply in replies {
+        socket.send(Message::Binary(reply)).await?;
+    }
+    Ok(())
+}
+
+/// Takes in a message and returns what to answer on the same link.
+fn receive(node: &Arc<Node>, buf: &[u8]) -> Vec<Bytes> {
+    crate::metric::peer_bytes_received(buf.len());
+    let message = match decode_peer_message(buf) {
+        Ok(message) => message,
+        Err(fault) => {
+            spdlog::warn!("peers: {fault}");
+            return Vec::new();
+        }
+    };
+    let replies = match message {
+        PeerMessage::Gossip(gossip) => {
+            let ack = PeerMessage::Ack {
+                sent_ms: gossip.sent_ms,
+                revision: node.revision(),
+            };
+            let is_behind = gossip.revision > node.revision();
+            node.absorb_gossip(*gossip, Instant::now());
+            node.admission.wake();
+            let want = is_behind.then_some(PeerMessage::WantConfig);
+            std::iter::once(ack).chain(want).collect()
+        }
+        PeerMessage::Ack { sent_ms, revision } => {
+            node.confirm_config(sent_ms, revision);
+            if revision > node.revision() {
+                vec![PeerMessage::WantConfig]
+            } else {
+                Vec::new()
+            }
+        }
+        PeerMessage::WantConfig => {
+            let adoption = node.adoption.lock();
+            adoption
+                .current()
+                .map(|active| PeerMessage::Config(active.accepted.clone()))
+                .into_iter()
+                .collect()
+        }
+        PeerMessage::Config(accepted) => {
+            crate::controller::adopt(node, accepted);
+            Vec::new()
+        }
+    };
+    replies
+        .iter()
+        .map(|message| Bytes::from(encode_peer_message(message)))
+        .collect()
+}
