--- a/crates/pistachioyard_standins/src/demo.rs
+++ b/crates/pistachioyard_standins/src/demo.rs
@@ -14,6 +14,9 @@
 /// The answers that are asked for at the same time.
 const ANSWERS_AT_ONCE: usize = 24;
 
+/// How long the first event of an answer may take.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Settings of the demo.
 #[derive(Clone, Debug, clap::Args)]
 pub struct DemoArgs {
@@ -56,7 +59,8 @@
 async fn run_deployment(deployment: Deployment) -> Result<(), DemoError> {
     let name = deployment.name();
     let started_at = Instant::now();
-    let plan = ClusterPlan::new(deployment, ClusterSize::Full);
+    let mut plan = ClusterPlan::new(deployment, ClusterSize::Full);
+    plan.entry_settings = "log_level = \"debug\"\n".to_owned();
     let cluster = Cluster::start(plan).await?;
     println!(
         "{name}: {} entries, {} engines, {} service endpoints ready after {:.1} s",
@@ -68,14 +72,12 @@
     let mut demo = Demo {
         deployment,
         cluster,
-        caller: Caller::default(),
+        caller: Caller::new(ANSWER_TIMEOUT),
     };
-    demo.drafts().await?;
-    demo.operations().await?;
-    demo.platform_outage().await?;
-    demo.lost_engine().await?;
-    demo.lost_entry().await?;
-    demo.planned_stop().await?;
+    if let Err(error) = demo.run().await {
+        eprintln!("{}", demo.cluster.entry_logs());
+        return Err(error);
+    }
     println!(
         "{name}: done after {:.1} s",
         started_at.elapsed().as_secs_f64()
@@ -90,6 +92,15 @@
 }
 
 impl Demo {
+    async fn run(&mut self) -> Result<(), DemoError> {
+        self.drafts().await?;
+        self.operations().await?;
+        self.platform_outage().await?;
+        self.lost_engine().await?;
+        self.lost_entry().await?;
+        self.planned_stop().await
+    }
+
     fn say(&self, what: &str) {
         println!("{}: {what}", self.deployment.name());
     }
--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -76,7 +76,10 @@
     let now = Instant::now();
     let usable_endpoints = {
         let fleet = node.fleet.lock();
-        fleet.endpoints().filter(|view| view.is_usable(now)).count()
+        fleet
+            .endpoints()
+            .filter(|view| view.report().is_some() && view.is_usable(now))
+            .count()
     };
     Ok(HttpResponseOk(ForceStatus {
         entry: node.settings.entry.clone(),
