--- a/crates/pistachioyard_standins/src/cluster/processes.rs
+++ b/crates/pistachioyard_standins/src/cluster/processes.rs
@@ -227,6 +227,7 @@
                     (spec.end_layer - spec.first_layer).to_string(),
                 ),
                 ("--slots", spec.slots.to_string()),
+                ("--batch", spec.batch.to_string()),
                 ("--tokens-per-second", spec.tokens_per_second.to_string()),
                 ("--step-ms", spec.step_ms.to_string()),
             ],
--- a/crates/pistachioyard_standins/src/cluster/spec.rs
+++ b/crates/pistachioyard_standins/src/cluster/spec.rs
@@ -19,7 +19,9 @@
     pub tokens_per_second: f64,
     /// The fixed time of a batch step, in milliseconds.
     pub step_ms: f64,
-    /// The streams that it runs at the same time.
+    /// The streams of one batch.
+    pub batch: u32,
+    /// The streams that it holds at the same time.
     pub slots: u32,
     /// Whether it checks fencing numbers.
     pub checks_fence: bool,
--- a/crates/pistachioyard_standins/src/demo.rs
+++ b/crates/pistachioyard_standins/src/demo.rs
@@ -59,8 +59,7 @@
 async fn run_deployment(deployment: Deployment) -> Result<(), DemoError> {
     let name = deployment.name();
     let started_at = Instant::now();
-    let mut plan = ClusterPlan::new(deployment, ClusterSize::Full);
-    plan.entry_settings = "log_level = \"debug\"\n".to_owned();
+    let plan = ClusterPlan::new(deployment, ClusterSize::Full);
     let cluster = Cluster::start(plan).await?;
     println!(
         "{name}: {} entries, {} engines, {} service endpoints ready after {:.1} s",
--- a/crates/pistachioyard_standins/src/deployment.rs
+++ b/crates/pistachioyard_standins/src/deployment.rs
@@ -28,26 +28,31 @@
     name: &'static str,
     tokens_per_second: f64,
     step_ms: f64,
-    slots: u32,
+    /// The streams of one batch.
+    batch: u32,
 }
 
+/// The streams that an engine holds for each one in a batch: a stream holds a
+/// place at every stage of its chain but is in the batch of one at a time.
+const SLOTS_PER_BATCH_PLACE: u32 = 4;
+
 const FAST: Accelerator = Accelerator {
     name: "a",
     tokens_per_second: 600.0,
     step_ms: 2.0,
-    slots: 24,
+    batch: 12,
 };
 const MEDIUM: Accelerator = Accelerator {
     name: "b",
     tokens_per_second: 400.0,
     step_ms: 2.0,
-    slots: 18,
+    batch: 8,
 };
 const SLOW: Accelerator = Accelerator {
     name: "c",
     tokens_per_second: 200.0,
     step_ms: 3.0,
-    slots: 12,
+    batch: 4,
 };
 
 impl Deployment {
@@ -175,8 +180,9 @@
             },
             tokens_per_second: accelerator.tokens_per_second,
             step_ms: accelerator.step_ms,
-            slots: accelerator.slots,
-            checks_fence: copy % 2 == 0,
+            batch: accelerator.batch,
+            slots: accelerator.batch * SLOTS_PER_BATCH_PLACE,
+            checks_fence: copy.is_multiple_of(2),
         }
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,7 +2,9 @@
 //!
 //! [`Node`] holds what the filters and controllers share. Each part of the state
 //! has its own lock, held for the length of one decision and never across an
-//! await point.
+//! await point. Where locks nest, the order is: admission queue, fleet, prefixes,
+//! random numbers; membership comes after random numbers, and no other lock is
+//! taken while one of the rest is held.
 
 mod lifecycle;
 mod run;
@@ -162,6 +164,8 @@
             membership.beat(now);
             membership.records(now)
         };
+        let usage = self.admission.usage();
+        let quarantine = self.quarantine.lock().marks(now);
         let fleet = self.fleet.lock();
         GossipState {
             from: self.settings.entry.clone(),
@@ -170,8 +174,8 @@
             revision,
             in_flight: fleet.own_in_flight(),
             endpoint_marks: fleet.marks(now),
-            quarantine: self.quarantine.lock().marks(now),
-            usage: self.admission.usage(),
+            quarantine,
+            usage,
             reports: fleet.recent_reports(report_age, now),
         }
     }
