Report service-level burn over all entries, and count every refusal

Cause: refusals before a stream exists were in no service level, refusals of the first event were counted twice in the metrics, and operations only in part. 'report burn' asks every known entry, merges exactly, names silent entries and draws an SVG.

--- a/crates/pistachioyard_wire/src/operator/burn.rs
+++ b/crates/pistachioyard_wire/src/operator/burn.rs
@@ -35,7 +35,11 @@
     pub entry: EntryId,
     /// The service levels of the configuration in force there.
     pub levels: Vec<LevelCounts>,
-    /// Ended requests since its start by how they ended: `done`, `caller_gone` or
-    /// a problem's kind.
+    /// Ended requests for answers since its start by how they ended: `done`,
+    /// `caller_gone` or a problem's kind.
     pub ended: BTreeMap<String, u64>,
+    /// Ended operations since its start by how they ended: `done` or a problem's
+    /// kind.
+    #[serde(default)]
+    pub operations: BTreeMap<String, u64>,
 }
--- a/src/api/caller.rs
+++ b/src/api/caller.rs
@@ -66,24 +66,29 @@
     }))
 }
 
-/// Generates an answer; the body is a GenerateRequest, the answer a stream of
-/// server-sent events or a problem.
+/// Generates an answer.
+///
+/// The body is JSON: workspace, model, prompt and max_tokens, and where wanted
+/// adapter, priority, deadline_ms, resume and received. The answer is a stream of
+/// server-sent events (start, token, end, error) or an application/problem+json
+/// document. This document cannot express either, since the body is read as bytes
+/// and the answer is sent event by event.
 #[endpoint { method = POST, path = "/v1/generate" }]
 async fn generate(rqctx: RequestContext<ApiContext>, body: StreamingBody) -> HandlerResult {
     let node = &rqctx.context().node;
     let outcome = match read_body(body).await {
         Ok(body) => filter::generate(node, &body).await,
-        Err(problem) => Err(problem),
+        Err(problem) => {
+            filter::generate_refused(node, &[], &problem);
+            Err(problem)
+        }
     };
     match outcome {
         Ok(events) => Ok(Response::builder()
             .header("content-type", "text/event-stream")
             .header("cache-control", "no-store")
             .body(filter::event_body(events))?),
-        Err(problem) => {
-            crate::metric::request_ended("generate", problem.kind.as_str());
-            problem_response(&problem)
-        }
+        Err(problem) => problem_response(&problem),
     }
 }
 
@@ -99,9 +104,13 @@
     call: Option<String>,
 }
 
-/// Runs an operation on the plain service named in the path. The headers are
-/// x-workspace and, for calls that are not idempotent, idempotency-key with a
-/// UUIDv7.
+/// Runs an operation on the plain service named in the path.
+///
+/// The headers are x-workspace and, for calls that are not idempotent,
+/// idempotency-key with a UUIDv7. The body is passed on as it is. The answer is
+/// JSON with key, outcome, status, answer and repeated, or an
+/// application/problem+json document; this document cannot express that one of
+/// two types is answered.
 #[endpoint { method = POST, path = "/v1/operations/{id}" }]
 async fn operate(
     rqctx: RequestContext<ApiContext>,
@@ -114,7 +123,10 @@
     let query = query.into_inner();
     let body = match read_body(body).await {
         Ok(body) => body,
-        Err(problem) => return problem_response(&problem),
+        Err(problem) => {
+            filter::operation_refused(node, header(&rqctx, "x-workspace"), &problem);
+            return problem_response(&problem);
+        }
     };
     let raw = RawOperation {
         service: &path.id,
@@ -127,6 +139,9 @@
 }
 
 /// Tells what became of the operation whose key is named in the path.
+///
+/// The answer is the one that the operation itself had, or an
+/// application/problem+json document; this document cannot express both.
 #[endpoint { method = GET, path = "/v1/operations/{id}" }]
 async fn operation_outcome(
     rqctx: RequestContext<ApiContext>,
--- a/src/burn.rs
+++ b/src/burn.rs
@@ -17,10 +17,15 @@
 struct State {
     revision: Revision,
     counters: Vec<BurnCounter>,
-    /// Ended requests by their label, such as `done` or a problem's kind.
+    /// Ended requests for answers by label, such as `done` or a problem's kind.
     ended: BTreeMap<&'static str, u64>,
+    /// Ended operations by label.
+    operations: BTreeMap<&'static str, u64>,
 }
 
+/// The workspace and priority of a request.
+pub(crate) type Who<'a> = (&'a WorkspaceName, Priority);
+
 /// What the outcome of a request says about the router.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Blame {
@@ -40,6 +45,7 @@
                 revision: Revision(0),
                 counters: Vec::new(),
                 ended: BTreeMap::new(),
+                operations: BTreeMap::new(),
             }),
         }
     }
@@ -70,18 +76,41 @@
     /// Records how a request for a generated answer ended.
     pub(crate) fn generate_ended(
         &self,
-        workspace: &WorkspaceName,
-        priority: Priority,
+        who: Option<Who<'_>>,
         label: &'static str,
         problem: Option<&Problem>,
     ) {
         *self.state.lock().ended.entry(label).or_default() += 1;
+        self.observe_success(who, label, problem);
+    }
+
+    /// Records how an operation ended.
+    pub(crate) fn operation_ended(
+        &self,
+        who: Option<Who<'_>>,
+        label: &'static str,
+        problem: Option<&Problem>,
+    ) {
+        *self.state.lock().operations.entry(label).or_default() += 1;
+        self.observe_success(who, label, problem);
+    }
+
+    /// Counts against the success levels of the workspace; a request that names
+    /// no workspace counts against none.
+    fn observe_success(
+        &self,
+        who: Option<Who<'_>>,
+        label: &'static str,
+        problem: Option<&Problem>,
+    ) {
         let blame = match problem {
             None if label == "done" => Blame::Good,
             None => Blame::None,
             Some(problem) => blame(problem.kind),
         };
-        if blame != Blame::None {
+        if let Some((workspace, priority)) = who
+            && blame != Blame::None
+        {
             let measure = Measure::Success(blame == Blame::Good);
             self.observe(Objective::Success, workspace, priority, measure);
         }
@@ -115,11 +144,8 @@
                     windows: counter.windows(now),
                 })
                 .collect(),
-            ended: state
-                .ended
-                .iter()
-                .map(|(label, count)| ((*label).to_owned(), *count))
-                .collect(),
+            ended: to_owned_labels(&state.ended),
+            operations: to_owned_labels(&state.operations),
         }
     }
 
@@ -142,6 +168,13 @@
     }
 }
 
+fn to_owned_labels(counts: &BTreeMap<&'static str, u64>) -> BTreeMap<String, u64> {
+    counts
+        .iter()
+        .map(|(label, count)| ((*label).to_owned(), *count))
+        .collect()
+}
+
 /// Decides whether a problem counts against the success service level.
 fn blame(kind: ProblemKind) -> Blame {
     match kind {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,7 @@
 mod call;
 mod entries;
 mod output;
+mod report;
 mod status;
 
 use std::path::PathBuf;
@@ -71,10 +72,26 @@
         #[command(flatten)]
         target: Target,
     },
+    /// Reports on what the entries have counted.
+    #[command(subcommand)]
+    Report(Report),
     /// Writes the OpenAPI document of an entry.
     Openapi,
 }
 
+/// The reports.
+#[derive(Debug, Subcommand)]
+enum Report {
+    /// Shows how fast the error budgets of the service levels are used.
+    Burn {
+        /// Also draws the report into this SVG file.
+        #[arg(long, value_name = "FILE")]
+        svg: Option<PathBuf>,
+        #[command(flatten)]
+        target: Target,
+    },
+}
+
 /// Which entries to ask, and how to print.
 #[derive(Args, Clone, Debug)]
 struct Target {
@@ -162,6 +179,9 @@
         Command::Entries { workspace, target } => {
             runtime.block_on(entries::entries(workspace.as_ref(), &target))
         }
+        Command::Report(Report::Burn { svg, target }) => {
+            runtime.block_on(report::burn(&target, svg.as_deref()))
+        }
         Command::Openapi => {
             print!("{}", crate::api::openapi_document());
             Ok(ExitStatus::Done)
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -22,20 +22,27 @@
 
 /// Prints rows as columns that are as wide as their widest cell.
 pub(crate) fn print_table<const N: usize>(header: [&str; N], rows: &[[String; N]]) {
+    print!("{}", format_table(header, rows));
+}
+
+/// Formats rows as columns that are as wide as their widest cell.
+pub(crate) fn format_table<const N: usize>(header: [&str; N], rows: &[[String; N]]) -> String {
     let mut widths = header.map(str::len);
     for row in rows {
         for (width, cell) in widths.iter_mut().zip(row) {
             *width = (*width).max(cell.len());
         }
     }
-    let print_row = |cells: &[String; N]| {
+    let format_row = |cells: &[String; N]| {
         let line: Vec<String> = cells
             .iter()
             .zip(widths)
             .map(|(cell, width)| format!("{cell:width$}"))
             .collect();
-        println!("{}", line.join("  ").trim_end());
+        format!("{}\n", line.join("  ").trim_end())
     };
-    print_row(&header.map(str::to_owned));
-    rows.iter().for_each(print_row);
+    let header = format_row(&header.map(str::to_owned));
+    std::iter::once(header)
+        .chain(rows.iter().map(format_row))
+        .collect()
 }
--- /dev/null
+++ b/src/cli/report/table.rs
@@ -0,0 +1,140 @@
+//! The report on service-level burn for people.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use pistachioyard_policy::{BurnAlert, BurnReport};
+use pistachioyard_wire::{Objective, ServiceLevel};
+
+use super::FleetBurn;
+use crate::cli::output::format_table;
+
+/// Renders the whole report.
+pub(super) fn render(report: &FleetBurn) -> String {
+    let mut text = render_levels(&report.levels);
+    text.push_str(&render_counts("ended requests", &report.ended));
+    text.push_str(&render_counts("ended operations", &report.operations));
+    text.push_str(&render_entries(report));
+    text
+}
+
+fn render_levels(levels: &[BurnReport]) -> String {
+    if levels.is_empty() {
+        return "no service levels are configured\n".to_owned();
+    }
+    let header = [
+        "SERVICE LEVEL",
+        "TARGET",
+        "WINDOWS",
+        "BURN RATE",
+        "ALERT AT",
+        "ALERT",
+        "BUDGET LEFT",
+    ];
+    let rows: Vec<[String; 7]> = levels.iter().flat_map(level_rows).collect();
+    format_table(header, &rows)
+}
+
+/// Renders one row for each pair of windows; the first one names the level.
+fn level_rows(report: &BurnReport) -> Vec<[String; 7]> {
+    let rows = report.alerts.iter().enumerate().map(|(place, alert)| {
+        let [name, target, budget] = if place == 0 {
+            [
+                level_name(&report.level),
+                percent(report.level.target),
+                percent(report.budget_left),
+            ]
+        } else {
+            [const { String::new() }; 3]
+        };
+        [
+            name,
+            target,
+            format!("{} / {}", span(alert.short_s), span(alert.long_s)),
+            format!(
+                "{} / {}",
+                rate(report, alert.short_s),
+                rate(report, alert.long_s)
+            ),
+            alert.burn_rate.to_string(),
+            alert_name(alert).to_owned(),
+            budget,
+        ]
+    });
+    rows.collect()
+}
+
+fn alert_name(alert: &BurnAlert) -> &'static str {
+    if alert.firing { "FIRING" } else { "-" }
+}
+
+/// Returns the burn rate of a window with its events.
+fn rate(report: &BurnReport, window_s: u64) -> String {
+    let window = report.windows.iter().find(|w| w.window_s == window_s);
+    window.map_or_else(
+        || "-".to_owned(),
+        |w| format!("{:.2} ({} of {})", w.burn_rate, w.total - w.good, w.total),
+    )
+}
+
+/// Returns a service level in words.
+pub(super) fn level_name(level: &ServiceLevel) -> String {
+    let mut name = match level.objective {
+        Objective::FirstToken => "first_token".to_owned(),
+        Objective::BetweenTokens => "between_tokens".to_owned(),
+        Objective::Success => "success".to_owned(),
+        Objective::Recovery => "recovery".to_owned(),
+    };
+    if let Some(ms) = level.threshold_ms {
+        let _ = write!(name, " <= {ms} ms");
+    }
+    if let Some(workspace) = &level.workspace {
+        let _ = write!(name, " {workspace}");
+    }
+    if let Some(priority) = level.priority {
+        let _ = write!(name, " {}", priority.as_str());
+    }
+    name
+}
+
+/// Returns the length of a window in words.
+pub(super) fn span(seconds: u64) -> String {
+    if seconds.is_multiple_of(3_600) {
+        format!("{} h", seconds / 3_600)
+    } else {
+        format!("{} min", seconds / 60)
+    }
+}
+
+fn percent(share: f64) -> String {
+    let text = format!("{:.2}", share * 100.0);
+    format!("{}%", text.trim_end_matches('0').trim_end_matches('.'))
+}
+
+fn render_counts(what: &str, counts: &BTreeMap<String, u64>) -> String {
+    if counts.is_empty() {
+        return format!("{what}: none\n");
+    }
+    let parts: Vec<String> = counts
+        .iter()
+        .map(|(label, count)| format!("{label} {count}"))
+        .collect();
+    format!("{what}: {}\n", parts.join(", "))
+}
+
+fn render_entries(report: &FleetBurn) -> String {
+    let names: Vec<&str> = report.answered.iter().map(|e| e.as_str()).collect();
+    let mut text = format!("counted by: {}\n", names.join(", "));
+    for silent in &report.silent {
+        let name = silent
+            .entry
+            .as_ref()
+            .map_or("an entry", |entry| entry.as_str());
+        let _ = writeln!(
+            text,
+            "not counted: {name} at {} did not answer: {}",
+            silent.address, silent.why
+        );
+    }
+    text
+}
--- a/src/filter.rs
+++ b/src/filter.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod identify;
 mod operate;
+mod record;
 mod recover;
 mod suspect;
 
@@ -21,8 +22,12 @@
 pub(crate) use identify::{
     GenerateContext, RawOperation, bad_request, identify_generate, identify_operation,
 };
-pub(crate) use operate::{operate, recorded_outcome};
+pub(crate) use operate::recorded_outcome;
+pub(crate) use record::{generate_refused, operation_refused};
 
+use pistachioyard_wire::OperationOutcome;
+
+use crate::entry::{InFlight, Lifecycle};
 use crate::prelude::*;
 
 /// Serves a request for a generated answer.
@@ -34,9 +39,35 @@
     body: &[u8],
 ) -> Result<deliver::EventStream, Problem> {
     let arrived_at = Instant::now();
-    let in_flight = crate::entry::Lifecycle::begin(node)?;
+    match prepare(node, body, arrived_at).await {
+        Ok((in_flight, cx, grant)) => dispatch::start(node, cx, grant, in_flight, arrived_at).await,
+        Err(problem) => {
+            generate_refused(node, body, &problem);
+            Err(problem)
+        }
+    }
+}
+
+/// Takes a request through the filters before dispatch.
+async fn prepare(
+    node: &Arc<Node>,
+    body: &[u8],
+    arrived_at: Instant,
+) -> Result<(InFlight, GenerateContext, Grant), Problem> {
+    let in_flight = Lifecycle::begin(node)?;
     let cx = identify_generate(node, body)?;
     suspect::refuse_suspects(node, cx.call.digest)?;
     let grant = Admission::admit(node, &cx, arrived_at).await?;
-    dispatch::start(node, cx, grant, in_flight, arrived_at).await
+    Ok((in_flight, cx, grant))
+}
+
+/// Serves an operation on a plain service.
+pub(crate) async fn operate(
+    node: &Arc<Node>,
+    raw: RawOperation<'_>,
+) -> Result<OperationOutcome, Problem> {
+    let workspace = raw.workspace;
+    let ended = operate::operate(node, raw).await;
+    record::operation_ended(node, workspace, ended.as_ref());
+    ended
 }
--- a/src/filter/dispatch.rs
+++ b/src/filter/dispatch.rs
@@ -115,9 +115,8 @@
         };
         crate::metric::request_ended("generate", label);
         let problem = ended.as_ref().err().and_then(Option::as_ref);
-        let workspace = &self.cx.call.workspace;
-        node.burn
-            .generate_ended(workspace, self.cx.priority, label, problem);
+        let who = (&self.cx.call.workspace, self.cx.priority);
+        node.burn.generate_ended(Some(who), label, problem);
         if let Err(Some(problem)) = ended {
             let _ = self.events.send(StreamEvent::Error(problem)).await;
         }
--- a/src/filter/operate.rs
+++ b/src/filter/operate.rs
@@ -134,13 +134,11 @@
                     repeated: false,
                 };
                 hold.settle_later(outcome.clone());
-                crate::metric::request_ended("operation", "done");
                 return Ok(outcome);
             }
             Ok(ServiceAnswer::NotRun) | Err(CallError::NotSent { .. }) => {}
             Err(e) => {
                 spdlog::warn!("operate: the result of {endpoint} was lost: {e}");
-                crate::metric::request_ended("operation", "result_lost");
                 return Err(Problem::new(
                     ProblemKind::ResultLost,
                     Outcome::Unknown,
@@ -150,7 +148,6 @@
         }
     }
     hold.release_later();
-    crate::metric::request_ended("operation", "not_run");
     Err(not_run(
         ProblemKind::NoCapacity,
         "no endpoint of the service took the call; come back with the same key",
@@ -172,7 +169,6 @@
         tried.insert(endpoint.clone());
         match send(node, req, &endpoint, address).await {
             Ok(ServiceAnswer::Ran { status, body }) => {
-                crate::metric::request_ended("operation", "done");
                 return Ok(OperationOutcome {
                     key: req.key,
                     outcome: Outcome::Done,
@@ -195,7 +191,6 @@
     if may_have_run {
         problem.outcome = Outcome::Failed;
     }
-    crate::metric::request_ended("operation", "no_capacity");
     Err(problem)
 }
 
