--- a/crates/pistachioyard_wire/src/caller/problem.rs
+++ b/crates/pistachioyard_wire/src/caller/problem.rs
@@ -68,6 +68,30 @@
 }
 
 impl ProblemKind {
+    /// All kinds, for tables and for metrics that exist from the start.
+    pub const ALL: [Self; 20] = [
+        Self::BadRequest,
+        Self::BodyTooLarge,
+        Self::NotConfigured,
+        Self::NotAllowed,
+        Self::BadKey,
+        Self::KeyTooOld,
+        Self::KeyReused,
+        Self::NoConfig,
+        Self::Stopping,
+        Self::Overloaded,
+        Self::WorkspaceLimit,
+        Self::NoCapacity,
+        Self::LedgerUnavailable,
+        Self::LedgerFull,
+        Self::RefusedByEndpoints,
+        Self::Quarantined,
+        Self::DeadlinePassed,
+        Self::ChainLost,
+        Self::ResultLost,
+        Self::NoSuchOperation,
+    ];
+
     /// Returns the HTTP status that goes with the kind.
     pub fn status(self) -> u16 {
         match self {
--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -17,8 +17,12 @@
     api.register(status).expect("the path is unique");
 }
 
-/// Accepts an operators' file as a whole; the body is an ApplyRequest, the answer
-/// an ApplyAnswer.
+/// Accepts an operators' file as a whole.
+///
+/// The body is JSON with apply (a UUID), base (a revision) and text (the file).
+/// The answer is JSON with one of accepted, conflict, rejected and undecided. The
+/// body is read as bytes, so that this document cannot express its type: a body
+/// that is too large or malformed is then refused as a problem document.
 #[endpoint { method = POST, path = "/v1/config" }]
 async fn apply(rqctx: RequestContext<ApiContext>, body: StreamingBody) -> HandlerResult {
     let node = &rqctx.context().node;
@@ -33,6 +37,9 @@
 }
 
 /// Tells the configuration in force at this entry.
+///
+/// The answer is JSON with revision, digest, text and applies; the revision is 0
+/// where none is in force.
 #[endpoint { method = GET, path = "/v1/config" }]
 async fn config(rqctx: RequestContext<ApiContext>) -> HandlerResult {
     let adoption = rqctx.context().node.adoption.lock();
@@ -73,14 +80,7 @@
             revision: record.revision,
         })
         .collect();
-    let now = Instant::now();
-    let usable_endpoints = {
-        let fleet = node.fleet.lock();
-        fleet
-            .endpoints()
-            .filter(|view| view.report().is_some() && view.is_usable(now))
-            .count()
-    };
+    let usable_endpoints = node.usable_endpoints(Instant::now());
     Ok(HttpResponseOk(ForceStatus {
         entry: node.settings.entry.clone(),
         revision: node.revision(),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -150,6 +150,15 @@
         !self.lifecycle.is_stopping() && self.config_for_new_work().is_ok()
     }
 
+    /// Counts the endpoints that this entry would give new work to.
+    pub(crate) fn usable_endpoints(&self, now: Instant) -> usize {
+        let fleet = self.fleet.lock();
+        fleet
+            .endpoints()
+            .filter(|view| view.report().is_some() && view.is_usable(now))
+            .count()
+    }
+
     /// Builds what the peers are told at this moment.
     pub(crate) fn gossip(&self, now: Instant, report_age: Duration) -> GossipState {
         let revision = self.revision();
