--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,84 @@
+//! Checking of an entry's settings.
+
+use std::collections::BTreeSet;
+
+use expect_test::expect;
+use pistachioyard::EntrySettings;
+
+fn faults(text: &str) -> String {
+    let faults = EntrySettings::parse(text).expect_err("the settings have faults");
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn every_fault_is_named_at_once_with_key_value_and_what_is_allowed() {
+    let text = r#"
+        entry = "one two"
+        data_centre = ""
+        caller_address = "localhost:8080"
+        advertised_peer_address = "10.0.0.1"
+        platform = "10.0.0.9"
+        peers = ["10.0.0.2:8081", "peer"]
+        entries_valid_ms = 1
+        drain_limit_ms = 86400001
+        in_force_ms = 0
+        log_level = "loud"
+    "#;
+    expect![[r#"
+        entry is 'one two'; a name of 1 to 64 letters, digits, '-', '_' and '.' is allowed
+        data_centre is ''; a name of 1 to 64 letters, digits, '-', '_' and '.' is allowed
+        caller_address is 'localhost:8080'; an IP address and port such as 10.0.0.1:8080 is allowed
+        peer_address is missing; give an IP address and port such as 10.0.0.1:8080
+        advertised_peer_address is '10.0.0.1'; an IP address and port such as 10.0.0.1:8080 is allowed
+        platform is '10.0.0.9'; an IP address and port such as 10.0.0.1:8080 is allowed
+        peers[1] is 'peer'; an IP address and port such as 10.0.0.1:8080 is allowed
+        entries_valid_ms is '1'; 100 to 600000 is allowed
+        drain_limit_ms is '86400001'; 1000 to 86400000 is allowed
+        in_force_ms is '0'; 500 to 60000 is allowed
+        log_level is 'loud'; error, warn, info, debug or trace is allowed"#]]
+    .assert_eq(&faults(text));
+}
+
+#[test]
+fn an_unknown_key_is_refused_with_the_known_ones() {
+    let message = faults("entry_name = \"one\"");
+    assert!(message.contains("unknown field `entry_name`"), "{message}");
+    assert!(message.contains("`drain_limit_ms`"), "{message}");
+}
+
+/// The parser lists the keys of the type when it meets an unknown one.
+fn known_keys() -> BTreeSet<String> {
+    let message = faults("no_such_key = 1");
+    let (_, list) = message
+        .split_once("expected one of ")
+        .expect("the parser lists the keys");
+    list.split('`')
+        .skip(1)
+        .step_by(2)
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn the_operators_page_lists_exactly_the_keys_of_the_type() {
+    let page = include_str!("../docs/operators/settings.md");
+    let listed: BTreeSet<String> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|rest| rest.split_once('`'))
+        .map(|(key, _)| key.to_owned())
+        .collect();
+    assert_eq!(listed, known_keys());
+}
+
+#[test]
+fn the_example_on_the_operators_page_has_no_faults() {
+    let page = include_str!("../docs/operators/settings.md");
+    let example = page
+        .split("```toml\n")
+        .nth(1)
+        .and_then(|rest| rest.split("```").next())
+        .expect("the page has an example");
+    assert!(EntrySettings::parse(example).is_ok(), "{}", faults(example));
+}
