--- a/crates/pistachioyard_standins/src/lib.rs
+++ b/crates/pistachioyard_standins/src/lib.rs
@@ -14,6 +14,7 @@
 mod launch;
 mod platform;
 mod proxy;
+mod scale;
 mod server;
 mod service;
 mod token;
@@ -29,6 +30,7 @@
 pub use launch::{AddressPool, Child, LaunchError, Launcher, exit_when_stdin_closes, wait_until};
 pub use platform::{CallCounts, PlatformArgs, PlatformFaults, run_platform};
 pub use proxy::{FaultKind, FaultRule, ProxyArgs, Route, RouteFault, run_proxy};
+pub use scale::{ScaleArgs, ScaleError, run_scale};
 pub use server::ServeError;
 pub use service::{EffectAnswer, EffectRecord, ServiceArgs, ServiceFaults, run_service};
 pub use token::{PrefixState, reference_tokens, run_layers, seed_state};
--- a/crates/pistachioyard_standins/src/main.rs
+++ b/crates/pistachioyard_standins/src/main.rs
@@ -2,8 +2,8 @@
 
 use clap::{Parser, Subcommand};
 use pistachioyard_standins::{
-    DemoArgs, EngineSettings, PlatformArgs, ProxyArgs, ServiceArgs, exit_when_stdin_closes,
-    run_demo, run_engine, run_platform, run_proxy, run_service,
+    DemoArgs, EngineSettings, PlatformArgs, ProxyArgs, ScaleArgs, ServiceArgs,
+    exit_when_stdin_closes, run_demo, run_engine, run_platform, run_proxy, run_scale, run_service,
 };
 use tokio::runtime::{Builder, Runtime};
 
@@ -27,6 +27,8 @@
     Platform(PlatformArgs),
     /// A TCP proxy that injects faults.
     Proxy(ProxyArgs),
+    /// Measures what an idle entry costs as the fleet grows.
+    Scale(ScaleArgs),
     /// A plain service that counts its effects.
     Service(ServiceArgs),
 }
@@ -43,6 +45,7 @@
         Command::Engine(settings) => runtime.block_on(run_engine(*settings))?,
         Command::Platform(args) => runtime.block_on(run_platform(args))?,
         Command::Proxy(args) => runtime.block_on(run_proxy(args))?,
+        Command::Scale(args) => runtime.block_on(run_scale(args))?,
         Command::Service(args) => runtime.block_on(run_service(args))?,
     }
     Ok(())
@@ -52,7 +55,9 @@
 fn build_runtime(command: &Command) -> std::io::Result<Runtime> {
     let mut builder = match command {
         Command::Engine(_) | Command::Service(_) => Builder::new_current_thread(),
-        Command::Demo(_) | Command::Platform(_) | Command::Proxy(_) => Builder::new_multi_thread(),
+        Command::Demo(_) | Command::Platform(_) | Command::Proxy(_) | Command::Scale(_) => {
+            Builder::new_multi_thread()
+        }
     };
     builder.enable_all().build()
 }
--- /dev/null
+++ b/crates/pistachioyard_standins/src/scale/farm.rs
@@ -0,0 +1,124 @@
+//! Many endpoints, answered by this process, that only report.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dropshot::{ApiDescription, HttpError, HttpResponseOk, HttpServer, RequestContext, endpoint};
+use pistachioyard_wire::{
+    BootId, DataCentre, EndpointId, EndpointReport, Fence, HostKind, HostName, HostRecord,
+    HostState, LayerRange, ModelName, NameFault, Region, VersionName,
+};
+
+use super::ScaleError;
+use crate::AddressPool;
+use crate::server::{ServeError, serve};
+
+/// The model that the endpoints hold.
+pub(super) const MODEL: &str = "scale-model";
+/// Its version.
+pub(super) const VERSION: &str = "1";
+/// The endpoints that one pool of addresses is asked for.
+const ENDPOINTS_PER_POOL: usize = 240;
+/// The largest body that is read, in bytes; reports take none.
+const MAX_BODY_BYTES: usize = 1_000;
+/// The data centres that the endpoints stand in, by turns.
+const DATA_CENTRES: [&str; 3] = ["split-a", "split-b", "split-c"];
+/// The ranges of layers that the endpoints hold, by turns.
+const RANGES: [(u32, u32); 3] = [(0, 16), (16, 32), (32, 48)];
+
+/// Endpoints that answer with a report and do nothing else.
+pub(super) struct EndpointFarm {
+    hosts: Vec<HostRecord>,
+    _servers: Vec<HttpServer<Arc<EndpointReport>>>,
+    _pools: Vec<AddressPool>,
+}
+
+impl EndpointFarm {
+    /// Serves a number of endpoints, each at an address of its own.
+    pub(super) async fn start(count: usize) -> Result<Self, ScaleError> {
+        let mut farm = Self {
+            hosts: Vec::new(),
+            _servers: Vec::new(),
+            _pools: Vec::new(),
+        };
+        for place in 0..count {
+            if place % ENDPOINTS_PER_POOL == 0 {
+                farm._pools.push(AddressPool::new()?);
+            }
+            let pool = &farm._pools[place / ENDPOINTS_PER_POOL];
+            let address = pool.next_address()?;
+            let report = Arc::new(report(place)?);
+            let server = serve(describe()?, report, address, MAX_BODY_BYTES).await?;
+            farm._servers.push(server);
+            farm.hosts.push(host(place, address)?);
+        }
+        Ok(farm)
+    }
+
+    /// Returns the host list of the first endpoints.
+    pub(super) fn hosts(&self, count: usize) -> Vec<HostRecord> {
+        self.hosts.iter().take(count).cloned().collect()
+    }
+}
+
+fn describe() -> Result<ApiDescription<Arc<EndpointReport>>, ServeError> {
+    let mut api = ApiDescription::new();
+    api.register(get_report)?;
+    Ok(api)
+}
+
+/// Answers the report, which never changes.
+#[endpoint { method = GET, path = "/v1/report" }]
+async fn get_report(
+    cx: RequestContext<Arc<EndpointReport>>,
+) -> Result<HttpResponseOk<EndpointReport>, HttpError> {
+    Ok(HttpResponseOk(EndpointReport::clone(cx.context())))
+}
+
+fn report(place: usize) -> Result<EndpointReport, NameFault> {
+    let (first, end) = RANGES[place % RANGES.len()];
+    Ok(EndpointReport {
+        endpoint: EndpointId::try_from(format!("endpoint-{place}"))?,
+        boot: BootId::generate(),
+        data_centre: data_centre(place)?,
+        service: None,
+        model: Some(ModelName::try_from(MODEL)?),
+        version: Some(VersionName::try_from(VERSION)?),
+        layers: LayerRange::new(first, end).ok(),
+        adapters: Vec::new(),
+        loading: false,
+        draining: false,
+        slots: 8,
+        running: 0,
+        waiting: 0,
+        tokens_per_second: 400.0,
+        step_ms: 2.0,
+        free_kv_tokens: 100_000,
+        layer_capacity: end - first,
+        fence: Fence::default(),
+        links_ms: DATA_CENTRES
+            .into_iter()
+            .map(|name| Ok((DataCentre::try_from(name)?, 0.5)))
+            .collect::<Result<_, NameFault>>()?,
+        cache_seq: 0,
+    })
+}
+
+fn host(place: usize, address: SocketAddr) -> Result<HostRecord, NameFault> {
+    Ok(HostRecord {
+        host: HostName::try_from(format!("host-{place}"))?,
+        endpoint: EndpointId::try_from(format!("endpoint-{place}"))?,
+        address,
+        region: Region::try_from("hr-jadran")?,
+        data_centre: data_centre(place)?,
+        kind: HostKind::Engine {
+            accelerator: "a".to_owned(),
+        },
+        checks_fence: true,
+        state: HostState::Live,
+    })
+}
+
+fn data_centre(place: usize) -> Result<DataCentre, NameFault> {
+    DataCentre::try_from(DATA_CENTRES[place % DATA_CENTRES.len()])
+}
