--- a/crates/pistachioyard_standins/src/scale/probe.rs
+++ b/crates/pistachioyard_standins/src/scale/probe.rs
@@ -36,6 +36,8 @@
     pub(crate) platform_watches_s: f64,
     /// Writes a second, by one entry.
     pub(crate) platform_writes_s: f64,
+    /// The lowest number of live entries that any entry sees.
+    pub(crate) least_live_seen: usize,
     /// The longest time from apply to in force at every entry, in milliseconds.
     pub(crate) in_force_ms: Option<f64>,
 }
@@ -84,7 +86,7 @@
     }
 
     /// Returns what one entry spent on average since an earlier reading.
-    pub(super) fn since(&self, before: &Self, slowest: Option<Duration>) -> Cost {
+    pub(super) fn since(&self, before: &Self, live: usize, slowest: Option<Duration>) -> Cost {
         let seconds = (self.at - before.at).as_secs_f64();
         let each = |now: f64, then: f64| (now - then) / seconds / self.entries;
         let calls =
@@ -97,6 +99,7 @@
             platform_reads_s: calls(|c| c.reads + c.lists + c.hosts),
             platform_watches_s: calls(|c| c.watches),
             platform_writes_s: calls(|c| c.writes),
+            least_live_seen: live,
             in_force_ms: slowest.map(|time| time.as_secs_f64() * 1_000.0),
         }
     }
