--- a/crates/pistachioyard_standins/src/lib.rs
+++ b/crates/pistachioyard_standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! Integration tests, the demo and the bench start them with a [`Launcher`] and
 //! talk to them with an [`HttpClient`]; a [`Cluster`] is a whole deployment.
 
+mod bench;
 mod cluster;
 mod demo;
 mod deployment;
@@ -18,6 +19,7 @@
 mod service;
 mod token;
 
+pub use bench::{BenchArgs, BenchError, run_bench};
 pub use cluster::{
     Answer, Binaries, Caller, Cluster, ClusterError, ClusterPlan, EndpointProcess, EngineSpec,
     EntryProcess, GenerateEnd, draft_request,
--- a/crates/pistachioyard_standins/src/main.rs
+++ b/crates/pistachioyard_standins/src/main.rs
@@ -2,8 +2,8 @@
 
 use clap::{Parser, Subcommand};
 use pistachioyard_standins::{
-    DemoArgs, EngineSettings, PlatformArgs, ProxyArgs, ServiceArgs, exit_when_stdin_closes,
-    run_demo, run_engine, run_platform, run_proxy, run_service,
+    BenchArgs, DemoArgs, EngineSettings, PlatformArgs, ProxyArgs, ServiceArgs,
+    exit_when_stdin_closes, run_bench, run_demo, run_engine, run_platform, run_proxy, run_service,
 };
 use tokio::runtime::{Builder, Runtime};
 
@@ -19,6 +19,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Measures throughput against the bound, and the policy under load and faults.
+    Bench(BenchArgs),
     /// Runs both example deployments, breaks them and checks every answer.
     Demo(DemoArgs),
     /// Runs one model engine.
@@ -39,6 +41,7 @@
         exit_when_stdin_closes();
     }
     match cli.command {
+        Command::Bench(args) => runtime.block_on(run_bench(args))?,
         Command::Demo(args) => runtime.block_on(run_demo(args))?,
         Command::Engine(settings) => runtime.block_on(run_engine(*settings))?,
         Command::Platform(args) => runtime.block_on(run_platform(args))?,
@@ -52,7 +55,9 @@
 fn build_runtime(command: &Command) -> std::io::Result<Runtime> {
     let mut builder = match command {
         Command::Engine(_) | Command::Service(_) => Builder::new_current_thread(),
-        Command::Demo(_) | Command::Platform(_) | Command::Proxy(_) => Builder::new_multi_thread(),
+        Command::Bench(_) | Command::Demo(_) | Command::Platform(_) | Command::Proxy(_) => {
+            Builder::new_multi_thread()
+        }
     };
     builder.enable_all().build()
 }
--- a/src/filter/admit.rs
+++ b/src/filter/admit.rs
@@ -8,7 +8,7 @@
 
 use parking_lot::Mutex;
 use pistachioyard_policy::{
-    Chain, ChainQuery, DrainRate, FairQueue, NoChain, Ticket, choose_chain,
+    Chain, ChainQuery, DrainRate, FairQueue, NoChain, Ticket, choose_chain_by,
 };
 use pistachioyard_wire::{AdapterName, LayerRange as Layers, StageRef, WorkspaceUsage};
 use tokio::sync::{Notify, oneshot};
@@ -81,7 +81,8 @@
         let fleet = node.fleet.lock();
         let prefixes = node.prefixes.lock();
         let mut rng = node.rng.lock();
-        choose_chain(&fleet, &prefixes, &query, now, &mut *rng)
+        let policy = node.settings.choice;
+        choose_chain_by(policy, &fleet, &prefixes, &query, now, &mut *rng)
     }
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,6 +11,7 @@
 use std::path::Path;
 
 pub use fault::SettingsFault;
+use pistachioyard_policy::ChoicePolicy;
 use raw::RawSettings;
 
 use crate::prelude::*;
@@ -40,6 +41,8 @@
     pub(crate) drain_limit: Duration,
     /// The time in which an accepted configuration is in force everywhere.
     pub(crate) in_force: Duration,
+    /// How chains are chosen.
+    pub(crate) choice: ChoicePolicy,
     /// The most verbose log level that is written.
     pub(crate) log_level: spdlog::Level,
 }
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use pistachioyard_policy::ChoicePolicy;
 use serde::Deserialize;
 
 use super::{EntrySettings, SettingsFault};
@@ -34,6 +35,7 @@
     entries_valid_ms: Option<u64>,
     drain_limit_ms: Option<u64>,
     in_force_ms: Option<u64>,
+    choice: Option<String>,
     log_level: Option<String>,
 }
 
@@ -78,6 +80,7 @@
             raw.in_force_ms.unwrap_or(DEFAULT_IN_FORCE_MS),
             IN_FORCE_MS,
         );
+        let choice = faults.choice(raw.choice);
         let log_level = faults.level(raw.log_level);
         let checked = (|| {
             Some(Self {
@@ -92,6 +95,7 @@
                 entries_valid,
                 drain_limit,
                 in_force,
+                choice,
                 log_level,
             })
         })();
@@ -163,6 +167,23 @@
         Duration::from_millis(value)
     }
 
+    fn choice(&mut self, raw: Option<String>) -> ChoicePolicy {
+        let Some(value) = raw else {
+            return ChoicePolicy::default();
+        };
+        match value.as_str() {
+            "cost" => ChoicePolicy::Cost,
+            "least_reported" => ChoicePolicy::LeastReported,
+            "random" => ChoicePolicy::Random,
+            "round_robin" => ChoicePolicy::RoundRobin,
+            _ => {
+                let allowed = "cost, least_reported, random or round_robin";
+                self.not_allowed("choice", &value, allowed);
+                ChoicePolicy::default()
+            }
+        }
+    }
+
     fn level(&mut self, raw: Option<String>) -> spdlog::Level {
         let Some(value) = raw else {
             return spdlog::Level::Info;
