--- a/crates/pistachioyard_policy/src/fleet.rs
+++ b/crates/pistachioyard_policy/src/fleet.rs
@@ -107,6 +107,16 @@
         }
     }
 
+    /// Marks an endpoint whose weights the placement controller is about to change.
+    ///
+    /// Entries give it no new work until the mark has aged out, so that streams
+    /// there can end first. Repeat it for as long as the change takes.
+    pub fn note_moving(&mut self, endpoint: &EndpointId, now: Instant) {
+        if let Some(view) = self.endpoints.get_mut(endpoint) {
+            view.note_moving(now);
+        }
+    }
+
     /// Counts a stream of this entry as in flight at every stage of its chain.
     pub fn begin(&mut self, chain: &[StageRef], now: Instant) {
         for stage in chain {
@@ -190,7 +200,8 @@
 
     /// Tells whether an endpoint may get new work.
     ///
-    /// It must be listed or reporting, and neither leaving, dead nor loading.
+    /// It must be listed or reporting, and neither leaving, dead, loading nor
+    /// moving.
     pub fn is_usable(&self, endpoint: &EndpointId, now: Instant) -> bool {
         self.get(endpoint).is_some_and(|view| view.is_usable(now))
     }
--- a/crates/pistachioyard_policy/src/fleet/endpoint_view.rs
+++ b/crates/pistachioyard_policy/src/fleet/endpoint_view.rs
@@ -9,7 +9,7 @@
 };
 
 use super::load::Load;
-use super::marks::{DeadMark, Marks};
+use super::marks::{DeadMark, Marks, MovingMark};
 use super::{VANISHED_KEEP, millis};
 
 /// The age up to which a report shows that an unlisted endpoint lives.
@@ -18,6 +18,8 @@
 const DEAD_GOSSIP_AGE: Duration = Duration::from_secs(3);
 /// The age up to which a leaving mark is told to peers.
 const LEAVING_GOSSIP_AGE: Duration = Duration::from_secs(30);
+/// The age up to which a moving mark is told to peers.
+const MOVING_GOSSIP_AGE: Duration = Duration::from_millis(1_500);
 /// The most earlier runs remembered, whose late reports are dropped.
 const MAX_EARLIER_RUNS: usize = 8;
 
@@ -155,10 +157,19 @@
         self.marks.is_suspect(now)
     }
 
+    /// Tells whether the placement controller is about to change what it holds.
+    ///
+    /// This ends with the mark, whatever became of the controller, so an endpoint
+    /// is never kept out of service by one that has stopped.
+    pub fn is_moving(&self, now: Instant) -> bool {
+        self.marks.moving(now).is_some()
+    }
+
     /// Tells whether it may get new work.
     pub fn is_usable(&self, now: Instant) -> bool {
         let present = self.is_listed() || self.is_vanished_but_reporting(now);
-        present && !self.is_leaving() && !self.is_dead(now) && !self.is_loading()
+        let out_of_service = self.is_loading() || self.is_moving(now);
+        present && !self.is_leaving() && !self.is_dead(now) && !out_of_service
     }
 
     /// Tells whether the view is still needed.
@@ -235,6 +246,7 @@
             EndpointMarkKind::Leaving => {
                 self.marks.note_leaving(mark.boot.or(self.boot()), at);
             }
+            EndpointMarkKind::Moving => self.marks.note_moving(MovingMark { at, own: false }),
             EndpointMarkKind::Dead if newer_report => {}
             EndpointMarkKind::Dead => self.marks.note_dead(DeadMark {
                 at,
@@ -253,6 +265,11 @@
         });
     }
 
+    /// Notes that what it holds is about to change.
+    pub(super) fn note_moving(&mut self, now: Instant) {
+        self.marks.note_moving(MovingMark { at: now, own: true });
+    }
+
     /// Notes that it was slow once.
     pub(super) fn note_suspect(&mut self, now: Instant) {
         self.marks.note_suspect(now);
@@ -298,6 +315,11 @@
             .marks
             .dead(boot, now)
             .and_then(|dead| mark(dead.boot, EndpointMarkKind::Dead, dead.at, DEAD_GOSSIP_AGE));
-        leaving.into_iter().chain(dead).collect()
+        let moving = self
+            .marks
+            .moving(now)
+            .filter(|moving| moving.own)
+            .and_then(|moving| mark(boot, EndpointMarkKind::Moving, moving.at, MOVING_GOSSIP_AGE));
+        leaving.into_iter().chain(dead).chain(moving).collect()
     }
 }
--- a/crates/pistachioyard_policy/src/fleet/marks.rs
+++ b/crates/pistachioyard_policy/src/fleet/marks.rs
@@ -9,6 +9,8 @@
 const PEER_DEAD_TTL: Duration = Duration::from_secs(3);
 /// How long a suspect endpoint is used less.
 const SUSPECT_TTL: Duration = Duration::from_secs(5);
+/// How long an endpoint gets no new work after the last mark that it is moving.
+const MOVING_TTL: Duration = Duration::from_millis(1_500);
 /// The most runs whose marks are kept.
 const MAX_RUNS: usize = 8;
 
@@ -23,6 +25,16 @@
     pub(super) own: bool,
 }
 
+/// A word that what an endpoint holds is about to change.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MovingMark {
+    /// When this was last said.
+    pub(super) at: Instant,
+    /// Whether this entry's controller says so; only its own word is passed on,
+    /// so that peers do not keep a mark alive among themselves.
+    pub(super) own: bool,
+}
+
 /// Why an endpoint gets no new work, or less.
 #[derive(Debug, Default)]
 pub(super) struct Marks {
@@ -30,6 +42,7 @@
     leaving_unknown_run: Option<Instant>,
     dead: Option<DeadMark>,
     suspect_at: Option<Instant>,
+    moving: Option<MovingMark>,
 }
 
 impl Marks {
@@ -66,6 +79,19 @@
         self.suspect_at = Some(now);
     }
 
+    /// Notes that the placement controller is about to change what it holds.
+    pub(super) fn note_moving(&mut self, mark: MovingMark) {
+        if self.moving.is_none_or(|known| known.at <= mark.at) {
+            self.moving = Some(mark);
+        }
+    }
+
+    /// Returns the newest moving mark, if it still counts.
+    pub(super) fn moving(&self, now: Instant) -> Option<MovingMark> {
+        self.moving
+            .filter(|mark| now.saturating_duration_since(mark.at) < MOVING_TTL)
+    }
+
     /// Takes over that a run reported something measured at this time.
     pub(super) fn note_report(&mut self, boot: BootId, first_report: bool, measured_at: Instant) {
         if first_report && let Some(at) = self.leaving_unknown_run.take() {
--- a/crates/pistachioyard_policy/src/lease.rs
+++ b/crates/pistachioyard_policy/src/lease.rs
@@ -42,9 +42,10 @@
 
 /// Decides what the process `me`, `boot` does about a lease.
 ///
-/// The holder renews once half of the term is over. A holder that let the lease
-/// end takes it with a new fencing number, since another may have held it in
-/// between.
+/// The holder renews once a third of the term is over, so that a renewal whose
+/// answer is lost can be settled before the term ends. A holder that let
+/// the lease end takes it with a new fencing number, since another may have held
+/// it in between.
 pub fn decide(
     current: Option<&LeaseRecord>,
     me: &EntryId,
@@ -69,7 +70,7 @@
     if current.holder != *me || current.boot != boot {
         return LeaseMove::Wait { ms: left_ms };
     }
-    if left_ms > term_ms / 2 {
+    if left_ms > term_ms - term_ms / 3 {
         LeaseMove::Keep
     } else {
         LeaseMove::Renew(record(current.fence))
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -40,7 +40,7 @@
 pub use membership::Membership;
 pub use placement::{
     Held, LoadPacer, PlacementChange, PlacementEndpoint, PlacementInput, PlacementModel,
-    next_rollout_step, place,
+    next_rollout_step, place, serving_version,
 };
 pub use prefix_index::PrefixIndex;
 pub use quarantine::{Quarantine, SuspectLanes, Verdict};
--- a/crates/pistachioyard_policy/src/placement.rs
+++ b/crates/pistachioyard_policy/src/placement.rs
@@ -9,12 +9,14 @@
 mod layer_capacity;
 mod load_pacer;
 mod rollout;
+mod serving;
 
 use pistachioyard_wire::{AdapterName, DataCentre, EndpointId, LayerRange, ModelName, VersionName};
 
 pub use greedy::place;
 pub use load_pacer::LoadPacer;
 pub use rollout::next_rollout_step;
+pub use serving::serving_version;
 
 /// What an endpoint holds.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/pistachioyard_policy/tests/fleet/fleet_view.rs
+++ b/crates/pistachioyard_policy/tests/fleet/fleet_view.rs
@@ -178,3 +178,20 @@
     assert!((view.link_ms(&a, &b) - 3.0).abs() < 1e-9);
     assert!(view.link_ms(&b, &a) < 2.0);
 }
+
+#[test]
+fn a_moving_endpoint_serves_again_once_its_marks_stop() {
+    let start = Instant::now();
+    let mut view = view_of(&[report("a", layers(0, 4))], start);
+    let mut peer = view_of(&[report("a", layers(0, 4))], start);
+    view.note_moving(&endpoint("a"), start + millis(100));
+    let told = view.marks(start + millis(300));
+    assert_eq!(told, [mark(EndpointMarkKind::Moving, Some(1), 200)]);
+    peer.apply_mark(&told[0], start + millis(300));
+    for (heard, entry) in [(200, &view), (300, &peer)] {
+        assert!(!usable(entry, start + millis(heard)));
+        assert!(!usable(entry, start + millis(1_500)));
+        assert!(usable(entry, start + millis(2_000)));
+    }
+    assert_eq!(peer.marks(start + millis(400)), []);
+}
--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -79,6 +79,9 @@
     Leaving,
     /// It did not answer.
     Dead,
+    /// The placement controller is about to change what it holds. Unlike a
+    /// leaving endpoint it gets new work again; the mark is renewed until then.
+    Moving,
 }
 
 /// A word on an endpoint, passed on among entries until it ages out.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,6 +6,9 @@
 mod config;
 mod gossip;
 mod hosts;
+mod lease;
+mod orders;
+mod placement;
 mod reports;
 
 pub(crate) use config::{adopt, apply};
@@ -18,5 +21,8 @@
     tokio::spawn(gossip::run(node.clone()));
     tokio::spawn(hosts::run(node.clone()));
     tokio::spawn(reports::run(node.clone()));
+    let lease = Arc::new(lease::Lease::default());
+    tokio::spawn(lease::run(node.clone(), lease.clone()));
+    tokio::spawn(placement::run(node.clone(), lease));
     tokio::spawn(crate::filter::Admission::run(node.clone()));
 }
--- /dev/null
+++ b/src/controller/placement.rs
@@ -0,0 +1,191 @@
+//! Placement of layer ranges, at the entry that holds the placement lease.
+//!
+//! Each round looks at the fleet and the configuration in force, decides what
+//! endpoints shall hold, and gives orders where reports differ. Nothing is kept
+//! from one holder to the next: what shall be is computed anew from what is
+//! (`docs/design/placement.md`).
+
+mod moves;
+mod survey;
+
+use std::collections::BTreeMap;
+
+use pistachioyard_policy::{
+    ActiveConfig, PlacementChange, PlacementInput, PlacementModel, next_rollout_step, place,
+    serving_version,
+};
+use pistachioyard_wire::Fence;
+
+use self::moves::Moves;
+use self::survey::Survey;
+use super::lease::Lease;
+use super::orders::{AdapterOrders, Orders};
+use crate::prelude::*;
+
+/// How often the holder looks at the placement, in milliseconds.
+const ROUND_INTERVAL_MS: u64 = 500;
+/// The share of a model's endpoints that a rollout may take out of service.
+const ROLLOUT_SHARE: f64 = 0.25;
+
+/// Keeps the placement right for ever, whenever this entry holds the lease.
+pub(super) async fn run(node: Arc<Node>, lease: Arc<Lease>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(ROUND_INTERVAL_MS));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut controller: Option<Controller> = None;
+    loop {
+        ticks.tick().await;
+        let now = Instant::now();
+        let Some(fence) = lease.fence(now) else {
+            controller = None;
+            continue;
+        };
+        let current = match controller.take() {
+            Some(current) if current.orders.fence() == fence => current,
+            _ => Controller::new(&node, &lease, fence, now),
+        };
+        controller = Some(current.round().await);
+    }
+}
+
+/// What one holder of the lease knows beside the fleet view.
+struct Controller {
+    node: Arc<Node>,
+    survey: Survey,
+    moves: Moves,
+    adapters: AdapterOrders,
+    orders: Orders,
+}
+
+impl Controller {
+    fn new(node: &Arc<Node>, lease: &Arc<Lease>, fence: Fence, now: Instant) -> Self {
+        Self {
+            node: node.clone(),
+            survey: Survey::default(),
+            moves: Moves::default(),
+            adapters: AdapterOrders::default(),
+            orders: Orders::new(node.clone(), lease.clone(), fence, now),
+        }
+    }
+
+    /// Looks at the placement once and gives the orders that are due.
+    async fn round(mut self) -> Self {
+        // Without a configuration that counts there is nothing to order.
+        let Ok(active) = self.node.config_for_new_work() else {
+            return self;
+        };
+        let now = Instant::now();
+        let Some(mut input) = self.look(&active, now) else {
+            return self;
+        };
+        self.moves.follow(&self.node, &input, now);
+        self.moves.overlay(&mut input);
+        let serving = self.serving(&active, now);
+        let (input, changes) = plan(input, serving.clone()).await;
+        self.moves
+            .begin(&self.node, &input, &serving, changes, Instant::now());
+        self.moves.order(&self.node, &mut self.orders).await;
+        self.adapters
+            .order(&self.node, &input, &mut self.orders)
+            .await;
+        self
+    }
+
+    fn look(&mut self, active: &ActiveConfig, now: Instant) -> Option<PlacementInput> {
+        let fleet = self.node.fleet.lock();
+        self.survey.look(&fleet, active, now)
+    }
+
+    /// Returns the version of each model that serves now.
+    fn serving(&mut self, active: &ActiveConfig, now: Instant) -> Serving {
+        let fleet = self.node.fleet.lock();
+        let versions = active.config.models().iter().map(|(name, policy)| {
+            let version = serving_version(&fleet, name, policy, None, now);
+            (name.clone(), version)
+        });
+        let versions = versions.collect();
+        self.survey.note_serving(versions, now)
+    }
+}
+
+/// The version of each model that serves, and whether entries agree on it by now.
+#[derive(Clone, Debug, Default)]
+struct Serving {
+    versions: BTreeMap<ModelName, VersionName>,
+    is_settled: bool,
+}
+
+impl Serving {
+    fn of(&self, model: &ModelName) -> Option<&VersionName> {
+        self.versions.get(model)
+    }
+}
+
+/// Decides on the changes, away from the threads that serve requests.
+async fn plan(input: PlacementInput, serving: Serving) -> (PlacementInput, Vec<PlacementChange>) {
+    let planned = tokio::task::spawn_blocking(move || {
+        let changes = plan_changes(&input, &serving);
+        (input, changes)
+    });
+    planned.await.unwrap_or_default()
+}
+
+/// Places the configured versions, and rolls them out where others serve yet.
+///
+/// While an older version serves, it is only repaired; the rest of the fleet goes
+/// over to the configured one step by step.
+fn plan_changes(input: &PlacementInput, serving: &Serving) -> Vec<PlacementChange> {
+    let served: Vec<PlacementModel> = input
+        .models
+        .iter()
+        .map(|model| PlacementModel {
+            version: serving.of(&model.name).unwrap_or(&model.version).clone(),
+            ..model.clone()
+        })
+        .collect();
+    let in_rollout: Vec<&PlacementModel> = input
+        .models
+        .iter()
+        .filter(|model| has_other_version(input, model))
+        .collect();
+    let placed = place(&PlacementInput {
+        endpoints: input.endpoints.clone(),
+        models: served,
+    });
+    if in_rollout.is_empty() {
+        return placed;
+    }
+    let mut changes: Vec<PlacementChange> = placed
+        .into_iter()
+        .filter(|change| repairs(input, change))
+        .collect();
+    if changes.is_empty() {
+        for model in in_rollout {
+            changes.extend(next_rollout_step(input, model, ROLLOUT_SHARE));
+        }
+    }
+    changes
+}
+
+fn has_other_version(input: &PlacementInput, model: &PlacementModel) -> bool {
+    input.endpoints.iter().any(|endpoint| {
+        let held = endpoint.current.as_ref();
+        endpoint.usable
+            && held.is_some_and(|held| held.model == model.name && held.version != model.version)
+    })
+}
+
+/// Tells whether a change covers layers that no usable endpoint holds.
+fn repairs(input: &PlacementInput, change: &PlacementChange) -> bool {
+    let hold = &change.hold;
+    (hold.layers.first()..hold.layers.end()).any(|layer| {
+        !input.endpoints.iter().any(|endpoint| {
+            let held = endpoint.current.as_ref();
+            endpoint.usable
+                && held.is_some_and(|held| {
+                    held.model == hold.model
+                        && held.version == hold.version
+                        && (held.layers.first()..held.layers.end()).contains(&layer)
+                })
+        })
+    })
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use pistachioyard_wire::{
-    CacheEventPage, EndpointReport, StreamFrame, StreamProgress, StreamRequest,
+    CacheEventPage, EndpointReport, Order, OrderRefusal, StreamFrame, StreamProgress, StreamRequest,
 };
 
 use crate::client::{Call, HttpClient};
@@ -21,6 +21,8 @@
 const START_TIMEOUT_MS: u64 = 5_000;
 /// How long a cancellation may take, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 1_000;
+/// How long an engine may take to answer an order, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 1_000;
 /// The longest line of a stream, in bytes.
 const MAX_LINE_BYTES: usize = 64 * 1024;
 
@@ -37,6 +39,14 @@
     OldAttempt,
 }
 
+/// What an engine answered to an order.
+pub(crate) enum OrderAnswer {
+    /// It does what is ordered.
+    Taken,
+    /// It refused the order and changed nothing.
+    Refused(OrderRefusal),
+}
+
 /// Calls model engines.
 pub(crate) struct EngineClient {
     client: HttpClient,
@@ -108,6 +118,25 @@
         answer.parse_success().map(Some)
     }
 
+    /// Gives an engine an order; an error leaves open whether it was taken.
+    pub(crate) async fn order(
+        &self,
+        to: SocketAddr,
+        order: &Order,
+    ) -> Result<OrderAnswer, CallError> {
+        let call = Call::new(Method::POST, to, "/v1/orders").json(order);
+        let timeout = Duration::from_millis(ORDER_TIMEOUT_MS);
+        let answer = self.client.send(call, timeout).await?;
+        match answer.status {
+            StatusCode::CONFLICT => answer.parse().map(OrderAnswer::Refused),
+            status if status.is_success() => Ok(OrderAnswer::Taken),
+            status => Err(CallError::Status {
+                to,
+                status: status.as_u16(),
+            }),
+        }
+    }
+
     /// Reads an endpoint's report.
     pub(crate) async fn report(
         &self,
--- a/src/filter/identify.rs
+++ b/src/filter/identify.rs
@@ -1,6 +1,6 @@
 //! The first filter: what is asked, by whom, and whether it may be.
 
-use pistachioyard_policy::ActiveConfig;
+use pistachioyard_policy::{ActiveConfig, serving_version};
 use pistachioyard_wire::{
     CallName, CallPolicy, GenerateCall, GenerateRequest, OperationKey, OperationRequest,
     ServiceName, ServicePolicy, WorkspacePolicy,
@@ -43,10 +43,14 @@
     {
         return Err(not_configured("adapter", adapter.as_str()));
     }
-    let version = call
-        .resume
-        .as_ref()
-        .map_or_else(|| model.version.clone(), |token| token.version.clone());
+    let version = call.resume.as_ref().map_or_else(
+        || {
+            let now = Instant::now();
+            let adapter = call.adapter.as_ref();
+            serving_version(&node.fleet.lock(), &call.model, model, adapter, now)
+        },
+        |token| token.version.clone(),
+    );
     Ok(GenerateContext {
         priority: call.priority.unwrap_or(workspace.priority),
         version,
