Add the fault matrix for generated answers

The matrix names every cell (fault, target, step) and which test proves it; cells without a test are listed as not run. The stand-in caller now shows the answer so far.

--- a/crates/pistachioyard_standins/src/cluster/caller.rs
+++ b/crates/pistachioyard_standins/src/cluster/caller.rs
@@ -113,6 +113,18 @@
         entry: SocketAddr,
         req: &GenerateRequest,
         mut on_token: impl FnMut(usize),
+    ) -> Answer {
+        let on_progress = |answer: &Answer| on_token(answer.tokens.len());
+        self.generate_watched(entry, req, on_progress).await
+    }
+
+    /// Asks an entry for an answer; `on_progress` sees the answer so far after its
+    /// first event and after each token.
+    pub async fn generate_watched(
+        &self,
+        entry: SocketAddr,
+        req: &GenerateRequest,
+        mut on_progress: impl FnMut(&Answer),
     ) -> Answer {
         let mut answer = Answer {
             tokens: req.received.clone(),
@@ -133,10 +145,11 @@
         }
         let mut events = SseReader::new(lines);
         while let Ok(Some(event)) = events.next_event().await {
-            if let Some(end) = answer.take(event, &mut on_token) {
+            if let Some(end) = answer.take(event) {
                 answer.end = end;
                 break;
             }
+            on_progress(&answer);
         }
         answer
     }
@@ -195,11 +208,7 @@
 }
 
 impl Answer {
-    fn take(
-        &mut self,
-        event: StreamEvent,
-        on_token: &mut impl FnMut(usize),
-    ) -> Option<GenerateEnd> {
+    fn take(&mut self, event: StreamEvent) -> Option<GenerateEnd> {
         match event {
             StreamEvent::Start { resume, .. } => {
                 self.resume = Some(resume);
@@ -212,7 +221,6 @@
                 }
                 self.tokens.push(token);
                 self.token_times.push(Instant::now());
-                on_token(self.tokens.len());
                 None
             }
             StreamEvent::End { count, digest, .. } => Some(self.check_end(count, &digest)),
--- /dev/null
+++ b/tests/matrix.rs
@@ -0,0 +1,39 @@
+//! The fault matrix for generated answers: every fault at every step of a request,
+//! with real processes behind the fault proxy.
+//!
+//! `matrix/table.rs` names every cell; a cell that no test proves is listed as not
+//! run. `cargo test --test matrix` runs all cells, `cargo test --test matrix NAME`
+//! runs one, and `cargo test --test matrix table -- --nocapture` prints the table.
+
+#[path = "matrix/engine_faults.rs"]
+mod engine_faults;
+#[path = "matrix/entry_faults.rs"]
+mod entry_faults;
+#[path = "matrix/leaving.rs"]
+mod leaving;
+#[path = "matrix/link_faults.rs"]
+mod link_faults;
+#[path = "matrix/pairs.rs"]
+mod pairs;
+#[path = "matrix/planned_stop.rs"]
+mod planned_stop;
+#[path = "matrix/poison.rs"]
+mod poison;
+#[path = "matrix/support.rs"]
+mod support;
+#[path = "matrix/table.rs"]
+mod table;
+
+/// Prints every cell, and checks that each has a name of its own.
+#[test]
+fn table() {
+    let cells = table::cells();
+    let names: std::collections::BTreeSet<String> = cells.iter().map(ToString::to_string).collect();
+    assert_eq!(names.len(), cells.len());
+    for cell in cells {
+        match cell.status {
+            table::Status::Covered(test) => println!("{cell}: {test}"),
+            table::Status::NotRun => println!("{cell}: not run"),
+        }
+    }
+}
