Answer the gossip of peers that are not dialed

Change: the accepting end of a link answers gossip with its own, unless it dials the sender as well. Up to nine entries nothing more is sent.

--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -72,6 +72,11 @@
         &self.own.record
     }
 
+    /// Returns the newest record of another entry.
+    pub fn record_of(&self, entry: &EntryId) -> Option<&MemberRecord> {
+        self.others.get(entry).map(|member| &member.record)
+    }
+
     /// Takes in the records of a peer.
     ///
     /// Returns the entries that are newly heard of or have been restarted. A
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -55,6 +55,19 @@
         }
     }
 
+    /// Returns the entry's state as an answer to a peer that it does not dial, and
+    /// that would otherwise hear of nobody.
+    fn gossip_back(&self, node: &Node, to: &EntryId) -> Option<PeerMessage> {
+        let is_dialed = {
+            let membership = node.membership.lock();
+            let record = membership.record_of(to)?;
+            self.dialed.lock().contains_key(&record.peer_address)
+        };
+        let report_age = Duration::from_millis(REPORT_AGE_MS);
+        let gossip = || node.gossip(Instant::now(), report_age);
+        (!is_dialed).then(|| PeerMessage::Gossip(Box::new(gossip())))
+    }
+
     /// Dials the peers that shall be linked and are not.
     pub(crate) fn dial_missing(&self, node: &Arc<Node>) {
         for address in wanted_peers(node) {
@@ -162,7 +175,7 @@
                 heard_at = Instant::now();
                 match received {
                     Some(Ok(Message::Binary(buf))) => {
-                        send_all(&mut socket, receive(node, &buf)).await
+                        send_all(&mut socket, receive(node, &buf, end)).await
                     }
                     Some(Ok(Message::Close(_)) | Err(_)) | None => return,
                     Some(Ok(_)) => Ok(()),
@@ -192,7 +205,7 @@
 }
 
 /// Takes in a message and returns what to answer on the same link.
-fn receive(node: &Arc<Node>, buf: &[u8]) -> Vec<Bytes> {
+fn receive(node: &Arc<Node>, buf: &[u8], end: LinkEnd) -> Vec<Bytes> {
     crate::metric::peer_bytes_received(buf.len());
     let message = match decode_peer_message(buf) {
         Ok(message) => message,
@@ -208,10 +221,16 @@
                 revision: node.revision(),
             };
             let is_behind = gossip.revision > node.revision();
+            let from = gossip.from.clone();
             node.absorb_gossip(*gossip, Instant::now());
             node.admission.wake();
             let want = is_behind.then_some(PeerMessage::WantConfig);
-            std::iter::once(ack).chain(want).collect()
+            // Only the accepting end answers, or two ends could answer each other
+            // without end.
+            let back = (end == LinkEnd::Accepted)
+                .then(|| node.peers.gossip_back(node, &from))
+                .flatten();
+            std::iter::once(ack).chain(want).chain(back).collect()
         }
         PeerMessage::Ack { sent_ms, revision } => {
             node.confirm_config(sent_ms, revision);
