Prove at-most-once operations with real processes and mend four faults

Faults found and mended: - GET of an operation said "not run" of a key whose claim was still on its way, and of a released key that another request may claim anew. A key is now told to be open; only a request itself is told that it did not run. - A repeated key behind an outcome that waits for the platform hung for the whole outage, since a page's writer took in no new changes while it retried. It takes them in after each failed try now, so that their own deadlines hold. - A repeated key at the entry that had sent it was told "not run" while the platform was down. An entry remembers the newest keys that it sent (bounded). - An outcome was counted as unwritten only once its task first ran, so a stop could overlook it. It is queued before the request counts as finished. A repeated key that sees a release claims the key itself.

The conditional write is the mechanism.

--- a/crates/pistachioyard_standins/src/cluster/processes.rs
+++ b/crates/pistachioyard_standins/src/cluster/processes.rs
@@ -501,6 +501,20 @@
         Ok(())
     }
 
+    /// Starts a plain service again that has ended, at the same address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn restart_service(&mut self, place: usize) -> Result<(), ClusterError> {
+        let service = &self.services[place];
+        let child = self
+            .launcher
+            .spawn(&service.name, &self.binaries.standins, &service.args)?;
+        self.services[place].child = child;
+        Ok(())
+    }
+
     /// Returns the logs of all entries, for a failed test.
     pub fn entry_logs(&self) -> String {
         self.entries
--- a/src/filter/claim.rs
+++ b/src/filter/claim.rs
@@ -78,23 +78,27 @@
             "too many operations share the key's time of creation; use a new key",
         )
         .with_retry_after_ms(LEDGER_RETRY_MS)),
-        Ok(ChangeAnswer::Recorded | ChangeAnswer::NotHolder) => Err(unavailable()),
+        Ok(ChangeAnswer::Recorded | ChangeAnswer::NotHolder) => Err(unavailable(node, key)),
         Err(LedgerError::Undecided) => {
             hold.release_later();
-            Err(unavailable())
+            Err(unavailable(node, key))
         }
         Err(e) => {
             spdlog::warn!("ledger: a claim was not recorded: {e}");
-            Err(unavailable())
+            Err(unavailable(node, key))
         }
     }
 }
 
-fn unavailable() -> Problem {
+fn unavailable(node: &Node, key: OperationKey) -> Problem {
+    if node.ledger.was_sent(key) {
+        return result_open();
+    }
     Problem::new(
         ProblemKind::LedgerUnavailable,
         Outcome::NotRun,
-        "the platform does not answer, so the operation was not sent; come back with the same key",
+        "the platform does not answer, so this request was not sent; an earlier request with the \
+         same key is not covered by this; come back with the same key",
     )
     .with_retry_after_ms(LEDGER_RETRY_MS)
 }
@@ -109,6 +113,11 @@
         is_recent && self.node.ledger.check_age(self.key).is_ok()
     }
 
+    /// Notes that the call is about to be sent.
+    pub(crate) fn note_sent(&self) {
+        self.node.ledger.note_sent(self.key);
+    }
+
     /// Records that nothing was sent and nothing will be, so that the key may be
     /// claimed anew.
     pub(crate) fn release_later(self) {
@@ -132,8 +141,10 @@
     fn record(self, change: LedgerChange) {
         let deadline = Instant::now() + Duration::from_millis(RECORD_TIMEOUT_MS);
         let key = self.key;
+        // Queued before the request counts as finished, so that a stop waits for it.
+        let recorded = self.node.ledger.submit(change, deadline);
         tokio::spawn(async move {
-            if let Err(e) = self.node.ledger.change(change, deadline).await {
+            if let Ok(Err(e)) = recorded.await {
                 spdlog::error!("ledger: what became of {key} was not recorded: {e}");
             }
         });
@@ -141,23 +152,34 @@
 }
 
 /// Returns the outcome that a claim records, or says that it is open.
+///
+/// A key is never said to be not run here: another request with it may be on its
+/// way to a claim. Only a request itself can be told that it did not run.
 pub(crate) fn outcome_of(claim: Claim) -> Result<OperationOutcome, Problem> {
     match claim.state {
         ClaimState::Settled(mut outcome) => {
             outcome.repeated = true;
             Ok(outcome)
         }
-        ClaimState::Claimed => Err(Problem::new(
-            ProblemKind::ResultLost,
-            Outcome::Unknown,
-            "the operation was claimed and its result is not recorded; it may have run once",
-        )
-        .with_retry_after_ms(LEDGER_RETRY_MS)),
-        ClaimState::Released => Err(Problem::new(
-            ProblemKind::NoSuchOperation,
-            Outcome::NotRun,
-            "the operation was not sent; send it again with the same key",
-        )
-        .with_retry_after_ms(0)),
+        ClaimState::Claimed => Err(result_open()),
+        ClaimState::Released => Err(not_recorded(claim.key)),
     }
 }
+
+fn result_open() -> Problem {
+    Problem::new(
+        ProblemKind::ResultLost,
+        Outcome::Unknown,
+        "the operation was claimed and its result is not recorded; it may have run once",
+    )
+    .with_retry_after_ms(LEDGER_RETRY_MS)
+}
+
+/// Says that nothing is recorded as sent, which leaves open what is on its way.
+pub(crate) fn not_recorded(key: OperationKey) -> Problem {
+    let detail = format!(
+        "nothing is recorded as sent with the key {key}, but a request may be on its way; \
+         send it again with the same key, which runs it at most once"
+    );
+    Problem::new(ProblemKind::NoSuchOperation, Outcome::Unknown, detail).with_retry_after_ms(0)
+}
--- a/src/filter/operate.rs
+++ b/src/filter/operate.rs
@@ -9,7 +9,7 @@
     EntryState, OperationKey, OperationOutcome, OperationRequest, RequestDigest,
 };
 
-use super::claim::{ClaimHold, Claimed, claim, outcome_of};
+use super::claim::{ClaimHold, Claimed, claim, not_recorded, outcome_of};
 use super::identify::RawOperation;
 use super::identify_operation;
 use crate::entry::Lifecycle;
@@ -47,11 +47,7 @@
         .map_err(|e| Problem::new(ProblemKind::BadKey, Outcome::NotRun, e.to_string()))?;
     match node.ledger.read(key).await {
         Ok(Some(claim)) => outcome_of(claim),
-        Ok(None) => Err(Problem::new(
-            ProblemKind::NoSuchOperation,
-            Outcome::NotRun,
-            format!("no operation with the key {key} is recorded"),
-        )),
+        Ok(None) => Err(not_recorded(key)),
         Err(e) => Err(ledger_unreadable(&e)),
     }
 }
@@ -78,12 +74,23 @@
         req.call.as_str().as_bytes(),
         &req.body,
     ]);
-    match claim(node, key, digest).await? {
-        Claimed::Held(hold) => send_once(node, req, hold).await,
-        Claimed::Elsewhere(claim) => match claim.state {
-            ClaimState::Claimed if is_alive(node, &claim.by) => wait_for_outcome(node, key).await,
-            _ => outcome_of(claim),
-        },
+    let give_up_at = Instant::now() + Duration::from_millis(OUTCOME_WAIT_MS);
+    let mut seen = None;
+    loop {
+        // A key that was released meanwhile is claimed by this request.
+        let held = match (claim(node, key, digest).await, seen) {
+            (Ok(Claimed::Held(hold)), _) => return send_once(node, req, hold).await,
+            (Ok(Claimed::Elsewhere(held)), _) => held,
+            // What another request may have sent is not "not run".
+            (Err(_), Some(held)) => return outcome_of(held),
+            (Err(problem), None) => return Err(problem),
+        };
+        let is_open = held.state == ClaimState::Claimed;
+        if !is_open || Instant::now() >= give_up_at || !is_alive(node, &held.by) {
+            return outcome_of(held);
+        }
+        seen = Some(held);
+        tokio::time::sleep(Duration::from_millis(OUTCOME_POLL_MS)).await;
     }
 }
 
@@ -92,21 +99,6 @@
     membership.state_of(entry, Instant::now()) != EntryState::Lost
 }
 
-async fn wait_for_outcome(
-    node: &Arc<Node>,
-    key: OperationKey,
-) -> Result<OperationOutcome, Problem> {
-    let give_up_at = Instant::now() + Duration::from_millis(OUTCOME_WAIT_MS);
-    loop {
-        tokio::time::sleep(Duration::from_millis(OUTCOME_POLL_MS)).await;
-        let outcome = recorded_outcome(node, &key.to_string()).await;
-        let is_open = matches!(&outcome, Err(problem) if problem.outcome == Outcome::Unknown);
-        if !is_open || Instant::now() >= give_up_at {
-            return outcome;
-        }
-    }
-}
-
 /// Sends a claimed call to one endpoint; another is tried only if it is certain
 /// that the one before ran nothing.
 async fn send_once(
@@ -124,6 +116,7 @@
             ));
         }
         tried.insert(endpoint.clone());
+        hold.note_sent();
         match send(node, req, &endpoint, address).await {
             Ok(ServiceAnswer::Ran { status, body }) => {
                 let outcome = OperationOutcome {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -4,6 +4,8 @@
 //! write. A write whose answer was lost is settled by reading back and applying
 //! the same changes again (`docs/design/claim-ledger.md`).
 
+mod sent_keys;
+
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -14,6 +16,7 @@
 use pistachioyard_wire::{ObjectKey, ObjectRecord, OperationKey, WriteAnswer, WriteCondition};
 use tokio::sync::oneshot;
 
+use self::sent_keys::SentKeys;
 use crate::error::CallError;
 use crate::platform::Platform;
 use crate::prelude::*;
@@ -63,6 +66,7 @@
     shape: LedgerShape,
     queues: Mutex<HashMap<ObjectKey, Vec<Pending>>>,
     unwritten: AtomicUsize,
+    sent: Mutex<SentKeys>,
 }
 
 impl Ledger {
@@ -73,9 +77,20 @@
             shape: LedgerShape::default(),
             queues: Mutex::new(HashMap::new()),
             unwritten: AtomicUsize::new(0),
+            sent: Mutex::default(),
         }
     }
 
+    /// Notes that a call with the key is about to be sent.
+    pub(crate) fn note_sent(&self, key: OperationKey) {
+        self.sent.lock().insert(key);
+    }
+
+    /// Tells whether this process has sent a call with the key.
+    pub(crate) fn was_sent(&self, key: OperationKey) -> bool {
+        self.sent.lock().contains(key)
+    }
+
     /// Checks that a key is neither too old nor from the future.
     pub(crate) fn check_age(&self, key: OperationKey) -> Result<(), KeyAgeFault> {
         self.shape.check_age(key, unix_ms())
@@ -87,6 +102,16 @@
         change: LedgerChange,
         deadline: Instant,
     ) -> Result<ChangeAnswer, LedgerError> {
+        let answer = self.submit(change, deadline);
+        answer.await.unwrap_or(Err(LedgerError::NotRecorded))
+    }
+
+    /// Queues a change; from now on [`Self::flush`] waits for it.
+    pub(crate) fn submit(
+        self: &Arc<Self>,
+        change: LedgerChange,
+        deadline: Instant,
+    ) -> oneshot::Receiver<Result<ChangeAnswer, LedgerError>> {
         let page_key = self.shape.page_key(change.key());
         let (reply, answer) = oneshot::channel();
         let pending = Pending {
@@ -105,7 +130,7 @@
         if starts_writer {
             tokio::spawn(self.clone().write_page(page_key));
         }
-        answer.await.unwrap_or(Err(LedgerError::NotRecorded))
+        answer
     }
 
     /// Reads what is recorded of a key.
@@ -170,7 +195,10 @@
                         self.fail_all(batch, &fault);
                         return None;
                     }
-                    Err(_) => pause().await,
+                    Err(_) => {
+                        pause().await;
+                        batch.extend(self.take_queued(page_key));
+                    }
                 }
                 continue;
             };
@@ -201,7 +229,10 @@
                 Ok(WriteAnswer::Conflict(record)) => match parse_page(record) {
                     Ok(loaded) => {
                         known = Some(loaded);
-                        is_fresh = true;
+                        let queued = self.take_queued(page_key);
+                        // The page was read before these were asked for.
+                        is_fresh = queued.is_empty();
+                        batch.extend(queued);
                     }
                     Err(fault) => {
                         self.fail_all(batch, &fault);
@@ -211,11 +242,24 @@
                 Err(_) => {
                     known = None;
                     pause().await;
+                    batch.extend(self.take_queued(page_key));
                 }
             }
         }
     }
 
+    /// Takes the changes that were queued while a batch is being written.
+    ///
+    /// An outcome is tried to be recorded for as long as an outage lasts. A claim
+    /// on the same page must not wait for it beyond its own deadline.
+    fn take_queued(&self, page_key: &ObjectKey) -> Vec<Pending> {
+        let mut queues = self.queues.lock();
+        queues
+            .get_mut(page_key)
+            .map(std::mem::take)
+            .unwrap_or_default()
+    }
+
     async fn load(&self, page_key: &ObjectKey) -> Result<KnownPage, LedgerError> {
         Ok(parse_page(self.platform.read(page_key).await?)?)
     }
--- /dev/null
+++ b/tests/operations/main.rs
@@ -0,0 +1,9 @@
+//! Operations that are not idempotent take effect at most once.
+//!
+//! The services' own counts of effects are the oracle, never the router's word.
+
+mod lost_answers;
+mod outages;
+mod pauses;
+mod races;
+mod support;
