--- a/crates/pistachioyard_policy/src/adoption.rs
+++ b/crates/pistachioyard_policy/src/adoption.rs
@@ -18,6 +18,22 @@
     format!("{:016x}", xxh3_64(text.as_bytes()))
 }
 
+/// How far a peer's revision may be ahead of the one held here.
+const MAX_REVISION_STEP: u64 = 1 << 20;
+/// The highest revision that a peer may bring to an entry that holds none.
+const MAX_FIRST_REVISION: u64 = 1 << 40;
+
+/// Tells whether a peer's revision can follow the one held here.
+///
+/// Each accepted file adds one, so a revision far ahead is damaged. Were the
+/// highest number adopted, no file could ever follow it.
+pub fn is_plausible_from_peer(held: Revision, offered: Revision) -> bool {
+    match held.0 {
+        0 => offered.0 <= MAX_FIRST_REVISION,
+        held => offered.0 <= held.saturating_add(MAX_REVISION_STEP),
+    }
+}
+
 /// Why an offered configuration was not adopted.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum ConfigRejected {
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -20,8 +20,8 @@
 mod stream_guard;
 
 pub use adoption::{
-    ActiveConfig, Adoption, ApplyDecision, ConfigRejected, Standing, decide_apply, next_accepted,
-    text_digest,
+    ActiveConfig, Adoption, ApplyDecision, ConfigRejected, Standing, decide_apply,
+    is_plausible_from_peer, next_accepted, text_digest,
 };
 pub use bound::{throughput_bound, throughput_bound_with_links};
 pub use burn::{
--- a/crates/pistachioyard_standins/src/cluster/processes.rs
+++ b/crates/pistachioyard_standins/src/cluster/processes.rs
@@ -515,6 +515,21 @@
         Ok(())
     }
 
+    /// Starts the platform again that has ended, at the same address and without
+    /// its objects.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub async fn restart_platform(&mut self) -> Result<(), ClusterError> {
+        let listen = self.platform.to_string();
+        let args = standin_args("platform", &[("--listen", listen)]);
+        self.platform_child = self
+            .launcher
+            .spawn("platform", &self.binaries.standins, args)?;
+        self.wait_until_up(self.platform, "the platform").await
+    }
+
     /// Returns the logs of all entries, for a failed test.
     pub fn entry_logs(&self) -> String {
         self.entries
--- a/crates/pistachioyard_wire/src/lib.rs
+++ b/crates/pistachioyard_wire/src/lib.rs
@@ -40,8 +40,9 @@
     ServiceLevel, ServicePolicy, WindowCount, WorkspacePolicy,
 };
 pub use peer::{
-    EndpointMark, EndpointMarkKind, EntryState, GossipState, MemberRecord, PeerFault, PeerMessage,
-    QuarantineMark, WorkspaceUsage, decode_peer_message, encode_peer_message,
+    EndpointMark, EndpointMarkKind, EntryState, GossipState, MAX_MESSAGE_BYTES, MemberRecord,
+    PeerFault, PeerMessage, QuarantineMark, WorkspaceUsage, decode_peer_message,
+    encode_peer_message,
 };
 pub use platform::{
     HostKind, HostRecord, HostState, ObjectKey, ObjectRecord, ObjectWrite, WatchPage, WriteAnswer,
--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -15,7 +15,7 @@
 };
 
 /// The largest peer message accepted, in bytes; a configuration fits.
-const MAX_MESSAGE_BYTES: usize = 2_000_000;
+pub const MAX_MESSAGE_BYTES: usize = 2_000_000;
 
 /// One message between entries.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -8,7 +8,7 @@
 mod hosts;
 mod reports;
 
-pub(crate) use config::{adopt, apply};
+pub(crate) use config::{adopt_from_peer, apply};
 
 use crate::prelude::*;
 
--- a/src/controller/config.rs
+++ b/src/controller/config.rs
@@ -4,7 +4,7 @@
 //! peers' gossip, and by pushes of the entry that accepted it
 //! (`docs/design/configuration.md`).
 
-use pistachioyard_policy::{ApplyDecision, decide_apply};
+use pistachioyard_policy::{ApplyDecision, decide_apply, is_plausible_from_peer};
 use pistachioyard_wire::{
     AcceptedConfig, ApplyAnswer, ApplyRequest, Config, ObjectKey, ObjectRecord, PeerMessage,
     WriteAnswer, WriteCondition,
@@ -18,6 +18,8 @@
 const WATCH_PREFIX: &str = "config/";
 /// How long one watch waits, in milliseconds.
 const WATCH_WAIT_MS: u64 = 1_000;
+/// The largest operators' file, in bytes; written as JSON it fits into an object.
+const MAX_FILE_BYTES: usize = 400_000;
 /// The pause after a failed watch, in milliseconds.
 const BACKOFF_MS: u64 = 250;
 /// How often an apply is tried before its outcome is left open.
@@ -31,7 +33,13 @@
         let wait = Duration::from_millis(WATCH_WAIT_MS);
         match node.platform.watch(WATCH_PREFIX, after, wait).await {
             Ok(page) => {
-                after = page.version;
+                // A platform that has lost its objects counts from the start again,
+                // and what it holds now is to be seen whole.
+                after = if page.version < after {
+                    0
+                } else {
+                    page.version
+                };
                 page.changed
                     .iter()
                     .for_each(|record| adopt_record(&node, record));
@@ -58,8 +66,19 @@
     }
 }
 
+/// Adopts a configuration from a peer unless no operators' file can be that far
+/// ahead; a damaged revision must not shut out all later ones.
+pub(crate) fn adopt_from_peer(node: &Arc<Node>, accepted: AcceptedConfig) {
+    if is_plausible_from_peer(node.revision(), accepted.revision) {
+        adopt(node, accepted);
+    } else {
+        let revision = accepted.revision;
+        spdlog::error!("config: a peer's revision {revision} is too far ahead");
+    }
+}
+
 /// Puts a configuration in force if it is newer, and passes it on.
-pub(crate) fn adopt(node: &Arc<Node>, accepted: AcceptedConfig) {
+fn adopt(node: &Arc<Node>, accepted: AcceptedConfig) {
     let revision = accepted.revision;
     let offered = node.adoption.lock().offer(accepted.clone());
     match offered {
@@ -90,6 +109,13 @@
         let faults = faults.iter().map(ToString::to_string).collect();
         return ApplyAnswer::Rejected { faults };
     }
+    if req.text.len() > MAX_FILE_BYTES {
+        let len = req.text.len();
+        let fault = format!("the file has {len} bytes; {MAX_FILE_BYTES} are allowed");
+        return ApplyAnswer::Rejected {
+            faults: vec![fault],
+        };
+    }
     let key = ObjectKey(HEAD_KEY.into());
     let mut last_error = None;
     for _ in 0..APPLY_TRIES {
@@ -116,9 +142,15 @@
     req: &ApplyRequest,
 ) -> Result<Option<ApplyAnswer>, crate::error::CallError> {
     let record = node.platform.read(key).await?;
-    let current = record
+    let head = record
         .as_ref()
-        .and_then(|r| serde_json::from_str::<AcceptedConfig>(&r.value).ok());
+        .map(|r| serde_json::from_str::<AcceptedConfig>(&r.value))
+        .transpose()
+        .map_err(|e| node.platform.malformed(e))?;
+    // A platform that has lost its objects must not take the revisions back.
+    let held = node.adoption.lock().current().cloned();
+    let held = held.map(|active| active.accepted.clone());
+    let current = head.into_iter().chain(held).max_by_key(|c| c.revision);
     let condition = record.as_ref().map_or(WriteCondition::Absent, |r| {
         WriteCondition::Version(r.version)
     });
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -39,6 +39,13 @@
 const HEARTBEAT_TIMEOUT_MS: u64 = 1_000;
 /// How long a convicted request is refused, in milliseconds.
 const QUARANTINE_HOLD_MS: u64 = 600_000;
+/// The time from a process's start in which every live peer is heard of, in
+/// milliseconds.
+const FIRST_GOSSIP_MS: u64 = 1_000;
+/// The most marks of each kind that are taken from one gossip message.
+const MAX_MARKS: usize = 1_024;
+/// The most workspaces whose usage is taken from one gossip message.
+const MAX_USAGE: usize = 4_096;
 /// The retries allowed for each first try.
 const RETRY_SHARE: f64 = 0.2;
 /// The retries allowed before any first try.
@@ -140,9 +147,20 @@
 
     /// Records that a peer had a revision in force after `sent_ms`, on this entry's
     /// own clock.
+    ///
+    /// A time that has not come yet is not this entry's own word, so it confirms
+    /// nothing. Nor does a peer in the first moments of a run, unless the platform
+    /// has answered: another peer may have a higher revision.
     pub(crate) fn confirm_config(&self, sent_ms: u64, revision: Revision) {
-        let heard_after = self.origin + millis(sent_ms);
-        self.adoption.lock().confirm(revision, heard_after);
+        let now = Instant::now();
+        let heard_after = self.origin.checked_add(millis(sent_ms));
+        let Some(heard_after) = heard_after.filter(|heard_after| *heard_after <= now) else {
+            return;
+        };
+        let has_heard_all = now - self.origin >= millis(FIRST_GOSSIP_MS);
+        if has_heard_all || self.platform.has_answered() {
+            self.adoption.lock().confirm(revision, heard_after);
+        }
     }
 
     /// Tells whether the entry takes new work.
@@ -186,11 +204,15 @@
         for entry in &newcomers {
             spdlog::info!("peers: entry {entry} is new or was restarted");
         }
-        self.quarantine.lock().merge(&gossip.quarantine, now);
+        if !self.is_peer(&gossip.from, now) {
+            return;
+        }
+        let quarantine = first(&gossip.quarantine, MAX_MARKS);
+        self.quarantine.lock().merge(quarantine, now);
         {
             let mut fleet = self.fleet.lock();
             fleet.set_peer_in_flight(&gossip.from, &gossip.in_flight, now);
-            for mark in &gossip.endpoint_marks {
+            for mark in first(&gossip.endpoint_marks, MAX_MARKS) {
                 fleet.apply_mark(mark, now);
             }
             for (report, age_ms) in gossip.reports {
@@ -199,7 +221,14 @@
                 }
             }
         }
-        self.peer_usage.lock().insert(gossip.from, gossip.usage);
+        let usage = gossip.usage.into_iter().take(MAX_USAGE).collect();
+        self.peer_usage.lock().insert(gossip.from, usage);
+    }
+
+    /// Tells whether an entry is a known peer; the number of these is bounded.
+    fn is_peer(&self, entry: &EntryId, now: Instant) -> bool {
+        let membership = self.membership.lock();
+        *entry != self.settings.entry && membership.state_of(entry, now) != EntryState::Lost
     }
 
     /// Forgets what lost peers said and lets old state age out.
@@ -244,6 +273,10 @@
     }
 }
 
+fn first<T>(items: &[T], most: usize) -> &[T] {
+    &items[..items.len().min(most)]
+}
+
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -9,16 +9,21 @@
 
 use futures_util::{SinkExt, StreamExt};
 use parking_lot::Mutex;
-use pistachioyard_wire::{PeerMessage, decode_peer_message, encode_peer_message};
+use pistachioyard_wire::{
+    MAX_MESSAGE_BYTES, PeerMessage, decode_peer_message, encode_peer_message,
+};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Bytes, Message};
 
 use crate::prelude::*;
 
 /// The most peers that an entry dials.
 const MAX_DIALED: usize = 8;
+/// The most links that are accepted at the same time; each may hold one message.
+const MAX_ACCEPTED: usize = 256;
 /// The messages that may wait on one link.
 const LINK_QUEUE: usize = 16;
 /// How long dialing a peer may take, in milliseconds.
@@ -104,18 +109,34 @@
     let stream = socket.connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let url = format!("ws://{address}/v1/peer");
-    let (socket, _) = tokio_tungstenite::client_async(url, stream).await.ok()?;
+    let limits = Some(message_limits());
+    let dialed = tokio_tungstenite::client_async_with_config(url, stream, limits);
+    let (socket, _) = dialed.await.ok()?;
     Some(socket)
 }
 
+fn message_limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
+
 /// Listens for peers.
 pub(crate) async fn listen(node: Arc<Node>) -> std::io::Result<()> {
     let listener = TcpListener::bind(node.settings.peer_address).await?;
+    let places = Arc::new(Semaphore::new(MAX_ACCEPTED));
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::spawn(accept(node.clone(), stream));
+                    let Ok(place) = places.clone().try_acquire_owned() else {
+                        continue;
+                    };
+                    let node = node.clone();
+                    tokio::spawn(async move {
+                        accept(node, stream).await;
+                        drop(place);
+                    });
                 }
                 Err(e) => {
                     spdlog::warn!("peers: cannot accept: {e}");
@@ -130,7 +151,7 @@
 async fn accept(node: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let timeout = Duration::from_millis(DIAL_TIMEOUT_MS);
-    let handshake = tokio_tungstenite::accept_async(stream);
+    let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(message_limits()));
     if let Ok(Ok(socket)) = tokio::time::timeout(timeout, handshake).await {
         let (_tx, rx) = mpsc::channel(1);
         run_link(&node, socket, rx, LinkEnd::Accepted).await;
@@ -230,7 +251,7 @@
                 .collect()
         }
         PeerMessage::Config(accepted) => {
-            crate::controller::adopt(node, accepted);
+            crate::controller::adopt_from_peer(node, accepted);
             Vec::new()
         }
     };
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Tells whether any call of this run was answered.
+    pub(crate) fn has_answered(&self) -> bool {
+        self.last_answer.load(Ordering::Relaxed) > 0
+    }
+
     /// Tells whether the last call was answered.
     pub(crate) fn is_reachable(&self) -> bool {
         self.last_answer.load(Ordering::Relaxed) > 0
@@ -99,6 +104,14 @@
             .parse_success()
     }
 
+    /// Says that an object that the platform holds cannot be read.
+    pub(crate) fn malformed(&self, why: impl ToString) -> CallError {
+        CallError::Malformed {
+            to: self.address,
+            why: why.to_string(),
+        }
+    }
+
     fn note<T>(&self, result: Result<T, CallError>) -> Result<T, CallError> {
         match &result {
             Ok(_) => {
