--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -14,6 +14,9 @@
 /// After how many heartbeat timeouts a lost entry is forgotten.
 const FORGET_AFTER_TIMEOUTS: u32 = 10;
 
+/// The most other entries that are known at the same time.
+const MAX_MEMBERS: usize = 256;
+
 /// The newest record of an entry and when its heartbeat last grew.
 #[derive(Clone, Debug)]
 struct Member {
@@ -84,6 +87,9 @@
                 continue;
             }
             let known = self.others.get(&record.entry).map(|m| &m.record);
+            if known.is_none() && self.others.len() >= MAX_MEMBERS {
+                continue;
+            }
             let restarted = known.is_none_or(|k| record.boot > k.boot);
             let newer =
                 known.is_some_and(|k| record.boot == k.boot && record.heartbeat > k.heartbeat);
--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -32,6 +32,11 @@
 /// The crashes that convict in any case.
 const CRASHES_TO_CONVICT: usize = 3;
 
+/// The most cases that peers can bring to one entry.
+const MAX_CASES: usize = 4_096;
+/// The most crashes that are taken from one mark of a peer.
+const MAX_CRASHES_OF_MARK: usize = 16;
+
 /// How a request is to be treated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -171,8 +176,9 @@
     fn merge_one(&mut self, mark: &QuarantineMark, since: Instant) {
         let known = self.cases.get(&mark.digest);
         let counts = |boot: &BootId| known.is_none_or(|case| !case.cleared.contains(boot));
-        let crashed: Vec<BootId> = mark.crashed.iter().copied().filter(counts).collect();
-        if crashed.is_empty() {
+        let listed = mark.crashed.iter().take(MAX_CRASHES_OF_MARK);
+        let crashed: Vec<BootId> = listed.copied().filter(counts).collect();
+        if crashed.is_empty() || known.is_none() && self.cases.len() >= MAX_CASES {
             return;
         }
         let case = self
