--- a/crates/pistachioyard_policy/src/ledger/shape.rs
+++ b/crates/pistachioyard_policy/src/ledger/shape.rs
@@ -66,7 +66,20 @@
     pub fn page_key(&self, key: OperationKey) -> ObjectKey {
         let bucket = key.created_unix_ms() / self.bucket_ms.max(1);
         let slot = xxh3_64(key.as_uuid().as_bytes()) % u64::from(self.slots.max(1));
-        ObjectKey(format!("{PAGE_PREFIX}/{bucket}/{slot}").into())
+        page_key(bucket, slot)
+    }
+
+    /// Returns all pages of a time span.
+    pub fn bucket_pages(&self, bucket: u64) -> impl Iterator<Item = ObjectKey> + use<> {
+        let slots = u64::from(self.slots.max(1));
+        (0..slots).map(move |slot| page_key(bucket, slot))
+    }
+
+    /// Returns the newest time span whose pages may be deleted; so may all before it.
+    pub fn newest_expired_bucket(&self, now_unix_ms: u64) -> Option<u64> {
+        let kept_ms = self.retention_ms + MAX_CLOCK_SKEW_MS;
+        let last_end = now_unix_ms.checked_sub(kept_ms)?.checked_sub(1)?;
+        (last_end / self.bucket_ms.max(1)).checked_sub(1)
     }
 
     /// Checks that the ledger still remembers a key of this age.
@@ -111,6 +124,10 @@
     }
 }
 
+fn page_key(bucket: u64, slot: u64) -> ObjectKey {
+    ObjectKey(format!("{PAGE_PREFIX}/{bucket}/{slot}").into())
+}
+
 fn bucket_of(page_key: &ObjectKey) -> Option<u64> {
     let mut parts = page_key.0.split('/');
     if parts.next()? != PAGE_PREFIX {
--- a/crates/pistachioyard_policy/tests/ledger.rs
+++ b/crates/pistachioyard_policy/tests/ledger.rs
@@ -338,3 +338,22 @@
         assert_eq!(held.nonce, nonce(senders[0]), "seed {seed}");
     }
 }
+
+#[test]
+fn the_newest_expired_time_span_is_the_last_one_whose_pages_have_expired() {
+    let shape = LedgerShape::default();
+    for now in (CREATED_MS - 1..CREATED_MS + 3 * shape.bucket_ms).step_by(7_919) {
+        let newest = shape.newest_expired_bucket(now).expect("the past is long");
+        assert!(
+            shape
+                .bucket_pages(newest)
+                .all(|page| shape.expired(&page, now))
+        );
+        assert!(
+            shape
+                .bucket_pages(newest + 1)
+                .all(|page| !shape.expired(&page, now))
+        );
+    }
+    assert_eq!(shape.newest_expired_bucket(shape.retention_ms), None);
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -6,6 +6,7 @@
 mod config;
 mod gossip;
 mod hosts;
+mod ledger_gc;
 mod reports;
 
 pub(crate) use config::{adopt_from_peer, apply};
@@ -17,6 +18,7 @@
     tokio::spawn(config::run(node.clone()));
     tokio::spawn(gossip::run(node.clone()));
     tokio::spawn(hosts::run(node.clone()));
+    tokio::spawn(ledger_gc::run(node.clone()));
     tokio::spawn(reports::run(node.clone()));
     tokio::spawn(crate::filter::Admission::run(node.clone()));
 }
--- /dev/null
+++ b/src/controller/ledger_gc.rs
@@ -0,0 +1,98 @@
+//! Deletes the pages of the claim ledger that have expired.
+//!
+//! One object holds how far the pages have been deleted, so that a new process
+//! goes on where another one stopped. Deleting twice does no harm
+//! (`docs/design/claim-ledger.md`).
+
+use pistachioyard_wire::{ObjectKey, WriteCondition};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::error::CallError;
+use crate::ledger::unix_ms;
+use crate::prelude::*;
+
+/// How often expired pages are looked for, in milliseconds.
+const INTERVAL_MS: u64 = 60_000;
+/// The bounds of the time from a process's start to its first look, in milliseconds.
+const FIRST_DELAY_MS: std::ops::Range<u64> = 15_000..25_000;
+/// The most time spans whose pages are deleted at one look.
+const MAX_BUCKETS: u64 = 8;
+/// The pause between two deletions, in milliseconds.
+const DELETE_PAUSE_MS: u64 = 10;
+/// How long expired pages are kept, in milliseconds; one entry's clock may be
+/// ahead by that much before it deletes what others still rely on.
+const KEEP_EXPIRED_MS: u64 = 24 * 3_600_000;
+/// The object that holds how far the pages have been deleted.
+const CURSOR_KEY: &str = "ledger/collected";
+
+/// How far the pages have been deleted.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Cursor {
+    /// The first time span whose pages may still exist.
+    next_bucket: u64,
+}
+
+/// Deletes expired pages for ever.
+pub(crate) async fn run(node: Arc<Node>) {
+    let first_delay = node.rng.lock().random_range(FIRST_DELAY_MS);
+    tokio::time::sleep(Duration::from_millis(first_delay)).await;
+    loop {
+        if let Err(e) = collect(&node).await {
+            spdlog::debug!("ledger: cannot delete expired pages: {e}");
+        }
+        tokio::time::sleep(Duration::from_millis(INTERVAL_MS)).await;
+    }
+}
+
+async fn collect(node: &Node) -> Result<(), CallError> {
+    let shape = node.ledger.shape();
+    let now = unix_ms().saturating_sub(KEEP_EXPIRED_MS);
+    let Some(newest) = shape.newest_expired_bucket(now) else {
+        return Ok(());
+    };
+    let key = ObjectKey(CURSOR_KEY.into());
+    let Some(record) = node.platform.read(&key).await? else {
+        // No process has run before, so there are no older pages.
+        let start = Cursor {
+            next_bucket: newest + 1,
+        };
+        return write_cursor(node, &key, WriteCondition::Absent, start).await;
+    };
+    let cursor: Cursor =
+        serde_json::from_str(&record.value).map_err(|e| node.platform.malformed(e))?;
+    let end = (newest + 1).min(cursor.next_bucket.saturating_add(MAX_BUCKETS));
+    if end <= cursor.next_bucket {
+        return Ok(());
+    }
+    for bucket in cursor.next_bucket..end {
+        delete_pages(node, shape.bucket_pages(bucket)).await?;
+    }
+    let next = Cursor { next_bucket: end };
+    write_cursor(node, &key, WriteCondition::Version(record.version), next).await
+}
+
+async fn delete_pages(
+    node: &Node,
+    pages: impl Iterator<Item = ObjectKey>,
+) -> Result<(), CallError> {
+    for page in pages {
+        node.platform
+            .write(&page, WriteCondition::Any, None)
+            .await?;
+        tokio::time::sleep(Duration::from_millis(DELETE_PAUSE_MS)).await;
+    }
+    Ok(())
+}
+
+/// A conflict means that another entry was faster, which is as good.
+async fn write_cursor(
+    node: &Node,
+    key: &ObjectKey,
+    condition: WriteCondition,
+    cursor: Cursor,
+) -> Result<(), CallError> {
+    let text = serde_json::to_string(&cursor).expect("a number can be written as JSON");
+    node.platform.write(key, condition, Some(text)).await?;
+    Ok(())
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -91,6 +91,11 @@
         self.sent.lock().contains(key)
     }
 
+    /// Returns how keys are laid out over pages.
+    pub(crate) fn shape(&self) -> LedgerShape {
+        self.shape
+    }
+
     /// Checks that a key is neither too old nor from the future.
     pub(crate) fn check_age(&self, key: OperationKey) -> Result<(), KeyAgeFault> {
         self.shape.check_age(key, unix_ms())
--- a/tests/operations/main.rs
+++ b/tests/operations/main.rs
@@ -4,6 +4,7 @@
 
 mod lost_answers;
 mod outages;
+mod pages;
 mod pauses;
 mod races;
 mod support;
