Admit only the streams that an endpoint can step within the token gap

Cause: an engine's slots are places for streams, its batch limits the rate; the old stand-ins reached their bound only with 44 to 92 ms between tokens, and a waiting request was held back when the cheapest chain was full though another was free. A peer's ended streams were counted until the next report. Change: ChainQuery::token_gap caps the streams of an endpoint at what its reported rate can step once in that time; a full endpoint costs more than any free one; a peer's count may lower the estimate as well as raise it. The stand-ins' accelerators get short steps and memory for 12 streams a batch place.

--- a/crates/pistachioyard_policy/src/chain.rs
+++ b/crates/pistachioyard_policy/src/chain.rs
@@ -12,7 +12,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use pistachioyard_wire::{AdapterName, EndpointId, LayerRange, ModelName, StageRef, VersionName};
 use rand::Rng;
@@ -36,6 +36,9 @@
     pub prefix_digest: Option<u64>,
     /// The tokens that KV cache is needed for.
     pub tokens: u32,
+    /// The time between tokens to keep; an endpoint takes no more streams than it
+    /// can step once in that time, whatever its slots.
+    pub token_gap: Option<Duration>,
     /// Endpoints that must not be used.
     pub exclude: &'a BTreeSet<EndpointId>,
     /// Stages that hold KV of this stream, strongly preferred where usable.
--- a/crates/pistachioyard_policy/src/chain/candidate.rs
+++ b/crates/pistachioyard_policy/src/chain/candidate.rs
@@ -1,8 +1,8 @@
 //! The endpoints that may be stages of a chain.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use pistachioyard_wire::{LayerRange, StageRef};
+use pistachioyard_wire::{EndpointReport, LayerRange, StageRef};
 
 use super::ChainQuery;
 use crate::{EndpointView, FleetView};
@@ -75,7 +75,7 @@
         first: layers.first(),
         end,
         work: view.work(),
-        slots: report.slots,
+        slots: places(report, query.token_gap),
         reported_work: report.running.saturating_add(report.waiting),
         step_ms: positive(report.step_ms),
         held_layers: layers.len(),
@@ -83,6 +83,20 @@
     })
 }
 
+/// Returns the streams that an endpoint takes: its slots, or fewer where it could
+/// not step that many streams within the time between tokens.
+fn places(report: &EndpointReport, token_gap: Option<Duration>) -> u32 {
+    let Some(token_gap) = token_gap else {
+        return report.slots;
+    };
+    let steps = report.tokens_per_second * token_gap.as_secs_f64();
+    if steps.is_finite() {
+        report.slots.min((steps.round() as u32).max(1))
+    } else {
+        report.slots
+    }
+}
+
 /// Returns a time that can be computed with in place of a nonsensical one.
 fn positive(ms: f64) -> f64 {
     if ms.is_finite() && ms > 0.0 { ms } else { 1.0 }
--- a/crates/pistachioyard_policy/src/chain/search.rs
+++ b/crates/pistachioyard_policy/src/chain/search.rs
@@ -21,6 +21,9 @@
 const PERTURBATION: f64 = 0.3;
 /// The cost of a link that stalled, in milliseconds; it outweighs kept stages.
 const DEGRADED_LINK_MS: f64 = 1e9;
+/// The cost of a stage without a free slot, in milliseconds; it outweighs every
+/// other load, so that a chain is full only if no free one exists.
+const FULL_MS: f64 = 1_000.0;
 /// The preference for a kept stage, in milliseconds for each layer.
 const KEEP_PREFERENCE_MS: f64 = 10_000.0;
 
@@ -162,7 +165,11 @@
             perturbed_ms: load_ms * (1.0 + rng.random_range(0.0..PERTURBATION)),
             data_centre,
             starts_at: kept.map(LayerRange::first),
-            preference_ms: kept.map_or(0.0, |range| KEEP_PREFERENCE_MS * f64::from(range.len())),
+            preference_ms: match kept {
+                Some(range) => KEEP_PREFERENCE_MS * f64::from(range.len()),
+                None if candidate.is_free() => 0.0,
+                None => -FULL_MS,
+            },
         }
     }
 
--- a/crates/pistachioyard_policy/src/fleet/load.rs
+++ b/crates/pistachioyard_policy/src/fleet/load.rs
@@ -90,9 +90,9 @@
 
     /// Estimates the endpoint's streams, running and waiting.
     ///
-    /// The report counts what had begun before it was measured, less the lag;
-    /// only what began later is added. What is known to be in flight bounds the
-    /// estimate from below.
+    /// The report counts what had begun before it was measured, less the lag; what
+    /// began later is added and what ended later is taken off, at the peers as
+    /// here. What is known to be in flight bounds the estimate from below.
     pub(super) fn estimate(&self, reported: Option<(u32, Instant)>) -> u32 {
         let known = self.own().saturating_add(self.peers());
         let Some((work, measured_at)) = reported else {
@@ -104,15 +104,15 @@
             .rev()
             .take_while(|at| !is_in_report(**at, measured_at))
             .count();
-        let peers_begun = self
+        let at_peers = self
             .peers
             .values()
-            .map(|samples| begun_since(samples, measured_at))
-            .fold(0, u32::saturating_add);
-        work.saturating_sub(count(self.ends.len()))
-            .saturating_add(count(begun))
-            .saturating_add(peers_begun)
-            .max(known)
+            .map(|samples| growth_since(samples, measured_at))
+            .fold(0, i64::saturating_add);
+        let own = count(begun);
+        let estimate = i64::from(work) - i64::from(count(self.ends.len())) + i64::from(own);
+        let estimate = estimate.saturating_add(at_peers).max(0);
+        u32::try_from(estimate).unwrap_or(u32::MAX).max(known)
     }
 }
 
@@ -121,15 +121,16 @@
     happened + REPORT_LAG <= measured_at
 }
 
-/// Returns by how much a peer's count grew since the report was measured.
-fn begun_since(samples: &VecDeque<PeerSample>, measured_at: Instant) -> u32 {
+/// Returns by how much a peer's count grew since the report was measured; less
+/// than 0 where it fell.
+fn growth_since(samples: &VecDeque<PeerSample>, measured_at: Instant) -> i64 {
     let base = samples
         .iter()
         .rev()
         .find(|sample| is_in_report(sample.at, measured_at))
         .or(samples.front());
     match (base, samples.back()) {
-        (Some(base), Some(newest)) => newest.count.saturating_sub(base.count),
+        (Some(base), Some(newest)) => i64::from(newest.count) - i64::from(base.count),
         _ => 0,
     }
 }
--- a/crates/pistachioyard_policy/tests/fleet/chain.rs
+++ b/crates/pistachioyard_policy/tests/fleet/chain.rs
@@ -235,6 +235,39 @@
     assert!(choose(&view, &asked, now, 1).unwrap().free);
 }
 
+#[test]
+fn a_free_chain_goes_before_a_faster_full_one() {
+    let now = Instant::now();
+    let mut fast = report("fast", layers(0, 8));
+    fast.step_ms = 0.1;
+    fast.running = fast.slots;
+    let mut slow = report("slow", layers(0, 8));
+    slow.step_ms = 100.0;
+    let mut view = view_of(&[fast.clone(), slow.clone()], now);
+    let asked = Asked::new(8);
+    let chain = choose(&view, &asked, now, 1).unwrap();
+    assert_eq!((ids(&chain), chain.free), (vec!["slow".to_owned()], true));
+    slow.running = slow.slots;
+    view.apply_report(slow, now + millis(1));
+    let chain = choose(&view, &asked, now + millis(1), 1).unwrap();
+    assert_eq!((ids(&chain), chain.free), (vec!["fast".to_owned()], false));
+}
+
+#[test]
+fn an_endpoint_takes_only_the_streams_that_it_can_step_within_the_token_gap() {
+    let now = Instant::now();
+    let view = view_of(&[report("a", layers(0, 8))], now);
+    let asked = Asked::new(8);
+    let free = |gap_ms| {
+        let mut query = asked.query();
+        query.token_gap = Some(millis(gap_ms));
+        free_slots(&view, &query, now)
+    };
+    assert_eq!(free(50), 5);
+    assert_eq!(free(1), 1);
+    assert_eq!(free(1_000), 8);
+}
+
 #[test]
 fn round_robin_takes_turns_though_streams_end_at_once() {
     let now = Instant::now();
--- a/crates/pistachioyard_policy/tests/fleet/fixture.rs
+++ b/crates/pistachioyard_policy/tests/fleet/fixture.rs
@@ -108,6 +108,7 @@
             layers: self.layers,
             prefix_digest: None,
             tokens: 100,
+            token_gap: None,
             exclude: &self.exclude,
             keep: &self.keep,
         }
--- a/crates/pistachioyard_standins/src/deployment.rs
+++ b/crates/pistachioyard_standins/src/deployment.rs
@@ -32,27 +32,26 @@
     batch: u32,
 }
 
-/// The streams that an engine holds for each one in a batch: a stream holds a
-/// place at every stage of its chain but is in the batch of one at a time.
-const SLOTS_PER_BATCH_PLACE: u32 = 4;
+/// The streams that an engine has memory for, for each one in a batch.
+const SLOTS_PER_BATCH_PLACE: u32 = 12;
 
 const FAST: Accelerator = Accelerator {
     name: "a",
-    tokens_per_second: 600.0,
-    step_ms: 2.0,
-    batch: 12,
+    tokens_per_second: 1_000.0,
+    step_ms: 5.0,
+    batch: 2,
 };
 const MEDIUM: Accelerator = Accelerator {
     name: "b",
-    tokens_per_second: 400.0,
-    step_ms: 2.0,
-    batch: 8,
+    tokens_per_second: 1_000.0,
+    step_ms: 4.0,
+    batch: 1,
 };
 const SLOW: Accelerator = Accelerator {
     name: "c",
-    tokens_per_second: 200.0,
+    tokens_per_second: 1_000.0,
     step_ms: 3.0,
-    batch: 4,
+    batch: 1,
 };
 
 impl Deployment {
--- a/src/filter/admit.rs
+++ b/src/filter/admit.rs
@@ -16,6 +16,9 @@
 use super::GenerateContext;
 use crate::prelude::*;
 
+/// The time between tokens that admission keeps free at every endpoint, in
+/// milliseconds; the rest of the objective is for links and the way to the caller.
+const TOKEN_GAP_MS: u64 = 28;
 /// How long a request may wait for admission, in milliseconds; what is left of
 /// the first-token objective is for the prefill.
 const MAX_WAIT_MS: u64 = 1_200;
@@ -75,6 +78,7 @@
             layers: self.layers,
             prefix_digest: None,
             tokens: self.tokens,
+            token_gap: Some(Duration::from_millis(TOKEN_GAP_MS)),
             exclude,
             keep: &self.keep,
         };
