--- /dev/null
+++ b/tests/placement/control_cost.rs
@@ -0,0 +1,97 @@
+//! What control costs an entry while nothing is asked of it.
+
+use std::time::{Duration, Instant};
+
+use pistachioyard_standins::{CallCounts, Cluster, ClusterPlan, ClusterSize};
+
+use crate::support::DEPLOYMENT;
+
+/// How long the idle cluster is watched.
+const WATCHED: Duration = Duration::from_secs(15);
+/// The clock ticks of `/proc/<pid>/stat` in a second.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// What one entry has used since its start.
+#[derive(Clone, Copy, Debug)]
+struct Usage {
+    cpu_seconds: f64,
+    resident_kb: u64,
+    peer_bytes: f64,
+}
+
+fn counter(text: &str, name: &str) -> f64 {
+    text.lines()
+        .filter(|line| line.starts_with(name))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+async fn usage(cluster: &Cluster, place: usize) -> Usage {
+    let entry = &cluster.entries[place];
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", entry.child.id())).unwrap();
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+    let ticks = |i: usize| fields[i].parse::<f64>().unwrap();
+    let status = std::fs::read_to_string(format!("/proc/{}/status", entry.child.id())).unwrap();
+    let resident = status.lines().find(|line| line.starts_with("VmRSS"));
+    let resident_kb = resident
+        .and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+        .unwrap_or(0);
+    let body = cluster
+        .client
+        .send(
+            http::Method::GET,
+            entry.caller,
+            "/metrics",
+            &[],
+            bytes::Bytes::new(),
+        )
+        .await;
+    let text = String::from_utf8_lossy(&body.unwrap().body).into_owned();
+    Usage {
+        cpu_seconds: (ticks(11) + ticks(12)) / TICKS_PER_SECOND,
+        resident_kb,
+        peer_bytes: counter(&text, "pistachioyard_peer_sent_bytes_total")
+            + counter(&text, "pistachioyard_peer_received_bytes_total"),
+    }
+}
+
+#[tokio::test]
+#[ignore = "a measurement of a whole deployment, not a check"]
+async fn control_cost_of_an_idle_deployment() {
+    let plan = ClusterPlan::new(DEPLOYMENT, ClusterSize::Full);
+    let cluster = Cluster::start(plan).await.unwrap();
+    // The first orders load adapters; only what follows is idle.
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    let counts = |c: &Cluster| {
+        let (client, platform) = (c.client.clone(), c.platform);
+        async move {
+            let read = client.get_json::<CallCounts>(platform, "/control/counts");
+            read.await.unwrap()
+        }
+    };
+    let calls = counts(&cluster).await;
+    let pids: Vec<u32> = cluster.entries.iter().map(|e| e.child.id()).collect();
+    println!("watching {pids:?}");
+    let begun = Instant::now();
+    let mut before = Vec::new();
+    for place in 0..cluster.entries.len() {
+        before.push(usage(&cluster, place).await);
+    }
+    tokio::time::sleep(WATCHED).await;
+    let passed = begun.elapsed().as_secs_f64();
+    for (place, before) in before.iter().enumerate() {
+        let after = usage(&cluster, place).await;
+        println!(
+            "{} (pid {}): {:.2} % of a core, {} KB resident, {:.1} KB/s to and from peers",
+            cluster.entries[place].name,
+            cluster.entries[place].child.id(),
+            100.0 * (after.cpu_seconds - before.cpu_seconds) / passed,
+            after.resident_kb,
+            (after.peer_bytes - before.peer_bytes) / passed / 1_000.0,
+        );
+    }
+    println!(
+        "calls to the platform before {calls:?}, after {:?}",
+        counts(&cluster).await
+    );
+}
--- a/tests/placement/rollout.rs
+++ b/tests/placement/rollout.rs
@@ -10,7 +10,8 @@
 /// The weight loads that may be ordered in a second, and at once.
 const LOADS_PER_SECOND: f64 = 2.0;
 const LOAD_BURST: f64 = 1.0;
-const CALLERS: usize = 3;
+/// The length of each caller's answers; the longest outlast steps of the rollout.
+const TOKENS: [u32; 3] = [12, 60, 240];
 
 /// One count of the loads ordered so far.
 struct Sample {
@@ -51,7 +52,7 @@
     let mut counts = [0, 0];
     while !stop.load(Ordering::Relaxed) {
         let prompt = format!("draft {caller} {counts:?}");
-        let (req, answer) = bed.generate(caller, &prompt).await;
+        let (req, answer) = bed.generate(caller, &prompt, TOKENS[caller]).await;
         let versions = [DEPLOYMENT.version(), NEXT_VERSION];
         let version = versions.iter().position(|v| is_right_for(&req, &answer, v));
         let Some(version) = version else {
@@ -96,11 +97,11 @@
         tokio::time::sleep(Duration::from_secs(1)).await;
         stop.store(true, Ordering::Relaxed);
     };
-    let callers = futures_util::future::join_all((0..CALLERS).map(|c| ask(&bed, c, &stop)));
+    let callers = futures_util::future::join_all((0..TOKENS.len()).map(|c| ask(&bed, c, &stop)));
     let (counts, ()) = tokio::join!(callers, watch);
     println!("answers by version: {counts:?}");
     assert!(counts.iter().all(|[_, next]| *next > 0), "{counts:?}");
     assert_rate(&samples);
-    let (req, answer) = bed.generate(0, "after").await;
+    let (req, answer) = bed.generate(0, "after", 12).await;
     assert!(is_right_for(&req, &answer, NEXT_VERSION), "{answer:?}");
 }
--- a/tests/placement/support.rs
+++ b/tests/placement/support.rs
@@ -129,9 +129,14 @@
         self.cluster.apply(entry, base, text).await.unwrap();
     }
 
-    pub(crate) async fn generate(&self, entry: usize, prompt: &str) -> (GenerateRequest, Answer) {
+    pub(crate) async fn generate(
+        &self,
+        entry: usize,
+        prompt: &str,
+        tokens: u32,
+    ) -> (GenerateRequest, Answer) {
         let (workspace, _) = DEPLOYMENT.workspaces();
-        let req = draft_request(DEPLOYMENT, workspace, prompt, 12).unwrap();
+        let req = draft_request(DEPLOYMENT, workspace, prompt, tokens).unwrap();
         let entry = self.cluster.entries[entry].caller;
         let answer = self.caller.generate(entry, &req, |_| {}).await;
         (req, answer)
