Have one entry poll each endpoint, and tell peers only what has changed

Cause: every entry polled all endpoints each second and sent all reports and all member records to every peer five times a second. With 42 engines, 3 services and 4 entries, idle, an entry moved 516 KB/s over TCP and used 7.1 to 7.5 % of a core.

Change: an endpoint is polled by the first of the live entries by rendezvous hashing, by the second when its report is late, by all when it is suspect; idle ones every 2 s. Gossip carries whole reports where more than the load changed and short load records otherwise, heartbeats in place of others' member records nine times of ten, and no empty fields.

--- a/crates/pistachioyard_policy/src/fleet.rs
+++ b/crates/pistachioyard_policy/src/fleet.rs
@@ -15,8 +15,8 @@
 use std::time::{Duration, Instant};
 
 use pistachioyard_wire::{
-    DataCentre, EndpointId, EndpointMark, EndpointReport, EntryId, HostRecord, ServiceName,
-    StageRef,
+    DataCentre, EndpointId, EndpointMark, EndpointReport, EntryId, HostRecord, LoadRecord,
+    ServiceName, StageRef,
 };
 
 pub use endpoint_view::EndpointView;
@@ -82,6 +82,17 @@
         }
     }
 
+    /// Takes over the load of a report whose other parts are known.
+    ///
+    /// It is dropped where they are not; the endpoint is then asked itself once
+    /// its known report has grown old.
+    pub fn apply_load(&mut self, load: &LoadRecord, measured_at: Instant) {
+        let known = self.get(&load.endpoint).and_then(EndpointView::report);
+        if let Some(report) = known.and_then(|report| report.with_load(load)) {
+            self.apply_report(report, measured_at);
+        }
+    }
+
     /// Takes over a peer's mark.
     pub fn apply_mark(&mut self, mark: &EndpointMark, now: Instant) {
         if let Some(view) = self.endpoints.get_mut(&mark.endpoint) {
@@ -172,22 +183,6 @@
             .collect()
     }
 
-    /// Returns the reports younger than a limit, with their ages in milliseconds.
-    pub fn recent_reports(
-        &self,
-        younger_than: Duration,
-        now: Instant,
-    ) -> Vec<(EndpointReport, u64)> {
-        self.endpoints
-            .values()
-            .filter_map(|view| {
-                let age = now.saturating_duration_since(view.measured_at()?);
-                let report = view.report()?;
-                (age < younger_than).then(|| (report.clone(), millis(age)))
-            })
-            .collect()
-    }
-
     /// Returns every known endpoint in the order of their names.
     pub fn endpoints(&self) -> impl Iterator<Item = &EndpointView> {
         self.endpoints.values()
--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -103,6 +103,19 @@
         fresh
     }
 
+    /// Takes in heartbeats of members whose records are known.
+    pub fn merge_beats(&mut self, beats: &[(EntryId, BootId, u64)], now: Instant) {
+        for (entry, boot, heartbeat) in beats {
+            let Some(member) = self.others.get_mut(entry) else {
+                continue;
+            };
+            if member.record.boot == *boot && member.record.heartbeat < *heartbeat {
+                member.record.heartbeat = *heartbeat;
+                member.heard_at = now;
+            }
+        }
+    }
+
     /// Returns the state of an entry; one that is not known is lost.
     pub fn state_of(&self, entry: &EntryId, now: Instant) -> EntryState {
         if *entry == self.own.record.entry {
--- a/crates/pistachioyard_policy/tests/fleet/fleet_view.rs
+++ b/crates/pistachioyard_policy/tests/fleet/fleet_view.rs
@@ -195,3 +195,19 @@
     }
     assert_eq!(peer.marks(start + millis(400)), []);
 }
+
+#[test]
+fn a_load_record_counts_only_where_the_rest_of_the_report_is_known() {
+    let start = Instant::now();
+    let known = report("a", layers(0, 4));
+    let mut view = view_of(std::slice::from_ref(&known), start);
+    let mut newer = known.clone();
+    newer.running = 3;
+    view.apply_load(&newer.load(0), start + millis(1_000));
+    assert_eq!(view.get(&endpoint("a")).unwrap().report(), Some(&newer));
+    let mut other_run = newer.clone();
+    other_run.boot = boot(2);
+    other_run.running = 5;
+    view.apply_load(&other_run.load(0), start + millis(2_000));
+    assert_eq!(view.get(&endpoint("a")).unwrap().report(), Some(&newer));
+}
--- a/crates/pistachioyard_policy/tests/fleet/main.rs
+++ b/crates/pistachioyard_policy/tests/fleet/main.rs
@@ -13,3 +13,4 @@
 mod placement;
 mod prefix_index;
 mod rollout;
+mod serving;
--- a/crates/pistachioyard_wire/src/endpoint.rs
+++ b/crates/pistachioyard_wire/src/endpoint.rs
@@ -23,7 +23,7 @@
 
 pub use cache::{CacheEvent, CacheEventKind, CacheEventPage};
 pub use order::{Order, OrderKind, OrderRefusal};
-pub use report::EndpointReport;
+pub use report::{EndpointReport, LoadRecord};
 pub use stream::{
     FrameBody, KvSnapshot, StageFailure, StageRef, StreamFrame, StreamProgress, StreamRequest,
 };
--- a/crates/pistachioyard_wire/src/lib.rs
+++ b/crates/pistachioyard_wire/src/lib.rs
@@ -22,8 +22,9 @@
     TokenDigest,
 };
 pub use endpoint::{
-    CacheEvent, CacheEventKind, CacheEventPage, EndpointReport, FrameBody, KvSnapshot, Order,
-    OrderKind, OrderRefusal, StageFailure, StageRef, StreamFrame, StreamProgress, StreamRequest,
+    CacheEvent, CacheEventKind, CacheEventPage, EndpointReport, FrameBody, KvSnapshot, LoadRecord,
+    Order, OrderKind, OrderRefusal, StageFailure, StageRef, StreamFrame, StreamProgress,
+    StreamRequest,
 };
 pub use ids::{
     ApplyId, Attempt, BootId, Fence, IdFault, Nonce, OperationKey, RequestDigest, RequestId,
--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -10,8 +10,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AcceptedConfig, BootId, DataCentre, EndpointId, EndpointReport, EntryId, RequestDigest,
-    Revision, WorkspaceName,
+    AcceptedConfig, BootId, DataCentre, EndpointId, EndpointReport, EntryId, LoadRecord,
+    RequestDigest, Revision, WorkspaceName,
 };
 
 /// The largest peer message accepted, in bytes; a configuration fits.
@@ -126,21 +126,32 @@
     pub from: EntryId,
     /// The sender's monotonic clock, in milliseconds, when it sent this.
     pub sent_ms: u64,
-    /// The members the sender knows, itself included.
+    /// The sender's own record, and now and then those of all members it knows.
     pub members: Vec<MemberRecord>,
+    /// The heartbeats of the members whose records are left out.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub beats: Vec<(EntryId, BootId, u64)>,
     /// The revision in force at the sender.
     pub revision: Revision,
     /// The sender's streams in flight by endpoint.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub in_flight: BTreeMap<EndpointId, u32>,
     /// Endpoints that get no new work.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub endpoint_marks: Vec<EndpointMark>,
     /// Requests that crashed endpoints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub quarantine: Vec<QuarantineMark>,
     /// Usage of workspaces at the sender.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub usage: BTreeMap<WorkspaceName, WorkspaceUsage>,
-    /// Reports of the endpoints that the sender polls, with their age in
-    /// milliseconds.
+    /// New reports of the endpoints that the sender polls, where more than the
+    /// load has changed, with their age in milliseconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub reports: Vec<(EndpointReport, u64)>,
+    /// The load in its other new reports.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<LoadRecord>,
 }
 
 /// Why bytes are not a peer message.
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -12,6 +12,7 @@
 mod reports;
 
 pub(crate) use config::{adopt, apply};
+pub(crate) use reports::ReportNews;
 
 use crate::prelude::*;
 
--- a/src/controller/hosts.rs
+++ b/src/controller/hosts.rs
@@ -1,22 +1,52 @@
 //! Reads the platform's host list, which lags.
+//!
+//! Live entries take turns, second by second, and tell each other by gossip which
+//! endpoints are leaving. Each entry still reads the whole list every few seconds.
+
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::prelude::*;
 
-/// How often the host list is read, in milliseconds.
-const HOSTS_INTERVAL_MS: u64 = 1_000;
+/// How long a turn lasts, in milliseconds.
+const TURN_MS: u64 = 1_000;
+/// The most turns from one reading of an entry to its next.
+const MAX_TURNS: usize = 3;
 
 /// Reads the host list for ever.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut ticks = tokio::time::interval(Duration::from_millis(HOSTS_INTERVAL_MS));
+    let mut ticks = tokio::time::interval(Duration::from_millis(TURN_MS));
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut has_read = false;
     loop {
         ticks.tick().await;
+        if has_read && !is_own_turn(&node) {
+            continue;
+        }
         match node.platform.hosts().await {
             Ok(hosts) => {
+                has_read = true;
                 node.fleet.lock().apply_hosts(&hosts, Instant::now());
                 node.admission.wake();
             }
-            Err(e) => spdlog::debug!("hosts: cannot read the host list: {e}"),
+            Err(e) => {
+                has_read = false;
+                spdlog::debug!("hosts: cannot read the host list: {e}");
+            }
         }
     }
 }
+
+/// Tells whether this second is this entry's; wrong clocks only make entries read
+/// at the same time.
+fn is_own_turn(node: &Node) -> bool {
+    let membership = node.membership.lock();
+    let mut live = membership.live(Instant::now());
+    live.sort_by_key(|member| &member.entry);
+    let own = live
+        .iter()
+        .position(|member| member.entry == node.settings.entry);
+    let turns = live.len().clamp(1, MAX_TURNS);
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let turn = since.map_or(0, |since| since.as_millis() as u64 / TURN_MS);
+    turn % turns as u64 == (own.unwrap_or(0) % turns) as u64
+}
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -1,18 +1,26 @@
 //! Reads endpoints' reports and cache events.
 //!
-//! A report tells load, layers and whether the endpoint is draining. An endpoint
-//! that misses one report is avoided where others can do its work; one that
-//! misses two, or takes no connections, gets no new work until it reports again.
+//! A report tells load, layers and whether the endpoint is draining. Each
+//! endpoint is asked by one entry, and by others only when nothing is heard of
+//! it; the rest learn its reports by gossip (`docs/design/reports.md`). An
+//! endpoint that misses one report is avoided where others can do its work; one
+//! that misses two, or takes no connections, gets no new work until it reports
+//! again.
+
+mod news;
+mod pollers;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use parking_lot::Mutex;
 
+pub(crate) use self::news::ReportNews;
+use self::pollers::Pollers;
 use crate::error::CallError;
 use crate::prelude::*;
 
-/// How often each endpoint is asked for its report, in milliseconds.
+/// How often an entry looks which endpoints to ask, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 1_000;
 /// How long an endpoint may take to answer, in milliseconds.
 const REPORT_TIMEOUT_MS: u64 = 600;
@@ -29,32 +37,33 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let targets: Vec<(EndpointId, SocketAddr)> = node
-            .fleet
-            .lock()
-            .endpoints()
-            .map(|view| (view.id().clone(), view.address()))
-            .collect();
-        for (endpoint, address) in targets {
+        for (endpoint, address) in due_reports(&node) {
             tokio::spawn(poll(node.clone(), misses.clone(), endpoint, address));
         }
+        for page in due_cache_events(&node) {
+            tokio::spawn(read_cache_events(node.clone(), page));
+        }
     }
 }
 
+fn due_reports(node: &Node) -> Vec<(EndpointId, SocketAddr)> {
+    let now = Instant::now();
+    let pollers = Pollers::new(&node.settings.entry, &node.membership.lock(), now);
+    let fleet = node.fleet.lock();
+    let due = fleet.endpoints().filter(|view| pollers.is_due(view, now));
+    due.map(|view| (view.id().clone(), view.address()))
+        .collect()
+}
+
 async fn poll(node: Arc<Node>, misses: Arc<Misses>, endpoint: EndpointId, address: SocketAddr) {
     let timeout = Duration::from_millis(REPORT_TIMEOUT_MS);
     let asked_at = Instant::now();
     match node.engines.report(address, timeout).await {
         Ok(report) => {
             misses.0.lock().remove(&endpoint);
-            let cache_seq = report.cache_seq;
-            let boot = report.boot;
-            let known_seq = node.prefixes.lock().last_seq(&endpoint, boot);
             node.fleet.lock().apply_report(report, asked_at);
+            node.news.lock().note(endpoint);
             node.admission.wake();
-            if cache_seq != known_seq {
-                read_cache_events(&node, &endpoint, address, boot, known_seq).await;
-            }
         }
         Err(error) => {
             let missed = {
@@ -76,15 +85,39 @@
     }
 }
 
-async fn read_cache_events(
-    node: &Node,
-    endpoint: &EndpointId,
+/// Cache events to read: those of one run after a number.
+struct CachePage {
+    endpoint: EndpointId,
     address: SocketAddr,
     boot: BootId,
     after: u64,
-) {
+}
+
+fn due_cache_events(node: &Node) -> Vec<CachePage> {
+    let fleet = node.fleet.lock();
+    let prefixes = node.prefixes.lock();
+    let pages = fleet.endpoints().filter_map(|view| {
+        let report = view.report()?;
+        let after = prefixes.last_seq(view.id(), report.boot);
+        (report.cache_seq != after).then(|| CachePage {
+            endpoint: view.id().clone(),
+            address: view.address(),
+            boot: report.boot,
+            after,
+        })
+    });
+    pages.collect()
+}
+
+async fn read_cache_events(node: Arc<Node>, page: CachePage) {
     let timeout = Duration::from_millis(REPORT_TIMEOUT_MS);
-    if let Ok(page) = node.engines.cache_events(address, after, timeout).await {
-        node.prefixes.lock().apply(endpoint, boot, &page);
+    let read = node
+        .engines
+        .cache_events(page.address, page.after, timeout)
+        .await;
+    if let Ok(events) = read {
+        node.prefixes
+            .lock()
+            .apply(&page.endpoint, page.boot, &events);
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Node`] holds what the filters and controllers share. Each part of the state
 //! has its own lock, held for the length of one decision and never across an
-//! await point. Where locks nest, the order is: admission queue, fleet, prefixes,
+//! await point. Where locks nest, the order is: admission queue, fleet, report news, prefixes,
 //! random numbers; membership comes after random numbers, and no other lock is
 //! taken while one of the rest is held.
 
@@ -26,6 +26,7 @@
 
 use crate::burn::BurnRecorder;
 use crate::client::{HttpClient, Reuse};
+use crate::controller::ReportNews;
 use crate::engine::EngineClient;
 use crate::filter::Admission;
 use crate::ledger::Ledger;
@@ -37,6 +38,9 @@
 
 /// How long a peer may be silent before it counts as lost, in milliseconds.
 const HEARTBEAT_TIMEOUT_MS: u64 = 1_000;
+/// How often, in gossips, the records of all members are told and not only the
+/// own one; their heartbeats are told each time.
+const WHOLE_GOSSIP_EVERY: u64 = 10;
 /// How long a convicted request is refused, in milliseconds.
 const QUARANTINE_HOLD_MS: u64 = 600_000;
 /// The retries allowed for each first try.
@@ -57,6 +61,7 @@
     pub(crate) adoption: Mutex<Adoption>,
     pub(crate) membership: Mutex<Membership>,
     pub(crate) fleet: Mutex<FleetView>,
+    pub(crate) news: Mutex<ReportNews>,
     pub(crate) prefixes: Mutex<PrefixIndex>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) lanes: Mutex<SuspectLanes>,
@@ -88,6 +93,7 @@
             adoption: Mutex::new(Adoption::new(stale_after)),
             membership: Mutex::new(Membership::new(own, millis(HEARTBEAT_TIMEOUT_MS), now)),
             fleet: Mutex::new(FleetView::new()),
+            news: Mutex::new(ReportNews::default()),
             prefixes: Mutex::new(PrefixIndex::new()),
             quarantine: Mutex::new(Quarantine::new(millis(QUARANTINE_HOLD_MS))),
             lanes: Mutex::new(SuspectLanes::default()),
@@ -160,38 +166,54 @@
     }
 
     /// Builds what the peers are told at this moment.
-    pub(crate) fn gossip(&self, now: Instant, report_age: Duration) -> GossipState {
+    pub(crate) fn gossip(&self, now: Instant) -> GossipState {
         let revision = self.revision();
         let state = if self.lifecycle.is_draining() {
             EntryState::Draining
         } else {
             EntryState::Live
         };
-        let members = {
+        let records = {
             let mut membership = self.membership.lock();
             membership.set_own(state, revision);
             membership.beat(now);
             membership.records(now)
         };
+        let own = &self.settings.entry;
+        let heartbeat = records.iter().find(|r| r.entry == *own);
+        let is_whole = heartbeat.is_none_or(|own| own.heartbeat % WHOLE_GOSSIP_EVERY == 1);
+        let (members, others): (Vec<_>, Vec<_>) = records
+            .into_iter()
+            .partition(|record| is_whole || record.entry == *own);
         let usage = self.admission.usage();
         let quarantine = self.quarantine.lock().marks(now);
         let fleet = self.fleet.lock();
+        let (reports, loads) = self.news.lock().take(&fleet, now);
         GossipState {
             from: self.settings.entry.clone(),
             sent_ms: now.duration_since(self.origin).as_millis() as u64,
             members,
+            beats: others
+                .into_iter()
+                .map(|record| (record.entry, record.boot, record.heartbeat))
+                .collect(),
             revision,
             in_flight: fleet.own_in_flight(),
             endpoint_marks: fleet.marks(now),
             quarantine,
             usage,
-            reports: fleet.recent_reports(report_age, now),
+            reports,
+            loads,
         }
     }
 
     /// Takes in what a peer told.
     pub(crate) fn absorb_gossip(&self, gossip: GossipState, now: Instant) {
-        let newcomers = self.membership.lock().merge(&gossip.members, now);
+        let newcomers = {
+            let mut membership = self.membership.lock();
+            membership.merge_beats(&gossip.beats, now);
+            membership.merge(&gossip.members, now)
+        };
         for entry in &newcomers {
             spdlog::info!("peers: entry {entry} is new or was restarted");
         }
@@ -207,6 +229,11 @@
                     fleet.apply_report(report, measured_at);
                 }
             }
+            for load in &gossip.loads {
+                if let Some(measured_at) = now.checked_sub(millis(load.age_ms)) {
+                    fleet.apply_load(load, measured_at);
+                }
+            }
         }
         self.peer_usage.lock().insert(gossip.from, gossip.usage);
     }
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -1,8 +1,8 @@
 //! Links between entries: CBOR messages over WebSocket.
 //!
 //! Each entry dials a bounded number of peers and tells them its state at every
-//! gossip interval. A link that falls behind loses gossip, never memory: the next
-//! message says all that the lost one said.
+//! gossip interval. A link that falls behind loses gossip, never memory: later
+//! messages say what matters again, and reports that are missed are asked for.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -27,9 +27,6 @@
 const PING_INTERVAL_MS: u64 = 1_000;
 /// How long a link may be silent before it is dropped, in milliseconds.
 const SILENCE_LIMIT_MS: u64 = 3_000;
-/// Reports that the sender itself took within this time are passed on, in
-/// milliseconds.
-const REPORT_AGE_MS: u64 = 1_200;
 
 /// The links that this entry has dialed.
 #[derive(Default)]
@@ -40,8 +37,7 @@
 impl PeerLinks {
     /// Tells every dialed peer the entry's state now.
     pub(crate) fn push_gossip(&self, node: &Node) {
-        let report_age = Duration::from_millis(REPORT_AGE_MS);
-        let gossip = node.gossip(Instant::now(), report_age);
+        let gossip = node.gossip(Instant::now());
         self.send(&PeerMessage::Gossip(Box::new(gossip)));
     }
 
