--- a/src/controller.rs
+++ b/src/controller.rs
@@ -13,6 +13,7 @@
 mod reports;
 
 pub(crate) use config::{adopt_from_peer, apply};
+pub(crate) use reports::ReportNews;
 
 use crate::prelude::*;
 
