Say that a refused resume has failed, not that it was not run

Cause: every refusal before dispatch said not run, also for a request with a resume token, a part of which had run at another entry. Change: the outcome of such a refusal is failed; the kind and the status stay.

Run: refused_resume_is_not_called_not_run failed before this change (outcome NotRun) and passes after it.

--- a/src/filter.rs
+++ b/src/filter.rs
@@ -23,6 +23,8 @@
 };
 pub(crate) use operate::{operate, recorded_outcome};
 
+use pistachioyard_wire::GenerateRequest;
+
 use crate::prelude::*;
 
 /// Serves a request for a generated answer.
@@ -33,6 +35,24 @@
     node: &Arc<Node>,
     body: &[u8],
 ) -> Result<deliver::EventStream, Problem> {
+    let answer = admit_and_start(node, body).await;
+    answer.map_err(|problem| {
+        if problem.outcome == Outcome::NotRun && is_resumed(body) {
+            // A part of the request has run before, whatever is refused now.
+            return Problem {
+                outcome: Outcome::Failed,
+                ..problem
+            };
+        }
+        problem
+    })
+}
+
+fn is_resumed(body: &[u8]) -> bool {
+    serde_json::from_slice::<GenerateRequest>(body).is_ok_and(|req| req.resume.is_some())
+}
+
+async fn admit_and_start(node: &Arc<Node>, body: &[u8]) -> Result<deliver::EventStream, Problem> {
     let arrived_at = Instant::now();
     let in_flight = crate::entry::Lifecycle::begin(node)?;
     let cx = identify_generate(node, body)?;
