Start drained engines again between pairs of faults

Cause: the test expected an engine that had said that it drains to be usable again in the same run, which the fleet view rules out on purpose, so wait_ready timed out after the pair DrainEngine, PlatformSlow. Change: lifting the fault ends that process and starts it again; the two faults of a pair are done to different engines.

--- a/tests/matrix/pairs.rs
+++ b/tests/matrix/pairs.rs
@@ -6,8 +6,8 @@
 
 use pistachioyard_standins::{EngineFaults, FaultKind, FaultRule, GenerateEnd, PlatformFaults};
 use pistachioyard_wire::Outcome;
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand_chacha::ChaCha8Rng;
 
 use crate::support::{Running, Trial, plan_with_copies};
@@ -76,13 +76,31 @@
     running[0].reach(10).await;
     let mut rules = Vec::new();
     let mut platform = PlatformFaults::default();
-    for disturbance in pair {
-        disturb(trial, *disturbance, rng, &mut rules, &mut platform).await;
+    let mut drained = Vec::new();
+    let mut engines: Vec<usize> = (0..trial.cluster.engines.len()).collect();
+    engines.shuffle(rng);
+    for (disturbance, engines) in pair.iter().zip(engines.chunks(2)) {
+        let (engine, other) = (engines[0], engines[1]);
+        match disturbance {
+            Disturbance::CutLink => rules.push(trial.link_rule(engine, other, FaultKind::Cut)),
+            Disturbance::StallLink => rules.push(trial.link_rule(engine, other, FaultKind::Stall)),
+            Disturbance::SlowLink => {
+                rules.push(trial.link_rule(engine, other, FaultKind::Delay { ms: 40 }));
+            }
+            Disturbance::PlatformDown => platform.down = true,
+            Disturbance::PlatformSlow => platform.slow_ms = 800,
+            Disturbance::HostListLag => platform.host_lag_ms = 10_000,
+            Disturbance::DrainEngine => {
+                drained.push(engine);
+                disturb_process(trial, *disturbance, engine).await;
+            }
+            _ => disturb_process(trial, *disturbance, engine).await,
+        }
     }
     set_shared(trial, &rules, &platform).await;
     running.extend((ANSWERS / 2..ANSWERS).map(|place| ask(trial, place)));
     tokio::time::sleep(PAIR_TIME).await;
-    lift(trial).await;
+    lift(trial, &drained).await;
     for running in running {
         let (answer, req) = running.end().await;
         let is_honest = match &answer.end {
@@ -99,23 +117,14 @@
     trial.cluster.wait_ready().await.expect("all is back");
 }
 
-async fn disturb(
-    trial: &mut Trial,
-    disturbance: Disturbance,
-    rng: &mut ChaCha8Rng,
-    rules: &mut Vec<FaultRule>,
-    platform: &mut PlatformFaults,
-) {
-    let count = trial.cluster.engines.len();
-    let engine = rng.random_range(0..count);
-    let other = (engine + rng.random_range(1..count)) % count;
+async fn disturb_process(trial: &mut Trial, disturbance: Disturbance, engine: usize) {
     match disturbance {
         Disturbance::FreezeEngine => {
             let frozen = trial.cluster.engines[engine].child.freeze();
             frozen.expect("the engine can be frozen");
         }
         Disturbance::FreezeEntry => {
-            let entry = rng.random_range(0..trial.cluster.entries.len());
+            let entry = engine % trial.cluster.entries.len();
             let frozen = trial.cluster.entries[entry].child.freeze();
             frozen.expect("the entry can be frozen");
         }
@@ -123,11 +132,6 @@
             let killed = trial.cluster.engines[engine].child.kill();
             killed.expect("the engine can be killed");
         }
-        Disturbance::CutLink => rules.push(trial.link_rule(engine, other, FaultKind::Cut)),
-        Disturbance::StallLink => rules.push(trial.link_rule(engine, other, FaultKind::Stall)),
-        Disturbance::SlowLink => {
-            rules.push(trial.link_rule(engine, other, FaultKind::Delay { ms: 40 }));
-        }
         Disturbance::DrainEngine => {
             let faults = EngineFaults {
                 draining: true,
@@ -135,16 +139,13 @@
             };
             trial.set_engine_faults(engine, &faults).await;
         }
-        Disturbance::SlowEngine => {
+        _ => {
             let faults = EngineFaults {
                 slow_factor: 8.0,
                 ..EngineFaults::default()
             };
             trial.set_engine_faults(engine, &faults).await;
         }
-        Disturbance::PlatformDown => platform.down = true,
-        Disturbance::PlatformSlow => platform.slow_ms = 800,
-        Disturbance::HostListLag => platform.host_lag_ms = 10_000,
     }
 }
 
@@ -155,8 +156,9 @@
     set.expect("the platform takes its faults");
 }
 
-/// Lifts all faults and starts killed engines again.
-async fn lift(trial: &mut Trial) {
+/// Lifts all faults and starts engines again that were killed, or that have left:
+/// an engine that drains does so until its process ends.
+async fn lift(trial: &mut Trial, drained: &[usize]) {
     set_shared(trial, &[], &PlatformFaults::default()).await;
     for place in 0..trial.cluster.entries.len() {
         let thawed = trial.cluster.entries[place].child.thaw();
@@ -165,6 +167,9 @@
     for place in 0..trial.cluster.engines.len() {
         let child = &mut trial.cluster.engines[place].child;
         child.thaw().expect("the engine can be thawed");
+        if drained.contains(&place) {
+            child.kill().expect("the engine can be killed");
+        }
         if !child.is_running().expect("the state can be asked") {
             let restarted = trial.cluster.restart_engine(place);
             restarted.expect("the engine starts again");
