Keep suspects apart over all entries

Cause: suspects were kept apart within one entry only. Two entries that lost an engine to the same request each ran it again, so it cost three engines; and a bystander at one entry could share the second crash with the culprit at another and be convicted there, before the culprit's mark arrived. Change: gossip carries the suspects that an entry runs with the endpoints reserved for them (GossipState::suspects, optional on the wire). A suspect reserves, waits 150 ms for its peers' news, and yields to an entry whose name comes first; it never reserves what a peer has.

--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -4,7 +4,7 @@
 //! (`docs/design/membership.md`). The one exception is the configuration, which
 //! is safe to pass on since only higher revisions are adopted.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -133,6 +133,11 @@
     pub endpoint_marks: Vec<EndpointMark>,
     /// Requests that crashed endpoints.
     pub quarantine: Vec<QuarantineMark>,
+    /// Suspects that the sender runs again or is about to, with the endpoints that
+    /// it reserves for them, so that no other entry runs one of them or another
+    /// suspect there.
+    #[serde(default)]
+    pub suspects: BTreeMap<RequestDigest, BTreeSet<EndpointId>>,
     /// Usage of workspaces at the sender.
     pub usage: BTreeMap<WorkspaceName, WorkspaceUsage>,
     /// Reports of the endpoints that the sender polls, with their age in
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod run;
 mod streams;
+mod suspects;
 
 use std::collections::BTreeMap;
 
@@ -23,6 +24,7 @@
 use rand_chacha::ChaCha8Rng;
 pub(crate) use run::run_entry;
 pub(crate) use streams::StreamTable;
+pub(crate) use suspects::SuspectTable;
 
 use crate::burn::BurnRecorder;
 use crate::client::{HttpClient, Reuse};
@@ -60,6 +62,7 @@
     pub(crate) prefixes: Mutex<PrefixIndex>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) lanes: Mutex<SuspectLanes>,
+    pub(crate) suspects: SuspectTable,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) peer_usage: Mutex<BTreeMap<EntryId, BTreeMap<WorkspaceName, WorkspaceUsage>>>,
     pub(crate) rng: Mutex<ChaCha8Rng>,
@@ -91,6 +94,7 @@
             prefixes: Mutex::new(PrefixIndex::new()),
             quarantine: Mutex::new(Quarantine::new(millis(QUARANTINE_HOLD_MS))),
             lanes: Mutex::new(SuspectLanes::default()),
+            suspects: SuspectTable::default(),
             retries: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
             peer_usage: Mutex::new(BTreeMap::new()),
             rng: Mutex::new(ChaCha8Rng::from_os_rng()),
@@ -175,6 +179,7 @@
             in_flight: fleet.own_in_flight(),
             endpoint_marks: fleet.marks(now),
             quarantine,
+            suspects: self.suspects.own(),
             usage,
             reports: fleet.recent_reports(report_age, now),
         }
@@ -187,6 +192,7 @@
             spdlog::info!("peers: entry {entry} is new or was restarted");
         }
         self.quarantine.lock().merge(&gossip.quarantine, now);
+        self.suspects.set_of_peer(&gossip.from, gossip.suspects);
         {
             let mut fleet = self.fleet.lock();
             fleet.set_peer_in_flight(&gossip.from, &gossip.in_flight, now);
@@ -225,6 +231,7 @@
         for entry in &lost {
             spdlog::warn!("peers: entry {entry} is lost");
             fleet.forget_peer(entry);
+            self.suspects.set_of_peer(entry, BTreeMap::new());
         }
         drop(fleet);
         self.quarantine.lock().expire(now);
--- /dev/null
+++ b/src/entry/suspects.rs
@@ -0,0 +1,78 @@
+//! The suspects that entries run again, and the endpoints reserved for them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use parking_lot::Mutex;
+use pistachioyard_wire::RequestDigest;
+
+use crate::prelude::*;
+
+/// The endpoints reserved for each suspect.
+type Reservations = BTreeMap<RequestDigest, BTreeSet<EndpointId>>;
+
+/// The suspects that this entry and its peers run again or are about to.
+#[derive(Default)]
+pub(crate) struct SuspectTable {
+    own: Mutex<Reservations>,
+    peers: Mutex<BTreeMap<EntryId, Reservations>>,
+}
+
+impl SuspectTable {
+    /// Returns the suspects of this entry.
+    pub(crate) fn own(&self) -> Reservations {
+        self.own.lock().clone()
+    }
+
+    /// Adds a suspect of this entry.
+    pub(crate) fn begin(&self, digest: RequestDigest, endpoints: &[EndpointId]) {
+        let endpoints = endpoints.iter().cloned().collect();
+        self.own.lock().insert(digest, endpoints);
+    }
+
+    /// Removes a suspect of this entry.
+    pub(crate) fn end(&self, digest: RequestDigest) {
+        self.own.lock().remove(&digest);
+    }
+
+    /// Takes over the suspects of a peer.
+    pub(crate) fn set_of_peer(&self, peer: &EntryId, suspects: Reservations) {
+        let mut peers = self.peers.lock();
+        if suspects.is_empty() {
+            peers.remove(peer);
+        } else {
+            peers.insert(peer.clone(), suspects);
+        }
+    }
+
+    /// Tells whether any peer runs a request as a suspect.
+    pub(crate) fn is_at_peer(&self, digest: RequestDigest) -> bool {
+        let peers = self.peers.lock();
+        peers
+            .values()
+            .any(|suspects| suspects.contains_key(&digest))
+    }
+
+    /// Returns the endpoints that peers have reserved.
+    pub(crate) fn reserved_by_peers(&self) -> BTreeSet<EndpointId> {
+        let peers = self.peers.lock();
+        let reserved = peers.values().flat_map(BTreeMap::values);
+        reserved.flatten().cloned().collect()
+    }
+
+    /// Tells whether a peer whose name comes before `own` runs the same suspect, or
+    /// has reserved one of its endpoints.
+    pub(crate) fn must_yield(
+        &self,
+        own: &EntryId,
+        digest: RequestDigest,
+        endpoints: &[EndpointId],
+    ) -> bool {
+        let peers = self.peers.lock();
+        let mut before = peers.iter().filter(|(peer, _)| *peer < own);
+        before.any(|(_, suspects)| {
+            let mut reserved = suspects.values();
+            suspects.contains_key(&digest)
+                || reserved.any(|reserved| endpoints.iter().any(|e| reserved.contains(e)))
+        })
+    }
+}
--- a/src/filter/recover.rs
+++ b/src/filter/recover.rs
@@ -16,9 +16,6 @@
 const MAX_SUPERSEDED: u32 = 3;
 /// How long such a stream leaves the newer attempt alone, in milliseconds.
 const SUPERSEDED_PAUSE_MS: u64 = 100;
-/// How long peers get to tell of crashes by the same request before it runs
-/// again, in milliseconds.
-const CRASH_NEWS_MS: u64 = 150;
 /// The pause between two looks for a chain, in milliseconds.
 const CHAIN_POLL_MS: u64 = 20;
 
@@ -34,14 +31,9 @@
 pub(crate) async fn next_chain(generation: &mut Generation, end: AttemptEnd) -> NextStep {
     let reason = note_end(generation, &end).await;
     crate::metric::retry(reason);
-    if matches!(verdict(generation), Verdict::Suspect { .. }) {
-        tokio::time::sleep(Duration::from_millis(CRASH_NEWS_MS)).await;
-    }
-    let verdict = verdict(generation);
-    if let Verdict::Convicted { retry_after } = verdict {
-        spdlog::warn!("quarantine: a request crashed two endpoints and is refused");
-        generation.node.peers.push_gossip(&generation.node);
-        return NextStep::GiveUp(suspect::convicted(Outcome::Failed, retry_after));
+    generation.lane = None;
+    if let Verdict::Convicted { retry_after } = verdict(generation) {
+        return give_up_convicted(generation, retry_after);
     }
     if matches!(end, AttemptEnd::OldAttempt) {
         return after_newer_attempt(generation).await;
@@ -54,7 +46,7 @@
             "the endpoints refuse work and too many requests are being tried again",
         ));
     }
-    find_chain(generation, matches!(verdict, Verdict::Suspect { .. })).await
+    find_chain(generation).await
 }
 
 /// Decides whether a stream that a newer attempt has ended goes on here.
@@ -123,9 +115,14 @@
         .verdict(digest, Instant::now())
 }
 
+fn give_up_convicted(generation: &Generation, retry_after: Duration) -> NextStep {
+    spdlog::warn!("quarantine: a request crashed two endpoints and is refused");
+    generation.node.peers.push_gossip(&generation.node);
+    NextStep::GiveUp(suspect::convicted(Outcome::Failed, retry_after))
+}
+
 /// Waits for a chain; a suspect also waits for endpoints of its own.
-async fn find_chain(generation: &mut Generation, is_suspect: bool) -> NextStep {
-    generation.lane = None;
+async fn find_chain(generation: &mut Generation) -> NextStep {
     generation.query.keep = generation
         .grant
         .stages()
@@ -135,28 +132,21 @@
     let patience = Instant::now() + Duration::from_millis(REPLACEMENT_WAIT_MS);
     let give_up_at = patience.min(generation.deadline);
     loop {
-        if is_suspect {
-            if let Some(chain) = choose(generation, &Lane::busy(&generation.node)) {
-                let endpoints: Vec<EndpointId> =
-                    chain.stages.iter().map(|s| s.endpoint.clone()).collect();
-                let digest = generation.cx.call.digest;
-                generation.lane = Lane::reserve(&generation.node, digest, &endpoints);
-                if generation.lane.is_some() {
-                    generation.grant.replace(chain.stages);
-                    return NextStep::TryAgain;
-                }
-            }
-            Lane::wait().await;
-        } else {
-            if let Some(chain) = choose(generation, &BTreeSet::new()) {
-                generation.grant.replace(chain.stages);
-                return NextStep::TryAgain;
+        let chain = match verdict(generation) {
+            Verdict::Convicted { retry_after } => {
+                return give_up_convicted(generation, retry_after);
             }
-            tokio::time::sleep(Duration::from_millis(CHAIN_POLL_MS)).await;
+            Verdict::Suspect { .. } => reserve_chain(generation).await,
+            Verdict::Clear => choose(generation, &BTreeSet::new()),
+        };
+        if let Some(chain) = chain {
+            generation.grant.replace(chain.stages);
+            return NextStep::TryAgain;
         }
         if Instant::now() >= give_up_at {
             return NextStep::GiveUp(no_chain(generation));
         }
+        tokio::time::sleep(Duration::from_millis(CHAIN_POLL_MS)).await;
         // An endpoint that was given up on may be the only one left that holds
         // its layers; the view knows whether it answers again.
         let node = generation.node.clone();
@@ -168,6 +158,24 @@
     }
 }
 
+/// Chooses a chain on which no other suspect runs, at any entry.
+async fn reserve_chain(generation: &mut Generation) -> Option<Chain> {
+    let node = generation.node.clone();
+    let digest = generation.cx.call.digest;
+    if node.suspects.is_at_peer(digest) {
+        return None;
+    }
+    let chain = choose(generation, &Lane::busy(&node))?;
+    let endpoints: Vec<EndpointId> = chain.stages.iter().map(|s| s.endpoint.clone()).collect();
+    let lane = Lane::reserve(&node, digest, &endpoints).await?;
+    // The news that came meanwhile may have settled the suspicion.
+    if !matches!(verdict(generation), Verdict::Suspect { .. }) {
+        return None;
+    }
+    generation.lane = Some(lane);
+    Some(chain)
+}
+
 fn choose(generation: &Generation, busy: &BTreeSet<EndpointId>) -> Option<Chain> {
     let exclude: BTreeSet<EndpointId> = generation.exclude.union(busy).cloned().collect();
     generation
--- a/src/filter/suspect.rs
+++ b/src/filter/suspect.rs
@@ -16,23 +16,25 @@
 const SUSPECT_RETRY_MS: u64 = 1_000;
 /// How long a lost endpoint may take to show whether it still runs, in milliseconds.
 const CRASH_PROBE_TIMEOUT_MS: u64 = 250;
-/// How often a suspect looks for endpoints of its own, in milliseconds.
-const LANE_POLL_MS: u64 = 10;
+/// How long peers get to tell of their suspects before one runs here, in
+/// milliseconds.
+const PEER_NEWS_MS: u64 = 150;
 
 /// Refuses a new request that is convicted, or that is being tried elsewhere.
 pub(crate) fn refuse_suspects(node: &Node, digest: RequestDigest) -> Result<(), Problem> {
     match node.quarantine.lock().verdict(digest, Instant::now()) {
         Verdict::Clear => Ok(()),
-        Verdict::Suspect { .. } => Err(Problem::new(
-            ProblemKind::Quarantined,
-            Outcome::NotRun,
-            "the same request has just lost its endpoint and is being tried again; come back",
-        )
-        .with_retry_after_ms(SUSPECT_RETRY_MS)),
+        Verdict::Suspect { .. } => Err(tried_elsewhere(Outcome::NotRun)),
         Verdict::Convicted { retry_after } => Err(convicted(Outcome::NotRun, retry_after)),
     }
 }
 
+/// Says that the same request is being tried again by someone else.
+pub(crate) fn tried_elsewhere(outcome: Outcome) -> Problem {
+    let detail = "the same request has just lost its endpoint and is being tried again; come back";
+    Problem::new(ProblemKind::Quarantined, outcome, detail).with_retry_after_ms(SUSPECT_RETRY_MS)
+}
+
 /// Says that a request crashes the endpoints that run it.
 pub(crate) fn convicted(outcome: Outcome, retry_after: Duration) -> Problem {
     let detail = "the request crashed two endpoints and is refused for a while; change it";
@@ -83,7 +85,7 @@
     }
 }
 
-/// Keeps a suspect's endpoints apart from those of other suspects.
+/// Keeps a suspect's endpoints apart from those of other suspects at all entries.
 pub(crate) struct Lane {
     node: Arc<Node>,
     digest: RequestDigest,
@@ -92,30 +94,39 @@
 impl Lane {
     /// Returns the endpoints that other suspects are on.
     pub(crate) fn busy(node: &Node) -> BTreeSet<EndpointId> {
-        node.lanes.lock().busy_endpoints()
+        let mut busy = node.suspects.reserved_by_peers();
+        busy.extend(node.lanes.lock().busy_endpoints());
+        busy
     }
 
     /// Reserves endpoints for a suspect; none if another suspect is on them.
-    pub(crate) fn reserve(
+    ///
+    /// Entries that reserve at the same time hear of each other before either runs
+    /// its suspect, and the one whose name comes first goes on.
+    pub(crate) async fn reserve(
         node: &Arc<Node>,
         digest: RequestDigest,
         endpoints: &[EndpointId],
     ) -> Option<Self> {
-        let reserved = node.lanes.lock().begin(digest, endpoints);
-        reserved.then(|| Self {
+        if !node.lanes.lock().begin(digest, endpoints) {
+            return None;
+        }
+        let lane = Self {
             node: node.clone(),
             digest,
-        })
-    }
-
-    /// Waits a little before the next look for free endpoints.
-    pub(crate) async fn wait() {
-        tokio::time::sleep(Duration::from_millis(LANE_POLL_MS)).await;
+        };
+        node.suspects.begin(digest, endpoints);
+        node.peers.push_gossip(node);
+        tokio::time::sleep(Duration::from_millis(PEER_NEWS_MS)).await;
+        let own = &node.settings.entry;
+        let yields = node.suspects.must_yield(own, digest, endpoints);
+        (!yields).then_some(lane)
     }
 }
 
 impl Drop for Lane {
     fn drop(&mut self) {
         self.node.lanes.lock().end(self.digest);
+        self.node.suspects.end(self.digest);
     }
 }
