--- a/tests/matrix/engine_faults.rs
+++ b/tests/matrix/engine_faults.rs
@@ -179,3 +179,45 @@
     let answers: Vec<_> = answers.into_iter().map(|(answer, _)| answer).collect();
     trial.check_only_ran(&answers).await;
 }
+
+/// A head that died since its last report is chosen; nothing of the request reached
+/// it, and another head takes it.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_head_before_start() {
+    let mut trial = Trial::start().await;
+    let mut first = trial.ask(0, "Shows which head is used");
+    first.reach(1).await;
+    let head = trial.engine_of(&first, HEAD);
+    let (first, _) = first.end().await;
+    assert_eq!(first.end, pistachioyard_standins::GenerateEnd::Whole);
+    let killed = trial.cluster.engines[head].child.kill();
+    killed.expect("the engine can be killed");
+    let running: Vec<_> = (0..8)
+        .map(|place| trial.ask(place % 2, &format!("Dead head {place}")))
+        .collect();
+    for running in running {
+        let (answer, req) = running.end().await;
+        trial.check(&answer, &req).await;
+    }
+}
+
+/// The head dies when the caller has every token, maybe before the end event.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_head_at_end_event() {
+    kill_at(HEAD, TOKENS as usize).await;
+}
+
+/// The middle engine and then the one that took its place die under one answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_two_engines_in_turn() {
+    let mut trial = Trial::start_plan(crate::support::plan_with_copies(3)).await;
+    let mut running = trial.ask(0, "Two engines die in turn");
+    for token in [15, 35] {
+        running.reach(token).await;
+        let engine = trial.running_engine(&running, MIDDLE).await;
+        let killed = trial.cluster.engines[engine].child.kill();
+        killed.expect("the engine can be killed");
+    }
+    let (answer, req) = running.end().await;
+    trial.check(&answer, &req).await;
+}
--- a/tests/matrix/entry_faults.rs
+++ b/tests/matrix/entry_faults.rs
@@ -31,6 +31,46 @@
     trial.check(&answer, &asked).await;
 }
 
+/// An entry is frozen under an answer, which its caller resumes at another; thawed,
+/// the entry does not end or change what the other delivers.
+#[tokio::test(flavor = "multi_thread")]
+async fn freeze_entry_mid_stream() {
+    let mut trial = Trial::start().await;
+    let mut running = trial.ask(0, "Through an entry that is frozen");
+    running.reach(MID_STREAM).await;
+    let frozen = trial.cluster.entries[0].child.freeze();
+    frozen.expect("the entry can be frozen");
+    let asked = running.req.clone();
+    let mut req = asked.clone();
+    req.resume = Some(running.token().to_text());
+    let mut resumed = trial.ask_for(1, req);
+    resumed.reach(MID_STREAM).await;
+    let thawed = trial.cluster.entries[0].child.thaw();
+    thawed.expect("the entry can be thawed");
+    let (answer, _) = resumed.end().await;
+    trial.check(&answer, &asked).await;
+    let (old, _) = running.end().await;
+    let is_honest = match &old.end {
+        GenerateEnd::Whole => old.is_right(crate::support::DEPLOYMENT, &asked),
+        GenerateEnd::Problem(problem) => problem.outcome == Outcome::Failed,
+        _ => false,
+    };
+    assert!(is_honest, "the older attempt ended as {:?}", old.end);
+}
+
+/// Requests wait for admission at an entry that dies; nothing is said of them, and
+/// the caller's next entry serves them.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_entry_before_admission() {
+    let mut trial = Trial::start().await;
+    let killed = trial.cluster.entries[0].child.kill();
+    killed.expect("the entry can be killed");
+    let req = request("At an entry that is dead");
+    let entries = [trial.entry(0), trial.entry(1)];
+    let answer = trial.caller.generate_resuming(&entries, &req).await;
+    trial.check(&answer, &req).await;
+}
+
 /// A caller that has every token but not the end event resumes and gets the end.
 #[tokio::test(flavor = "multi_thread")]
 async fn resume_with_every_token() {
@@ -184,6 +224,27 @@
     }
 }
 
+/// Answers go on and new ones begin while the platform is slow.
+#[tokio::test(flavor = "multi_thread")]
+async fn platform_slow() {
+    let trial = Trial::start().await;
+    let mut running = trial.ask(0, "Begun before the platform is slow");
+    running.reach(MID_STREAM).await;
+    let slow = PlatformFaults {
+        slow_ms: 3_000,
+        ..PlatformFaults::default()
+    };
+    let set = trial.cluster.set_platform_faults(&slow).await;
+    set.expect("the platform takes its faults");
+    let (answer, req) = running.end().await;
+    trial.check(&answer, &req).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for entry in 0..2 {
+        let (answer, req) = trial.ask(entry, "Begun while it is slow").end().await;
+        trial.check(&answer, &req).await;
+    }
+}
+
 /// Requests that are refused under overload ran nowhere, and the rest are whole.
 #[tokio::test(flavor = "multi_thread")]
 async fn refusals_ran_nowhere() {
--- a/tests/matrix/leaving.rs
+++ b/tests/matrix/leaving.rs
@@ -58,6 +58,12 @@
     leaves_in_host_list(1).await;
 }
 
+/// The host list says that the last engine leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_last_in_host_list() {
+    leaves_in_host_list(2).await;
+}
+
 /// An engine says itself that it drains, with a platform that cannot tell.
 async fn engine_says_draining(faults: PlatformFaults) {
     let trial = Trial::start().await;
--- a/tests/matrix/support.rs
+++ b/tests/matrix/support.rs
@@ -96,6 +96,21 @@
             .expect("a chain names engines of the cluster")
     }
 
+    /// Finds the engine that ran a stage of an answer last, by the run logs.
+    pub(crate) async fn running_engine(&self, running: &Running, stage: usize) -> usize {
+        let token = running.token();
+        let (_, layers) = token.stages[stage];
+        let logs = self.runs().await;
+        let last = |runs: &[RunRecord]| {
+            let own = runs
+                .iter()
+                .filter(|run| run.stream == token.stream && run.layers == layers);
+            own.map(|run| (run.attempt, run.index)).max()
+        };
+        let newest = logs.iter().max_by_key(|(_, runs)| last(runs));
+        *newest.expect("some engine answers").0
+    }
+
     /// Makes a rule for the connections from one engine to another.
     pub(crate) fn link_rule(&self, from: usize, to: usize, kind: FaultKind) -> FaultRule {
         FaultRule {
--- a/tests/matrix/table.rs
+++ b/tests/matrix/table.rs
@@ -108,35 +108,50 @@
 
 /// Returns the test that proves a cell.
 fn covered_by(fault: Fault, target: Target, step: Step) -> Option<&'static str> {
-    use Step::{BeforeAdmission, EndEvent, MidStream, NearEnd, Prefill};
+    use Step::{BeforeAdmission, BeforeStart, EndEvent, MidStream, NearEnd, Prefill};
     let test = match (fault, target, step) {
+        (Fault::Kill, Target::Head, BeforeStart) => "kill_head_before_start",
         (Fault::Kill, Target::Head, Prefill) => "kill_head_at_first_token",
         (Fault::Kill, Target::Head, MidStream) => "kill_head_mid_stream",
         (Fault::Kill, Target::Head, NearEnd) => "kill_head_near_end",
+        (Fault::Kill, Target::Head, EndEvent) => "kill_head_at_end_event",
         (Fault::Kill, Target::Middle, Prefill) => "kill_middle_at_first_token",
         (Fault::Kill, Target::Middle, MidStream) => "kill_middle_mid_stream",
         (Fault::Kill, Target::Middle, NearEnd) => "kill_middle_near_end",
         (Fault::Kill, Target::Last, Prefill) => "kill_last_at_first_token",
         (Fault::Kill, Target::Last, MidStream) => "kill_last_mid_stream",
         (Fault::Kill, Target::Last, NearEnd) => "kill_last_near_end",
-        (Fault::FreezeThaw, Target::Head, Step::BeforeStart) => "freeze_head_before_start",
+        (Fault::Kill, Target::Entry, BeforeAdmission) => "kill_entry_before_admission",
+        (Fault::Kill, Target::Entry, MidStream) => "kill_entry_mid_stream",
+        (Fault::Kill, Target::Entry, EndEvent) => "resume_with_every_token",
+        (Fault::FreezeThaw, Target::Head, BeforeStart) => "freeze_head_before_start",
         (Fault::FreezeThaw, Target::Head, MidStream) => "freeze_head_mid_stream",
         (Fault::FreezeThaw, Target::Middle, MidStream) => "freeze_middle_mid_stream",
         (Fault::FreezeThaw, Target::Last, MidStream) => "freeze_last_mid_stream",
-        (Fault::Cut, Target::Link, MidStream) => "cut_link_mid_stream",
-        (Fault::OneWayCut, Target::Link, MidStream) => "one_way_cut_link_mid_stream",
-        (Fault::Stall, Target::Link, MidStream) => "stall_link_mid_stream",
-        (Fault::Delay, Target::Link, MidStream) => "slow_link_mid_stream",
-        (Fault::Kill, Target::Entry, MidStream) => "kill_entry_mid_stream",
-        (Fault::Kill, Target::Entry, EndEvent) => "resume_with_every_token",
-        (Fault::OneWayCut, Target::Entry, MidStream) => "two_attempts_cross",
         (Fault::FreezeThaw, Target::Entry, BeforeAdmission) => "frozen_entry_thaws",
+        (Fault::FreezeThaw, Target::Entry, MidStream) => "freeze_entry_mid_stream",
+        (Fault::Cut, Target::Head, Prefill | MidStream | NearEnd) => "cut_head_connection",
+        (Fault::Cut, Target::Link, Prefill | MidStream | NearEnd) => "cut_link",
+        (Fault::OneWayCut, Target::Head, Prefill | MidStream | NearEnd) => {
+            "one_way_cut_head_connection"
+        }
+        (Fault::OneWayCut, Target::Link, Prefill | MidStream | NearEnd) => "one_way_cut_link",
+        (Fault::OneWayCut, Target::Entry, MidStream) => "two_attempts_cross",
+        (Fault::Delay, Target::Head, Prefill | MidStream | NearEnd) => "slow_head_connection",
+        (Fault::Delay, Target::Link, Prefill | MidStream | NearEnd) => "slow_link",
+        (Fault::Stall, Target::Head, Prefill | MidStream | NearEnd) => "stall_head_connection",
+        (Fault::Stall, Target::Link, Prefill | MidStream | NearEnd) => "stall_link",
         (Fault::PlatformDown, Target::Platform, BeforeAdmission | MidStream) => "platform_down",
+        (Fault::PlatformSlow, Target::Platform, BeforeAdmission | MidStream) => "platform_slow",
         (Fault::HostListLag, Target::Platform, BeforeAdmission) => "leaving_said_by_engine",
         (Fault::Leaving, Target::Head, BeforeAdmission | MidStream) => "leaving_in_host_list",
-        (Fault::Poison, Target::Head, Prefill) => "poison_costs_two_engines",
-        (Fault::PlannedStop, Target::Entry, MidStream) => "planned_stop_under_load",
+        (Fault::Leaving, Target::Middle, BeforeAdmission | MidStream) => {
+            "leaving_middle_in_host_list"
+        }
+        (Fault::Leaving, Target::Last, BeforeAdmission | MidStream) => "leaving_last_in_host_list",
+        (Fault::Poison, Target::Head, BeforeAdmission | Prefill) => "poison_costs_two_engines",
         (Fault::PlannedStop, Target::Entry, BeforeAdmission) => "rolling_restart",
+        (Fault::PlannedStop, Target::Entry, MidStream) => "planned_stop_under_load",
         _ => return None,
     };
     Some(test)
