Avoid chains whose tokens return to the head over a stalled link

Cause: the search weighs degraded links between neighbouring stages only, so a stream whose last engine could not reach its head was started over the same two engines until its attempts were used up. Change: a chain with a degraded return is replaced by one without the last engine, or without the head, where there is one.

--- a/crates/pistachioyard_policy/src/chain.rs
+++ b/crates/pistachioyard_policy/src/chain.rs
@@ -113,7 +113,11 @@
         .cloned()
         .collect();
     let found = match policy {
-        ChoicePolicy::Cost => Search::new(view, prefixes, query, now).least_cost(&allowed, rng),
+        ChoicePolicy::Cost => {
+            let search = Search::new(view, prefixes, query, now);
+            let found = search.least_cost(&allowed, rng);
+            found.map(|chain| avoid_degraded_return(view, &search, &allowed, chain, now, rng))
+        }
         ChoicePolicy::LeastReported | ChoicePolicy::Random | ChoicePolicy::RoundRobin => {
             baseline::choose(policy, view, &allowed, query.layers, rng)
         }
@@ -127,6 +131,41 @@
     })
 }
 
+/// Replaces a chain whose tokens would return to its head over a degraded link,
+/// which the search over stages does not see, if there is another.
+fn avoid_degraded_return(
+    view: &FleetView,
+    search: &Search<'_, '_>,
+    allowed: &[Candidate<'_>],
+    chain: Chain,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Chain {
+    if !has_degraded_return(view, &chain, now) {
+        return chain;
+    }
+    let ends = [chain.stages.last(), chain.stages.first()];
+    for avoided in ends.into_iter().flatten() {
+        let rest: Vec<Candidate<'_>> = allowed
+            .iter()
+            .filter(|candidate| *candidate.view.id() != avoided.endpoint)
+            .cloned()
+            .collect();
+        let other = search.least_cost(&rest, rng);
+        if let Some(other) = other.filter(|other| !has_degraded_return(view, other, now)) {
+            return other;
+        }
+    }
+    chain
+}
+
+fn has_degraded_return(view: &FleetView, chain: &Chain, now: Instant) -> bool {
+    let (Some(last), Some(head)) = (chain.stages.last(), chain.stages.first()) else {
+        return false;
+    };
+    view.is_degraded_link(&last.endpoint, &head.endpoint, now)
+}
+
 /// Returns an upper bound on the streams that fit now beside those in flight.
 ///
 /// It is the least, over the layers, of the free slots of the endpoints that
