--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -4,7 +4,7 @@
 //! (`docs/design/membership.md`). The one exception is the configuration, which
 //! is safe to pass on since only higher revisions are adopted.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -142,6 +142,11 @@
     /// Requests that crashed endpoints.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub quarantine: Vec<QuarantineMark>,
+    /// Suspects that the sender runs again or is about to, with the endpoints that
+    /// it reserves for them, so that no other entry runs one of them or another
+    /// suspect there.
+    #[serde(default)]
+    pub suspects: BTreeMap<RequestDigest, BTreeSet<EndpointId>>,
     /// Usage of workspaces at the sender.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub usage: BTreeMap<WorkspaceName, WorkspaceUsage>,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod run;
 mod streams;
+mod suspects;
 
 use std::collections::BTreeMap;
 
@@ -23,6 +24,7 @@
 use rand_chacha::ChaCha8Rng;
 pub(crate) use run::run_entry;
 pub(crate) use streams::StreamTable;
+pub(crate) use suspects::SuspectTable;
 
 use crate::burn::BurnRecorder;
 use crate::client::{HttpClient, Reuse};
@@ -72,6 +74,7 @@
     pub(crate) prefixes: Mutex<PrefixIndex>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) lanes: Mutex<SuspectLanes>,
+    pub(crate) suspects: SuspectTable,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) peer_usage: Mutex<BTreeMap<EntryId, BTreeMap<WorkspaceName, WorkspaceUsage>>>,
     pub(crate) rng: Mutex<ChaCha8Rng>,
@@ -104,6 +107,7 @@
             prefixes: Mutex::new(PrefixIndex::new()),
             quarantine: Mutex::new(Quarantine::new(millis(QUARANTINE_HOLD_MS))),
             lanes: Mutex::new(SuspectLanes::default()),
+            suspects: SuspectTable::default(),
             retries: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
             peer_usage: Mutex::new(BTreeMap::new()),
             rng: Mutex::new(ChaCha8Rng::from_os_rng()),
@@ -183,7 +187,15 @@
             .count()
     }
 
-    /// Builds what the peers are told at this moment.
+    /// Builds what all dialed peers are told, with the reports that are new to them.
+    pub(crate) fn gossip_with_news(&self, now: Instant) -> GossipState {
+        let mut gossip = self.gossip(now);
+        let fleet = self.fleet.lock();
+        (gossip.reports, gossip.loads) = self.news.lock().take(&fleet, now);
+        gossip
+    }
+
+    /// Builds what a peer is told at this moment, without reports.
     pub(crate) fn gossip(&self, now: Instant) -> GossipState {
         let revision = self.revision();
         let state = if self.lifecycle.is_draining() {
@@ -206,7 +218,6 @@
         let usage = self.admission.usage();
         let quarantine = self.quarantine.lock().marks(now);
         let fleet = self.fleet.lock();
-        let (reports, loads) = self.news.lock().take(&fleet, now);
         GossipState {
             from: self.settings.entry.clone(),
             sent_ms: now.duration_since(self.origin).as_millis() as u64,
@@ -219,9 +230,10 @@
             in_flight: fleet.own_in_flight(),
             endpoint_marks: fleet.marks(now),
             quarantine,
+            suspects: self.suspects.own(),
             usage,
-            reports,
-            loads,
+            reports: Vec::new(),
+            loads: Vec::new(),
         }
     }
 
@@ -240,6 +252,7 @@
         }
         let quarantine = first(&gossip.quarantine, MAX_MARKS);
         self.quarantine.lock().merge(quarantine, now);
+        self.suspects.set_of_peer(&gossip.from, gossip.suspects);
         {
             let mut fleet = self.fleet.lock();
             fleet.set_peer_in_flight(&gossip.from, &gossip.in_flight, now);
@@ -290,6 +303,7 @@
         for entry in &lost {
             spdlog::warn!("peers: entry {entry} is lost");
             fleet.forget_peer(entry);
+            self.suspects.set_of_peer(entry, BTreeMap::new());
         }
         drop(fleet);
         self.quarantine.lock().expire(now);
--- a/src/filter/recover.rs
+++ b/src/filter/recover.rs
@@ -11,6 +11,11 @@
 /// How long a stream waits for endpoints to take the place of lost ones, in
 /// milliseconds.
 const REPLACEMENT_WAIT_MS: u64 = 5_000;
+/// How often a stream whose caller has tokens from here may be superseded; the
+/// caller then reads it elsewhere.
+const MAX_SUPERSEDED: u32 = 3;
+/// How long such a stream leaves the newer attempt alone, in milliseconds.
+const SUPERSEDED_PAUSE_MS: u64 = 100;
 /// The pause between two looks for a chain, in milliseconds.
 const CHAIN_POLL_MS: u64 = 20;
 
@@ -26,14 +31,12 @@
 pub(crate) async fn next_chain(generation: &mut Generation, end: AttemptEnd) -> NextStep {
     let reason = note_end(generation, &end).await;
     crate::metric::retry(reason);
-    let verdict = verdict(generation);
-    if let Verdict::Convicted { retry_after } = verdict {
-        spdlog::warn!("quarantine: a request crashed two endpoints and is refused");
-        generation.node.peers.push_gossip(&generation.node);
-        return NextStep::GiveUp(suspect::convicted(Outcome::Failed, retry_after));
+    generation.lane = None;
+    if let Verdict::Convicted { retry_after } = verdict(generation) {
+        return give_up_convicted(generation, retry_after);
     }
     if matches!(end, AttemptEnd::OldAttempt) {
-        return NextStep::TryAgain;
+        return after_newer_attempt(generation).await;
     }
     // A stream that callers already see is worth more than a first try, so only
     // attempts that have not begun spend from the retry budget.
@@ -43,7 +46,29 @@
             "the endpoints refuse work and too many requests are being tried again",
         ));
     }
-    find_chain(generation, matches!(verdict, Verdict::Suspect { .. })).await
+    find_chain(generation).await
+}
+
+/// Decides whether a stream that a newer attempt has ended goes on here.
+///
+/// The newer attempt is of another entry. If it has just begun there, its caller
+/// has resumed the stream and this one is what the caller has left, unless that
+/// caller has gone as well. A stream that has not passed on a token may itself be
+/// the resumed one, whose number is too low, and so always goes on
+/// (`docs/design/streams.md`).
+async fn after_newer_attempt(generation: &mut Generation) -> NextStep {
+    if generation.last_token_at.is_none() {
+        return NextStep::TryAgain;
+    }
+    generation.superseded += 1;
+    if generation.superseded >= MAX_SUPERSEDED {
+        return NextStep::GiveUp(generation.problem(
+            ProblemKind::ChainLost,
+            "the stream was resumed at another entry; read it there or resume it again",
+        ));
+    }
+    tokio::time::sleep(Duration::from_millis(SUPERSEDED_PAUSE_MS)).await;
+    NextStep::TryAgain
 }
 
 /// Takes in how the attempt ended; returns the reason as a metric label.
@@ -90,9 +115,14 @@
         .verdict(digest, Instant::now())
 }
 
+fn give_up_convicted(generation: &Generation, retry_after: Duration) -> NextStep {
+    spdlog::warn!("quarantine: a request crashed two endpoints and is refused");
+    generation.node.peers.push_gossip(&generation.node);
+    NextStep::GiveUp(suspect::convicted(Outcome::Failed, retry_after))
+}
+
 /// Waits for a chain; a suspect also waits for endpoints of its own.
-async fn find_chain(generation: &mut Generation, is_suspect: bool) -> NextStep {
-    generation.lane = None;
+async fn find_chain(generation: &mut Generation) -> NextStep {
     generation.query.keep = generation
         .grant
         .stages()
@@ -102,28 +132,21 @@
     let patience = Instant::now() + Duration::from_millis(REPLACEMENT_WAIT_MS);
     let give_up_at = patience.min(generation.deadline);
     loop {
-        if is_suspect {
-            if let Some(chain) = choose(generation, &Lane::busy(&generation.node)) {
-                let endpoints: Vec<EndpointId> =
-                    chain.stages.iter().map(|s| s.endpoint.clone()).collect();
-                let digest = generation.cx.call.digest;
-                generation.lane = Lane::reserve(&generation.node, digest, &endpoints);
-                if generation.lane.is_some() {
-                    generation.grant.replace(chain.stages);
-                    return NextStep::TryAgain;
-                }
+        let chain = match verdict(generation) {
+            Verdict::Convicted { retry_after } => {
+                return give_up_convicted(generation, retry_after);
             }
-            Lane::wait().await;
-        } else {
-            if let Some(chain) = choose(generation, &BTreeSet::new()) {
-                generation.grant.replace(chain.stages);
-                return NextStep::TryAgain;
-            }
-            tokio::time::sleep(Duration::from_millis(CHAIN_POLL_MS)).await;
+            Verdict::Suspect { .. } => reserve_chain(generation).await,
+            Verdict::Clear => choose(generation, &BTreeSet::new()),
+        };
+        if let Some(chain) = chain {
+            generation.grant.replace(chain.stages);
+            return NextStep::TryAgain;
         }
         if Instant::now() >= give_up_at {
             return NextStep::GiveUp(no_chain(generation));
         }
+        tokio::time::sleep(Duration::from_millis(CHAIN_POLL_MS)).await;
         // An endpoint that was given up on may be the only one left that holds
         // its layers; the view knows whether it answers again.
         let node = generation.node.clone();
@@ -135,6 +158,24 @@
     }
 }
 
+/// Chooses a chain on which no other suspect runs, at any entry.
+async fn reserve_chain(generation: &mut Generation) -> Option<Chain> {
+    let node = generation.node.clone();
+    let digest = generation.cx.call.digest;
+    if node.suspects.is_at_peer(digest) {
+        return None;
+    }
+    let chain = choose(generation, &Lane::busy(&node))?;
+    let endpoints: Vec<EndpointId> = chain.stages.iter().map(|s| s.endpoint.clone()).collect();
+    let lane = Lane::reserve(&node, digest, &endpoints).await?;
+    // The news that came meanwhile may have settled the suspicion.
+    if !matches!(verdict(generation), Verdict::Suspect { .. }) {
+        return None;
+    }
+    generation.lane = Some(lane);
+    Some(chain)
+}
+
 fn choose(generation: &Generation, busy: &BTreeSet<EndpointId>) -> Option<Chain> {
     let exclude: BTreeSet<EndpointId> = generation.exclude.union(busy).cloned().collect();
     generation
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -42,7 +42,7 @@
 impl PeerLinks {
     /// Tells every dialed peer the entry's state now.
     pub(crate) fn push_gossip(&self, node: &Node) {
-        let gossip = node.gossip(Instant::now());
+        let gossip = node.gossip_with_news(Instant::now());
         self.send(&PeerMessage::Gossip(Box::new(gossip)));
     }
 
@@ -64,8 +64,7 @@
             let record = membership.record_of(to)?;
             self.dialed.lock().contains_key(&record.peer_address)
         };
-        let report_age = Duration::from_millis(REPORT_AGE_MS);
-        let gossip = || node.gossip(Instant::now(), report_age);
+        let gossip = || node.gossip(Instant::now());
         (!is_dialed).then(|| PeerMessage::Gossip(Box::new(gossip())))
     }
 
