--- a/src/entry.rs
+++ b/src/entry.rs
@@ -252,7 +252,8 @@
         }
         let quarantine = first(&gossip.quarantine, MAX_MARKS);
         self.quarantine.lock().merge(quarantine, now);
-        self.suspects.set_of_peer(&gossip.from, gossip.suspects);
+        let suspects = gossip.suspects.into_iter().take(MAX_MARKS).collect();
+        self.suspects.set_of_peer(&gossip.from, suspects);
         {
             let mut fleet = self.fleet.lock();
             fleet.set_peer_in_flight(&gossip.from, &gossip.in_flight, now);
--- a/tests/fuzz/peers.rs
+++ b/tests/fuzz/peers.rs
@@ -56,12 +56,15 @@
         from: name(format!("stranger-{number}")),
         sent_ms: 1,
         members: vec![member(number)],
+        beats: Vec::new(),
         revision: Revision(1),
         in_flight: BTreeMap::new(),
         endpoint_marks: Vec::new(),
         quarantine: Vec::new(),
+        suspects: BTreeMap::new(),
         usage: BTreeMap::new(),
         reports: Vec::new(),
+        loads: Vec::new(),
     }
 }
 
