Restore the head object that the platform has lost, and poll it slowly

After the platform had lost its objects, the accepted file lived only in the entries until the next apply, so a restart of all entries would have lost it.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -16,6 +16,7 @@
 /// Starts all controllers.
 pub(crate) fn start(node: &Arc<Node>) {
     tokio::spawn(config::run(node.clone()));
+    tokio::spawn(config::poll(node.clone()));
     tokio::spawn(gossip::run(node.clone()));
     tokio::spawn(hosts::run(node.clone()));
     tokio::spawn(ledger_gc::run(node.clone()));
--- a/src/controller/config.rs
+++ b/src/controller/config.rs
@@ -20,6 +20,8 @@
 const WATCH_WAIT_MS: u64 = 1_000;
 /// The largest operators' file, in bytes; written as JSON it fits into an object.
 const MAX_FILE_BYTES: usize = 400_000;
+/// How often the head object is compared with what is held, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 10_000;
 /// The pause after a failed watch, in milliseconds.
 const BACKOFF_MS: u64 = 250;
 /// How often an apply is tried before its outcome is left open.
@@ -54,6 +56,71 @@
     }
 }
 
+/// Compares the head object with the configuration held, at every interval.
+///
+/// The watch tells of changes; this finds what a watch cannot tell, such as a head
+/// object that is gone.
+pub(crate) async fn poll(node: Arc<Node>) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(POLL_INTERVAL_MS));
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        reconcile(&node).await;
+    }
+}
+
+async fn reconcile(node: &Arc<Node>) {
+    if let Err(e) = try_reconcile(node).await {
+        spdlog::debug!("config: cannot compare with the head object: {e}");
+    }
+}
+
+/// Adopts the head object, or writes it again where the platform has lost it, so
+/// that an accepted file outlives the entries that hold it.
+async fn try_reconcile(node: &Arc<Node>) -> Result<(), crate::error::CallError> {
+    let held = node.adoption.lock().current().cloned();
+    let key = ObjectKey(HEAD_KEY.into());
+    let record = node.platform.read(&key).await?;
+    let head = read_head(node, record.as_ref())?;
+    let Some(held) = held else {
+        head.into_iter().for_each(|head| adopt(node, head));
+        return Ok(());
+    };
+    match head {
+        Some(head) if head.revision >= held.accepted.revision => adopt(node, head),
+        _ => {
+            let text = head_text(&held.accepted);
+            let condition = condition_of(record.as_ref());
+            let written = node.platform.write(&key, condition, Some(text)).await?;
+            if let WriteAnswer::Written(_) = written {
+                let revision = held.accepted.revision;
+                spdlog::warn!("config: the platform had lost revision {revision}; it is restored");
+            }
+        }
+    }
+    Ok(())
+}
+
+fn read_head(
+    node: &Node,
+    record: Option<&ObjectRecord>,
+) -> Result<Option<AcceptedConfig>, crate::error::CallError> {
+    record
+        .map(|r| serde_json::from_str::<AcceptedConfig>(&r.value))
+        .transpose()
+        .map_err(|e| node.platform.malformed(e))
+}
+
+fn head_text(accepted: &AcceptedConfig) -> String {
+    serde_json::to_string(accepted).expect("border types can be written as JSON")
+}
+
+fn condition_of(record: Option<&ObjectRecord>) -> WriteCondition {
+    record.map_or(WriteCondition::Absent, |r| {
+        WriteCondition::Version(r.version)
+    })
+}
+
 fn adopt_record(node: &Arc<Node>, record: &ObjectRecord) {
     if *record.key.0 != *HEAD_KEY {
         return;
@@ -142,18 +209,12 @@
     req: &ApplyRequest,
 ) -> Result<Option<ApplyAnswer>, crate::error::CallError> {
     let record = node.platform.read(key).await?;
-    let head = record
-        .as_ref()
-        .map(|r| serde_json::from_str::<AcceptedConfig>(&r.value))
-        .transpose()
-        .map_err(|e| node.platform.malformed(e))?;
+    let head = read_head(node, record.as_ref())?;
     // A platform that has lost its objects must not take the revisions back.
     let held = node.adoption.lock().current().cloned();
     let held = held.map(|active| active.accepted.clone());
     let current = head.into_iter().chain(held).max_by_key(|c| c.revision);
-    let condition = record.as_ref().map_or(WriteCondition::Absent, |r| {
-        WriteCondition::Version(r.version)
-    });
+    let condition = condition_of(record.as_ref());
     let accepted = match decide_apply(current.as_ref(), req) {
         ApplyDecision::AlreadyAccepted(revision) => {
             if let Some(current) = current {
@@ -164,7 +225,7 @@
         ApplyDecision::Conflict(revision) => return Ok(Some(ApplyAnswer::Conflict { revision })),
         ApplyDecision::Write(accepted) => accepted,
     };
-    let text = serde_json::to_string(&accepted).expect("border types can be written as JSON");
+    let text = head_text(&accepted);
     match node.platform.write(key, condition, Some(text)).await? {
         WriteAnswer::Written(_) => {
             let revision = accepted.revision;
--- a/tests/configuration/force.rs
+++ b/tests/configuration/force.rs
@@ -2,8 +2,8 @@
 
 use std::time::Instant;
 
-use pistachioyard_standins::PlatformFaults;
-use pistachioyard_wire::{ApplyAnswer, Revision};
+use pistachioyard_standins::{PlatformFaults, wait_until};
+use pistachioyard_wire::{ApplyAnswer, ObjectRecord, Revision};
 
 use crate::support::{Bench, IN_FORCE, LONG, accepted, marked_text, request};
 
@@ -126,3 +126,31 @@
         bench.wait_revision(entry, 6, IN_FORCE).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_platform_that_lost_the_file_gets_it_back_from_the_entries() {
+    let mut bench = Bench::start(2, false).await;
+    assert_eq!(bench.apply(0, &request(1, 3)).await, accepted(2));
+    bench.wait_revision(1, 2, IN_FORCE).await;
+    bench.cluster.platform_child.kill().expect("it ends");
+    bench.cluster.restart_platform().await.expect("it starts");
+    bench.cluster.put_hosts().await.expect("the hosts");
+    let (client, platform) = (&bench.cluster.client, bench.cluster.platform);
+    wait_until(LONG, "the head object", || async {
+        let head = client.get_json::<ObjectRecord>(platform, "/objects/config%2Fhead");
+        head.await.is_ok()
+    })
+    .await
+    .expect("it is restored");
+    // No entry is left that holds it, so it can only come from the platform.
+    for entry in &mut bench.cluster.entries {
+        entry.child.kill().expect("it ends");
+    }
+    for entry in 0..2 {
+        bench.cluster.restart_entry(entry).await.expect("it starts");
+    }
+    for entry in 0..2 {
+        bench.wait_revision(entry, 2, LONG).await;
+        assert_eq!(*bench.config(entry).await.text, *marked_text(3));
+    }
+}
