Name faults of type and unknown keys in settings with all the others

Cause: one value of the wrong type or one unknown key ended the reading, so that an operator saw that fault alone. Change: values are taken from the file one by one. The test now asks for a wrong type and an unknown key in the same file as the rest, an upper bound included.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -69,11 +69,11 @@
     ///
     /// Returns every fault that was found.
     pub fn parse(text: &str) -> Result<Self, Vec<SettingsFault>> {
-        let raw: RawSettings = toml::from_str(text).map_err(|e| {
+        let table: toml::Table = toml::from_str(text).map_err(|e| {
             vec![SettingsFault::Syntax {
                 message: e.to_string(),
             }]
         })?;
-        Self::try_from(raw)
+        Self::try_from(RawSettings(table))
     }
 }
--- a/src/settings/fault.rs
+++ b/src/settings/fault.rs
@@ -25,6 +25,14 @@
         /// What is allowed.
         allowed: &'static str,
     },
+    /// A key is not one of the settings.
+    #[error("{key} is not a setting; remove it or write one of {known}")]
+    Unknown {
+        /// The key as given.
+        key: String,
+        /// The keys that there are.
+        known: String,
+    },
     /// A value is not allowed.
     #[error("{key} is '{value}'; {allowed} is allowed")]
     NotAllowed {
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -1,9 +1,12 @@
 //! Settings as they are written.
+//!
+//! Values are taken from the file one by one, so that a value of the wrong type
+//! or an unknown key does not hide the other faults.
 
 use std::net::SocketAddr;
 
 use pistachioyard_policy::ChoicePolicy;
-use serde::Deserialize;
+use toml::{Table, Value};
 
 use super::{EntrySettings, SettingsFault};
 use crate::prelude::*;
@@ -18,70 +21,40 @@
 const DEFAULT_DRAIN_LIMIT_MS: u64 = 600_000;
 const DEFAULT_IN_FORCE_MS: u64 = 3_000;
 const ADDRESS: &str = "an IP address and port such as 10.0.0.1:8080";
+const ADDRESSES: &str = "a list of IP addresses and ports such as [\"10.0.0.1:8080\"]";
+const NAME: &str = "a name of 1 to 64 letters, digits, '-', '_' and '.'";
+const CHOICES: &str = "cost, least_reported, random or round_robin";
+const LEVELS: &str = "error, warn, info, debug or trace";
 
-/// The file as it is written; values are checked one by one.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(crate) struct RawSettings {
-    entry: Option<String>,
-    data_centre: Option<String>,
-    caller_address: Option<String>,
-    peer_address: Option<String>,
-    advertised_caller_address: Option<String>,
-    advertised_peer_address: Option<String>,
-    platform: Option<String>,
-    #[serde(default)]
-    peers: Vec<String>,
-    entries_valid_ms: Option<u64>,
-    drain_limit_ms: Option<u64>,
-    in_force_ms: Option<u64>,
-    choice: Option<String>,
-    log_level: Option<String>,
-}
+/// The file as it is written.
+#[derive(Debug)]
+pub(crate) struct RawSettings(pub(crate) Table);
 
 impl TryFrom<RawSettings> for EntrySettings {
     type Error = Vec<SettingsFault>;
 
     fn try_from(raw: RawSettings) -> Result<Self, Vec<SettingsFault>> {
-        let mut faults = Faults::default();
-        let entry = faults.name("entry", raw.entry);
-        let data_centre = faults.name("data_centre", raw.data_centre);
-        let caller_address = faults.address("caller_address", raw.caller_address);
-        let peer_address = faults.address("peer_address", raw.peer_address);
-        let advertised_caller_address = faults.optional_address(
-            "advertised_caller_address",
-            raw.advertised_caller_address,
-            caller_address,
-        );
-        let advertised_peer_address = faults.optional_address(
-            "advertised_peer_address",
-            raw.advertised_peer_address,
-            peer_address,
-        );
-        let platform = faults.address("platform", raw.platform);
-        let peers = raw
-            .peers
-            .into_iter()
-            .enumerate()
-            .filter_map(|(place, peer)| faults.address_at(format!("peers[{place}]"), &peer))
-            .collect();
-        let entries_valid = faults.millis(
+        let mut reader = Reader::new(raw.0);
+        let entry = reader.name("entry");
+        let data_centre = reader.name("data_centre");
+        let caller_address = reader.address("caller_address");
+        let peer_address = reader.address("peer_address");
+        let advertised_caller_address =
+            reader.optional_address("advertised_caller_address", caller_address);
+        let advertised_peer_address =
+            reader.optional_address("advertised_peer_address", peer_address);
+        let platform = reader.address("platform");
+        let peers = reader.addresses("peers");
+        let entries_valid = reader.millis(
             "entries_valid_ms",
-            raw.entries_valid_ms.unwrap_or(DEFAULT_ENTRIES_VALID_MS),
+            DEFAULT_ENTRIES_VALID_MS,
             ENTRIES_VALID_MS,
         );
-        let drain_limit = faults.millis(
-            "drain_limit_ms",
-            raw.drain_limit_ms.unwrap_or(DEFAULT_DRAIN_LIMIT_MS),
-            DRAIN_LIMIT_MS,
-        );
-        let in_force = faults.millis(
-            "in_force_ms",
-            raw.in_force_ms.unwrap_or(DEFAULT_IN_FORCE_MS),
-            IN_FORCE_MS,
-        );
-        let choice = faults.choice(raw.choice);
-        let log_level = faults.level(raw.log_level);
+        let drain_limit = reader.millis("drain_limit_ms", DEFAULT_DRAIN_LIMIT_MS, DRAIN_LIMIT_MS);
+        let in_force = reader.millis("in_force_ms", DEFAULT_IN_FORCE_MS, IN_FORCE_MS);
+        let choice = reader.one_of("choice", ChoicePolicy::default(), CHOICES, choice_of);
+        let log_level = reader.one_of("log_level", spdlog::Level::Info, LEVELS, level_of);
+        let faults = reader.finish();
         let checked = (|| {
             Some(Self {
                 entry: entry?,
@@ -100,112 +73,169 @@
             })
         })();
         match checked {
-            Some(settings) if faults.0.is_empty() => Ok(settings),
-            _ => Err(faults.0),
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(faults),
         }
     }
 }
 
-/// Collects faults while the values are read.
-#[derive(Default)]
-struct Faults(Vec<SettingsFault>);
+fn choice_of(value: &str) -> Option<ChoicePolicy> {
+    match value {
+        "cost" => Some(ChoicePolicy::Cost),
+        "least_reported" => Some(ChoicePolicy::LeastReported),
+        "random" => Some(ChoicePolicy::Random),
+        "round_robin" => Some(ChoicePolicy::RoundRobin),
+        _ => None,
+    }
+}
+
+fn level_of(value: &str) -> Option<spdlog::Level> {
+    match value {
+        "error" => Some(spdlog::Level::Error),
+        "warn" => Some(spdlog::Level::Warn),
+        "info" => Some(spdlog::Level::Info),
+        "debug" => Some(spdlog::Level::Debug),
+        "trace" => Some(spdlog::Level::Trace),
+        _ => None,
+    }
+}
+
+/// Takes values out of the file and collects faults meanwhile.
+struct Reader {
+    table: Table,
+    known: Vec<&'static str>,
+    faults: Vec<SettingsFault>,
+}
+
+impl Reader {
+    fn new(table: Table) -> Self {
+        Self {
+            table,
+            known: Vec::new(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// Takes a value; none if it is not given.
+    fn take(&mut self, key: &'static str) -> Option<Value> {
+        self.known.push(key);
+        self.table.remove(key)
+    }
+
+    /// Takes a value that must be given.
+    fn take_needed(&mut self, key: &'static str, allowed: &'static str) -> Option<Value> {
+        let value = self.take(key);
+        if value.is_none() {
+            self.faults.push(SettingsFault::Missing { key, allowed });
+        }
+        value
+    }
 
-impl Faults {
-    fn name<T>(&mut self, key: &'static str, raw: Option<String>) -> Option<T>
+    fn name<T>(&mut self, key: &'static str) -> Option<T>
     where
         T: TryFrom<String, Error = pistachioyard_wire::NameFault>,
     {
-        let allowed = "a name of 1 to 64 letters, digits, '-', '_' and '.'";
-        let Some(value) = raw else {
-            self.0.push(SettingsFault::Missing { key, allowed });
-            return None;
-        };
-        let name = T::try_from(value.clone()).ok();
-        if name.is_none() {
-            self.not_allowed(key, &value, allowed);
-        }
-        name
+        let value = self.take_needed(key, NAME)?;
+        self.check(key, &value, NAME, |text| T::try_from(text.to_owned()).ok())
     }
 
-    fn address(&mut self, key: &'static str, raw: Option<String>) -> Option<SocketAddr> {
-        match raw {
-            Some(value) => self.address_at(key.to_owned(), &value),
-            None => {
-                self.0.push(SettingsFault::Missing {
-                    key,
-                    allowed: ADDRESS,
-                });
-                None
-            }
-        }
+    fn address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        let value = self.take_needed(key, ADDRESS)?;
+        self.check(key, &value, ADDRESS, |text| text.parse().ok())
     }
 
     fn optional_address(
         &mut self,
         key: &'static str,
-        raw: Option<String>,
         otherwise: Option<SocketAddr>,
     ) -> Option<SocketAddr> {
-        match raw {
-            Some(value) => self.address_at(key.to_owned(), &value),
+        match self.take(key) {
+            Some(value) => self.check(key, &value, ADDRESS, |text| text.parse().ok()),
             None => otherwise,
         }
     }
 
-    fn address_at(&mut self, key: String, value: &str) -> Option<SocketAddr> {
-        let address = value.parse().ok();
-        if address.is_none() {
-            self.not_allowed(key, value, ADDRESS);
+    fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
+        match self.take(key) {
+            None => Vec::new(),
+            Some(Value::Array(values)) => values
+                .iter()
+                .enumerate()
+                .filter_map(|(place, value)| {
+                    let key = format!("{key}[{place}]");
+                    self.check(key, value, ADDRESS, |text| text.parse().ok())
+                })
+                .collect(),
+            Some(value) => {
+                self.not_allowed(key, &value, ADDRESSES);
+                Vec::new()
+            }
         }
-        address
     }
 
-    fn millis(&mut self, key: &str, value: u64, (low, high): (u64, u64)) -> Duration {
-        if !(low..=high).contains(&value) {
-            self.not_allowed(key, &value.to_string(), format!("{low} to {high}"));
+    fn millis(&mut self, key: &'static str, default: u64, (low, high): (u64, u64)) -> Duration {
+        let Some(value) = self.take(key) else {
+            return Duration::from_millis(default);
+        };
+        let ms = value.as_integer().and_then(|ms| u64::try_from(ms).ok());
+        match ms.filter(|ms| (low..=high).contains(ms)) {
+            Some(ms) => Duration::from_millis(ms),
+            None => {
+                self.not_allowed(key, &value, format!("{low} to {high}"));
+                Duration::from_millis(default)
+            }
         }
-        Duration::from_millis(value)
     }
 
-    fn choice(&mut self, raw: Option<String>) -> ChoicePolicy {
-        let Some(value) = raw else {
-            return ChoicePolicy::default();
-        };
-        match value.as_str() {
-            "cost" => ChoicePolicy::Cost,
-            "least_reported" => ChoicePolicy::LeastReported,
-            "random" => ChoicePolicy::Random,
-            "round_robin" => ChoicePolicy::RoundRobin,
-            _ => {
-                let allowed = "cost, least_reported, random or round_robin";
-                self.not_allowed("choice", &value, allowed);
-                ChoicePolicy::default()
-            }
+    fn one_of<T>(
+        &mut self,
+        key: &'static str,
+        default: T,
+        allowed: &str,
+        find: impl Fn(&str) -> Option<T>,
+    ) -> T {
+        match self.take(key) {
+            Some(value) => self.check(key, &value, allowed, find).unwrap_or(default),
+            None => default,
         }
     }
 
-    fn level(&mut self, raw: Option<String>) -> spdlog::Level {
-        let Some(value) = raw else {
-            return spdlog::Level::Info;
-        };
-        match value.as_str() {
-            "error" => spdlog::Level::Error,
-            "warn" => spdlog::Level::Warn,
-            "info" => spdlog::Level::Info,
-            "debug" => spdlog::Level::Debug,
-            "trace" => spdlog::Level::Trace,
-            _ => {
-                self.not_allowed("log_level", &value, "error, warn, info, debug or trace");
-                spdlog::Level::Info
-            }
+    /// Reads a value that must be text of a certain form.
+    fn check<T>(
+        &mut self,
+        key: impl Into<String>,
+        value: &Value,
+        allowed: &str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let checked = value.as_str().and_then(read);
+        if checked.is_none() {
+            self.not_allowed(key, value, allowed);
         }
+        checked
     }
 
-    fn not_allowed(&mut self, key: impl Into<String>, value: &str, allowed: impl Into<String>) {
-        self.0.push(SettingsFault::NotAllowed {
+    fn not_allowed(&mut self, key: impl Into<String>, value: &Value, allowed: impl Into<String>) {
+        let value = match value {
+            Value::String(text) => text.clone(),
+            other => other.to_string(),
+        };
+        self.faults.push(SettingsFault::NotAllowed {
             key: key.into(),
-            value: value.to_owned(),
+            value,
             allowed: allowed.into(),
         });
     }
+
+    /// Returns all faults; whatever was not taken is an unknown key.
+    fn finish(mut self) -> Vec<SettingsFault> {
+        let known = self.known.join(", ");
+        for key in self.table.keys() {
+            self.faults.push(SettingsFault::Unknown {
+                key: key.clone(),
+                known: known.clone(),
+            });
+        }
+        self.faults
+    }
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -21,9 +21,11 @@
         platform = "10.0.0.9"
         peers = ["10.0.0.2:8081", "peer"]
         entries_valid_ms = 1
-        drain_limit_ms = 86400001
-        in_force_ms = 0
+        drain_limit_ms = "10 minutes"
+        in_force_ms = 60001
+        choice = 1
         log_level = "loud"
+        entry_name = "one"
     "#;
     expect![[r#"
         entry is 'one two'; a name of 1 to 64 letters, digits, '-', '_' and '.' is allowed
@@ -34,30 +36,27 @@
         platform is '10.0.0.9'; an IP address and port such as 10.0.0.1:8080 is allowed
         peers[1] is 'peer'; an IP address and port such as 10.0.0.1:8080 is allowed
         entries_valid_ms is '1'; 100 to 600000 is allowed
-        drain_limit_ms is '86400001'; 1000 to 86400000 is allowed
-        in_force_ms is '0'; 500 to 60000 is allowed
-        log_level is 'loud'; error, warn, info, debug or trace is allowed"#]]
+        drain_limit_ms is '10 minutes'; 1000 to 86400000 is allowed
+        in_force_ms is '60001'; 500 to 60000 is allowed
+        choice is '1'; cost, least_reported, random or round_robin is allowed
+        log_level is 'loud'; error, warn, info, debug or trace is allowed
+        entry_name is not a setting; remove it or write one of entry, data_centre, caller_address, peer_address, advertised_caller_address, advertised_peer_address, platform, peers, entries_valid_ms, drain_limit_ms, in_force_ms, choice, log_level"#]]
     .assert_eq(&faults(text));
 }
 
 #[test]
-fn an_unknown_key_is_refused_with_the_known_ones() {
-    let message = faults("entry_name = \"one\"");
-    assert!(message.contains("unknown field `entry_name`"), "{message}");
-    assert!(message.contains("`drain_limit_ms`"), "{message}");
+fn a_file_that_is_not_toml_is_refused_with_the_place() {
+    let message = faults("entry = one");
+    assert!(message.contains("line 1"), "{message}");
 }
 
-/// The parser lists the keys of the type when it meets an unknown one.
+/// An unknown key is refused with the known ones.
 fn known_keys() -> BTreeSet<String> {
     let message = faults("no_such_key = 1");
     let (_, list) = message
-        .split_once("expected one of ")
-        .expect("the parser lists the keys");
-    list.split('`')
-        .skip(1)
-        .step_by(2)
-        .map(str::to_owned)
-        .collect()
+        .split_once("no_such_key is not a setting; remove it or write one of ")
+        .expect("the fault lists the keys");
+    list.split(", ").map(str::to_owned).collect()
 }
 
 #[test]
