--- a/crates/pistachioyard_policy/src/fleet.rs
+++ b/crates/pistachioyard_policy/src/fleet.rs
@@ -15,8 +15,8 @@
 use std::time::{Duration, Instant};
 
 use pistachioyard_wire::{
-    DataCentre, EndpointId, EndpointMark, EndpointReport, EntryId, HostRecord, ServiceName,
-    StageRef,
+    DataCentre, EndpointId, EndpointMark, EndpointReport, EntryId, HostRecord, LoadRecord,
+    ServiceName, StageRef,
 };
 
 pub use endpoint_view::EndpointView;
@@ -33,6 +33,7 @@
 pub struct FleetView {
     endpoints: BTreeMap<EndpointId, EndpointView>,
     links: Links,
+    peers: BTreeSet<EntryId>,
 }
 
 impl FleetView {
@@ -82,6 +83,17 @@
         }
     }
 
+    /// Takes over the load of a report whose other parts are known.
+    ///
+    /// It is dropped where they are not; the endpoint is then asked itself once
+    /// its known report has grown old.
+    pub fn apply_load(&mut self, load: &LoadRecord, measured_at: Instant) {
+        let known = self.get(&load.endpoint).and_then(EndpointView::report);
+        if let Some(report) = known.and_then(|report| report.with_load(load)) {
+            self.apply_report(report, measured_at);
+        }
+    }
+
     /// Takes over a peer's mark.
     pub fn apply_mark(&mut self, mark: &EndpointMark, now: Instant) {
         if let Some(view) = self.endpoints.get_mut(&mark.endpoint) {
@@ -142,6 +154,7 @@
         in_flight: &BTreeMap<EndpointId, u32>,
         now: Instant,
     ) {
+        self.peers.insert(peer.clone());
         for (id, view) in &mut self.endpoints {
             let count = in_flight.get(id).copied().unwrap_or(0);
             view.set_peer_in_flight(peer, count, now);
@@ -150,11 +163,17 @@
 
     /// Forgets what a peer had in flight.
     pub fn forget_peer(&mut self, peer: &EntryId) {
+        self.peers.remove(peer);
         for view in self.endpoints.values_mut() {
             view.forget_peer(peer);
         }
     }
 
+    /// Returns the number of peers that tell what they have in flight.
+    pub fn peers(&self) -> u32 {
+        u32::try_from(self.peers.len()).unwrap_or(u32::MAX)
+    }
+
     /// Returns this entry's streams in flight by endpoint, for its peers.
     pub fn own_in_flight(&self) -> BTreeMap<EndpointId, u32> {
         self.endpoints
@@ -172,22 +191,6 @@
             .collect()
     }
 
-    /// Returns the reports younger than a limit, with their ages in milliseconds.
-    pub fn recent_reports(
-        &self,
-        younger_than: Duration,
-        now: Instant,
-    ) -> Vec<(EndpointReport, u64)> {
-        self.endpoints
-            .values()
-            .filter_map(|view| {
-                let age = now.saturating_duration_since(view.measured_at()?);
-                let report = view.report()?;
-                (age < younger_than).then(|| (report.clone(), millis(age)))
-            })
-            .collect()
-    }
-
     /// Returns every known endpoint in the order of their names.
     pub fn endpoints(&self) -> impl Iterator<Item = &EndpointView> {
         self.endpoints.values()
--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -14,6 +14,9 @@
 /// After how many heartbeat timeouts a lost entry is forgotten.
 const FORGET_AFTER_TIMEOUTS: u32 = 10;
 
+/// The most other entries that are known at the same time.
+const MAX_MEMBERS: usize = 256;
+
 /// The newest record of an entry and when its heartbeat last grew.
 #[derive(Clone, Debug)]
 struct Member {
@@ -89,6 +92,9 @@
                 continue;
             }
             let known = self.others.get(&record.entry).map(|m| &m.record);
+            if known.is_none() && self.others.len() >= MAX_MEMBERS {
+                continue;
+            }
             let restarted = known.is_none_or(|k| record.boot > k.boot);
             let newer =
                 known.is_some_and(|k| record.boot == k.boot && record.heartbeat > k.heartbeat);
@@ -108,6 +114,19 @@
         fresh
     }
 
+    /// Takes in heartbeats of members whose records are known.
+    pub fn merge_beats(&mut self, beats: &[(EntryId, BootId, u64)], now: Instant) {
+        for (entry, boot, heartbeat) in beats {
+            let Some(member) = self.others.get_mut(entry) else {
+                continue;
+            };
+            if member.record.boot == *boot && member.record.heartbeat < *heartbeat {
+                member.record.heartbeat = *heartbeat;
+                member.heard_at = now;
+            }
+        }
+    }
+
     /// Returns the state of an entry; one that is not known is lost.
     pub fn state_of(&self, entry: &EntryId, now: Instant) -> EntryState {
         if *entry == self.own.record.entry {
--- a/crates/pistachioyard_wire/src/lib.rs
+++ b/crates/pistachioyard_wire/src/lib.rs
@@ -22,8 +22,9 @@
     TokenDigest,
 };
 pub use endpoint::{
-    CacheEvent, CacheEventKind, CacheEventPage, EndpointReport, FrameBody, KvSnapshot, Order,
-    OrderKind, OrderRefusal, StageFailure, StageRef, StreamFrame, StreamProgress, StreamRequest,
+    CacheEvent, CacheEventKind, CacheEventPage, EndpointReport, FrameBody, KvSnapshot, LoadRecord,
+    Order, OrderKind, OrderRefusal, StageFailure, StageRef, StreamFrame, StreamProgress,
+    StreamRequest,
 };
 pub use ids::{
     ApplyId, Attempt, BootId, Fence, IdFault, Nonce, OperationKey, RequestDigest, RequestId,
@@ -40,8 +41,9 @@
     ServiceLevel, ServicePolicy, WindowCount, WorkspacePolicy,
 };
 pub use peer::{
-    EndpointMark, EndpointMarkKind, EntryState, GossipState, MemberRecord, PeerFault, PeerMessage,
-    QuarantineMark, WorkspaceUsage, decode_peer_message, encode_peer_message,
+    EndpointMark, EndpointMarkKind, EntryState, GossipState, MAX_MESSAGE_BYTES, MemberRecord,
+    PeerFault, PeerMessage, QuarantineMark, WorkspaceUsage, decode_peer_message,
+    encode_peer_message,
 };
 pub use platform::{
     HostKind, HostRecord, HostState, ObjectKey, ObjectRecord, ObjectWrite, WatchPage, WriteAnswer,
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -7,11 +7,13 @@
 mod gossip;
 mod hosts;
 mod lease;
+mod ledger_gc;
 mod orders;
 mod placement;
 mod reports;
 
-pub(crate) use config::{adopt, apply};
+pub(crate) use config::{adopt_from_peer, apply};
+pub(crate) use reports::ReportNews;
 
 use crate::prelude::*;
 
@@ -20,6 +22,7 @@
     tokio::spawn(config::run(node.clone()));
     tokio::spawn(gossip::run(node.clone()));
     tokio::spawn(hosts::run(node.clone()));
+    tokio::spawn(ledger_gc::run(node.clone()));
     tokio::spawn(reports::run(node.clone()));
     let lease = Arc::new(lease::Lease::default());
     tokio::spawn(lease::run(node.clone(), lease.clone()));
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Node`] holds what the filters and controllers share. Each part of the state
 //! has its own lock, held for the length of one decision and never across an
-//! await point. Where locks nest, the order is: admission queue, fleet, prefixes,
+//! await point. Where locks nest, the order is: admission queue, fleet, report news, prefixes,
 //! random numbers; membership comes after random numbers, and no other lock is
 //! taken while one of the rest is held.
 
@@ -26,6 +26,7 @@
 
 use crate::burn::BurnRecorder;
 use crate::client::{HttpClient, Reuse};
+use crate::controller::ReportNews;
 use crate::engine::EngineClient;
 use crate::filter::Admission;
 use crate::ledger::Ledger;
@@ -37,8 +38,18 @@
 
 /// How long a peer may be silent before it counts as lost, in milliseconds.
 const HEARTBEAT_TIMEOUT_MS: u64 = 1_000;
+/// How often, in gossips, the records of all members are told and not only the
+/// own one; their heartbeats are told each time.
+const WHOLE_GOSSIP_EVERY: u64 = 10;
 /// How long a convicted request is refused, in milliseconds.
 const QUARANTINE_HOLD_MS: u64 = 600_000;
+/// The time from a process's start in which every live peer is heard of, in
+/// milliseconds.
+const FIRST_GOSSIP_MS: u64 = 1_000;
+/// The most marks of each kind that are taken from one gossip message.
+const MAX_MARKS: usize = 1_024;
+/// The most workspaces whose usage is taken from one gossip message.
+const MAX_USAGE: usize = 4_096;
 /// The retries allowed for each first try.
 const RETRY_SHARE: f64 = 0.2;
 /// The retries allowed before any first try.
@@ -57,6 +68,7 @@
     pub(crate) adoption: Mutex<Adoption>,
     pub(crate) membership: Mutex<Membership>,
     pub(crate) fleet: Mutex<FleetView>,
+    pub(crate) news: Mutex<ReportNews>,
     pub(crate) prefixes: Mutex<PrefixIndex>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) lanes: Mutex<SuspectLanes>,
@@ -88,6 +100,7 @@
             adoption: Mutex::new(Adoption::new(stale_after)),
             membership: Mutex::new(Membership::new(own, millis(HEARTBEAT_TIMEOUT_MS), now)),
             fleet: Mutex::new(FleetView::new()),
+            news: Mutex::new(ReportNews::default()),
             prefixes: Mutex::new(PrefixIndex::new()),
             quarantine: Mutex::new(Quarantine::new(millis(QUARANTINE_HOLD_MS))),
             lanes: Mutex::new(SuspectLanes::default()),
@@ -140,9 +153,20 @@
 
     /// Records that a peer had a revision in force after `sent_ms`, on this entry's
     /// own clock.
+    ///
+    /// A time that has not come yet is not this entry's own word, so it confirms
+    /// nothing. Nor does a peer in the first moments of a run, unless the platform
+    /// has answered: another peer may have a higher revision.
     pub(crate) fn confirm_config(&self, sent_ms: u64, revision: Revision) {
-        let heard_after = self.origin + millis(sent_ms);
-        self.adoption.lock().confirm(revision, heard_after);
+        let now = Instant::now();
+        let heard_after = self.origin.checked_add(millis(sent_ms));
+        let Some(heard_after) = heard_after.filter(|heard_after| *heard_after <= now) else {
+            return;
+        };
+        let has_heard_all = now - self.origin >= millis(FIRST_GOSSIP_MS);
+        if has_heard_all || self.platform.has_answered() {
+            self.adoption.lock().confirm(revision, heard_after);
+        }
     }
 
     /// Tells whether the entry takes new work.
@@ -160,46 +184,66 @@
     }
 
     /// Builds what the peers are told at this moment.
-    pub(crate) fn gossip(&self, now: Instant, report_age: Duration) -> GossipState {
+    pub(crate) fn gossip(&self, now: Instant) -> GossipState {
         let revision = self.revision();
         let state = if self.lifecycle.is_draining() {
             EntryState::Draining
         } else {
             EntryState::Live
         };
-        let members = {
+        let records = {
             let mut membership = self.membership.lock();
             membership.set_own(state, revision);
             membership.beat(now);
             membership.records(now)
         };
+        let own = &self.settings.entry;
+        let heartbeat = records.iter().find(|r| r.entry == *own);
+        let is_whole = heartbeat.is_none_or(|own| own.heartbeat % WHOLE_GOSSIP_EVERY == 1);
+        let (members, others): (Vec<_>, Vec<_>) = records
+            .into_iter()
+            .partition(|record| is_whole || record.entry == *own);
         let usage = self.admission.usage();
         let quarantine = self.quarantine.lock().marks(now);
         let fleet = self.fleet.lock();
+        let (reports, loads) = self.news.lock().take(&fleet, now);
         GossipState {
             from: self.settings.entry.clone(),
             sent_ms: now.duration_since(self.origin).as_millis() as u64,
             members,
+            beats: others
+                .into_iter()
+                .map(|record| (record.entry, record.boot, record.heartbeat))
+                .collect(),
             revision,
             in_flight: fleet.own_in_flight(),
             endpoint_marks: fleet.marks(now),
             quarantine,
             usage,
-            reports: fleet.recent_reports(report_age, now),
+            reports,
+            loads,
         }
     }
 
     /// Takes in what a peer told.
     pub(crate) fn absorb_gossip(&self, gossip: GossipState, now: Instant) {
-        let newcomers = self.membership.lock().merge(&gossip.members, now);
+        let newcomers = {
+            let mut membership = self.membership.lock();
+            membership.merge_beats(&gossip.beats, now);
+            membership.merge(&gossip.members, now)
+        };
         for entry in &newcomers {
             spdlog::info!("peers: entry {entry} is new or was restarted");
         }
-        self.quarantine.lock().merge(&gossip.quarantine, now);
+        if !self.is_peer(&gossip.from, now) {
+            return;
+        }
+        let quarantine = first(&gossip.quarantine, MAX_MARKS);
+        self.quarantine.lock().merge(quarantine, now);
         {
             let mut fleet = self.fleet.lock();
             fleet.set_peer_in_flight(&gossip.from, &gossip.in_flight, now);
-            for mark in &gossip.endpoint_marks {
+            for mark in first(&gossip.endpoint_marks, MAX_MARKS) {
                 fleet.apply_mark(mark, now);
             }
             for (report, age_ms) in gossip.reports {
@@ -207,8 +251,20 @@
                     fleet.apply_report(report, measured_at);
                 }
             }
+            for load in &gossip.loads {
+                if let Some(measured_at) = now.checked_sub(millis(load.age_ms)) {
+                    fleet.apply_load(load, measured_at);
+                }
+            }
         }
-        self.peer_usage.lock().insert(gossip.from, gossip.usage);
+        let usage = gossip.usage.into_iter().take(MAX_USAGE).collect();
+        self.peer_usage.lock().insert(gossip.from, usage);
+    }
+
+    /// Tells whether an entry is a known peer; the number of these is bounded.
+    fn is_peer(&self, entry: &EntryId, now: Instant) -> bool {
+        let membership = self.membership.lock();
+        *entry != self.settings.entry && membership.state_of(entry, now) != EntryState::Lost
     }
 
     /// Forgets what lost peers said and lets old state age out.
@@ -253,6 +309,10 @@
     }
 }
 
+fn first<T>(items: &[T], most: usize) -> &[T] {
+    &items[..items.len().min(most)]
+}
+
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -1,24 +1,29 @@
 //! Links between entries: CBOR messages over WebSocket.
 //!
 //! Each entry dials a bounded number of peers and tells them its state at every
-//! gossip interval. A link that falls behind loses gossip, never memory: the next
-//! message says all that the lost one said.
+//! gossip interval. A link that falls behind loses gossip, never memory: later
+//! messages say what matters again, and reports that are missed are asked for.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use futures_util::{SinkExt, StreamExt};
 use parking_lot::Mutex;
-use pistachioyard_wire::{PeerMessage, decode_peer_message, encode_peer_message};
+use pistachioyard_wire::{
+    MAX_MESSAGE_BYTES, PeerMessage, decode_peer_message, encode_peer_message,
+};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Bytes, Message};
 
 use crate::prelude::*;
 
 /// The most peers that an entry dials.
 const MAX_DIALED: usize = 8;
+/// The most links that are accepted at the same time; each may hold one message.
+const MAX_ACCEPTED: usize = 256;
 /// The messages that may wait on one link.
 const LINK_QUEUE: usize = 16;
 /// How long dialing a peer may take, in milliseconds.
@@ -27,9 +32,6 @@
 const PING_INTERVAL_MS: u64 = 1_000;
 /// How long a link may be silent before it is dropped, in milliseconds.
 const SILENCE_LIMIT_MS: u64 = 3_000;
-/// Reports that the sender itself took within this time are passed on, in
-/// milliseconds.
-const REPORT_AGE_MS: u64 = 1_200;
 
 /// The links that this entry has dialed.
 #[derive(Default)]
@@ -40,8 +42,7 @@
 impl PeerLinks {
     /// Tells every dialed peer the entry's state now.
     pub(crate) fn push_gossip(&self, node: &Node) {
-        let report_age = Duration::from_millis(REPORT_AGE_MS);
-        let gossip = node.gossip(Instant::now(), report_age);
+        let gossip = node.gossip(Instant::now());
         self.send(&PeerMessage::Gossip(Box::new(gossip)));
     }
 
@@ -117,18 +118,34 @@
     let stream = socket.connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let url = format!("ws://{address}/v1/peer");
-    let (socket, _) = tokio_tungstenite::client_async(url, stream).await.ok()?;
+    let limits = Some(message_limits());
+    let dialed = tokio_tungstenite::client_async_with_config(url, stream, limits);
+    let (socket, _) = dialed.await.ok()?;
     Some(socket)
 }
 
+fn message_limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
+
 /// Listens for peers.
 pub(crate) async fn listen(node: Arc<Node>) -> std::io::Result<()> {
     let listener = TcpListener::bind(node.settings.peer_address).await?;
+    let places = Arc::new(Semaphore::new(MAX_ACCEPTED));
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::spawn(accept(node.clone(), stream));
+                    let Ok(place) = places.clone().try_acquire_owned() else {
+                        continue;
+                    };
+                    let node = node.clone();
+                    tokio::spawn(async move {
+                        accept(node, stream).await;
+                        drop(place);
+                    });
                 }
                 Err(e) => {
                     spdlog::warn!("peers: cannot accept: {e}");
@@ -143,7 +160,7 @@
 async fn accept(node: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let timeout = Duration::from_millis(DIAL_TIMEOUT_MS);
-    let handshake = tokio_tungstenite::accept_async(stream);
+    let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(message_limits()));
     if let Ok(Ok(socket)) = tokio::time::timeout(timeout, handshake).await {
         let (_tx, rx) = mpsc::channel(1);
         run_link(&node, socket, rx, LinkEnd::Accepted).await;
@@ -249,7 +266,7 @@
                 .collect()
         }
         PeerMessage::Config(accepted) => {
-            crate::controller::adopt(node, accepted);
+            crate::controller::adopt_from_peer(node, accepted);
             Vec::new()
         }
     };
