--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -37,18 +37,25 @@
 #[derive(Default)]
 pub(crate) struct PeerLinks {
     dialed: Mutex<HashMap<SocketAddr, mpsc::Sender<Bytes>>>,
+    /// What dialed peers were told last.
+    last_gossip: Mutex<Option<Bytes>>,
 }
 
 impl PeerLinks {
     /// Tells every dialed peer the entry's state now.
     pub(crate) fn push_gossip(&self, node: &Node) {
         let gossip = node.gossip(Instant::now());
-        self.send(&PeerMessage::Gossip(Box::new(gossip)));
+        let buf = Bytes::from(encode_peer_message(&PeerMessage::Gossip(Box::new(gossip))));
+        *self.last_gossip.lock() = Some(buf.clone());
+        self.send_buf(&buf);
     }
 
     /// Sends a message to every dialed peer.
     pub(crate) fn send(&self, message: &PeerMessage) {
-        let buf = Bytes::from(encode_peer_message(message));
+        self.send_buf(&Bytes::from(encode_peer_message(message)));
+    }
+
+    fn send_buf(&self, buf: &Bytes) {
         for tx in self.dialed.lock().values() {
             if tx.try_send(buf.clone()).is_ok() {
                 crate::metric::peer_bytes_sent(buf.len());
@@ -56,17 +63,18 @@
         }
     }
 
-    /// Returns the entry's state as an answer to a peer that it does not dial, and
-    /// that would otherwise hear of nobody.
-    fn gossip_back(&self, node: &Node, to: &EntryId) -> Option<PeerMessage> {
+    /// Returns the newest gossip for a peer that this entry does not dial, and that
+    /// would otherwise hear of nobody.
+    fn gossip_back(&self, node: &Node, to: &EntryId) -> Option<Bytes> {
         let is_dialed = {
             let membership = node.membership.lock();
             let record = membership.record_of(to)?;
             self.dialed.lock().contains_key(&record.peer_address)
         };
-        let report_age = Duration::from_millis(REPORT_AGE_MS);
-        let gossip = || node.gossip(Instant::now(), report_age);
-        (!is_dialed).then(|| PeerMessage::Gossip(Box::new(gossip())))
+        if is_dialed {
+            return None;
+        }
+        self.last_gossip.lock().clone()
     }
 
     /// Dials the peers that shall be linked and are not.
@@ -231,6 +239,7 @@
             return Vec::new();
         }
     };
+    let mut back = None;
     let replies = match message {
         PeerMessage::Gossip(gossip) => {
             let ack = PeerMessage::Ack {
@@ -244,10 +253,10 @@
             let want = is_behind.then_some(PeerMessage::WantConfig);
             // Only the accepting end answers, or two ends could answer each other
             // without end.
-            let back = (end == LinkEnd::Accepted)
-                .then(|| node.peers.gossip_back(node, &from))
-                .flatten();
-            std::iter::once(ack).chain(want).chain(back).collect()
+            if end == LinkEnd::Accepted {
+                back = node.peers.gossip_back(node, &from);
+            }
+            std::iter::once(ack).chain(want).collect()
         }
         PeerMessage::Ack { sent_ms, revision } => {
             node.confirm_config(sent_ms, revision);
@@ -270,8 +279,12 @@
             Vec::new()
         }
     };
-    replies
+    let replies: Vec<Bytes> = replies
         .iter()
         .map(|message| Bytes::from(encode_peer_message(message)))
-        .collect()
+        .chain(back)
+        .collect();
+    let bytes = replies.iter().map(Bytes::len).sum();
+    crate::metric::peer_bytes_sent(bytes);
+    replies
 }
