--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -37,25 +37,18 @@
 #[derive(Default)]
 pub(crate) struct PeerLinks {
     dialed: Mutex<HashMap<SocketAddr, mpsc::Sender<Bytes>>>,
-    /// What dialed peers were told last.
-    last_gossip: Mutex<Option<Bytes>>,
 }
 
 impl PeerLinks {
     /// Tells every dialed peer the entry's state now.
     pub(crate) fn push_gossip(&self, node: &Node) {
-        let gossip = node.gossip(Instant::now());
-        let buf = Bytes::from(encode_peer_message(&PeerMessage::Gossip(Box::new(gossip))));
-        *self.last_gossip.lock() = Some(buf.clone());
-        self.send_buf(&buf);
+        let gossip = node.gossip_with_news(Instant::now());
+        self.send(&PeerMessage::Gossip(Box::new(gossip)));
     }
 
     /// Sends a message to every dialed peer.
     pub(crate) fn send(&self, message: &PeerMessage) {
-        self.send_buf(&Bytes::from(encode_peer_message(message)));
-    }
-
-    fn send_buf(&self, buf: &Bytes) {
+        let buf = Bytes::from(encode_peer_message(message));
         for tx in self.dialed.lock().values() {
             if tx.try_send(buf.clone()).is_ok() {
                 crate::metric::peer_bytes_sent(buf.len());
@@ -63,18 +56,16 @@
         }
     }
 
-    /// Returns the newest gossip for a peer that this entry does not dial, and that
-    /// would otherwise hear of nobody.
-    fn gossip_back(&self, node: &Node, to: &EntryId) -> Option<Bytes> {
+    /// Returns the entry's state as an answer to a peer that it does not dial, and
+    /// that would otherwise hear of nobody.
+    fn gossip_back(&self, node: &Node, to: &EntryId) -> Option<PeerMessage> {
         let is_dialed = {
             let membership = node.membership.lock();
             let record = membership.record_of(to)?;
             self.dialed.lock().contains_key(&record.peer_address)
         };
-        if is_dialed {
-            return None;
-        }
-        self.last_gossip.lock().clone()
+        let gossip = || node.gossip(Instant::now());
+        (!is_dialed).then(|| PeerMessage::Gossip(Box::new(gossip())))
     }
 
     /// Dials the peers that shall be linked and are not.
@@ -239,7 +230,6 @@
             return Vec::new();
         }
     };
-    let mut back = None;
     let replies = match message {
         PeerMessage::Gossip(gossip) => {
             let ack = PeerMessage::Ack {
@@ -253,10 +243,10 @@
             let want = is_behind.then_some(PeerMessage::WantConfig);
             // Only the accepting end answers, or two ends could answer each other
             // without end.
-            if end == LinkEnd::Accepted {
-                back = node.peers.gossip_back(node, &from);
-            }
-            std::iter::once(ack).chain(want).collect()
+            let back = (end == LinkEnd::Accepted)
+                .then(|| node.peers.gossip_back(node, &from))
+                .flatten();
+            std::iter::once(ack).chain(want).chain(back).collect()
         }
         PeerMessage::Ack { sent_ms, revision } => {
             node.confirm_config(sent_ms, revision);
@@ -282,9 +272,7 @@
     let replies: Vec<Bytes> = replies
         .iter()
         .map(|message| Bytes::from(encode_peer_message(message)))
-        .chain(back)
         .collect();
-    let bytes = replies.iter().map(Bytes::len).sum();
-    crate::metric::peer_bytes_sent(bytes);
+    crate::metric::peer_bytes_sent(replies.iter().map(Bytes::len).sum());
     replies
 }
