--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -269,8 +269,10 @@
             Vec::new()
         }
     };
-    replies
+    let replies: Vec<Bytes> = replies
         .iter()
         .map(|message| Bytes::from(encode_peer_message(message)))
-        .collect()
+        .collect();
+    crate::metric::peer_bytes_sent(replies.iter().map(Bytes::len).sum());
+    replies
 }
