Name the kinds of failures in the bench and flood past normal priority only

Cause: the fairness scenario counted requests of low priority, which a flood of normal priority may rightly push aside; failures were counted without kinds. Change: the other workspaces' requests name the normal priority; `--share` sets the load of `eighty`.

--- a/crates/pistachioyard_policy/src/chain/search.rs
+++ b/crates/pistachioyard_policy/src/chain/search.rs
@@ -215,7 +215,7 @@
     ) -> Option<Reached> {
         let candidate = &node.candidate;
         let starts_right = |first: u32| node.starts_at.is_none_or(|at| at == first);
-        let mut best = (candidate.first == 0 && starts_right(0)).then(|| Reached {
+        let mut best = (candidate.first == 0 && starts_right(0)).then_some(Reached {
             cost: node.perturbed_ms - node.preference_ms,
             first: 0,
             previous: None,
--- a/crates/pistachioyard_standins/src/bench.rs
+++ b/crates/pistachioyard_standins/src/bench.rs
@@ -43,6 +43,9 @@
     /// The time of each load, in seconds.
     #[arg(long, default_value_t = 10)]
     seconds: u64,
+    /// The load of `eighty`, as a share of the bound.
+    #[arg(long, default_value_t = steady::EIGHTY)]
+    share: f64,
     /// How entries choose chains.
     #[arg(long, value_enum, default_value_t)]
     choice: Choice,
@@ -167,6 +170,7 @@
                 deployment,
                 seed: args.seed,
                 duration: Duration::from_secs(args.seconds),
+                share: args.share,
                 choice: args.choice,
             };
             let report = scenario.run(plan).await?;
--- a/crates/pistachioyard_standins/src/bench/figures.rs
+++ b/crates/pistachioyard_standins/src/bench/figures.rs
@@ -70,6 +70,7 @@
     pub(super) done: u64,
     pub(super) not_run: BTreeMap<String, u64>,
     pub(super) failed: u64,
+    pub(super) failed_kinds: BTreeMap<String, u64>,
     pub(super) wrong: u64,
     /// Answers that went on at another entry.
     pub(super) moved: u64,
@@ -112,11 +113,17 @@
             RecordEnd::NotRun(kind) => {
                 *self.not_run.entry(kind.as_str().to_owned()).or_default() += 1;
             }
-            RecordEnd::Failed(_) | RecordEnd::Broken => self.failed += 1,
+            RecordEnd::Failed(kind) => self.count_failure(kind.as_str()),
+            RecordEnd::Broken => self.count_failure("broken"),
             RecordEnd::Wrong => self.wrong += 1,
         }
     }
 
+    fn count_failure(&mut self, kind: &str) {
+        self.failed += 1;
+        *self.failed_kinds.entry(kind.to_owned()).or_default() += 1;
+    }
+
     /// Returns the number of refused requests.
     pub(super) fn refused(&self) -> u64 {
         self.not_run.values().sum()
--- a/crates/pistachioyard_standins/src/bench/report.rs
+++ b/crates/pistachioyard_standins/src/bench/report.rs
@@ -97,8 +97,8 @@
             f.first_token_ms, f.between_tokens_ms
         );
         println!(
-            "  done {}, not run {:?}, failed {}, wrong {}, moved {}",
-            f.done, f.not_run, f.failed, f.wrong, f.moved
+            "  done {}, not run {:?}, failed {:?}, wrong {}, moved {}",
+            f.done, f.not_run, f.failed_kinds, f.wrong, f.moved
         );
         for check in &self.checks {
             println!("  {}", check.render());
--- a/crates/pistachioyard_standins/src/bench/requests.rs
+++ b/crates/pistachioyard_standins/src/bench/requests.rs
@@ -16,12 +16,23 @@
 /// The share of requests of low priority where priorities are mixed.
 const LOW_SHARE: f64 = 0.2;
 
+/// The priorities that requests name.
+#[derive(Clone, Copy, Debug)]
+enum Priorities {
+    /// None, so that the workspace's own counts.
+    OfWorkspace,
+    /// The usual one.
+    Normal,
+    /// All of them.
+    Mixed,
+}
+
 /// Draws requests: workspaces by weight, mixed lengths and prompts.
 #[derive(Clone, Debug)]
 pub(super) struct RequestMaker {
     model: ModelName,
     workspaces: Vec<(WorkspaceName, u32)>,
-    mixes_priorities: bool,
+    priorities: Priorities,
     rng: ChaCha8Rng,
     made: u64,
 }
@@ -34,7 +45,7 @@
         Ok(Self {
             model: ModelName::try_from(deployment.model())?,
             workspaces: workspaces.map(|(name, w)| (name, w.weight)).collect(),
-            mixes_priorities: false,
+            priorities: Priorities::OfWorkspace,
             rng: ChaCha8Rng::seed_from_u64(seed),
             made: 0,
         })
@@ -56,7 +67,13 @@
 
     /// Names a priority in each request.
     pub(super) fn with_mixed_priorities(mut self) -> Self {
-        self.mixes_priorities = true;
+        self.priorities = Priorities::Mixed;
+        self
+    }
+
+    /// Gives every request the same priority.
+    pub(super) fn with_normal_priority(mut self) -> Self {
+        self.priorities = Priorities::Normal;
         self
     }
 
@@ -83,7 +100,7 @@
             adapter: None,
             prompt,
             max_tokens,
-            priority: self.mixes_priorities.then(|| self.draw_priority()),
+            priority: self.draw_priority(),
             deadline_ms: None,
             resume: None,
             received: Vec::new(),
@@ -112,11 +129,15 @@
         found.expect("the drawn number is below the sum").0.clone()
     }
 
-    fn draw_priority(&mut self) -> Priority {
-        match self.rng.random_range(0.0..1.0) {
-            share if share < HIGH_SHARE => Priority::High,
-            share if share < HIGH_SHARE + LOW_SHARE => Priority::Low,
-            _ => Priority::Normal,
+    fn draw_priority(&mut self) -> Option<Priority> {
+        match self.priorities {
+            Priorities::OfWorkspace => None,
+            Priorities::Normal => Some(Priority::Normal),
+            Priorities::Mixed => Some(match self.rng.random_range(0.0..1.0) {
+                share if share < HIGH_SHARE => Priority::High,
+                share if share < HIGH_SHARE + LOW_SHARE => Priority::Low,
+                _ => Priority::Normal,
+            }),
         }
     }
 }
--- a/crates/pistachioyard_standins/src/bench/run.rs
+++ b/crates/pistachioyard_standins/src/bench/run.rs
@@ -26,6 +26,8 @@
     pub(super) deployment: Deployment,
     pub(super) seed: u64,
     pub(super) duration: Duration,
+    /// The load of `eighty`, as a share of the bound.
+    pub(super) share: f64,
     pub(super) choice: Choice,
 }
 
