Notice a frozen stage sooner

Cause: two silences of 350 ms, two probes of 300 ms and the look at the lost endpoint of 250 ms added up to 1.6 s; the target is 1.5 s.

--- a/src/filter/follow.rs
+++ b/src/filter/follow.rs
@@ -8,9 +8,9 @@
 use crate::prelude::*;
 
 /// How long a stream may be silent before its stages are asked, in milliseconds.
-const SILENCE_MS: u64 = 350;
+const SILENCE_MS: u64 = 300;
 /// How long a stage may take to say how far it is, in milliseconds.
-const PROBE_TIMEOUT_MS: u64 = 300;
+const PROBE_TIMEOUT_MS: u64 = 250;
 /// The probes missed in a row after which a stage is taken for lost.
 const MISSES_UNTIL_LOST: u32 = 2;
 /// The probes in a row without progress and without work in any stage after
