Keep fencing numbers above those that endpoints have seen, and test the lease further

A lost lease object would have left the new holder with a number that checking endpoints refuse for ever. Tests: lost answers to renewals, a planned stop of the holder, a lost lease object; a policy test that one loss in a whole deployment moves at most one endpoint and its return moves nothing back and forth.

--- a/crates/pistachioyard_policy/tests/fleet/placement.rs
+++ b/crates/pistachioyard_policy/tests/fleet/placement.rs
@@ -143,3 +143,37 @@
         .count();
     assert_eq!(taken, 20);
 }
+
+/// The fleet of a deployment: three kinds of accelerators, each spread evenly.
+fn deployment() -> PlacementInput {
+    // Stages, copies of each, and tokens a second through the layers held.
+    let kinds = [(2_u32, 4, 545.0), (3, 6, 363.0), (4, 4, 174.0)];
+    let mut endpoints = Vec::new();
+    for (stages, copies, rate) in kinds {
+        let width = 48 / stages;
+        for place in 0..stages * copies {
+            let mut endpoint = holding(endpoints.len(), width, Some(place % stages * width));
+            endpoint.layer_tokens_per_second = rate * f64::from(width);
+            endpoints.push(endpoint);
+        }
+    }
+    PlacementInput {
+        endpoints,
+        models: vec![model("v1", 48)],
+    }
+}
+
+#[test]
+fn one_loss_of_many_moves_little_and_its_return_moves_nothing_back_and_forth() {
+    assert_eq!(place(&deployment()), []);
+    for lost in 0..deployment().endpoints.len() {
+        let mut input = deployment();
+        input.endpoints[lost].usable = false;
+        let moved: usize = (0..3).map(|_| apply_place(&mut input)).sum();
+        assert_eq!(place(&input), [], "{lost} lost");
+        input.endpoints[lost].usable = true;
+        let returned: usize = (0..3).map(|_| apply_place(&mut input)).sum();
+        assert_eq!(place(&input), [], "{lost} back");
+        assert!(moved <= 1 && returned <= 1, "{lost}: {moved}, {returned}");
+    }
+}
--- a/src/controller/lease.rs
+++ b/src/controller/lease.rs
@@ -132,7 +132,11 @@
                 self.known = Some(known);
                 Ok(Duration::from_millis(RENEWAL_CHECK_MS))
             }
-            LeaseMove::Take(record) | LeaseMove::Renew(record) => self.write(known, record).await,
+            LeaseMove::Take(mut record) => {
+                record.fence = record.fence.max(self.highest_seen_fence().next());
+                self.write(known, record).await
+            }
+            LeaseMove::Renew(record) => self.write(known, record).await,
             LeaseMove::Wait { ms } => {
                 self.lease.give_up();
                 let jitter = self.node.rng.lock().random_range(0..MAX_JITTER_MS);
@@ -141,6 +145,14 @@
         }
     }
 
+    /// Returns the highest fencing number that an endpoint reports, so that a lease
+    /// object that was lost does not leave the new holder with too low a number.
+    fn highest_seen_fence(&self) -> Fence {
+        let fleet = self.node.fleet.lock();
+        let reports = fleet.endpoints().filter_map(|view| view.report());
+        reports.map(|report| report.fence).max().unwrap_or_default()
+    }
+
     /// Writes the record on the condition that the object is as known.
     async fn write(&mut self, known: Known, record: LeaseRecord) -> Result<Duration, CallError> {
         let sent_at = Instant::now();
--- a/tests/placement/lease.rs
+++ b/tests/placement/lease.rs
@@ -1,5 +1,8 @@
 //! A controller that was paused gives no orders; old orders do no lasting harm.
 
+use std::time::Duration;
+
+use pistachioyard_standins::PlatformFaults;
 use pistachioyard_wire::{Fence, Order, OrderKind, OrderRefusal};
 
 use crate::support::{Bed, DEPLOYMENT, NEXT_VERSION};
@@ -67,3 +70,52 @@
     bed.wait("the old orders to be corrected", rolled_out).await;
     assert!(bed.is_covered(NEXT_VERSION).await);
 }
+
+#[tokio::test]
+async fn lost_answers_to_renewals_cost_no_lease_and_a_planned_stop_gives_it_up() {
+    let mut bed = Bed::start().await;
+    let (holder, fence) = bed.holder().await;
+    let lost = PlatformFaults {
+        lose_answers: 3,
+        ..PlatformFaults::default()
+    };
+    bed.cluster.set_platform_faults(&lost).await.unwrap();
+    let renewed_after = bed.lease().await.unwrap().until_unix_ms + 4_000;
+    bed.wait("later renewals", || async {
+        let lease = bed.lease().await;
+        lease.is_some_and(|l| l.until_unix_ms > renewed_after)
+    })
+    .await;
+    assert_eq!(bed.holder().await, (holder, fence));
+    bed.cluster.entries[holder].child.terminate().unwrap();
+    bed.wait("the lease to end or change hands", || async {
+        let lease = bed.lease().await;
+        lease.is_some_and(|l| l.until_unix_ms == 0 || l.fence > fence)
+    })
+    .await;
+    bed.wait("another holder", || async {
+        bed.lease().await.is_some_and(|l| l.fence > fence)
+    })
+    .await;
+    assert_ne!(bed.holder().await.0, holder);
+    let exited = bed.cluster.entries[holder]
+        .child
+        .wait(Duration::from_secs(40));
+    assert!(exited.await.unwrap().success());
+}
+
+#[tokio::test]
+async fn a_lost_lease_object_does_not_lower_the_fencing_number() {
+    let bed = Bed::start().await;
+    let (_, fence) = bed.holder().await;
+    let delete = serde_json::json!({"condition": "any", "value": null});
+    let deleted: Result<pistachioyard_wire::WriteAnswer, _> = bed
+        .cluster
+        .client
+        .put_json(bed.cluster.platform, "/objects/lease%2Fplacement", &delete)
+        .await;
+    deleted.unwrap();
+    bed.wait("a new lease", || async { bed.lease().await.is_some() })
+        .await;
+    assert!(bed.holder().await.1 > fence);
+}
