--- a/crates/pistachioyard_policy/src/chain/candidate.rs
+++ b/crates/pistachioyard_policy/src/chain/candidate.rs
@@ -1,8 +1,8 @@
 //! The endpoints that may be stages of a chain.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use pistachioyard_wire::{LayerRange, StageRef};
+use pistachioyard_wire::{EndpointReport, LayerRange, StageRef};
 
 use super::ChainQuery;
 use crate::{EndpointView, FleetView};
@@ -49,14 +49,19 @@
 ) -> Vec<Candidate<'a>> {
     let mut holders: Vec<Candidate<'a>> = view
         .endpoints()
-        .filter_map(|endpoint| candidate(endpoint, query))
+        .filter_map(|endpoint| candidate(endpoint, query, view.peers(), now))
         .filter(|candidate| candidate.view.is_usable(now))
         .collect();
     holders.sort_by_key(|holder| (holder.end, holder.first));
     holders
 }
 
-fn candidate<'a>(view: &'a EndpointView, query: &ChainQuery<'_>) -> Option<Candidate<'a>> {
+fn candidate<'a>(
+    view: &'a EndpointView,
+    query: &ChainQuery<'_>,
+    peers: u32,
+    now: Instant,
+) -> Option<Candidate<'a>> {
     let report = view.report()?;
     if report.model.as_ref() != Some(query.model) || report.version.as_ref() != Some(query.version)
     {
@@ -74,8 +79,8 @@
         view,
         first: layers.first(),
         end,
-        work: view.work(),
-        slots: report.slots,
+        work: view.contended_work(peers, now),
+        slots: places(report, query.token_gap),
         reported_work: report.running.saturating_add(report.waiting),
         step_ms: positive(report.step_ms),
         held_layers: layers.len(),
@@ -83,6 +88,20 @@
     })
 }
 
+/// Returns the streams that an endpoint takes: its slots, or fewer where it could
+/// not step that many streams within the time between tokens.
+fn places(report: &EndpointReport, token_gap: Option<Duration>) -> u32 {
+    let Some(token_gap) = token_gap else {
+        return report.slots;
+    };
+    let steps = report.tokens_per_second * token_gap.as_secs_f64();
+    if steps.is_finite() {
+        report.slots.min((steps.round() as u32).max(1))
+    } else {
+        report.slots
+    }
+}
+
 /// Returns a time that can be computed with in place of a nonsensical one.
 fn positive(ms: f64) -> f64 {
     if ms.is_finite() && ms > 0.0 { ms } else { 1.0 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 mod lifecycle;
 mod run;
 mod streams;
+mod suspects;
 
 use std::collections::BTreeMap;
 
@@ -23,6 +24,7 @@
 use rand_chacha::ChaCha8Rng;
 pub(crate) use run::run_entry;
 pub(crate) use streams::StreamTable;
+pub(crate) use suspects::SuspectTable;
 
 use crate::burn::BurnRecorder;
 use crate::client::{HttpClient, Reuse};
@@ -43,6 +45,13 @@
 const WHOLE_GOSSIP_EVERY: u64 = 10;
 /// How long a convicted request is refused, in milliseconds.
 const QUARANTINE_HOLD_MS: u64 = 600_000;
+/// The time from a process's start in which every live peer is heard of, in
+/// milliseconds.
+const FIRST_GOSSIP_MS: u64 = 1_000;
+/// The most marks of each kind that are taken from one gossip message.
+const MAX_MARKS: usize = 1_024;
+/// The most workspaces whose usage is taken from one gossip message.
+const MAX_USAGE: usize = 4_096;
 /// The retries allowed for each first try.
 const RETRY_SHARE: f64 = 0.2;
 /// The retries allowed before any first try.
@@ -65,6 +74,7 @@
     pub(crate) prefixes: Mutex<PrefixIndex>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) lanes: Mutex<SuspectLanes>,
+    pub(crate) suspects: SuspectTable,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) peer_usage: Mutex<BTreeMap<EntryId, BTreeMap<WorkspaceName, WorkspaceUsage>>>,
     pub(crate) rng: Mutex<ChaCha8Rng>,
@@ -97,6 +107,7 @@
             prefixes: Mutex::new(PrefixIndex::new()),
             quarantine: Mutex::new(Quarantine::new(millis(QUARANTINE_HOLD_MS))),
             lanes: Mutex::new(SuspectLanes::default()),
+            suspects: SuspectTable::default(),
             retries: Mutex::new(RetryBudget::new(RETRY_SHARE, RETRY_BURST)),
             peer_usage: Mutex::new(BTreeMap::new()),
             rng: Mutex::new(ChaCha8Rng::from_os_rng()),
@@ -146,9 +157,20 @@
 
     /// Records that a peer had a revision in force after `sent_ms`, on this entry's
     /// own clock.
+    ///
+    /// A time that has not come yet is not this entry's own word, so it confirms
+    /// nothing. Nor does a peer in the first moments of a run, unless the platform
+    /// has answered: another peer may have a higher revision.
     pub(crate) fn confirm_config(&self, sent_ms: u64, revision: Revision) {
-        let heard_after = self.origin + millis(sent_ms);
-        self.adoption.lock().confirm(revision, heard_after);
+        let now = Instant::now();
+        let heard_after = self.origin.checked_add(millis(sent_ms));
+        let Some(heard_after) = heard_after.filter(|heard_after| *heard_after <= now) else {
+            return;
+        };
+        let has_heard_all = now - self.origin >= millis(FIRST_GOSSIP_MS);
+        if has_heard_all || self.platform.has_answered() {
+            self.adoption.lock().confirm(revision, heard_after);
+        }
     }
 
     /// Tells whether the entry takes new work.
@@ -165,7 +187,15 @@
             .count()
     }
 
-    /// Builds what the peers are told at this moment.
+    /// Builds what all dialed peers are told, with the reports that are new to them.
+    pub(crate) fn gossip_with_news(&self, now: Instant) -> GossipState {
+        let mut gossip = self.gossip(now);
+        let fleet = self.fleet.lock();
+        (gossip.reports, gossip.loads) = self.news.lock().take(&fleet, now);
+        gossip
+    }
+
+    /// Builds what a peer is told at this moment, without reports.
     pub(crate) fn gossip(&self, now: Instant) -> GossipState {
         let revision = self.revision();
         let state = if self.lifecycle.is_draining() {
@@ -188,7 +218,6 @@
         let usage = self.admission.usage();
         let quarantine = self.quarantine.lock().marks(now);
         let fleet = self.fleet.lock();
-        let (reports, loads) = self.news.lock().take(&fleet, now);
         GossipState {
             from: self.settings.entry.clone(),
             sent_ms: now.duration_since(self.origin).as_millis() as u64,
@@ -201,9 +230,10 @@
             in_flight: fleet.own_in_flight(),
             endpoint_marks: fleet.marks(now),
             quarantine,
+            suspects: self.suspects.own(),
             usage,
-            reports,
-            loads,
+            reports: Vec::new(),
+            loads: Vec::new(),
         }
     }
 
@@ -217,11 +247,16 @@
         for entry in &newcomers {
             spdlog::info!("peers: entry {entry} is new or was restarted");
         }
-        self.quarantine.lock().merge(&gossip.quarantine, now);
+        if !self.is_peer(&gossip.from, now) {
+            return;
+        }
+        let quarantine = first(&gossip.quarantine, MAX_MARKS);
+        self.quarantine.lock().merge(quarantine, now);
+        self.suspects.set_of_peer(&gossip.from, gossip.suspects);
         {
             let mut fleet = self.fleet.lock();
             fleet.set_peer_in_flight(&gossip.from, &gossip.in_flight, now);
-            for mark in &gossip.endpoint_marks {
+            for mark in first(&gossip.endpoint_marks, MAX_MARKS) {
                 fleet.apply_mark(mark, now);
             }
             for (report, age_ms) in gossip.reports {
@@ -235,7 +270,14 @@
                 }
             }
         }
-        self.peer_usage.lock().insert(gossip.from, gossip.usage);
+        let usage = gossip.usage.into_iter().take(MAX_USAGE).collect();
+        self.peer_usage.lock().insert(gossip.from, usage);
+    }
+
+    /// Tells whether an entry is a known peer; the number of these is bounded.
+    fn is_peer(&self, entry: &EntryId, now: Instant) -> bool {
+        let membership = self.membership.lock();
+        *entry != self.settings.entry && membership.state_of(entry, now) != EntryState::Lost
     }
 
     /// Forgets what lost peers said and lets old state age out.
@@ -261,6 +303,7 @@
         for entry in &lost {
             spdlog::warn!("peers: entry {entry} is lost");
             fleet.forget_peer(entry);
+            self.suspects.set_of_peer(entry, BTreeMap::new());
         }
         drop(fleet);
         self.quarantine.lock().expire(now);
@@ -280,6 +323,10 @@
     }
 }
 
+fn first<T>(items: &[T], most: usize) -> &[T] {
+    &items[..items.len().min(most)]
+}
+
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
--- a/src/filter.rs
+++ b/src/filter.rs
@@ -25,7 +25,7 @@
 pub(crate) use operate::recorded_outcome;
 pub(crate) use record::{generate_refused, operation_refused};
 
-use pistachioyard_wire::OperationOutcome;
+use pistachioyard_wire::{GenerateRequest, OperationOutcome};
 
 use crate::entry::{InFlight, Lifecycle};
 use crate::prelude::*;
@@ -38,6 +38,24 @@
     node: &Arc<Node>,
     body: &[u8],
 ) -> Result<deliver::EventStream, Problem> {
+    let answer = admit_and_start(node, body).await;
+    answer.map_err(|problem| {
+        if problem.outcome == Outcome::NotRun && is_resumed(body) {
+            // A part of the request has run before, whatever is refused now.
+            return Problem {
+                outcome: Outcome::Failed,
+                ..problem
+            };
+        }
+        problem
+    })
+}
+
+fn is_resumed(body: &[u8]) -> bool {
+    serde_json::from_slice::<GenerateRequest>(body).is_ok_and(|req| req.resume.is_some())
+}
+
+async fn admit_and_start(node: &Arc<Node>, body: &[u8]) -> Result<deliver::EventStream, Problem> {
     let arrived_at = Instant::now();
     match prepare(node, body, arrived_at).await {
         Ok((in_flight, cx, grant)) => dispatch::start(node, cx, grant, in_flight, arrived_at).await,
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -9,16 +9,21 @@
 
 use futures_util::{SinkExt, StreamExt};
 use parking_lot::Mutex;
-use pistachioyard_wire::{PeerMessage, decode_peer_message, encode_peer_message};
+use pistachioyard_wire::{
+    MAX_MESSAGE_BYTES, PeerMessage, decode_peer_message, encode_peer_message,
+};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Bytes, Message};
 
 use crate::prelude::*;
 
 /// The most peers that an entry dials.
 const MAX_DIALED: usize = 8;
+/// The most links that are accepted at the same time; each may hold one message.
+const MAX_ACCEPTED: usize = 256;
 /// The messages that may wait on one link.
 const LINK_QUEUE: usize = 16;
 /// How long dialing a peer may take, in milliseconds.
@@ -37,7 +42,7 @@
 impl PeerLinks {
     /// Tells every dialed peer the entry's state now.
     pub(crate) fn push_gossip(&self, node: &Node) {
-        let gossip = node.gossip(Instant::now());
+        let gossip = node.gossip_with_news(Instant::now());
         self.send(&PeerMessage::Gossip(Box::new(gossip)));
     }
 
@@ -51,6 +56,18 @@
         }
     }
 
+    /// Returns the entry's state as an answer to a peer that it does not dial, and
+    /// that would otherwise hear of nobody.
+    fn gossip_back(&self, node: &Node, to: &EntryId) -> Option<PeerMessage> {
+        let is_dialed = {
+            let membership = node.membership.lock();
+            let record = membership.record_of(to)?;
+            self.dialed.lock().contains_key(&record.peer_address)
+        };
+        let gossip = || node.gossip(Instant::now());
+        (!is_dialed).then(|| PeerMessage::Gossip(Box::new(gossip())))
+    }
+
     /// Dials the peers that shall be linked and are not.
     pub(crate) fn dial_missing(&self, node: &Arc<Node>) {
         for address in wanted_peers(node) {
@@ -100,18 +117,34 @@
     let stream = socket.connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let url = format!("ws://{address}/v1/peer");
-    let (socket, _) = tokio_tungstenite::client_async(url, stream).await.ok()?;
+    let limits = Some(message_limits());
+    let dialed = tokio_tungstenite::client_async_with_config(url, stream, limits);
+    let (socket, _) = dialed.await.ok()?;
     Some(socket)
 }
 
+fn message_limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
+
 /// Listens for peers.
 pub(crate) async fn listen(node: Arc<Node>) -> std::io::Result<()> {
     let listener = TcpListener::bind(node.settings.peer_address).await?;
+    let places = Arc::new(Semaphore::new(MAX_ACCEPTED));
     tokio::spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::spawn(accept(node.clone(), stream));
+                    let Ok(place) = places.clone().try_acquire_owned() else {
+                        continue;
+                    };
+                    let node = node.clone();
+                    tokio::spawn(async move {
+                        accept(node, stream).await;
+                        drop(place);
+                    });
                 }
                 Err(e) => {
                     spdlog::warn!("peers: cannot accept: {e}");
@@ -126,7 +159,7 @@
 async fn accept(node: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let timeout = Duration::from_millis(DIAL_TIMEOUT_MS);
-    let handshake = tokio_tungstenite::accept_async(stream);
+    let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(message_limits()));
     if let Ok(Ok(socket)) = tokio::time::timeout(timeout, handshake).await {
         let (_tx, rx) = mpsc::channel(1);
         run_link(&node, socket, rx, LinkEnd::Accepted).await;
@@ -158,7 +191,7 @@
                 heard_at = Instant::now();
                 match received {
                     Some(Ok(Message::Binary(buf))) => {
-                        send_all(&mut socket, receive(node, &buf)).await
+                        send_all(&mut socket, receive(node, &buf, end)).await
                     }
                     Some(Ok(Message::Close(_)) | Err(_)) | None => return,
                     Some(Ok(_)) => Ok(()),
@@ -188,7 +221,7 @@
 }
 
 /// Takes in a message and returns what to answer on the same link.
-fn receive(node: &Arc<Node>, buf: &[u8]) -> Vec<Bytes> {
+fn receive(node: &Arc<Node>, buf: &[u8], end: LinkEnd) -> Vec<Bytes> {
     crate::metric::peer_bytes_received(buf.len());
     let message = match decode_peer_message(buf) {
         Ok(message) => message,
@@ -204,10 +237,16 @@
                 revision: node.revision(),
             };
             let is_behind = gossip.revision > node.revision();
+            let from = gossip.from.clone();
             node.absorb_gossip(*gossip, Instant::now());
             node.admission.wake();
             let want = is_behind.then_some(PeerMessage::WantConfig);
-            std::iter::once(ack).chain(want).collect()
+            // Only the accepting end answers, or two ends could answer each other
+            // without end.
+            let back = (end == LinkEnd::Accepted)
+                .then(|| node.peers.gossip_back(node, &from))
+                .flatten();
+            std::iter::once(ack).chain(want).chain(back).collect()
         }
         PeerMessage::Ack { sent_ms, revision } => {
             node.confirm_config(sent_ms, revision);
@@ -226,7 +265,7 @@
                 .collect()
         }
         PeerMessage::Config(accepted) => {
-            crate::controller::adopt(node, accepted);
+            crate::controller::adopt_from_peer(node, accepted);
             Vec::new()
         }
     };
