--- a/src/controller/reports/news.rs
+++ b/src/controller/reports/news.rs
@@ -16,6 +16,7 @@
     fresh: BTreeSet<EndpointId>,
     /// The digests of what peers were told whole.
     told: BTreeMap<EndpointId, u64>,
+    rounds: u64,
 }
 
 impl ReportNews {
@@ -24,6 +25,12 @@
         self.fresh.insert(endpoint);
     }
 
+    /// Counts a gossip to all dialed peers; returns the number of earlier ones.
+    pub(crate) fn begin_round(&mut self) -> u64 {
+        self.rounds += 1;
+        self.rounds - 1
+    }
+
     /// Returns the new reports: whole where more than the load has changed, and
     /// the load of the others.
     pub(crate) fn take(
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -191,7 +191,15 @@
     pub(crate) fn gossip_with_news(&self, now: Instant) -> GossipState {
         let mut gossip = self.gossip(now);
         let fleet = self.fleet.lock();
-        (gossip.reports, gossip.loads) = self.news.lock().take(&fleet, now);
+        let mut news = self.news.lock();
+        (gossip.reports, gossip.loads) = news.take(&fleet, now);
+        if !news.begin_round().is_multiple_of(WHOLE_GOSSIP_EVERY) {
+            let own = &self.settings.entry;
+            let others = gossip.members.extract_if(.., |record| record.entry != *own);
+            gossip.beats = others
+                .map(|record| (record.entry, record.boot, record.heartbeat))
+                .collect();
+        }
         gossip
     }
 
@@ -203,18 +211,12 @@
         } else {
             EntryState::Live
         };
-        let records = {
+        let members = {
             let mut membership = self.membership.lock();
             membership.set_own(state, revision);
             membership.beat(now);
             membership.records(now)
         };
-        let own = &self.settings.entry;
-        let heartbeat = records.iter().find(|r| r.entry == *own);
-        let is_whole = heartbeat.is_none_or(|own| own.heartbeat % WHOLE_GOSSIP_EVERY == 1);
-        let (members, others): (Vec<_>, Vec<_>) = records
-            .into_iter()
-            .partition(|record| is_whole || record.entry == *own);
         let usage = self.admission.usage();
         let quarantine = self.quarantine.lock().marks(now);
         let fleet = self.fleet.lock();
@@ -222,10 +224,7 @@
             from: self.settings.entry.clone(),
             sent_ms: now.duration_since(self.origin).as_millis() as u64,
             members,
-            beats: others
-                .into_iter()
-                .map(|record| (record.entry, record.boot, record.heartbeat))
-                .collect(),
+            beats: Vec::new(),
             revision,
             in_flight: fleet.own_in_flight(),
             endpoint_marks: fleet.marks(now),
