Share fairly over all entries, and probe a suspect's endpoints before it runs

Cause: shares held within one entry only, since nobody told the fair queue what workspaces have in flight at peers. A retry on an endpoint that died with the first one counted as a second crash. Change: the admission queue gets the peers' usage; a suspect runs only where every stage answers.

--- a/src/filter/admit.rs
+++ b/src/filter/admit.rs
@@ -251,8 +251,10 @@
     pub(crate) fn pump(node: &Arc<Node>) {
         let now = Instant::now();
         let mut settled: Vec<(Waiter, Result<Grant, Problem>)> = Vec::new();
+        let at_peers = in_flight_at_peers(node);
         {
             let mut queue = node.admission.queue.lock();
+            queue.set_external_usage(at_peers);
             for ticket in queue.expire(now) {
                 settled.push((ticket.item, Err(overloaded(node, now))));
             }
@@ -305,6 +307,19 @@
     }
 }
 
+/// Returns what each workspace has in progress at the peers, so that shares hold
+/// over all entries.
+fn in_flight_at_peers(node: &Node) -> BTreeMap<WorkspaceName, u32> {
+    let mut sums = BTreeMap::new();
+    for usage in node.peer_usage.lock().values() {
+        for (workspace, usage) in usage.iter().filter(|(_, usage)| usage.in_flight > 0) {
+            let sum: &mut u32 = sums.entry(workspace.clone()).or_default();
+            *sum = sum.saturating_add(usage.in_flight);
+        }
+    }
+    sums
+}
+
 fn check_workspace_limit(node: &Node, cx: &GenerateContext) -> Result<(), Problem> {
     let workspace = &cx.call.workspace;
     let own = node
--- a/src/filter/recover.rs
+++ b/src/filter/recover.rs
@@ -168,6 +168,9 @@
     let chain = choose(generation, &Lane::busy(&node))?;
     let endpoints: Vec<EndpointId> = chain.stages.iter().map(|s| s.endpoint.clone()).collect();
     let lane = Lane::reserve(&node, digest, &endpoints).await?;
+    if !suspect::all_answer(&node, &chain.stages).await {
+        return None;
+    }
     // The news that came meanwhile may have settled the suspicion.
     if !matches!(verdict(generation), Verdict::Suspect { .. }) {
         return None;
--- a/src/filter/suspect.rs
+++ b/src/filter/suspect.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 use pistachioyard_policy::Verdict;
-use pistachioyard_wire::RequestDigest;
+use pistachioyard_wire::{RequestDigest, StageRef};
 
 use crate::error::CallError;
 use crate::prelude::*;
@@ -85,6 +85,24 @@
     }
 }
 
+/// Tells whether every stage answers now; those that do not get no new work.
+///
+/// A suspect runs only where this holds, so that an endpoint that was lost with
+/// others at the same time does not count as a second crash.
+pub(crate) async fn all_answer(node: &Node, stages: &[StageRef]) -> bool {
+    let timeout = Duration::from_millis(CRASH_PROBE_TIMEOUT_MS);
+    let asks = stages.iter().map(|stage| async move {
+        let answers = node.engines.report(stage.address, timeout).await.is_ok();
+        if !answers {
+            let mut fleet = node.fleet.lock();
+            fleet.note_unreachable(&stage.endpoint, Instant::now());
+        }
+        answers
+    });
+    let answers = futures_util::future::join_all(asks).await;
+    answers.into_iter().all(|answers| answers)
+}
+
 /// Keeps a suspect's endpoints apart from those of other suspects at all entries.
 pub(crate) struct Lane {
     node: Arc<Node>,
--- a/tests/matrix/engine_faults.rs
+++ b/tests/matrix/engine_faults.rs
@@ -221,3 +221,23 @@
     let (answer, req) = running.end().await;
     trial.check(&answer, &req).await;
 }
+
+/// All engines of a data centre die at the same time under answers that have just
+/// begun; none of these is taken for what killed them.
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_data_centre_at_first_token() {
+    let mut trial = Trial::start_plan(crate::support::plan_with_copies(4)).await;
+    let mut running: Vec<_> = (0..24)
+        .map(|place| trial.ask(place % 2, &format!("Through a lost data centre, {place}")))
+        .collect();
+    running[0].reach(1).await;
+    for engine in &mut trial.cluster.engines {
+        if engine.data_centre == 0 {
+            engine.child.kill().expect("the engine can be killed");
+        }
+    }
+    for running in running {
+        let (answer, req) = running.end().await;
+        trial.check(&answer, &req).await;
+    }
+}
