Accuse an attempt of one crash only

Cause: when a data centre is lost, a chain has several dead stages. Each stream that noted one of them accused every unproven request with a stage there, so a request that had just begun was in two crashes within one attempt and was convicted. Suspects that take turns on the one endpoint left also ran out of the 5 s meant for replacements. Change: the stream table accuses an attempt of the first crash only; suspects wait up to 20 s, within their deadline.

--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -16,6 +16,8 @@
     pub(crate) stages: Arc<[StageRef]>,
     /// Whether the current attempt has produced a token.
     pub(crate) progressed: bool,
+    /// The endpoint whose crash the current attempt is suspected of.
+    accused_of: Option<EndpointId>,
 }
 
 /// Finds the streams that had a stage on an endpoint.
@@ -36,6 +38,7 @@
             digest,
             stages,
             progressed: false,
+            accused_of: None,
         };
         self.streams.lock().insert(stream, active);
     }
@@ -52,15 +55,22 @@
         self.streams.lock().remove(&stream);
     }
 
-    /// Returns the requests whose current attempt had a stage on an endpoint and
-    /// has produced no token there; only these can be what crashed it.
-    pub(crate) fn unproven_on(&self, endpoint: &EndpointId) -> Vec<RequestDigest> {
+    /// Returns the requests that may have crashed an endpoint: those whose current
+    /// attempt had a stage there and has produced no token.
+    ///
+    /// An attempt is accused of one crash only. It ends with the first one, so
+    /// endpoints that are lost at the same time cannot all be its doing.
+    pub(crate) fn accuse(&self, endpoint: &EndpointId) -> Vec<RequestDigest> {
         self.streams
             .lock()
-            .values()
+            .values_mut()
             .filter(|active| !active.progressed)
             .filter(|active| active.stages.iter().any(|s| s.endpoint == *endpoint))
-            .map(|active| active.digest)
+            .filter(|active| active.accused_of.as_ref().is_none_or(|of| of == endpoint))
+            .map(|active| {
+                active.accused_of = Some(endpoint.clone());
+                active.digest
+            })
             .collect()
     }
 }
--- a/src/filter/dispatch.rs
+++ b/src/filter/dispatch.rs
@@ -8,7 +8,7 @@
 use super::deliver::{self, EventSender, EventStream};
 use super::follow::{Followed, follow, until_silent};
 use super::recover::{NextStep, next_chain};
-use super::suspect::{self, Lane};
+use super::suspect::Lane;
 use super::{GenerateContext, Grant, RouteQuery};
 use crate::engine::{FrameReader, StreamStart};
 use crate::entry::InFlight;
@@ -285,12 +285,6 @@
             }
         });
     }
-
-    /// Records the loss of an endpoint before any retry.
-    pub(crate) async fn note_loss(&self, endpoint: &EndpointId) {
-        let unproven = self.guard.produced_in_attempt() == 0;
-        suspect::note_loss(&self.node, endpoint, self.cx.call.digest, unproven).await;
-    }
 }
 
 fn node_first_try(node: &Node) {
--- a/src/filter/recover.rs
+++ b/src/filter/recover.rs
@@ -11,6 +11,9 @@
 /// How long a stream waits for endpoints to take the place of lost ones, in
 /// milliseconds.
 const REPLACEMENT_WAIT_MS: u64 = 5_000;
+/// How long a suspect waits for its turn on endpoints that few are left of, in
+/// milliseconds; suspects run one after the other there.
+const SUSPECT_WAIT_MS: u64 = 20_000;
 /// How often a stream whose caller has tokens from here may be superseded; the
 /// caller then reads it elsewhere.
 const MAX_SUPERSEDED: u32 = 3;
@@ -78,7 +81,7 @@
         AttemptEnd::Lost(endpoint) => {
             generation.lost_at.get_or_insert(now);
             generation.exclude.insert(endpoint.clone());
-            generation.note_loss(endpoint).await;
+            suspect::note_loss(&generation.node, endpoint).await;
             "stage_lost"
         }
         AttemptEnd::NotReached(endpoint) => {
@@ -129,21 +132,21 @@
         .iter()
         .map(|stage| (stage.endpoint.clone(), stage.layers))
         .collect();
-    let patience = Instant::now() + Duration::from_millis(REPLACEMENT_WAIT_MS);
-    let give_up_at = patience.min(generation.deadline);
+    let began_at = Instant::now();
     loop {
-        let chain = match verdict(generation) {
+        let (chain, wait_ms) = match verdict(generation) {
             Verdict::Convicted { retry_after } => {
                 return give_up_convicted(generation, retry_after);
             }
-            Verdict::Suspect { .. } => reserve_chain(generation).await,
-            Verdict::Clear => choose(generation, &BTreeSet::new()),
+            Verdict::Suspect { .. } => (reserve_chain(generation).await, SUSPECT_WAIT_MS),
+            Verdict::Clear => (choose(generation, &BTreeSet::new()), REPLACEMENT_WAIT_MS),
         };
+        let give_up_at = began_at + Duration::from_millis(wait_ms);
         if let Some(chain) = chain {
             generation.grant.replace(chain.stages);
             return NextStep::TryAgain;
         }
-        if Instant::now() >= give_up_at {
+        if Instant::now() >= give_up_at.min(generation.deadline) {
             return NextStep::GiveUp(no_chain(generation));
         }
         tokio::time::sleep(Duration::from_millis(CHAIN_POLL_MS)).await;
--- a/src/filter/suspect.rs
+++ b/src/filter/suspect.rs
@@ -46,12 +46,7 @@
 ///
 /// An endpoint that still runs, or whose state cannot be seen, is lost but has
 /// not crashed.
-pub(crate) async fn note_loss(
-    node: &Arc<Node>,
-    endpoint: &EndpointId,
-    own: RequestDigest,
-    unproven: bool,
-) {
+pub(crate) async fn note_loss(node: &Arc<Node>, endpoint: &EndpointId) {
     let known = {
         let mut fleet = node.fleet.lock();
         let known = fleet
@@ -60,10 +55,6 @@
         fleet.note_unreachable(endpoint, Instant::now());
         known
     };
-    let mut running = node.streams.unproven_on(endpoint);
-    if unproven && !running.contains(&own) {
-        running.push(own);
-    }
     let Some((address, Some(boot))) = known else {
         return;
     };
@@ -73,7 +64,11 @@
         Err(CallError::NotSent { .. } | CallError::AnswerLost { .. }) => true,
         Err(_) => false,
     };
-    if has_crashed && !running.is_empty() {
+    if !has_crashed {
+        return;
+    }
+    let running = node.streams.accuse(endpoint);
+    if !running.is_empty() {
         spdlog::warn!(
             "quarantine: {endpoint} crashed with {} unproven requests",
             running.len()
