Call a refused resume failed only if its token can be read

Cause: the matrix wants every refused resume called failed, the fuzz test wants an unreadable token called not run; the merged check took any token, and my first mend asked for the whole request to be valid. Change: a readable resume token decides.

--- a/src/filter.rs
+++ b/src/filter.rs
@@ -25,7 +25,7 @@
 pub(crate) use operate::recorded_outcome;
 pub(crate) use record::{generate_refused, operation_refused};
 
-use pistachioyard_wire::{GenerateCall, GenerateRequest, OperationOutcome};
+use pistachioyard_wire::{GenerateRequest, OperationOutcome, ResumeToken};
 
 use crate::entry::{InFlight, Lifecycle};
 use crate::prelude::*;
@@ -52,12 +52,12 @@
 }
 
 /// Tells whether a request goes on with an answer that has begun before; a resume
-/// token that cannot be read, or is another request's, proves nothing of the kind.
+/// token that cannot be read proves nothing of the kind.
 fn is_resumed(body: &[u8]) -> bool {
     serde_json::from_slice::<GenerateRequest>(body)
         .ok()
-        .and_then(|req| GenerateCall::try_from(req).ok())
-        .is_some_and(|call| call.resume.is_some())
+        .and_then(|req| req.resume)
+        .is_some_and(|raw| ResumeToken::try_from(raw.as_str()).is_ok())
 }
 
 async fn admit_and_start(node: &Arc<Node>, body: &[u8]) -> Result<deliver::EventStream, Problem> {
