--- a/crates/pistachioyard_standins/src/cluster.rs
+++ b/crates/pistachioyard_standins/src/cluster.rs
@@ -2,6 +2,7 @@
 
 mod binaries;
 mod caller;
+mod control;
 mod error;
 mod processes;
 mod spec;
--- a/crates/pistachioyard_standins/src/cluster/processes.rs
+++ b/crates/pistachioyard_standins/src/cluster/processes.rs
@@ -4,18 +4,15 @@
 use std::time::Duration;
 
 use pistachioyard_wire::{
-    ApplyAnswer, ApplyId, ApplyRequest, DataCentre, EndpointId, ForceStatus, HostKind, HostName,
-    HostRecord, HostState, Region, Revision, ServiceName,
+    DataCentre, EndpointId, HostKind, HostName, HostRecord, HostState, Region, Revision,
+    ServiceName,
 };
 
 use super::{Binaries, ClusterError, ClusterPlan, EngineSpec};
-use crate::{
-    AddressPool, Child, FaultRule, HttpClient, HttpClientConfig, Launcher, PlatformFaults, Route,
-    wait_until,
-};
+use crate::{AddressPool, Child, HttpClient, HttpClientConfig, Launcher, Route, wait_until};
 
 /// How long the processes of a cluster may take to be ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(40);
+pub(super) const READY_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// One entry process.
 #[derive(Debug)]
@@ -30,7 +27,7 @@
     pub advertised_peer: SocketAddr,
     /// The process.
     pub child: Child,
-    settings: std::path::PathBuf,
+    pub(super) settings: std::path::PathBuf,
 }
 
 /// One engine or plain-service process.
@@ -46,7 +43,7 @@
     pub listed: SocketAddr,
     /// The process.
     pub child: Child,
-    args: Vec<String>,
+    pub(super) args: Vec<String>,
 }
 
 /// A deployment of stand-ins and entries; dropped, all its processes end.
@@ -72,9 +69,9 @@
     pub listed_platform: SocketAddr,
     /// Speaks to the processes.
     pub client: HttpClient,
-    launcher: Launcher,
+    pub(super) launcher: Launcher,
     pool: AddressPool,
-    binaries: Binaries,
+    pub(super) binaries: Binaries,
     _proxy_child: Option<Child>,
     /// The addresses of all entries, known before they are started.
     seeds: Vec<SocketAddr>,
@@ -139,7 +136,11 @@
         Ok(cluster)
     }
 
-    async fn wait_until_up(&self, address: SocketAddr, what: &str) -> Result<(), ClusterError> {
+    pub(super) async fn wait_until_up(
+        &self,
+        address: SocketAddr,
+        what: &str,
+    ) -> Result<(), ClusterError> {
         Ok(wait_until(READY_TIMEOUT, what, || async move {
             tokio::net::TcpStream::connect(address).await.is_ok()
         })
@@ -373,7 +374,11 @@
         Ok(path)
     }
 
-    fn spawn_entry(&self, name: &str, settings: &std::path::Path) -> Result<Child, ClusterError> {
+    pub(super) fn spawn_entry(
+        &self,
+        name: &str,
+        settings: &std::path::Path,
+    ) -> Result<Child, ClusterError> {
         let args = [
             "entry".into(),
             "--config".into(),
@@ -381,165 +386,9 @@
         ];
         Ok(self.launcher.spawn(name, &self.binaries.router, args)?)
     }
-
-    /// Applies an operators' file at one entry.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the entry does not answer or does not accept the file.
-    pub async fn apply(
-        &self,
-        entry: usize,
-        base: Revision,
-        text: String,
-    ) -> Result<Revision, ClusterError> {
-        let req = ApplyRequest {
-            apply: ApplyId::generate(),
-            base,
-            text,
-        };
-        let answer: ApplyAnswer = self
-            .client
-            .post_json(self.entries[entry].caller, "/v1/config", &req)
-            .await?;
-        match answer {
-            ApplyAnswer::Accepted { revision } => Ok(revision),
-            other => Err(ClusterError::NotAccepted {
-                answer: format!("{other:?}"),
-            }),
-        }
-    }
-
-    /// Waits until every entry takes new work and sees every endpoint's report.
-    ///
-    /// # Errors
-    ///
-    /// Fails when that does not happen in time.
-    pub async fn wait_ready(&self) -> Result<(), ClusterError> {
-        for entry in &self.entries {
-            self.wait_entry_ready(entry).await?;
-        }
-        Ok(())
-    }
-
-    /// Waits until one entry takes new work and can run the model.
-    ///
-    /// # Errors
-    ///
-    /// Fails when that does not happen in time.
-    pub async fn wait_entry_ready(&self, entry: &EntryProcess) -> Result<(), ClusterError> {
-        let what = format!("{} to be ready", entry.name);
-        let expected = self.engines.len() + self.services.len();
-        Ok(wait_until(READY_TIMEOUT, &what, || async {
-            self.status(entry.caller).await.is_ok_and(|status| {
-                status.ready
-                    && status.usable_endpoints as usize >= expected
-                    && status.entries.len() >= self.entries.len()
-            })
-        })
-        .await?)
-    }
-
-    /// Asks an entry for its status.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the entry does not answer.
-    pub async fn status(&self, entry: SocketAddr) -> Result<ForceStatus, ClusterError> {
-        Ok(self.client.get_json(entry, "/v1/status").await?)
-    }
-
-    /// Sets the platform's faults; each call replaces all of them.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the platform's control interface does not answer.
-    pub async fn set_platform_faults(&self, faults: &PlatformFaults) -> Result<(), ClusterError> {
-        Ok(self
-            .client
-            .put_json(self.platform, "/control/faults", faults)
-            .await?)
-    }
-
-    /// Sets the proxy's faults; each call replaces all of them.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the cluster has no proxy that answers.
-    pub async fn set_proxy_faults(&self, rules: &[FaultRule]) -> Result<(), ClusterError> {
-        let control = self.proxy.unwrap_or(self.platform);
-        Ok(self
-            .client
-            .put_json(control, "/control/faults", rules)
-            .await?)
-    }
-
-    /// Starts an entry again that has ended, at the same addresses.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process cannot be started.
-    pub async fn restart_entry(&mut self, place: usize) -> Result<(), ClusterError> {
-        let entry = &self.entries[place];
-        let child = self.spawn_entry(&entry.name, &entry.settings)?;
-        let caller = entry.caller;
-        self.entries[place].child = child;
-        self.wait_until_up(caller, "the restarted entry").await
-    }
-
-    /// Starts an engine again that has ended, at the same address.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process cannot be started.
-    pub fn restart_engine(&mut self, place: usize) -> Result<(), ClusterError> {
-        let engine = &self.engines[place];
-        let child = self
-            .launcher
-            .spawn(&engine.name, &self.binaries.standins, &engine.args)?;
-        self.engines[place].child = child;
-        Ok(())
-    }
-
-    /// Starts a plain service again that has ended, at the same address.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process cannot be started.
-    pub fn restart_service(&mut self, place: usize) -> Result<(), ClusterError> {
-        let service = &self.services[place];
-        let child = self
-            .launcher
-            .spawn(&service.name, &self.binaries.standins, &service.args)?;
-        self.services[place].child = child;
-        Ok(())
-    }
-
-    /// Starts the platform again that has ended, at the same address and without
-    /// its objects.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the process cannot be started.
-    pub async fn restart_platform(&mut self) -> Result<(), ClusterError> {
-        let listen = self.platform.to_string();
-        let args = standin_args("platform", &[("--listen", listen)]);
-        self.platform_child = self
-            .launcher
-            .spawn("platform", &self.binaries.standins, args)?;
-        self.wait_until_up(self.platform, "the platform").await
-    }
-
-    /// Returns the logs of all entries, for a failed test.
-    pub fn entry_logs(&self) -> String {
-        self.entries
-            .iter()
-            .map(|entry| format!("== {}\n{}\n", entry.name, entry.child.log()))
-            .collect()
-    }
 }
 
-fn standin_args(command: &str, pairs: &[(&str, String)]) -> Vec<String> {
+pub(super) fn standin_args(command: &str, pairs: &[(&str, String)]) -> Vec<String> {
     let mut args = vec!["--exit-with-stdin".to_owned(), command.to_owned()];
     for (flag, value) in pairs {
         args.push((*flag).to_owned());
--- a/src/filter.rs
+++ b/src/filter.rs
@@ -11,19 +11,23 @@
 mod deliver;
 mod dispatch;
 mod follow;
+mod grant;
 mod identify;
 mod operate;
 mod record;
 mod recover;
+mod route;
 mod suspect;
 
-pub(crate) use admit::{Admission, Grant, RouteQuery};
+pub(crate) use admit::Admission;
 pub(crate) use deliver::event_body;
+pub(crate) use grant::Grant;
 pub(crate) use identify::{
     GenerateContext, RawOperation, bad_request, identify_generate, identify_operation,
 };
 pub(crate) use operate::recorded_outcome;
 pub(crate) use record::{generate_refused, operation_refused};
+pub(crate) use route::RouteQuery;
 
 use pistachioyard_wire::{GenerateRequest, OperationOutcome, ResumeToken};
 
--- a/src/filter/admit.rs
+++ b/src/filter/admit.rs
@@ -7,18 +7,13 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use parking_lot::Mutex;
-use pistachioyard_policy::{
-    Chain, ChainQuery, DrainRate, FairQueue, NoChain, Ticket, choose_chain_by,
-};
-use pistachioyard_wire::{AdapterName, LayerRange as Layers, StageRef, WorkspaceUsage};
+use pistachioyard_policy::{Chain, DrainRate, FairQueue, NoChain, Ticket};
+use pistachioyard_wire::WorkspaceUsage;
 use tokio::sync::{Notify, oneshot};
 
-use super::GenerateContext;
+use super::{GenerateContext, Grant, RouteQuery};
 use crate::prelude::*;
 
-/// The time between tokens that admission keeps free at every endpoint, in
-/// milliseconds; the rest of the objective is for links and the way to the caller.
-const TOKEN_GAP_MS: u64 = 28;
 /// How long a request may wait for admission, in milliseconds; what is left of
 /// the first-token objective is for the prefill.
 const MAX_WAIT_MS: u64 = 1_200;
@@ -31,126 +26,6 @@
 const MIN_RETRY_AFTER_MS: u64 = 200;
 /// The time over which the rate of completions is averaged, in milliseconds.
 const RATE_TIME_MS: u64 = 2_000;
-/// The prompt bytes that count as one token of work.
-const PROMPT_BYTES_PER_TOKEN: usize = 16;
-
-/// What a chain is chosen for.
-#[derive(Clone, Debug)]
-pub(crate) struct RouteQuery {
-    pub(crate) model: ModelName,
-    pub(crate) version: VersionName,
-    pub(crate) adapter: Option<AdapterName>,
-    pub(crate) layers: u32,
-    pub(crate) tokens: u32,
-    pub(crate) keep: Vec<(EndpointId, Layers)>,
-}
-
-impl RouteQuery {
-    /// Makes the query of a request; a resumed one keeps its stages if it can.
-    pub(crate) fn new(cx: &GenerateContext) -> Self {
-        let call = &cx.call;
-        let prompt_tokens = (call.prompt.len() / PROMPT_BYTES_PER_TOKEN) as u32;
-        Self {
-            model: call.model.clone(),
-            version: cx.version.clone(),
-            adapter: call.adapter.clone(),
-            layers: cx.layers,
-            tokens: prompt_tokens.saturating_add(call.max_tokens),
-            keep: call
-                .resume
-                .as_ref()
-                .map(|token| token.stages.clone())
-                .unwrap_or_default(),
-        }
-    }
-
-    /// Chooses a chain without any of the endpoints in `exclude`.
-    pub(crate) fn choose(
-        &self,
-        node: &Node,
-        exclude: &BTreeSet<EndpointId>,
-        now: Instant,
-    ) -> Result<Chain, NoChain> {
-        let query = ChainQuery {
-            model: &self.model,
-            version: &self.version,
-            adapter: self.adapter.as_ref(),
-            layers: self.layers,
-            prefix_digest: None,
-            tokens: self.tokens,
-            token_gap: Some(Duration::from_millis(TOKEN_GAP_MS)),
-            exclude,
-            keep: &self.keep,
-        };
-        let fleet = node.fleet.lock();
-        let prefixes = node.prefixes.lock();
-        let mut rng = node.rng.lock();
-        let policy = node.settings.choice;
-        choose_chain_by(policy, &fleet, &prefixes, &query, now, &mut *rng)
-    }
-}
-
-/// The right to run one request; gives its slots back when dropped.
-pub(crate) struct Grant {
-    node: Arc<Node>,
-    workspace: WorkspaceName,
-    stages: Arc<[StageRef]>,
-}
-
-impl Grant {
-    fn new(node: &Arc<Node>, workspace: WorkspaceName, stages: Arc<[StageRef]>) -> Self {
-        node.fleet.lock().begin(&stages, Instant::now());
-        *node
-            .admission
-            .in_flight
-            .lock()
-            .entry(workspace.clone())
-            .or_default() += 1;
-        Self {
-            node: node.clone(),
-            workspace,
-            stages,
-        }
-    }
-
-    /// Returns the chain that the request runs on.
-    pub(crate) fn stages(&self) -> &Arc<[StageRef]> {
-        &self.stages
-    }
-
-    /// Moves the request to another chain.
-    pub(crate) fn replace(&mut self, stages: Arc<[StageRef]>) {
-        let now = Instant::now();
-        let mut fleet = self.node.fleet.lock();
-        fleet.end(&self.stages, now);
-        fleet.begin(&stages, now);
-        self.stages = stages;
-    }
-}
-
-impl Drop for Grant {
-    fn drop(&mut self) {
-        let now = Instant::now();
-        self.node.fleet.lock().end(&self.stages, now);
-        let admission = &self.node.admission;
-        let is_idle = {
-            let mut in_flight = admission.in_flight.lock();
-            if let Some(count) = in_flight.get_mut(&self.workspace) {
-                *count = count.saturating_sub(1);
-            }
-            in_flight.retain(|_, count| *count > 0);
-            in_flight.is_empty()
-        };
-        {
-            let mut rate = admission.rate.lock();
-            rate.on_completion(now);
-            if is_idle {
-                rate.on_idle();
-            }
-        }
-        admission.wake();
-    }
-}
 
 struct Waiter {
     query: RouteQuery,
@@ -160,8 +35,8 @@
 /// The requests that wait at this entry.
 pub(crate) struct Admission {
     queue: Mutex<FairQueue<Waiter>>,
-    in_flight: Mutex<BTreeMap<WorkspaceName, u32>>,
-    rate: Mutex<DrainRate>,
+    pub(super) in_flight: Mutex<BTreeMap<WorkspaceName, u32>>,
+    pub(super) rate: Mutex<DrainRate>,
     changed: Notify,
 }
 
--- /dev/null
+++ b/src/filter/grant.rs
@@ -0,0 +1,68 @@
+//! The right to run a request, and the slots that go with it.
+
+use pistachioyard_wire::StageRef;
+
+use crate::prelude::*;
+
+/// The right to run one request; gives its slots back when dropped.
+pub(crate) struct Grant {
+    node: Arc<Node>,
+    workspace: WorkspaceName,
+    stages: Arc<[StageRef]>,
+}
+
+impl Grant {
+    /// Takes the slots of a chain for a request of a workspace.
+    pub(super) fn new(node: &Arc<Node>, workspace: WorkspaceName, stages: Arc<[StageRef]>) -> Self {
+        node.fleet.lock().begin(&stages, Instant::now());
+        *node
+            .admission
+            .in_flight
+            .lock()
+            .entry(workspace.clone())
+            .or_default() += 1;
+        Self {
+            node: node.clone(),
+            workspace,
+            stages,
+        }
+    }
+
+    /// Returns the chain that the request runs on.
+    pub(crate) fn stages(&self) -> &Arc<[StageRef]> {
+        &self.stages
+    }
+
+    /// Moves the request to another chain.
+    pub(crate) fn replace(&mut self, stages: Arc<[StageRef]>) {
+        let now = Instant::now();
+        let mut fleet = self.node.fleet.lock();
+        fleet.end(&self.stages, now);
+        fleet.begin(&stages, now);
+        self.stages = stages;
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        self.node.fleet.lock().end(&self.stages, now);
+        let admission = &self.node.admission;
+        let is_idle = {
+            let mut in_flight = admission.in_flight.lock();
+            if let Some(count) = in_flight.get_mut(&self.workspace) {
+                *count = count.saturating_sub(1);
+            }
+            in_flight.retain(|_, count| *count > 0);
+            in_flight.is_empty()
+        };
+        {
+            let mut rate = admission.rate.lock();
+            rate.on_completion(now);
+            if is_idle {
+                rate.on_idle();
+            }
+        }
+        admission.wake();
+    }
+}
