Place layers once the endpoints that start together have registered

Cause: the first plan was made over the few endpoints that had registered, which crammed layers into cards without memory for requests.

--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -1,9 +1,9 @@
 //! What is known of the endpoints: their entries in the store, and how they behave.
 //!
-//! An endpoint that failed is left out until it renews its entry, since a dead one
-//! does not; one that fails again soon after is left out for longer. With few
-//! copies of each layer, leaving a sound endpoint out for a fixed long time would
-//! open more gaps than it avoids. See `docs/design/operators-platform.md`.
+//! An endpoint that failed is left out until it answers a question for its state;
+//! one that fails again soon after is left out for longer. With few copies of each
+//! layer, leaving a sound endpoint out for a fixed long time would open more gaps
+//! than it avoids. See `docs/design/operators-platform.md`.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,8 +22,8 @@
 const STRIKE_MEMORY: Duration = Duration::from_secs(10);
 /// How long an endpoint that said it has no room is left out.
 const FULL_HOLD: Duration = Duration::from_millis(150);
-/// The heartbeats that a suspect misses until its layers count as lost.
-const MISSED_HEARTBEATS: f64 = 2.2;
+/// The checks that a suspect fails until its layers count as lost.
+const CHECKS_UNTIL_LOST: u32 = 3;
 
 /// An endpoint as it stands in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,7 +53,8 @@
     pub card: Option<Arc<str>>,
     /// Whether an order is being carried out.
     pub is_moving: bool,
-    /// The orders that it has begun since its start.
+    /// The orders that it has begun since its start; entries in the store do not tell,
+    /// so there it stays as the last report or answer to an order left it.
     pub orders_begun: u64,
     /// The Unix time of its start, in ms; a new one means that it holds nothing of before.
     pub started_unix_ms: Option<u64>,
@@ -86,6 +87,7 @@
 #[derive(Clone, Debug)]
 struct Known {
     record: EndpointRecord,
+    joined_at: Instant,
     renewed_at: Instant,
     suspect: Option<Suspicion>,
     full_until: Option<Instant>,
@@ -102,25 +104,39 @@
     since: Instant,
     until: Instant,
     strikes: u32,
+    failed_checks: u32,
     is_over: bool,
 }
 
+/// Why an endpoint is left out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Suspect {
+    /// A connection to it broke, which a sound endpoint does too; it is asked at once.
+    ConnectionBroke,
+    /// It cannot be connected to or does not answer.
+    NoAnswer,
+    /// Another endpoint says that requests hang at this one.
+    RequestsStall,
+}
+
+impl Suspect {
+    /// Returns the reason in words, for the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::ConnectionBroke => "the connection broke",
+            Self::NoAnswer => "no answer",
+            Self::RequestsStall => "requests stall there",
+        }
+    }
+}
+
 /// The endpoints of all services.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct EndpointBook {
-    heartbeat: Duration,
     known: BTreeMap<EndpointId, Known>,
 }
 
 impl EndpointBook {
-    /// Makes an empty book of endpoints that renew their entries each `heartbeat`.
-    pub fn new(heartbeat: Duration) -> Self {
-        Self {
-            heartbeat,
-            known: BTreeMap::new(),
-        }
-    }
-
     /// Takes in an entry of the store.
     pub fn apply(&mut self, record: EndpointRecord, now: Instant) -> EndpointNews {
         let Some(known) = self.known.get_mut(&record.endpoint) else {
@@ -136,12 +152,8 @@
             *known = Known::new(known.record.clone(), now);
             return EndpointNews::Restarted;
         }
-        // An entry can be older than what the endpoint itself has said since.
-        if new.state.orders_begun < old.state.orders_begun {
-            known.record.state = old.state;
-            return EndpointNews::Renewed;
-        }
-        known.renew(now);
+        known.record.state.orders_begun = old.state.orders_begun;
+        known.settle_order(now);
         match () {
             () if known.record.is_leaving && !old.is_leaving => EndpointNews::Leaves,
             () if known.record.state.layers != old.state.layers => EndpointNews::Layers,
@@ -213,10 +225,35 @@
     }
 
     /// Leaves an endpoint out since it failed; tells whether that is news.
-    pub fn suspect(&mut self, endpoint: &EndpointId, now: Instant) -> bool {
-        self.known
-            .get_mut(endpoint)
-            .is_some_and(|known| known.suspect(now))
+    pub fn suspect(&mut self, endpoint: &EndpointId, why: Suspect, now: Instant) -> bool {
+        let known = self.known.get_mut(endpoint);
+        known.is_some_and(|known| known.suspect(why, now))
+    }
+
+    /// Lists the suspects that are due to be asked for their state.
+    pub fn due_checks(&self, now: Instant) -> Vec<EndpointRecord> {
+        let due = self.known.values().filter(|known| {
+            let suspect = known.suspect.filter(|suspect| !suspect.is_over);
+            suspect.is_some_and(|suspect| now >= suspect.until)
+        });
+        due.map(|known| known.record.clone()).collect()
+    }
+
+    /// Notes what a check of a suspect brought; tells whether it is usable again.
+    pub fn note_check(&mut self, endpoint: &EndpointId, answered: bool, now: Instant) -> bool {
+        let Some(known) = self.known.get_mut(endpoint) else {
+            return false;
+        };
+        let Some(suspect) = &mut known.suspect else {
+            return false;
+        };
+        if answered {
+            suspect.is_over = true;
+            return true;
+        }
+        suspect.failed_checks += 1;
+        suspect.until = now + MIN_HOLD;
+        false
     }
 
     /// Leaves an endpoint out for a moment since it has no room.
@@ -237,6 +274,7 @@
     pub fn note_order(&mut self, endpoint: &EndpointId, layers: LayerRange, until: Instant) {
         if let Some(known) = self.known.get_mut(endpoint) {
             known.ordered = Some((layers, until));
+            known.record.state.orders_begun += 1;
         }
     }
 
@@ -285,11 +323,10 @@
         spec: &PipelineSpec,
         now: Instant,
     ) -> Vec<CardState> {
-        let lost_after = self.heartbeat.mul_f64(MISSED_HEARTBEATS);
         let of_service = self.known.values().filter(|k| k.record.service == *service);
         let cards = of_service.filter_map(|known| {
             let record = &known.record;
-            let is_lost = record.is_leaving || known.is_refusing || known.is_lost(lost_after, now);
+            let is_lost = record.is_leaving || known.is_refusing || known.is_lost();
             let card = *spec.cards.get(record.state.card.as_ref()?)?;
             let ordered = known.ordered.filter(|(_, until)| now < *until);
             (!is_lost).then(|| CardState {
@@ -306,6 +343,23 @@
         cards.collect()
     }
 
+    /// Tells whether endpoints of a service are still joining for the first time: none
+    /// of them holds anything and the newest has been known for less than `settle`.
+    ///
+    /// A placement over the few that came first would cram the layers into them.
+    pub fn is_gathering(&self, service: &ServiceName, settle: Duration, now: Instant) -> bool {
+        let of_service = self.known.values().filter(|k| k.record.service == *service);
+        let is_new = |known: &Known| now.saturating_duration_since(known.joined_at) < settle;
+        let mut any_new = false;
+        for known in of_service {
+            if known.record.state.layers.is_some() || known.ordered.is_some() {
+                return false;
+            }
+            any_new |= is_new(known);
+        }
+        any_new
+    }
+
     /// Counts the endpoints that are known, and those that are usable.
     pub fn counts(&self, now: Instant) -> (usize, usize) {
         let usable = self.known.values().filter(|known| known.is_usable(now));
@@ -317,6 +371,7 @@
     fn new(record: EndpointRecord, now: Instant) -> Self {
         Self {
             record,
+            joined_at: now,
             renewed_at: now,
             suspect: None,
             full_until: None,
@@ -326,17 +381,6 @@
         }
     }
 
-    /// Takes a heartbeat as the end of a suspicion, once it is old enough for the
-    /// heartbeat not to have been sent before it.
-    fn renew(&mut self, now: Instant) {
-        if let Some(suspect) = &mut self.suspect
-            && now >= suspect.until
-        {
-            suspect.is_over = true;
-        }
-        self.settle_order(now);
-    }
-
     fn settle_order(&mut self, now: Instant) {
         let state = &self.record.state;
         let is_settled = |(layers, until): &(LayerRange, Instant)| {
@@ -347,7 +391,7 @@
         }
     }
 
-    fn suspect(&mut self, now: Instant) -> bool {
+    fn suspect(&mut self, why: Suspect, now: Instant) -> bool {
         let is_news = !self.is_suspect(now);
         let strikes = match self.suspect {
             Some(old) if now.saturating_duration_since(old.since) < STRIKE_MEMORY => {
@@ -355,12 +399,17 @@
             }
             _ => 1,
         };
-        let hold = (MIN_HOLD * 2u32.saturating_pow(strikes - 1)).min(MAX_HOLD);
+        let hold = match why {
+            Suspect::ConnectionBroke => Duration::ZERO,
+            Suspect::NoAnswer => MIN_HOLD,
+            Suspect::RequestsStall => (MIN_HOLD * 2u32.saturating_pow(strikes)).min(MAX_HOLD),
+        };
         if is_news {
             self.suspect = Some(Suspicion {
                 since: now,
                 until: now + hold,
                 strikes,
+                failed_checks: 0,
                 is_over: false,
             });
         }
@@ -372,8 +421,9 @@
             .is_some_and(|suspect| now < suspect.until || !suspect.is_over)
     }
 
-    fn is_lost(&self, lost_after: Duration, now: Instant) -> bool {
-        self.is_suspect(now) && now.saturating_duration_since(self.renewed_at) > lost_after
+    fn is_lost(&self) -> bool {
+        self.suspect
+            .is_some_and(|s| !s.is_over && s.failed_checks >= CHECKS_UNTIL_LOST)
     }
 
     fn is_usable(&self, now: Instant) -> bool {
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,7 +19,7 @@
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
     CrossingMeter, EndpointBook, LoadBook, Membership, PlainPace, Quarantine, RetryBudget,
-    RouteTable,
+    RouteTable, Suspect,
 };
 use pistachioyard_wire::{EntryState, MemberRecord};
 pub(crate) use run::run_router;
@@ -63,6 +63,8 @@
     pub(crate) room: Notify,
     /// Wakes the placement controller when an endpoint was lost or joined.
     pub(crate) endpoints_changed: Notify,
+    /// Wakes the checks of endpoints that were just left out.
+    pub(crate) suspects_due: Notify,
     /// Wakes the configuration controller when a peer has a newer version.
     pub(crate) config_behind: Notify,
     pub(crate) client: EndpointClient,
@@ -90,7 +92,7 @@
             started_at: now,
             lifecycle: Arc::default(),
             config: RwLock::new(None),
-            endpoints: Mutex::new(EndpointBook::new(settings.endpoint_heartbeat)),
+            endpoints: Mutex::default(),
             load: Mutex::default(),
             members: Mutex::new(Membership::new(own, PEER_TIMEOUT, now)),
             retries: Mutex::new(RetryBudget::new(settings.retry_share, slack)),
@@ -99,6 +101,7 @@
             crossings: Mutex::new(CrossingMeter::new(now)),
             room: Notify::new(),
             endpoints_changed: Notify::new(),
+            suspects_due: Notify::new(),
             config_behind: Notify::new(),
             client: EndpointClient::default(),
             store: StoreClient::new(settings.store.address),
@@ -138,18 +141,19 @@
     }
 
     /// Leaves an endpoint out since it failed, and says so.
-    pub(crate) fn suspect(&self, endpoint: &EndpointId, why: &'static str) {
+    pub(crate) fn suspect(&self, endpoint: &EndpointId, why: Suspect) {
         let now = Instant::now();
         let (is_news, age) = {
             let mut endpoints = self.endpoints.lock();
             let age = endpoints.age(endpoint, now).unwrap_or_default();
-            (endpoints.suspect(endpoint, now), age)
+            (endpoints.suspect(endpoint, why, now), age)
         };
         if is_news {
             metric::count_suspect();
             spdlog::warn!("endpoints: left out", kv: {
-                endpoint = endpoint.as_str(), why, entry_age_ms = age.as_millis() as u64
+                endpoint = endpoint.as_str(), why = why.as_str(), entry_age_ms = age.as_millis() as u64
             });
+            self.suspects_due.notify_one();
             self.endpoints_changed.notify_one();
         }
     }
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -4,6 +4,7 @@
 mod endpoints;
 mod peers;
 mod placement;
+mod suspects;
 
 pub(crate) use peers::announce;
 
@@ -22,6 +23,7 @@
     tokio::spawn(peers::gossip(router.clone(), peers));
     tokio::spawn(peers::register(router.clone()));
     tokio::spawn(placement::run(router.clone()));
+    tokio::spawn(suspects::run(router.clone()));
     tokio::spawn(keep_house(router.clone()));
 }
 
--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -13,6 +13,8 @@
 const ROUND_PERIOD: Duration = Duration::from_millis(500);
 /// The pause after a change, in which more that belong to it arrive.
 const GATHER: Duration = Duration::from_millis(40);
+/// The heartbeats in which endpoints that start together have all registered.
+const GATHER_HEARTBEATS: f64 = 1.6;
 /// The tokens of requests that each card keeps room for, in usual requests; what a
 /// data centre carries while another one is lost.
 const ROOM_REQUESTS: f64 = 110.0;
@@ -44,6 +46,17 @@
     };
     let pipelines = in_force.table.pipelines();
     for (service, spec) in pipelines {
+        let settle = router
+            .settings
+            .endpoint_heartbeat
+            .mul_f64(GATHER_HEARTBEATS);
+        if router
+            .endpoints
+            .lock()
+            .is_gathering(service, settle, Instant::now())
+        {
+            continue;
+        }
         let cards = router.endpoints.lock().cards(service, spec, Instant::now());
         let moves = plan(spec, &cards);
         if !moves.is_empty() && lease.is_held() {
--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -5,7 +5,7 @@
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
 use pistachioyard_platform::{LoadOrder, OrderAnswer, decode_order_answer};
-use pistachioyard_policy::{LayerMove, PipelineSpec};
+use pistachioyard_policy::{LayerMove, PipelineSpec, Suspect};
 use pistachioyard_wire::Fence;
 
 use crate::error::CallError;
@@ -70,7 +70,7 @@
 ) {
     let now = Instant::now();
     match answer {
-        Ok(OrderAnswer::Begun | OrderAnswer::Holds) => {
+        Ok(OrderAnswer::Begun) => {
             let share = f64::from(order.layers.len()) / f64::from(spec.layers);
             let load = Duration::from_secs_f64(spec.load_ms * share / 1e3);
             let until = now + load * 2 + LOAD_SLACK;
@@ -79,7 +79,7 @@
                 .lock()
                 .note_order(&order.endpoint, order.layers, until);
         }
-        Err(CallError::NotSent { .. }) => router.suspect(&order.endpoint, "no connection"),
+        Err(CallError::NotSent { .. }) => router.suspect(&order.endpoint, Suspect::NoAnswer),
         // What it holds now decides the next round; it may also do the order late.
         Ok(_) | Err(_) => {
             let report = crate::router::filter::ask_report(&router.client, record.address).await;
--- /dev/null
+++ b/src/router/controller/suspects.rs
@@ -0,0 +1,44 @@
+//! Asks endpoints that are left out for their state, until they answer.
+
+use futures_util::future::join_all;
+use pistachioyard_policy::EndpointRecord;
+
+use crate::prelude::*;
+use crate::router::{Router, filter};
+
+/// How often it is looked for suspects that are due.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+/// How long a suspect may take to answer; a sound endpoint answers in a few ms.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Checks suspects when they are due.
+pub(super) async fn run(router: Arc<Router>) {
+    loop {
+        // Either way it is looked, so which of the two ended the wait is no matter.
+        let _ = tokio::time::timeout(LOOK_PERIOD, router.suspects_due.notified()).await;
+        let due = router.endpoints.lock().due_checks(Instant::now());
+        join_all(due.iter().map(|record| check(&router, record))).await;
+    }
+}
+
+async fn check(router: &Router, record: &EndpointRecord) {
+    let asked = filter::ask_report(&router.client, record.address);
+    let report = match tokio::time::timeout(CHECK_TIMEOUT, asked).await {
+        Ok(Ok(report)) => Some(report),
+        Ok(Err(_)) | Err(_) => None,
+    };
+    let now = Instant::now();
+    let answered = report.is_some();
+    let is_usable = {
+        let mut endpoints = router.endpoints.lock();
+        if let Some(report) = report {
+            endpoints.apply_report(&record.endpoint, report, now);
+        }
+        endpoints.note_check(&record.endpoint, answered, now)
+    };
+    if is_usable {
+        spdlog::info!("endpoints: usable again", kv: { endpoint = record.endpoint.as_str() });
+        router.room.notify_waiters();
+        router.endpoints_changed.notify_one();
+    }
+}
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -4,7 +4,7 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use pistachioyard_platform::{AnswerHead, Send, decode_answer_head, encode_answer, encode_send};
-use pistachioyard_policy::{EndpointRecord, Repeatability, choose_plain};
+use pistachioyard_policy::{EndpointRecord, Repeatability, Suspect, choose_plain};
 use pistachioyard_wire::ServiceName;
 
 use super::record::Record;
@@ -94,7 +94,7 @@
             }
             Attempt::NotReached => {
                 record.attempt_failed(&target.endpoint, "no connection");
-                router.suspect(&target.endpoint, "no connection");
+                router.suspect(&target.endpoint, Suspect::NoAnswer);
                 why = "not_reached";
             }
             Attempt::Lost(detail) => {
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use pistachioyard_platform::{AnswerHead, EventSplitter, Send, decode_answer_head};
-use pistachioyard_policy::{GapMeter, Path, PauseVerdict, RequestSize};
+use pistachioyard_policy::{GapMeter, Path, PauseVerdict, RequestSize, Suspect};
 
 use super::Verdict;
 use crate::error::CallError;
@@ -109,7 +109,7 @@
         let opened = match sent {
             Ok((response, connection)) => self.classify(call, response, connection).await,
             Err(CallError::NotSent { .. }) => {
-                router.suspect(&first.endpoint, "no connection");
+                router.suspect(&first.endpoint, Suspect::NoAnswer);
                 Opened::NotReached
             }
             Err(e) => {
@@ -144,7 +144,7 @@
             return Opened::Stream(parts.status, parts.headers);
         }
         if let Some(endpoint) = head.at_fault.and_then(|at| self.endpoint_at(at)) {
-            self.router.suspect(&endpoint, "named at fault");
+            self.router.suspect(&endpoint, Suspect::RequestsStall);
         }
         match body.collect().await {
             Ok(body) if head.is_signed => {
@@ -165,6 +165,13 @@
         let named = head.at_fault.and_then(|at| self.endpoint_at(at));
         let first = &self.path.stages[0].endpoint;
         let at_fault = named.unwrap_or_else(|| first.clone());
+        let load = self.router.load.lock();
+        spdlog::info!("endpoints: refused", kv: {
+            endpoint = at_fault.as_str(), status = head.status.as_u16(),
+            requests_there = load.requests(&at_fault),
+            token_layers_there = load.token_layers(&at_fault) as u64
+        });
+        drop(load);
         let mut endpoints = self.router.endpoints.lock();
         if head.is_other_endpoint && at_fault == *first {
             endpoints.note_refusing(&at_fault);
@@ -176,7 +183,7 @@
     /// Notes that the connection to the first endpoint broke, as in a crash.
     fn first_endpoint_lost(&self) {
         self.router
-            .suspect(&self.path.stages[0].endpoint, "the connection broke");
+            .suspect(&self.path.stages[0].endpoint, Suspect::ConnectionBroke);
     }
 
     /// Reads what comes next into the splitter.
@@ -217,7 +224,7 @@
             .get(&self.router.client, first.address)
             .await;
         let Some(report) = report else {
-            self.router.suspect(&first.endpoint, "no report");
+            self.router.suspect(&first.endpoint, Suspect::NoAnswer);
             return Verdict::Leave("the first endpoint does not answer".to_owned());
         };
         let mut stalled_at = None;
@@ -225,7 +232,7 @@
             let Some(endpoint) = self.endpoint_at(*address) else {
                 continue;
             };
-            self.router.suspect(&endpoint, "requests stall there");
+            self.router.suspect(&endpoint, Suspect::RequestsStall);
             if *request_id == call.head.request_id || self.passes(&endpoint) {
                 stalled_at = Some(endpoint);
             }
