--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -14,16 +14,27 @@
 
 use crate::pipeline::{CardState, LoadBook, PipelineSpec, StageOffer};
 
-/// How long an endpoint that failed is left out at least.
-const MIN_HOLD: Duration = Duration::from_millis(400);
+/// How long an endpoint at which requests stall is left out at least, also if it
+/// answers: the fault may lie between it and others.
+const MIN_HOLD: Duration = Duration::from_millis(800);
+/// The pause between two checks of a suspect.
+const CHECK_PAUSE: Duration = Duration::from_millis(250);
 /// The longest time that repeated failures leave an endpoint out.
 const MAX_HOLD: Duration = Duration::from_secs(6);
 /// Failures further apart than this do not add up.
 const STRIKE_MEMORY: Duration = Duration::from_secs(10);
-/// How long an endpoint that said it has no room is left out.
-const FULL_HOLD: Duration = Duration::from_millis(150);
+/// How long an endpoint that refused a request is left out at first; doubled with
+/// each further refusal.
+const REFUSAL_HOLD: Duration = Duration::from_millis(150);
+/// The longest time that refusals leave an endpoint out.
+const MAX_REFUSAL_HOLD: Duration = Duration::from_secs(4);
+/// Refusals further apart than this do not add up.
+const REFUSAL_MEMORY: Duration = Duration::from_secs(6);
+/// The refusals in a row, each with memory to spare, after which an endpoint counts
+/// as leaving: one that drains says so in the store, but the store may be out of reach.
+const REFUSALS_UNTIL_LEAVING: u32 = 3;
 /// The checks that a suspect fails until its layers count as lost.
-const CHECKS_UNTIL_LOST: u32 = 3;
+const CHECKS_UNTIL_LOST: u32 = 2;
 
 /// An endpoint as it stands in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -90,7 +101,7 @@
     joined_at: Instant,
     renewed_at: Instant,
     suspect: Option<Suspicion>,
-    full_until: Option<Instant>,
+    refusals: Option<Refusals>,
     /// Whether it said itself that it leaves or is another one.
     is_refusing: bool,
     /// When its entry was found missing right after an outage of the store.
@@ -102,10 +113,21 @@
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
     since: Instant,
-    until: Instant,
+    /// Until when it is left out even if it answers.
+    hold_until: Instant,
+    next_check_at: Instant,
     strikes: u32,
     failed_checks: u32,
-    is_over: bool,
+    has_answered: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Refusals {
+    last_at: Instant,
+    until: Instant,
+    /// Those in a row that came although there was memory to spare.
+    unexplained: u32,
+    count: u32,
 }
 
 /// Why an endpoint is left out.
@@ -233,33 +255,28 @@
     /// Lists the suspects that are due to be asked for their state.
     pub fn due_checks(&self, now: Instant) -> Vec<EndpointRecord> {
         let due = self.known.values().filter(|known| {
-            let suspect = known.suspect.filter(|suspect| !suspect.is_over);
-            suspect.is_some_and(|suspect| now >= suspect.until)
+            let suspect = known.suspect.filter(|suspect| !suspect.has_answered);
+            suspect.is_some_and(|suspect| now >= suspect.next_check_at)
         });
         due.map(|known| known.record.clone()).collect()
     }
 
-    /// Notes what a check of a suspect brought; tells whether it is usable again.
-    pub fn note_check(&mut self, endpoint: &EndpointId, answered: bool, now: Instant) -> bool {
-        let Some(known) = self.known.get_mut(endpoint) else {
-            return false;
-        };
-        let Some(suspect) = &mut known.suspect else {
-            return false;
-        };
-        if answered {
-            suspect.is_over = true;
-            return true;
+    /// Notes what a check of a suspect brought.
+    pub fn note_check(&mut self, endpoint: &EndpointId, answered: bool, now: Instant) {
+        let known = self.known.get_mut(endpoint);
+        if let Some(suspect) = known.and_then(|known| known.suspect.as_mut()) {
+            suspect.has_answered = answered;
+            suspect.failed_checks += u32::from(!answered);
+            suspect.next_check_at = now + CHECK_PAUSE;
         }
-        suspect.failed_checks += 1;
-        suspect.until = now + MIN_HOLD;
-        false
     }
 
-    /// Leaves an endpoint out for a moment since it has no room.
-    pub fn note_full(&mut self, endpoint: &EndpointId, now: Instant) {
+    /// Leaves an endpoint out for a while since it refused a request.
+    ///
+    /// `has_room` tells whether by all that is known it had memory for the request.
+    pub fn note_refusal(&mut self, endpoint: &EndpointId, has_room: bool, now: Instant) {
         if let Some(known) = self.known.get_mut(endpoint) {
-            known.full_until = Some(now + FULL_HOLD);
+            known.note_refusal(has_room, now);
         }
     }
 
@@ -326,7 +343,10 @@
         let of_service = self.known.values().filter(|k| k.record.service == *service);
         let cards = of_service.filter_map(|known| {
             let record = &known.record;
-            let is_lost = record.is_leaving || known.is_refusing || known.is_lost();
+            let is_lost = record.is_leaving
+                || known.is_refusing
+                || known.seems_leaving(now)
+                || known.is_lost();
             let card = *spec.cards.get(record.state.card.as_ref()?)?;
             let ordered = known.ordered.filter(|(_, until)| now < *until);
             (!is_lost).then(|| CardState {
@@ -374,7 +394,7 @@
             joined_at: now,
             renewed_at: now,
             suspect: None,
-            full_until: None,
+            refusals: None,
             is_refusing: false,
             lapsed_at: None,
             ordered: None,
@@ -400,36 +420,62 @@
             _ => 1,
         };
         let hold = match why {
-            Suspect::ConnectionBroke => Duration::ZERO,
-            Suspect::NoAnswer => MIN_HOLD,
-            Suspect::RequestsStall => (MIN_HOLD * 2u32.saturating_pow(strikes)).min(MAX_HOLD),
+            Suspect::ConnectionBroke | Suspect::NoAnswer => Duration::ZERO,
+            Suspect::RequestsStall => (MIN_HOLD * 2u32.saturating_pow(strikes - 1)).min(MAX_HOLD),
         };
         if is_news {
             self.suspect = Some(Suspicion {
                 since: now,
-                until: now + hold,
+                hold_until: now + hold,
+                next_check_at: now,
                 strikes,
                 failed_checks: 0,
-                is_over: false,
+                has_answered: false,
             });
         }
         is_news
     }
 
+    fn note_refusal(&mut self, has_room: bool, now: Instant) {
+        let old = self
+            .refusals
+            .filter(|old| now.saturating_duration_since(old.last_at) < REFUSAL_MEMORY);
+        // Several requests that were under way together are refused for one reason.
+        if old.is_some_and(|old| now < old.until) {
+            return;
+        }
+        let count = old.map_or(0, |old| old.count) + 1;
+        let before = old.map_or(0, |old| old.unexplained);
+        let hold = (REFUSAL_HOLD * 2u32.saturating_pow(count - 1)).min(MAX_REFUSAL_HOLD);
+        self.refusals = Some(Refusals {
+            last_at: now,
+            until: now + hold,
+            unexplained: if has_room { before + 1 } else { 0 },
+            count,
+        });
+    }
+
+    fn seems_leaving(&self, now: Instant) -> bool {
+        self.refusals.is_some_and(|refusals| {
+            refusals.unexplained >= REFUSALS_UNTIL_LEAVING
+                && now.saturating_duration_since(refusals.last_at) < REFUSAL_MEMORY
+        })
+    }
+
     fn is_suspect(&self, now: Instant) -> bool {
         self.suspect
-            .is_some_and(|suspect| now < suspect.until || !suspect.is_over)
+            .is_some_and(|suspect| now < suspect.hold_until || !suspect.has_answered)
     }
 
     fn is_lost(&self) -> bool {
         self.suspect
-            .is_some_and(|s| !s.is_over && s.failed_checks >= CHECKS_UNTIL_LOST)
+            .is_some_and(|s| !s.has_answered && s.failed_checks >= CHECKS_UNTIL_LOST)
     }
 
     fn is_usable(&self, now: Instant) -> bool {
         !self.record.is_leaving
             && !self.is_refusing
             && !self.is_suspect(now)
-            && self.full_until.is_none_or(|until| now >= until)
+            && self.refusals.is_none_or(|refusals| now >= refusals.until)
     }
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -31,7 +31,7 @@
 use crate::router::store_client::StoreClient;
 
 /// How long a peer may be silent before it counts as lost; several gossip periods.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const PEER_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long a request that crashes endpoints is refused; longer than callers repeat one.
 const QUARANTINE_HOLD: Duration = Duration::from_secs(120);
 /// The part of the retry slack that entries use together, since they share it
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -12,10 +12,8 @@
 use crate::router::store_client::StoreError;
 
 /// The part of the time in which a leaving endpoint must stop receiving requests that
-/// goes by between two watches; heartbeats end a watch at once, and each is priced.
-const WATCH_PERIOD_SHARE: f64 = 0.35;
-/// How long a watch may wait, should there be no heartbeats.
-const WATCH_WAIT: Duration = Duration::from_millis(800);
+/// a watch may wait; a connection that has gone silent is noticed within the rest.
+const WATCH_SHARE: f64 = 0.75;
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// How long entries may be missing after an outage of the store; the platform says
@@ -24,10 +22,8 @@
 
 /// Reads all entries, then watches them.
 pub(super) async fn run(router: Arc<Router>) {
-    let period = router.settings.drain_limit.mul_f64(WATCH_PERIOD_SHARE);
     let mut revision = None;
     loop {
-        let began_at = Instant::now();
         let step = match revision {
             None => read(&router).await,
             Some(after) => watch(&router, after).await,
@@ -36,8 +32,6 @@
             Ok(seen) => {
                 revision = Some(seen);
                 drop_lapsed(&router);
-                let rest = period.saturating_sub(began_at.elapsed());
-                tokio::time::sleep(rest).await;
             }
             Err(e) => {
                 if matches!(e, StoreError::Fault(StoreFault::HistoryGone)) {
@@ -65,7 +59,8 @@
 }
 
 async fn watch(router: &Router, after: u64) -> Result<u64, StoreError> {
-    let page = router.store.watch(ENDPOINT_KIND, after, WATCH_WAIT).await?;
+    let wait = router.settings.drain_limit.mul_f64(WATCH_SHARE);
+    let page = router.store.watch(ENDPOINT_KIND, after, wait).await?;
     for change in &page.changes {
         if !change.deleted {
             apply(router, &change.object);
--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -41,7 +41,7 @@
     if !is_candidate(router, Instant::now()) {
         return;
     }
-    let Some(fence) = lease.hold(router).await else {
+    let Some(fence) = lease.fence(router).await else {
         return;
     };
     let pipelines = in_force.table.pipelines();
@@ -59,7 +59,7 @@
         }
         let cards = router.endpoints.lock().cards(service, spec, Instant::now());
         let moves = plan(spec, &cards);
-        if !moves.is_empty() && lease.is_held() {
+        if !moves.is_empty() {
             orders::give(router, spec, &moves, fence).await;
         }
     }
--- a/src/router/controller/placement/lease.rs
+++ b/src/router/controller/placement/lease.rs
@@ -16,6 +16,8 @@
 const LEASE_NAME: &str = "placement";
 /// How long the lease lasts without renewal; a lost holder is replaced after it.
 const TERM: Duration = Duration::from_secs(4);
+/// The pause between two tries to settle the lease.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// The time before the end of the term in which no order is given any more.
 const MARGIN: Duration = Duration::from_millis(800);
 
@@ -24,18 +26,30 @@
 pub(super) struct Lease {
     held: Option<(LeaseHold, LeaseRecord, u64)>,
     not_before: Option<Instant>,
+    /// The newest fencing number that was read or written.
+    newest: Fence,
 }
 
 impl Lease {
-    /// Tells whether an order may be given now.
-    pub(super) fn is_held(&self) -> bool {
+    /// Returns the fencing number under which orders may be given now.
+    ///
+    /// While the store is out of reach no lease can be renewed, and losses have to be
+    /// made up for all the same. The first of the live entries then goes on; should two
+    /// believe that they are it, endpoints refuse the orders that come second.
+    pub(super) async fn fence(&mut self, router: &Router) -> Option<Fence> {
+        let fence = self.hold(router).await;
+        let is_out_of_reach = !router.store.is_reached();
+        fence.or_else(|| is_out_of_reach.then_some(self.newest))
+    }
+
+    fn is_held(&self) -> bool {
         self.held
             .as_ref()
             .is_some_and(|(hold, ..)| hold.valid(Instant::now(), MARGIN))
     }
 
     /// Takes or renews the lease; returns its fencing number while it is held.
-    pub(super) async fn hold(&mut self, router: &Router) -> Option<Fence> {
+    async fn hold(&mut self, router: &Router) -> Option<Fence> {
         if let Some((hold, record, _)) = &self.held
             && hold.valid(Instant::now(), TERM / 2)
         {
@@ -44,6 +58,7 @@
         if self.not_before.is_some_and(|at| Instant::now() < at) {
             return None;
         }
+        self.not_before = Some(Instant::now() + RETRY_PAUSE);
         let had = self.held.as_ref().map(|(_, record, _)| record.fence);
         let result = self.settle(router).await;
         if let Err(e) = &result {
@@ -71,6 +86,11 @@
         let record = current
             .as_ref()
             .and_then(|o| serde_json::from_value(o.spec.clone()).ok());
+        self.newest = self.newest.max(
+            record
+                .as_ref()
+                .map_or(Fence::default(), |r: &LeaseRecord| r.fence),
+        );
         let me = &router.settings.entry;
         let next = match decide(record.as_ref(), me, router.boot, unix_ms(), TERM) {
             LeaseMove::Keep => return Ok(()),
@@ -90,6 +110,7 @@
         };
         match router.store.object(&call).await {
             Ok(object) => {
+                self.newest = next.fence;
                 self.held = Some((LeaseHold::new(asked_at, TERM), next, object.revision));
                 Ok(())
             }
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -29,16 +29,17 @@
     };
     let now = Instant::now();
     let answered = report.is_some();
-    let is_usable = {
+    {
         let mut endpoints = router.endpoints.lock();
         if let Some(report) = report {
             endpoints.apply_report(&record.endpoint, report, now);
         }
-        endpoints.note_check(&record.endpoint, answered, now)
-    };
-    if is_usable {
-        spdlog::info!("endpoints: usable again", kv: { endpoint = record.endpoint.as_str() });
+        endpoints.note_check(&record.endpoint, answered, now);
+    }
+    spdlog::info!("endpoints: checked", kv: { endpoint = record.endpoint.as_str(), answered });
+    if answered {
         router.room.notify_waiters();
-        router.endpoints_changed.notify_one();
     }
+    // What is lost for good shows in its checks too.
+    router.endpoints_changed.notify_one();
 }
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -82,7 +82,7 @@
         match find(router, wanted) {
             Ok(found) => return Ok(found),
             Err(no_path) if Instant::now() >= give_up_at => {
-                return Err(refuse(router, wanted.spec, no_path));
+                return Err(refuse(wanted.spec, no_path));
             }
             Err(_) => wait_for_room(router).await,
         }
@@ -95,12 +95,13 @@
     let _ = tokio::time::timeout(LOOK_AGAIN, router.room.notified()).await;
 }
 
-fn refuse(router: &Router, spec: &PipelineSpec, no_path: NoPath) -> Problem {
+fn refuse(spec: &PipelineSpec, no_path: NoPath) -> Problem {
     let usual_ms = match no_path {
-        // An endpoint that grows or starts has the missing layers after a load.
+        // Another card takes the missing layers over, which takes as long as a load.
         NoPath::Gap { .. } | NoPath::NoCrossing => {
-            let heartbeat_ms = router.settings.endpoint_heartbeat.as_secs_f64() * 1e3;
-            heartbeat_ms + spec.load_ms / f64::from(spec.loads_at_once.max(1))
+            let cards = spec.cards.values().map(|card| spec.max_layers(card));
+            let share = f64::from(cards.max().unwrap_or(spec.layers)) / f64::from(spec.layers);
+            spec.load_ms * share
         }
         // Requests end all the time; places come free within one answer's time.
         NoPath::NoRoom { .. } | NoPath::Tangled => spec.usual_answer * spec.step_ms * 4.0,
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -140,7 +140,7 @@
 fn note_not_run(router: &Router, endpoint: &EndpointId, is_full: bool) {
     let mut endpoints = router.endpoints.lock();
     if is_full {
-        endpoints.note_full(endpoint, Instant::now());
+        endpoints.note_refusal(endpoint, false, Instant::now());
     } else {
         endpoints.note_refusing(endpoint);
     }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -207,7 +207,12 @@
     async fn open(&mut self, found: Found, record: &mut Record, why: &str) -> Opened {
         record.sends_along(&found.path, found.oldest_entry, why);
         let head = found.path.stages[0].endpoint.clone();
-        let flight = Flight::new(self.router.clone(), found.path, self.size);
+        let flight = Flight::new(
+            self.router.clone(),
+            self.spec.clone(),
+            found.path,
+            self.size,
+        );
         self.flight = None;
         self.splitter = EventSplitter::default();
         let (flight, opened) = flight.open(&self.call, self.last_id).await;
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -5,7 +5,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use pistachioyard_platform::{AnswerHead, EventSplitter, Send, decode_answer_head};
-use pistachioyard_policy::{GapMeter, Path, PauseVerdict, RequestSize, Suspect};
+use pistachioyard_policy::{
+    EndpointBook, GapMeter, Path, PauseVerdict, PipelineSpec, RequestSize, Suspect,
+};
 
 use super::Verdict;
 use crate::error::CallError;
@@ -15,6 +17,10 @@
 use crate::router::filter::Call;
 use crate::router::filter::plain::request;
 
+/// The part of an endpoint's memory up to which a refusal can't be for want of it;
+/// what this entry knows of the load lags a little.
+const CLEARLY_FREE: f64 = 0.6;
+
 /// What sending a request along a path brought.
 pub(super) enum Opened {
     /// Events follow.
@@ -42,6 +48,7 @@
 /// Counts a request on its path until it is dropped.
 pub(super) struct Flight {
     router: Arc<Router>,
+    spec: Arc<PipelineSpec>,
     path: Path,
     size: RequestSize,
     answer: Option<(Incoming, Option<Connection>, Option<Duration>)>,
@@ -55,10 +62,16 @@
 }
 
 impl Flight {
-    pub(super) fn new(router: Arc<Router>, path: Path, size: RequestSize) -> Self {
+    pub(super) fn new(
+        router: Arc<Router>,
+        spec: Arc<PipelineSpec>,
+        path: Path,
+        size: RequestSize,
+    ) -> Self {
         router.load.lock().begin(&path.stages, size);
         Self {
             router,
+            spec,
             path,
             size,
             answer: None,
@@ -165,21 +178,34 @@
         let named = head.at_fault.and_then(|at| self.endpoint_at(at));
         let first = &self.path.stages[0].endpoint;
         let at_fault = named.unwrap_or_else(|| first.clone());
+        let now = Instant::now();
+        let mut endpoints = self.router.endpoints.lock();
         let load = self.router.load.lock();
+        let used = load.token_layers(&at_fault);
+        let room = self.room_of(&endpoints, &at_fault);
         spdlog::info!("endpoints: refused", kv: {
             endpoint = at_fault.as_str(), status = head.status.as_u16(),
-            requests_there = load.requests(&at_fault),
-            token_layers_there = load.token_layers(&at_fault) as u64
+            requests_there = load.requests(&at_fault), token_layers_there = used as u64,
+            token_layers_room = room as u64
         });
         drop(load);
-        let mut endpoints = self.router.endpoints.lock();
         if head.is_other_endpoint && at_fault == *first {
             endpoints.note_refusing(&at_fault);
         } else {
-            endpoints.note_full(&at_fault, Instant::now());
+            endpoints.note_refusal(&at_fault, used < room * CLEARLY_FREE, now);
         }
     }
 
+    /// Returns the token-layers that fit at an endpoint of the path.
+    fn room_of(&self, endpoints: &EndpointBook, endpoint: &EndpointId) -> f64 {
+        let room = endpoints.get(endpoint).and_then(|record| {
+            let state = &record.state;
+            let card = self.spec.cards.get(state.card.as_ref()?)?;
+            Some(self.spec.token_layers_beside(card, state.layers?.len()))
+        });
+        room.unwrap_or_default()
+    }
+
     /// Notes that the connection to the first endpoint broke, as in a crash.
     fn first_endpoint_lost(&self) {
         self.router
