Tell peers what endpoints say of their layers, and follow orders by reports

Cause: layers that were loaded while the store was down stayed unknown to the other entries until it was back; callers were told to come back after the longest load.

--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -80,6 +80,21 @@
     pub stalled: Vec<(Arc<str>, SocketAddr)>,
 }
 
+/// What a peer heard from an endpoint about its layers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Hearsay {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The layers that it can run; none if it holds none.
+    pub layers: Option<LayerRange>,
+    /// Whether an order is being carried out.
+    pub is_moving: bool,
+    /// The orders that it has begun since its start.
+    pub orders_begun: u64,
+    /// The Unix time of its start, in ms.
+    pub started_unix_ms: Option<u64>,
+}
+
 /// What changed with an endpoint's entry, for the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EndpointNews {
@@ -99,6 +114,8 @@
 struct Known {
     record: EndpointRecord,
     joined_at: Instant,
+    /// When it last said itself how it stands, in a report or in answer to an order.
+    heard_at: Option<Instant>,
     renewed_at: Instant,
     suspect: Option<Suspicion>,
     refusals: Option<Refusals>,
@@ -194,6 +211,7 @@
         {
             let card = report.card.clone().or_else(|| state.card.clone());
             *state = EndpointReport { card, ..report };
+            known.heard_at = Some(now);
             known.settle_order(now);
         }
     }
@@ -288,11 +306,50 @@
     }
 
     /// Notes an order that an endpoint has begun and is expected to end by `until`.
-    pub fn note_order(&mut self, endpoint: &EndpointId, layers: LayerRange, until: Instant) {
+    pub fn note_order(
+        &mut self,
+        endpoint: &EndpointId,
+        layers: LayerRange,
+        until: Instant,
+        now: Instant,
+    ) {
         if let Some(known) = self.known.get_mut(endpoint) {
             known.ordered = Some((layers, until));
-            known.record.state.orders_begun += 1;
+            let state = &mut known.record.state;
+            state.orders_begun += 1;
+            state.is_moving = true;
+            // What is given up takes nothing new from now on.
+            state.layers = state.layers.and_then(|held| common(held, layers));
+            known.heard_at = Some(now);
+        }
+    }
+
+    /// Lists the endpoints that said themselves how they stand within the last `span`,
+    /// so that peers can be told what the store does not show yet.
+    pub fn heard_within(&self, span: Duration, now: Instant) -> Vec<&EndpointRecord> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < span;
+        let recent = self
+            .known
+            .values()
+            .filter(|k| k.heard_at.is_some_and(is_recent));
+        recent.map(|known| &known.record).collect()
+    }
+
+    /// Takes in what a peer heard of an endpoint's layers, unless newer is known.
+    pub fn apply_hearsay(&mut self, heard: &Hearsay) -> bool {
+        let Some(known) = self.known.get_mut(&heard.endpoint) else {
+            return false;
+        };
+        let state = &mut known.record.state;
+        let is_newer = state.orders_begun < heard.orders_begun
+            || state.orders_begun == heard.orders_begun && state.is_moving && !heard.is_moving;
+        if state.started_unix_ms != heard.started_unix_ms || !is_newer {
+            return false;
         }
+        state.layers = heard.layers;
+        state.orders_begun = heard.orders_begun;
+        state.is_moving = heard.is_moving;
+        true
     }
 
     /// Tells whether an endpoint may get new requests.
@@ -387,11 +444,17 @@
     }
 }
 
+/// Returns the layers that two ranges share, if any.
+fn common(a: LayerRange, b: LayerRange) -> Option<LayerRange> {
+    LayerRange::new(a.first().max(b.first()), a.end().min(b.end())).ok()
+}
+
 impl Known {
     fn new(record: EndpointRecord, now: Instant) -> Self {
         Self {
             record,
             joined_at: now,
+            heard_at: None,
             renewed_at: now,
             suspect: None,
             refusals: None,
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -37,7 +37,9 @@
     Chain, ChainQuery, ChoicePolicy, NoChain, choose_chain, choose_chain_by, free_slots,
 };
 pub use crossing_meter::{CrossingMeter, crossing_ms};
-pub use endpoint_book::{EndpointBook, EndpointNews, EndpointRecord, EndpointReport, Suspect};
+pub use endpoint_book::{
+    EndpointBook, EndpointNews, EndpointRecord, EndpointReport, Hearsay, Suspect,
+};
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, Ticket};
 pub use fleet::{EndpointView, FleetView};
 pub use gap_meter::{GapMeter, PauseVerdict};
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 
 use pistachioyard_platform::{ObjectKind, StoreCall, StoreFault};
-use pistachioyard_wire::{EntryState, MemberRecord, QuarantineMark};
+use pistachioyard_policy::Hearsay;
+use pistachioyard_wire::{EntryState, LayerRange, MemberRecord, QuarantineMark};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -29,6 +30,9 @@
 const PASSED_ON: usize = 2;
 /// The most suspects and marks in one datagram, so that it stays small.
 const MAX_MARKS: usize = 16;
+/// How long what an endpoint said of its layers is passed on; several gossip periods,
+/// since datagrams are lost.
+const HEARD_SPAN: Duration = Duration::from_secs(3);
 /// The largest datagram that is read.
 const MAX_DATAGRAM: usize = 16 * 1024;
 /// The pauses between looks for registrations; short at first, when all entries start.
@@ -47,10 +51,22 @@
     members: Vec<MemberRecord>,
     /// The sender's load: an endpoint's short key, requests, token-layers.
     load: Vec<(u32, u32, f32)>,
-    /// The short keys of endpoints that the sender has just left out.
+    /// What endpoints said of their layers to the sender lately.
+    heard: Vec<HeardLayers>,
+    /// Requests that crashed endpoints.
     quarantine: Vec<QuarantineMark>,
 }
 
+/// What an endpoint said of its layers.
+#[derive(Deserialize, Serialize)]
+struct HeardLayers {
+    key: u32,
+    layers: Option<LayerRange>,
+    is_moving: bool,
+    orders_begun: u64,
+    started_unix_ms: Option<u64>,
+}
+
 /// A short form of an endpoint's id; endpoints that share one only share load figures.
 fn short_key(endpoint: &EndpointId) -> u32 {
     xxh3_64(endpoint.as_str().as_bytes()) as u32
@@ -92,16 +108,39 @@
         router.config_behind.notify_one();
     }
     router.quarantine.lock().merge(&gossip.quarantine, now);
-    let endpoints = router.endpoints.lock();
-    let by_key: HashMap<u32, &EndpointId> = endpoints.ids().map(|id| (short_key(id), id)).collect();
+    let mut endpoints = router.endpoints.lock();
+    let by_key: HashMap<u32, EndpointId> = endpoints
+        .ids()
+        .map(|id| (short_key(id), id.clone()))
+        .collect();
     let load = gossip
         .load
         .iter()
         .filter_map(|(key, requests, token_layers)| {
-            let endpoint = (*by_key.get(key)?).clone();
+            let endpoint = by_key.get(key)?.clone();
             Some((endpoint, (*requests, f64::from(*token_layers))))
         });
     let load = load.collect();
+    for heard in &gossip.heard {
+        let Some(endpoint) = by_key.get(&heard.key) else {
+            continue;
+        };
+        let is_news = endpoints.apply_hearsay(&Hearsay {
+            endpoint: endpoint.clone(),
+            layers: heard.layers,
+            is_moving: heard.is_moving,
+            orders_begun: heard.orders_begun,
+            started_unix_ms: heard.started_unix_ms,
+        });
+        if is_news {
+            let layers = heard.layers.map(|l| l.to_string()).unwrap_or_default();
+            spdlog::info!("endpoints: heard from a peer", kv: {
+                endpoint = endpoint.as_str(), from = sender.entry.as_str(),
+                layers = layers.as_str(), is_moving = heard.is_moving
+            });
+            router.room.notify_waiters();
+        }
+    }
     router.load.lock().set_peer(sender.entry.clone(), load);
 }
 
@@ -162,6 +201,21 @@
 }
 
 fn encode(router: &Router, members: Vec<MemberRecord>, now: Instant) -> Option<Vec<u8>> {
+    let endpoints = router.endpoints.lock();
+    let heard = endpoints
+        .heard_within(HEARD_SPAN, now)
+        .into_iter()
+        .take(MAX_MARKS);
+    let heard = heard
+        .map(|record| HeardLayers {
+            key: short_key(&record.endpoint),
+            layers: record.state.layers,
+            is_moving: record.state.is_moving,
+            orders_begun: record.state.orders_begun,
+            started_unix_ms: record.state.started_unix_ms,
+        })
+        .collect();
+    drop(endpoints);
     let load = router.load.lock();
     let load = load.own().map(|(endpoint, requests, token_layers)| {
         (short_key(endpoint), requests, token_layers as f32)
@@ -171,6 +225,7 @@
     let gossip = Gossip {
         members,
         load: load.collect(),
+        heard,
         quarantine,
     };
     let mut datagram = Vec::new();
--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -15,12 +15,19 @@
 
 /// How long an endpoint may take to answer an order; a sound one answers in a few ms.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often an endpoint that should have loaded its layers is asked.
+const FOLLOW_PERIOD: Duration = Duration::from_millis(250);
 /// How much longer than its load takes an order is waited for, since loads that run
 /// at once slow each other and the entry in the store lags.
 const LOAD_SLACK: Duration = Duration::from_millis(3_000);
 
 /// Gives all orders that are due, at the same time.
-pub(super) async fn give(router: &Router, spec: &PipelineSpec, moves: &[LayerMove], fence: Fence) {
+pub(super) async fn give(
+    router: &Arc<Router>,
+    spec: &PipelineSpec,
+    moves: &[LayerMove],
+    fence: Fence,
+) {
     join_all(
         moves
             .iter()
@@ -29,7 +36,7 @@
     .await;
 }
 
-async fn give_one(router: &Router, spec: &PipelineSpec, order: &LayerMove, fence: Fence) {
+async fn give_one(router: &Arc<Router>, spec: &PipelineSpec, order: &LayerMove, fence: Fence) {
     let record = router.endpoints.lock().get(&order.endpoint).cloned();
     let Some(record) = record else {
         return;
@@ -62,7 +69,7 @@
 }
 
 async fn settle(
-    router: &Router,
+    router: &Arc<Router>,
     spec: &PipelineSpec,
     order: &LayerMove,
     record: &pistachioyard_policy::EndpointRecord,
@@ -74,10 +81,10 @@
             let share = f64::from(order.layers.len()) / f64::from(spec.layers);
             let load = Duration::from_secs_f64(spec.load_ms * share / 1e3);
             let until = now + load * 2 + LOAD_SLACK;
-            router
-                .endpoints
-                .lock()
-                .note_order(&order.endpoint, order.layers, until);
+            let mut endpoints = router.endpoints.lock();
+            endpoints.note_order(&order.endpoint, order.layers, until, now);
+            drop(endpoints);
+            tokio::spawn(follow(router.clone(), order.endpoint.clone(), load));
         }
         Err(CallError::NotSent { .. }) => router.suspect(&order.endpoint, Suspect::NoAnswer),
         // What it holds now decides the next round; it may also do the order late.
@@ -91,6 +98,26 @@
     }
 }
 
+/// Asks an endpoint how far its order is, so that the layers are used as soon as they
+/// are loaded, also while the store is out of reach.
+async fn follow(router: Arc<Router>, endpoint: EndpointId, load: Duration) {
+    let began_at = Instant::now();
+    tokio::time::sleep(load).await;
+    while began_at.elapsed() < load * 2 + LOAD_SLACK {
+        let record = router.endpoints.lock().get(&endpoint).cloned();
+        let Some(record) = record.filter(|record| record.state.is_moving) else {
+            return;
+        };
+        let asked = crate::router::filter::ask_report(&router.client, record.address);
+        if let Ok(Ok(report)) = tokio::time::timeout(ORDER_TIMEOUT, asked).await {
+            let mut endpoints = router.endpoints.lock();
+            endpoints.apply_report(&endpoint, report, Instant::now());
+        }
+        router.room.notify_waiters();
+        tokio::time::sleep(FOLLOW_PERIOD).await;
+    }
+}
+
 async fn send(
     router: &Router,
     to: std::net::SocketAddr,
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -100,8 +100,8 @@
         // Another card takes the missing layers over, which takes as long as a load.
         NoPath::Gap { .. } | NoPath::NoCrossing => {
             let cards = spec.cards.values().map(|card| spec.max_layers(card));
-            let share = f64::from(cards.max().unwrap_or(spec.layers)) / f64::from(spec.layers);
-            spec.load_ms * share
+            let mean = cards.sum::<u32>() as f64 / spec.cards.len().max(1) as f64;
+            spec.load_ms * mean / f64::from(spec.layers)
         }
         // Requests end all the time; places come free within one answer's time.
         NoPath::NoRoom { .. } | NoPath::Tangled => spec.usual_answer * spec.step_ms * 4.0,
