--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -5,7 +5,7 @@
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
 use pistachioyard_platform::{LoadOrder, OrderAnswer, decode_order_answer};
-use pistachioyard_policy::{LayerMove, PipelineSpec, Suspect};
+use pistachioyard_policy::{EndpointRecord, LayerMove, PipelineSpec, Suspect};
 use pistachioyard_wire::Fence;
 
 use crate::error::CallError;
@@ -15,6 +15,8 @@
 
 /// How long an endpoint may take to answer an order; a sound one answers in a few ms.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often an order is given in one round.
+const MAX_TRIES: u32 = 2;
 /// How often an endpoint that should have loaded its layers is asked.
 const FOLLOW_PERIOD: Duration = Duration::from_millis(250);
 /// How much longer than its load takes an order is waited for, since loads that run
@@ -37,10 +39,32 @@
 }
 
 async fn give_one(router: &Arc<Router>, spec: &PipelineSpec, order: &LayerMove, fence: Fence) {
-    let record = router.endpoints.lock().get(&order.endpoint).cloned();
-    let Some(record) = record else {
-        return;
-    };
+    // An endpoint that refuses since it has begun other orders is asked how it stands,
+    // and gets the order once more if it still fits.
+    for _ in 0..MAX_TRIES {
+        let record = router.endpoints.lock().get(&order.endpoint).cloned();
+        let Some(record) = record else {
+            return;
+        };
+        let answer = order_once(router, &record, order, fence).await;
+        let is_conflict = matches!(answer, Ok(OrderAnswer::Conflict));
+        settle(router, spec, order, &record, answer).await;
+        let now_held = router.endpoints.lock().get(&order.endpoint).map(|record| {
+            let state = &record.state;
+            (state.layers, state.is_moving)
+        });
+        if !is_conflict || now_held != Some((record.state.layers, false)) {
+            return;
+        }
+    }
+}
+
+async fn order_once(
+    router: &Router,
+    record: &EndpointRecord,
+    order: &LayerMove,
+    fence: Fence,
+) -> Result<OrderAnswer, CallError> {
     let load_order = LoadOrder {
         layers: order.layers,
         fence,
@@ -65,14 +89,14 @@
         held = held.as_str(), orders_begun = record.state.orders_begun, fence = fence.0,
         outcome = outcome.as_str()
     });
-    settle(router, spec, order, &record, answer).await;
+    answer
 }
 
 async fn settle(
     router: &Arc<Router>,
     spec: &PipelineSpec,
     order: &LayerMove,
-    record: &pistachioyard_policy::EndpointRecord,
+    record: &EndpointRecord,
     answer: Result<OrderAnswer, CallError>,
 ) {
     let now = Instant::now();
