--- a/crates/pistachioyard_policy/src/retry_budget.rs
+++ b/crates/pistachioyard_policy/src/retry_budget.rs
@@ -26,6 +26,17 @@
         }
     }
 
+    /// Changes how many retries the bucket holds; those that no longer fit are lost.
+    ///
+    /// Entries that share one budget divide the burst by their number, which changes.
+    pub fn set_burst(&mut self, burst: f64) {
+        let max_units = to_units(burst);
+        // A larger bucket starts as full as the smaller one was, not fuller.
+        let used = self.max_units.saturating_sub(self.units);
+        self.max_units = max_units;
+        self.units = max_units.saturating_sub(used);
+    }
+
     /// Counts a first try.
     pub fn on_first_try(&mut self) {
         self.units = (self.units + self.units_per_try).min(self.max_units);
--- a/src/router.rs
+++ b/src/router.rs
@@ -34,9 +34,9 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long a request that crashes endpoints is refused; longer than callers repeat one.
 const QUARANTINE_HOLD: Duration = Duration::from_secs(120);
-/// The part of the retry slack that entries use together, since they share it
-/// without asking each other for each retry.
-const RETRY_SLACK_SHARE: f64 = 0.5;
+/// The part of the retry budget that entries use together, since they count their
+/// requests a moment apart from those who check the budget.
+const RETRY_BUDGET_SHARE: f64 = 0.9;
 
 /// The configuration in force and when it came.
 #[derive(Clone)]
@@ -86,7 +86,8 @@
             data_centre: settings.data_centre.clone(),
             revision: Revision(0),
         };
-        let slack = settings.retry_slack * RETRY_SLACK_SHARE;
+        let slack = settings.retry_slack * RETRY_BUDGET_SHARE;
+        let share = settings.retry_share * RETRY_BUDGET_SHARE;
         Arc::new(Self {
             boot,
             started_at: now,
@@ -95,7 +96,7 @@
             endpoints: Mutex::default(),
             load: Mutex::default(),
             members: Mutex::new(Membership::new(own, PEER_TIMEOUT, now)),
-            retries: Mutex::new(RetryBudget::new(settings.retry_share, slack)),
+            retries: Mutex::new(RetryBudget::new(share, slack)),
             quarantine: Mutex::new(Quarantine::new(QUARANTINE_HOLD)),
             plain_pace: Mutex::default(),
             crossings: Mutex::new(CrossingMeter::new(now)),
@@ -133,6 +134,16 @@
         self.members.lock().live(now).len().max(1)
     }
 
+    /// Divides the retry budget by the entries that have used it lately.
+    ///
+    /// Entries that were lost count until they are forgotten, since what they used
+    /// still counts.
+    pub(crate) fn divide_retries(&self, now: Instant) {
+        let entries = self.members.lock().all(now).len().max(1);
+        let slack = self.settings.retry_slack * RETRY_BUDGET_SHARE;
+        self.retries.lock().set_burst(slack / entries as f64);
+    }
+
     /// Takes a retry out of this entry's share of the budget, if there is one left.
     pub(crate) fn try_retry(&self) -> bool {
         let allowed = self.retries.lock().try_retry();
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -240,6 +240,7 @@
 
 fn forget_lost(router: &Router) {
     let now = Instant::now();
+    router.divide_retries(now);
     let mut members = router.members.lock();
     members.expire(now);
     let lost = members
