--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -33,6 +33,13 @@
 /// The refusals in a row, each with memory to spare, after which an endpoint counts
 /// as leaving: one that drains says so in the store, but the store may be out of reach.
 const REFUSALS_UNTIL_LEAVING: u32 = 3;
+/// The slowdown above which an endpoint is asked again how it stands.
+const SLOW: f64 = 1.5;
+/// The slowdown above which another card shall hold the layers too; a stage then takes
+/// longer than the rest of its path.
+const TOO_SLOW: f64 = 3.0;
+/// How much newer what a peer heard must be than what was heard directly.
+const HEARSAY_SLACK: Duration = Duration::from_millis(50);
 /// The checks that a suspect fails until its layers count as lost.
 const CHECKS_UNTIL_LOST: u32 = 2;
 
@@ -81,7 +88,7 @@
 }
 
 /// What a peer heard from an endpoint about its layers.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Hearsay {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -93,6 +100,10 @@
     pub orders_begun: u64,
     /// The Unix time of its start, in ms.
     pub started_unix_ms: Option<u64>,
+    /// How much slower than its card it runs; 1 if it is sound.
+    pub slowdown: f64,
+    /// When the peer heard it, on this process's clock.
+    pub heard_at: Instant,
 }
 
 /// What changed with an endpoint's entry, for the log.
@@ -192,6 +203,7 @@
             return EndpointNews::Restarted;
         }
         known.record.state.orders_begun = old.state.orders_begun;
+        known.record.state.slowdown = old.state.slowdown;
         known.settle_order(now);
         match () {
             () if known.record.is_leaving && !old.is_leaving => EndpointNews::Leaves,
@@ -326,30 +338,61 @@
 
     /// Lists the endpoints that said themselves how they stand within the last `span`,
     /// so that peers can be told what the store does not show yet.
-    pub fn heard_within(&self, span: Duration, now: Instant) -> Vec<&EndpointRecord> {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < span;
-        let recent = self
-            .known
-            .values()
-            .filter(|k| k.heard_at.is_some_and(is_recent));
-        recent.map(|known| &known.record).collect()
+    pub fn heard_within(&self, span: Duration, now: Instant) -> Vec<(&EndpointRecord, Duration)> {
+        let known = self.known.values();
+        let heard = known.filter_map(|known| {
+            let age = now.saturating_duration_since(known.heard_at?);
+            (age < span).then_some((&known.record, age))
+        });
+        heard.collect()
     }
 
-    /// Takes in what a peer heard of an endpoint's layers, unless newer is known.
+    /// Takes in what a peer heard from an endpoint, unless newer is known.
     pub fn apply_hearsay(&mut self, heard: &Hearsay) -> bool {
         let Some(known) = self.known.get_mut(&heard.endpoint) else {
             return false;
         };
         let state = &mut known.record.state;
-        let is_newer = state.orders_begun < heard.orders_begun
-            || state.orders_begun == heard.orders_begun && state.is_moving && !heard.is_moving;
-        if state.started_unix_ms != heard.started_unix_ms || !is_newer {
+        let is_newer = known
+            .heard_at
+            .is_none_or(|at| at + HEARSAY_SLACK < heard.heard_at);
+        if state.started_unix_ms != heard.started_unix_ms
+            || state.orders_begun > heard.orders_begun
+            || !is_newer
+        {
             return false;
         }
+        known.heard_at = Some(heard.heard_at);
+        let is_news = state.layers != heard.layers
+            || state.is_moving != heard.is_moving
+            || (state.slowdown - heard.slowdown).abs() > 0.2;
         state.layers = heard.layers;
         state.orders_begun = heard.orders_begun;
         state.is_moving = heard.is_moving;
-        true
+        state.slowdown = heard.slowdown;
+        is_news
+    }
+
+    /// Lists the endpoints of which nothing was heard for `span`.
+    pub fn unheard<'a>(
+        &'a self,
+        endpoints: impl Iterator<Item = &'a EndpointId>,
+        span: Duration,
+        now: Instant,
+    ) -> Vec<EndpointRecord> {
+        let known = endpoints.filter_map(|endpoint| self.known.get(endpoint));
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= span;
+        let unheard = known.filter(|known| known.heard_at.is_none_or(is_old));
+        unheard.map(|known| known.record.clone()).collect()
+    }
+
+    /// Lists the endpoints that run slowly by what they said last.
+    pub fn slow(&self) -> impl Iterator<Item = &EndpointId> {
+        let slow = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.record.state.slowdown > SLOW);
+        slow.map(|(endpoint, _)| endpoint)
     }
 
     /// Tells whether an endpoint may get new requests.
@@ -403,6 +446,7 @@
             let is_lost = record.is_leaving
                 || known.is_refusing
                 || known.seems_leaving(now)
+                || record.state.slowdown > TOO_SLOW
                 || known.is_lost();
             let card = *spec.cards.get(record.state.card.as_ref()?)?;
             let ordered = known.ordered.filter(|(_, until)| now < *until);
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -18,6 +18,7 @@
 use super::spread;
 use crate::prelude::*;
 use crate::router::Router;
+use crate::router::log::ms;
 use crate::router::store_client::StoreError;
 
 /// The kind under which entries register.
@@ -65,6 +66,8 @@
     is_moving: bool,
     orders_begun: u64,
     started_unix_ms: Option<u64>,
+    slowdown: f32,
+    age_ms: u64,
 }
 
 /// A short form of an endpoint's id; endpoints that share one only share load figures.
@@ -125,18 +128,24 @@
         let Some(endpoint) = by_key.get(&heard.key) else {
             continue;
         };
+        let Some(heard_at) = now.checked_sub(Duration::from_millis(heard.age_ms)) else {
+            continue;
+        };
         let is_news = endpoints.apply_hearsay(&Hearsay {
             endpoint: endpoint.clone(),
             layers: heard.layers,
             is_moving: heard.is_moving,
             orders_begun: heard.orders_begun,
             started_unix_ms: heard.started_unix_ms,
+            slowdown: f64::from(heard.slowdown),
+            heard_at,
         });
         if is_news {
             let layers = heard.layers.map(|l| l.to_string()).unwrap_or_default();
             spdlog::info!("endpoints: heard from a peer", kv: {
                 endpoint = endpoint.as_str(), from = sender.entry.as_str(),
-                layers = layers.as_str(), is_moving = heard.is_moving
+                layers = layers.as_str(), is_moving = heard.is_moving,
+                slowdown = heard.slowdown, age_ms = heard.age_ms
             });
             router.room.notify_waiters();
         }
@@ -207,12 +216,14 @@
         .into_iter()
         .take(MAX_MARKS);
     let heard = heard
-        .map(|record| HeardLayers {
+        .map(|(record, age)| HeardLayers {
             key: short_key(&record.endpoint),
             layers: record.state.layers,
             is_moving: record.state.is_moving,
             orders_begun: record.state.orders_begun,
             started_unix_ms: record.state.started_unix_ms,
+            slowdown: record.state.slowdown as f32,
+            age_ms: ms(age),
         })
         .collect();
     drop(endpoints);
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -8,6 +8,8 @@
 
 /// How often it is looked for suspects that are due.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
+/// How often a slow endpoint is asked whether it still is.
+const SLOW_SURVEY_SPAN: Duration = Duration::from_millis(1_500);
 /// How long a suspect may take to answer; a sound endpoint answers in a few ms.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -18,6 +20,23 @@
         let _ = tokio::time::timeout(LOOK_PERIOD, router.suspects_due.notified()).await;
         let due = router.endpoints.lock().due_checks(Instant::now());
         join_all(due.iter().map(|record| check(&router, record))).await;
+        survey_slow(&router).await;
+    }
+}
+
+/// Has slow endpoints asked whether they still are; the first of the entries does it,
+/// and tells the others.
+async fn survey_slow(router: &Arc<Router>) {
+    let now = Instant::now();
+    if !super::placement::is_candidate(router, now) {
+        return;
+    }
+    let slow = {
+        let endpoints = router.endpoints.lock();
+        endpoints.unheard(endpoints.slow(), SLOW_SURVEY_SPAN, now)
+    };
+    if !slow.is_empty() {
+        filter::survey(router.clone(), slow).await;
     }
 }
 
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -17,7 +17,7 @@
 use pistachioyard_platform::CallerHead;
 use pistachioyard_policy::{Route, Verdict, Workspace};
 use pistachioyard_wire::RequestDigest;
-pub(crate) use report_cache::{ReportCache, ask as ask_report};
+pub(crate) use report_cache::{ReportCache, ask as ask_report, survey};
 
 use crate::lifecycle::InFlight;
 use crate::prelude::*;
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -16,11 +16,16 @@
 use crate::router::endpoint_client::{Connection, Reuse};
 use crate::router::filter::Call;
 use crate::router::filter::plain::request;
+use crate::router::filter::report_cache::survey;
 
 /// The part of an endpoint's memory up to which a refusal can't be for want of it;
 /// what this entry knows of the load lags a little.
 const CLEARLY_FREE: f64 = 0.6;
 
+/// How old what an endpoint said may be until a stream that pauses has it asked again;
+/// each question is priced.
+const SURVEY_SPAN: Duration = Duration::from_millis(900);
+
 /// What sending a request along a path brought.
 pub(super) enum Opened {
     /// Events follow.
@@ -266,12 +271,29 @@
         match stalled_at {
             Some(endpoint) => Verdict::Leave(format!("{endpoint} does not answer")),
             None => match gaps.next_look(Instant::now()) {
-                PauseVerdict::Wait => Verdict::Wait,
+                PauseVerdict::Wait => {
+                    self.survey();
+                    Verdict::Wait
+                }
                 PauseVerdict::Leave => Verdict::Leave("nothing came for too long".to_owned()),
             },
         }
     }
 
+    /// Has the endpoints of the path asked how fast they run, since one that is slow
+    /// holds up all the others.
+    fn survey(&self) {
+        let now = Instant::now();
+        let unheard = {
+            let endpoints = self.router.endpoints.lock();
+            let path = self.path.stages.iter().map(|stage| &stage.endpoint);
+            endpoints.unheard(path, SURVEY_SPAN, now)
+        };
+        if !unheard.is_empty() {
+            tokio::spawn(survey(self.router.clone(), unheard));
+        }
+    }
+
     fn passes(&self, endpoint: &EndpointId) -> bool {
         self.path
             .stages
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -7,14 +7,16 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use parking_lot::Mutex;
 use pistachioyard_platform::{LoadOrder, decode_report};
-use pistachioyard_policy::EndpointReport;
+use pistachioyard_policy::{EndpointRecord, EndpointReport};
 
 use crate::error::CallError;
 use crate::prelude::*;
+use crate::router::Router;
 use crate::router::endpoint_client::{EndpointClient, Reuse};
 
 /// How old a report may be to be shared.
@@ -22,6 +24,9 @@
 /// How long an endpoint may take to answer; a sound one answers in a few ms.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The change of an endpoint's slowdown that is worth a line.
+const LOGGED_SLOWDOWN: f64 = 0.2;
+
 /// A report, or that none came.
 type Shared = Option<(Instant, Option<Arc<EndpointReport>>)>;
 
@@ -71,3 +76,22 @@
         why: e.to_string(),
     })
 }
+
+/// Asks endpoints how they stand and notes what they say.
+pub(crate) async fn survey(router: Arc<Router>, endpoints: Vec<EndpointRecord>) {
+    let asked = endpoints.iter().map(|record| async {
+        let report = router.reports.get(&router.client, record.address).await?;
+        let before = record.state.slowdown;
+        if (report.slowdown - before).abs() > LOGGED_SLOWDOWN {
+            spdlog::info!("endpoints: runs at another pace", kv: {
+                endpoint = record.endpoint.as_str(), slowdown = report.slowdown, before
+            });
+            router.endpoints_changed.notify_one();
+        }
+        let now = Instant::now();
+        let mut book = router.endpoints.lock();
+        book.apply_report(&record.endpoint, (*report).clone(), now);
+        Some(())
+    });
+    join_all(asked).await;
+}
