--- a/src/router.rs
+++ b/src/router.rs
@@ -15,6 +15,8 @@
 mod run;
 mod store_client;
 
+use std::sync::atomic::AtomicU64;
+
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
@@ -67,6 +69,12 @@
     pub(crate) suspects_due: Notify,
     /// Wakes the configuration controller when a peer has a newer version.
     pub(crate) config_behind: Notify,
+    /// Wakes the endpoint controller when a peer has seen a newer change.
+    pub(crate) endpoints_behind: Notify,
+    /// The store's revision of the newest change of an endpoint that was seen.
+    pub(crate) endpoints_revision: AtomicU64,
+    /// Since when a peer has known of a change that this entry has not seen.
+    pub(crate) behind_since: Mutex<Option<Instant>>,
     pub(crate) client: EndpointClient,
     pub(crate) store: StoreClient,
     pub(crate) reports: filter::ReportCache,
@@ -104,6 +112,9 @@
             endpoints_changed: Notify::new(),
             suspects_due: Notify::new(),
             config_behind: Notify::new(),
+            endpoints_behind: Notify::new(),
+            endpoints_revision: AtomicU64::new(0),
+            behind_since: Mutex::default(),
             client: EndpointClient::default(),
             store: StoreClient::new(settings.store.address),
             reports: filter::ReportCache::default(),
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -5,6 +5,7 @@
 mod peers;
 mod placement;
 mod suspects;
+mod watch_pace;
 
 pub(crate) use peers::announce;
 
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -3,14 +3,12 @@
 use pistachioyard_platform::{CONFIG_KIND, CONFIG_NAME, Object, StoreFault, decode_config};
 
 use super::spread;
+use super::watch_pace;
 use crate::prelude::*;
 use crate::router::log::ms;
 use crate::router::store_client::StoreError;
 use crate::router::{InForce, Router};
 
-/// The part of the time in which a configuration must be in force that a watch may
-/// wait; a connection that has gone silent is noticed within the rest.
-const WATCH_SHARE: f64 = 0.75;
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -46,7 +44,7 @@
 }
 
 async fn watch(router: &Router, after: u64) -> Result<u64, StoreError> {
-    let wait = router.settings.config_limit.mul_f64(WATCH_SHARE);
+    let wait = watch_pace::wait(router, router.settings.config_limit);
     tokio::select! {
         page = router.store.watch(CONFIG_KIND, after, wait) => {
             let page = page?;
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -1,19 +1,18 @@
 //! Keeps the list of endpoints by their entries in the store.
 
 use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
 
 use pistachioyard_platform::{ENDPOINT_KIND, Object, StoreFault, decode_endpoint};
 use pistachioyard_policy::EndpointNews;
 
 use super::spread;
+use super::watch_pace::{self, WatchPace};
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::log::ms;
 use crate::router::store_client::StoreError;
 
-/// The part of the time in which a leaving endpoint must stop receiving requests that
-/// a watch may wait; a connection that has gone silent is noticed within the rest.
-const WATCH_SHARE: f64 = 0.75;
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// How long entries may be missing after an outage of the store; the platform says
@@ -23,6 +22,7 @@
 /// Reads all entries, then watches them.
 pub(super) async fn run(router: Arc<Router>) {
     let mut revision = None;
+    let mut pace = WatchPace::default();
     loop {
         let step = match revision {
             None => read(&router).await,
@@ -32,6 +32,7 @@
             Ok(seen) => {
                 revision = Some(seen);
                 drop_lapsed(&router);
+                pace.space_out().await;
             }
             Err(e) => {
                 if matches!(e, StoreError::Fault(StoreFault::HistoryGone)) {
@@ -59,19 +60,32 @@
 }
 
 async fn watch(router: &Router, after: u64) -> Result<u64, StoreError> {
-    let wait = router.settings.drain_limit.mul_f64(WATCH_SHARE);
-    let page = router.store.watch(ENDPOINT_KIND, after, wait).await?;
+    let wait = watch_pace::wait(router, router.settings.drain_limit);
+    let page = tokio::select! {
+        page = router.store.watch(ENDPOINT_KIND, after, wait) => page?,
+        // A peer knows more, so this watch may have gone silent.
+        () = router.endpoints_behind.notified() => return read(router).await,
+    };
     for change in &page.changes {
         if !change.deleted {
             apply(router, &change.object);
         } else if let Ok(endpoint) = EndpointId::try_from(change.object.name.as_str()) {
             remove(router, &endpoint);
+            note_revision(router, change.object.revision);
         }
     }
     Ok(page.revision)
 }
 
+/// Remembers the newest change, to be compared with what peers know.
+fn note_revision(router: &Router, revision: u64) {
+    router
+        .endpoints_revision
+        .fetch_max(revision, Ordering::Relaxed);
+}
+
 fn apply(router: &Router, object: &Object) {
+    note_revision(router, object.revision);
     let record = match decode_endpoint(&object.name, &object.spec) {
         Ok(record) => record,
         Err(e) => {
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 
 use pistachioyard_platform::{ObjectKind, StoreCall, StoreFault};
 use pistachioyard_policy::Hearsay;
@@ -34,6 +35,9 @@
 /// How long what an endpoint said of its layers is passed on; several gossip periods,
 /// since datagrams are lost.
 const HEARD_SPAN: Duration = Duration::from_secs(3);
+/// How long a peer may know of a change that has not come here; longer than watches are
+/// spaced out.
+const MAX_LAG: Duration = Duration::from_millis(700);
 /// The largest datagram that is read.
 const MAX_DATAGRAM: usize = 16 * 1024;
 /// The pauses between looks for registrations; short at first, when all entries start.
@@ -50,6 +54,8 @@
 struct Gossip {
     /// The sender's record first, then some that it passes on.
     members: Vec<MemberRecord>,
+    /// The store's revision of the newest change of an endpoint that the sender saw.
+    endpoints_revision: u64,
     /// The sender's load: an endpoint's short key, requests, token-layers.
     load: Vec<(u32, u32, f32)>,
     /// What endpoints said of their layers to the sender lately.
@@ -110,6 +116,7 @@
     if sender.revision.0 > router.version() {
         router.config_behind.notify_one();
     }
+    notice_lag(router, gossip.endpoints_revision, now);
     router.quarantine.lock().merge(&gossip.quarantine, now);
     let mut endpoints = router.endpoints.lock();
     let by_key: HashMap<u32, EndpointId> = endpoints
@@ -153,6 +160,21 @@
     router.load.lock().set_peer(sender.entry.clone(), load);
 }
 
+/// Has the endpoints read anew when a peer has known of a change for longer than a
+/// watch takes to bring it here.
+fn notice_lag(router: &Router, revision: u64, now: Instant) {
+    let mut behind_since = router.behind_since.lock();
+    if revision <= router.endpoints_revision.load(Ordering::Relaxed) {
+        *behind_since = None;
+        return;
+    }
+    let since = *behind_since.get_or_insert(now);
+    if now.saturating_duration_since(since) > MAX_LAG {
+        *behind_since = None;
+        router.endpoints_behind.notify_one();
+    }
+}
+
 /// Tells peers this entry's state, again and again.
 pub(super) async fn gossip(router: Arc<Router>, socket: Arc<UdpSocket>) {
     loop {
@@ -235,6 +257,7 @@
     quarantine.truncate(MAX_MARKS);
     let gossip = Gossip {
         members,
+        endpoints_revision: router.endpoints_revision.load(Ordering::Relaxed),
         load: load.collect(),
         heard,
         quarantine,
