--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -167,6 +167,8 @@
     NoAnswer,
     /// Another endpoint says that requests hang at this one.
     RequestsStall,
+    /// It does not hold the layers that it was thought to hold; it is asked at once.
+    OtherLayers,
 }
 
 impl Suspect {
@@ -176,6 +178,7 @@
             Self::ConnectionBroke => "the connection broke",
             Self::NoAnswer => "no answer",
             Self::RequestsStall => "requests stall there",
+            Self::OtherLayers => "it holds other layers",
         }
     }
 }
@@ -189,6 +192,10 @@
 impl EndpointBook {
     /// Takes in an entry of the store.
     pub fn apply(&mut self, record: EndpointRecord, now: Instant) -> EndpointNews {
+        // An address that was given to another endpoint says that the one before is gone.
+        self.known.retain(|endpoint, known| {
+            known.record.address != record.address || *endpoint == record.endpoint
+        });
         let Some(known) = self.known.get_mut(&record.endpoint) else {
             let known = Known::new(record, now);
             self.known.insert(known.record.endpoint.clone(), known);
@@ -527,7 +534,7 @@
             _ => 1,
         };
         let hold = match why {
-            Suspect::ConnectionBroke | Suspect::NoAnswer => Duration::ZERO,
+            Suspect::ConnectionBroke | Suspect::NoAnswer | Suspect::OtherLayers => Duration::ZERO,
             Suspect::RequestsStall => (MIN_HOLD * 2u32.saturating_pow(strikes - 1)).min(MAX_HOLD),
         };
         if is_news {
--- a/crates/pistachioyard_policy/src/pipeline/path_choice.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice.rs
@@ -22,6 +22,9 @@
 /// The share by which costs are varied at random, so that entries that see the same
 /// load do not all take the same path.
 const JITTER: f64 = 0.15;
+/// The part of an endpoint's memory that is given out by estimate; the rest covers
+/// answers that grow longer than estimated and what peers have sent meanwhile.
+const MAX_FILL: f64 = 0.85;
 /// How steeply a stage gets dearer as its memory fills.
 const MEMORY_PRESSURE: f64 = 3.0;
 /// The most endpoints that a path may have; a limit of the endpoints.
@@ -150,7 +153,7 @@
 fn has_room(spec: &PipelineSpec, offer: &StageOffer, size: RequestSize) -> bool {
     let held = offer.layers.len();
     let total = spec.token_layers_beside(&offer.card, held);
-    offer.token_layers + size.resident() * f64::from(held) <= total
+    offer.token_layers + size.resident() * f64::from(held) <= total * MAX_FILL
 }
 
 /// Estimates the time that the request spends in one layer of an endpoint.
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -194,10 +194,13 @@
             token_layers_room = room as u64
         });
         drop(load);
-        if head.is_other_endpoint && at_fault == *first {
-            endpoints.note_refusing(&at_fault);
-        } else {
-            endpoints.note_refusal(&at_fault, used < room * CLEARLY_FREE, now);
+        match (head.is_other_endpoint, at_fault == *first) {
+            (true, true) => endpoints.note_refusing(&at_fault),
+            (true, false) => {
+                drop(endpoints);
+                self.router.suspect(&at_fault, Suspect::OtherLayers);
+            }
+            (false, _) => endpoints.note_refusal(&at_fault, used < room * CLEARLY_FREE, now),
         }
     }
 
