--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -12,6 +12,8 @@
 
 use pistachioyard_wire::{DataCentre, EndpointId, LayerRange, ServiceName};
 
+use serde::{Deserialize, Serialize};
+
 use crate::pipeline::{CardState, LoadBook, PipelineSpec, StageOffer};
 
 /// How long an endpoint at which requests stall is left out at least, also if it
@@ -44,7 +46,7 @@
 const CHECKS_UNTIL_LOST: u32 = 2;
 
 /// An endpoint as it stands in the store.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EndpointRecord {
     /// Its id, the name of its object.
     pub endpoint: EndpointId,
@@ -63,7 +65,7 @@
 }
 
 /// What an endpoint says of its layers and its load.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EndpointReport {
     /// The layers that it can run now; none if it holds none.
     pub layers: Option<LayerRange>,
@@ -225,12 +227,14 @@
             return;
         };
         let state = &mut known.record.state;
-        if state.started_unix_ms == report.started_unix_ms
-            && state.orders_begun <= report.orders_begun
-        {
+        let is_restarted = state.started_unix_ms != report.started_unix_ms;
+        if is_restarted || state.orders_begun <= report.orders_begun {
             let card = report.card.clone().or_else(|| state.card.clone());
             *state = EndpointReport { card, ..report };
             known.heard_at = Some(now);
+            if is_restarted {
+                known.ordered = None;
+            }
             known.settle_order(now);
         }
     }
@@ -261,6 +265,11 @@
         gone.map(|(endpoint, _)| endpoint).collect()
     }
 
+    /// Lists the entries of all endpoints that are known.
+    pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.known.values().map(|known| &known.record)
+    }
+
     /// Lists all endpoints that are known.
     pub fn ids(&self) -> impl Iterator<Item = &EndpointId> {
         self.known.keys()
--- a/src/router.rs
+++ b/src/router.rs
@@ -44,6 +44,8 @@
 #[derive(Clone)]
 pub(crate) struct InForce {
     pub(crate) table: Arc<RouteTable>,
+    /// The content that the table was made of, for peers that cannot read it.
+    pub(crate) source: Arc<serde_json::Value>,
     pub(crate) adopted_at: Instant,
 }
 
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -4,10 +4,12 @@
 mod endpoints;
 mod peers;
 mod placement;
+mod standby;
 mod suspects;
 mod watch_pace;
 
 pub(crate) use peers::announce;
+pub(crate) use standby::{STATE_PATH, encode_state};
 
 use crate::prelude::*;
 use crate::router::Router;
@@ -24,6 +26,7 @@
     tokio::spawn(peers::gossip(router.clone(), peers));
     tokio::spawn(peers::register(router.clone()));
     tokio::spawn(placement::run(router.clone()));
+    tokio::spawn(standby::run(router.clone()));
     tokio::spawn(suspects::run(router.clone()));
     tokio::spawn(keep_house(router.clone()));
 }
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -9,8 +9,9 @@
 use crate::router::store_client::StoreError;
 use crate::router::{InForce, Router};
 
-/// The pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The pause after a call that failed; refused calls are priced too, and peers help
+/// meanwhile.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Reads the configuration, then watches it.
 pub(super) async fn run(router: Arc<Router>) {
@@ -57,16 +58,19 @@
     }
 }
 
-/// Puts a configuration in force if it is newer; else the last good one stays.
 fn adopt(router: &Router, object: &Object) {
-    if object.name != CONFIG_NAME {
-        return;
+    if object.name == CONFIG_NAME {
+        adopt_source(router, &object.spec, "store");
     }
-    let table = match decode_config(&object.spec) {
+}
+
+/// Puts a configuration in force if it is newer; else the last good one stays.
+pub(super) fn adopt_source(router: &Router, source: &serde_json::Value, from: &'static str) {
+    let table = match decode_config(source) {
         Ok(table) => table,
         Err(e) => {
             spdlog::error!("config: not adopted", kv: {
-                revision = object.revision, why = e.to_string().as_str(), in_force = router.version()
+                from, why = e.to_string().as_str(), in_force = router.version()
             });
             return;
         }
@@ -82,11 +86,12 @@
         return;
     }
     spdlog::info!("config: in force", kv: {
-        version = table.version, before = old, revision = object.revision,
+        version = table.version, before = old, from,
         routes = table.route_count(), since_start_ms = ms(router.started_at.elapsed())
     });
     *config = Some(InForce {
         table: Arc::new(table),
+        source: Arc::new(source.clone()),
         adopted_at: Instant::now(),
     });
     drop(config);
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use pistachioyard_platform::{ENDPOINT_KIND, Object, StoreFault, decode_endpoint};
-use pistachioyard_policy::EndpointNews;
+use pistachioyard_policy::{EndpointNews, EndpointRecord};
 
 use super::spread;
 use super::watch_pace::{self, WatchPace};
@@ -13,8 +13,9 @@
 use crate::router::log::ms;
 use crate::router::store_client::StoreError;
 
-/// The pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// The pause after a call that failed; refused calls are priced too, and peers help
+/// meanwhile.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// How long entries may be missing after an outage of the store; the platform says
 /// that they are back within about two seconds.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
@@ -96,6 +97,11 @@
             return;
         }
     };
+    apply_record(router, record, "store");
+}
+
+/// Takes in an endpoint's entry, from the store or from a peer that reads it there.
+pub(super) fn apply_record(router: &Router, record: EndpointRecord, from: &'static str) {
     let endpoint = record.endpoint.clone();
     let layers = record
         .state
@@ -107,13 +113,13 @@
         return;
     }
     spdlog::info!("endpoints: changed", kv: {
-        endpoint = endpoint.as_str(), news:?, layers = layers.as_str(), revision = object.revision
+        endpoint = endpoint.as_str(), news:?, layers = layers.as_str(), from
     });
     router.room.notify_waiters();
     router.endpoints_changed.notify_one();
 }
 
-fn remove(router: &Router, endpoint: &EndpointId) {
+pub(super) fn remove(router: &Router, endpoint: &EndpointId) {
     let after_outage = router.store.failed_within(LAPSE_GRACE);
     let now = Instant::now();
     let is_removed = router.endpoints.lock().remove(endpoint, after_outage, now);
--- a/src/router/front.rs
+++ b/src/router/front.rs
@@ -17,6 +17,7 @@
 
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
+use crate::router::controller::{STATE_PATH, encode_state};
 use crate::router::{Router, filter, metric};
 
 /// The new connections that may wait to be accepted; more than callers there are.
@@ -38,6 +39,8 @@
     Directory,
     /// Whether this process is ready.
     Readiness,
+    /// What this entry knows, for its peers.
+    Peers,
     /// The metrics.
     Metrics(PrometheusHandle),
 }
@@ -120,7 +123,13 @@
             "text/plain; version=0.0.4",
             metric::render(&router, &handle),
         ),
-        Service::Directory | Service::Readiness => answer::status(StatusCode::NOT_FOUND),
+        Service::Peers if req.uri().path() == STATE_PATH => match encode_state(&router) {
+            Some(state) => answer::text("application/cbor", state),
+            None => answer::status(StatusCode::SERVICE_UNAVAILABLE),
+        },
+        Service::Directory | Service::Readiness | Service::Peers => {
+            answer::status(StatusCode::NOT_FOUND)
+        }
     }
 }
 
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -86,6 +86,7 @@
         (Some(settings.caller_address), Service::Callers),
         (Some(settings.ready_address), Service::Readiness),
         (settings.directory_address, Service::Directory),
+        (Some(peer_address), Service::Peers),
         (Some(metrics_address), Service::Metrics(metrics)),
     ];
     for (address, service) in servers {
