--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -40,6 +40,9 @@
 /// The slowdown above which another card shall hold the layers too; a stage then takes
 /// longer than the rest of its path.
 const TOO_SLOW: f64 = 3.0;
+/// How long an entry in the store can be behind what its endpoint says: a heartbeat on
+/// its way and the pause between two watches.
+const ENTRY_LAG: Duration = Duration::from_millis(1_000);
 /// How much newer what a peer heard must be than what was heard directly.
 const HEARSAY_SLACK: Duration = Duration::from_millis(50);
 /// The checks that a suspect fails until its layers count as lost.
@@ -211,8 +214,16 @@
             *known = Known::new(known.record.clone(), now);
             return EndpointNews::Restarted;
         }
-        known.record.state.orders_begun = old.state.orders_begun;
-        known.record.state.slowdown = old.state.slowdown;
+        let state = &mut known.record.state;
+        state.orders_begun = old.state.orders_begun;
+        state.slowdown = old.state.slowdown;
+        // Entries lag behind what the endpoint itself has said in the meantime.
+        let is_heard = known
+            .heard_at
+            .is_some_and(|at| now.saturating_duration_since(at) < ENTRY_LAG);
+        if is_heard && !old.state.is_moving {
+            state.layers = old.state.layers;
+        }
         known.settle_order(now);
         match () {
             () if known.record.is_leaving && !old.is_leaving => EndpointNews::Leaves,
--- a/crates/pistachioyard_standins/src/lib.rs
+++ b/crates/pistachioyard_standins/src/lib.rs
@@ -18,6 +18,7 @@
 mod scale;
 mod server;
 mod service;
+mod site;
 mod token;
 
 pub use bench::{BenchArgs, BenchError, run_bench};
@@ -35,4 +36,5 @@
 pub use scale::{ScaleArgs, ScaleError, run_scale};
 pub use server::ServeError;
 pub use service::{EffectAnswer, EffectRecord, ServiceArgs, ServiceFaults, run_service};
+pub use site::{SiteStoreArgs, SiteWorkerArgs, run_site_store, run_site_worker};
 pub use token::{PrefixState, reference_tokens, run_layers, seed_state};
--- a/crates/pistachioyard_standins/src/main.rs
+++ b/crates/pistachioyard_standins/src/main.rs
@@ -3,8 +3,8 @@
 use clap::{Parser, Subcommand};
 use pistachioyard_standins::{
     BenchArgs, DemoArgs, EngineSettings, PlatformArgs, ProxyArgs, ScaleArgs, ServiceArgs,
-    exit_when_stdin_closes, run_bench, run_demo, run_engine, run_platform, run_proxy, run_scale,
-    run_service,
+    SiteStoreArgs, SiteWorkerArgs, exit_when_stdin_closes, run_bench, run_demo, run_engine,
+    run_platform, run_proxy, run_scale, run_service, run_site_store, run_site_worker,
 };
 use tokio::runtime::{Builder, Runtime};
 
@@ -34,6 +34,10 @@
     Scale(ScaleArgs),
     /// A plain service that counts its effects.
     Service(ServiceArgs),
+    /// The store of the operators' platform.
+    SiteStore(SiteStoreArgs),
+    /// A worker on the operators' platform.
+    SiteWorker(SiteWorkerArgs),
 }
 
 fn main() -> eyre::Result<()> {
@@ -51,6 +55,8 @@
         Command::Proxy(args) => runtime.block_on(run_proxy(args))?,
         Command::Scale(args) => runtime.block_on(run_scale(args))?,
         Command::Service(args) => runtime.block_on(run_service(args))?,
+        Command::SiteStore(args) => runtime.block_on(run_site_store(args))?,
+        Command::SiteWorker(args) => runtime.block_on(run_site_worker(args))?,
     }
     Ok(())
 }
@@ -58,12 +64,15 @@
 /// Gives engines and services, of which there are many, one thread each.
 fn build_runtime(command: &Command) -> std::io::Result<Runtime> {
     let mut builder = match command {
-        Command::Engine(_) | Command::Service(_) => Builder::new_current_thread(),
+        Command::Engine(_) | Command::Service(_) | Command::SiteWorker(_) => {
+            Builder::new_current_thread()
+        }
         Command::Bench(_)
         | Command::Demo(_)
         | Command::Platform(_)
         | Command::Proxy(_)
-        | Command::Scale(_) => Builder::new_multi_thread(),
+        | Command::Scale(_)
+        | Command::SiteStore(_) => Builder::new_multi_thread(),
     };
     builder.enable_all().build()
 }
--- /dev/null
+++ b/tests/site/calm.rs
@@ -0,0 +1,90 @@
+//! The calm path, whole.
+
+use std::time::Duration;
+
+use http::Method;
+use pistachioyard_standins::wait_until;
+use serde_json::Value;
+
+use super::support::Site;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_calm_site_serves_every_kind_of_request() {
+    let mut site = Site::start(2).await;
+    for entry in &site.entries {
+        let to = entry.callers();
+        site.stream(to).await.expect("the stream is whole");
+        for path in ["/record/a", "/lookup/a"] {
+            site.plain(to, path)
+                .await
+                .ended
+                .expect("the request is answered");
+        }
+        let unknown = site.ask(to, Method::GET, "/nowhere/", "x1", &[]).await;
+        assert_eq!(unknown.expect("it is answered").0, 404);
+        let stranger = [("authorization", "Bearer no-such-key")];
+        let headers = [stranger[0]];
+        let sent = site
+            .client
+            .send(Method::GET, to, "/lookup/a", &headers, "".into())
+            .await;
+        assert_eq!(sent.expect("it is answered").status, 401);
+        let large = "x".repeat(100_001);
+        let headers = [("authorization", "Bearer key-one")];
+        let sent = site
+            .client
+            .send(Method::POST, to, "/record/a", &headers, large.into())
+            .await;
+        assert_eq!(sent.expect("it is answered").status, 413);
+    }
+    directory_names_both_entries(&site).await;
+    metrics_are_served(&site).await;
+    added_routes_are_served(&mut site).await;
+}
+
+async fn directory_names_both_entries(site: &Site) {
+    let directory = site.entries[0].directory();
+    wait_until(
+        Duration::from_secs(5),
+        "both entries in the directory",
+        || async {
+            let path = "/resolve?name=site.example&region=here&zone=east";
+            let sent = site
+                .client
+                .send(Method::GET, directory, path, &[], "".into())
+                .await;
+            let answer: Value = sent.expect("it is answered").json().expect("it is JSON");
+            let addresses = answer["addresses"].as_array().map_or(0, Vec::len);
+            addresses == 2 && answer["ttl_s"].as_u64().is_some()
+        },
+    )
+    .await
+    .expect("both are named");
+}
+
+async fn metrics_are_served(site: &Site) {
+    let to = site.entries[0].metrics();
+    let sent = site
+        .client
+        .send(Method::GET, to, "/metrics", &[], "".into())
+        .await;
+    let text = String::from_utf8(sent.expect("it is answered").body.to_vec()).expect("it is text");
+    for name in [
+        "router_requests_total",
+        "router_request_seconds",
+        "router_endpoints_usable",
+    ] {
+        assert!(text.contains(name), "{name} is missing in {text}");
+    }
+}
+
+async fn added_routes_are_served(site: &mut Site) {
+    let path = site.add_route().await.expect("the store takes it");
+    for entry in &site.entries {
+        wait_until(Duration::from_secs(2), "the new route", || async {
+            site.plain(entry.callers(), &path).await.ended.is_ok()
+        })
+        .await
+        .expect("it is in force within its bound");
+    }
+}
--- /dev/null
+++ b/tests/site/faults.rs
@@ -0,0 +1,81 @@
+//! Single faults that were met on the operators' bench, each replayed here.
+
+use std::time::Duration;
+
+use pistachioyard_standins::wait_until;
+
+use super::support::Site;
+
+/// Found on a day with `platform_down` and restarts: an entry that started while the
+/// store was down served nothing until it was back.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_while_the_store_is_down_learns_from_a_peer() {
+    let mut site = Site::start(2).await;
+    site.set_store_fault(503).await;
+    site.entries[1].process.kill();
+    let launcher = site.launcher.clone();
+    site.entries[1].process.start(&launcher);
+    let to = site.entries[1].callers();
+    wait_until(
+        Duration::from_secs(6),
+        "a stream at the new entry",
+        || async { site.stream(to).await.is_ok() },
+    )
+    .await
+    .expect("it serves by what its peer knows");
+    site.set_store_fault(0).await;
+}
+
+/// Found on days with `srv_crash`: the layers of a lost worker have to be placed anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_layers_of_a_lost_worker_are_placed_anew_while_the_store_is_down() {
+    let mut site = Site::start(2).await;
+    site.set_store_fault(503).await;
+    let lost: Vec<usize> = (0..site.workers.len())
+        .filter(|at| !site.workers[*at].is_plain)
+        .collect();
+    site.workers[lost[0]].process.kill();
+    site.workers[lost[3]].process.kill();
+    for entry in &site.entries {
+        wait_until(Duration::from_secs(6), "a stream", || async {
+            site.stream(entry.callers()).await.is_ok()
+        })
+        .await
+        .expect("the rest of the workers hold all layers");
+    }
+    site.set_store_fault(0).await;
+}
+
+/// A stop that is planned cuts off no request in progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_finishes_what_is_in_progress() {
+    let mut site = Site::start(2).await;
+    let to = site.entries[0].callers();
+    let client = &site;
+    let streams = futures_util::future::join_all((0..8).map(|_| client.stream(to)));
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    };
+    // The signal is sent by the process's id, since the streams borrow the site.
+    let pid = site.entries[0]
+        .process
+        .child
+        .as_ref()
+        .map(pistachioyard_standins::Child::id);
+    let signal = async {
+        stop.await;
+        let pid = nix::unistd::Pid::from_raw(pid.expect("it runs") as i32);
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).expect("it is signalled");
+    };
+    let (streams, ()) = tokio::join!(streams, signal);
+    for ended in streams {
+        ended.expect("each stream is whole");
+    }
+    let child = site.entries[0].process.running();
+    wait_until(Duration::from_secs(5), "the entry's end", || {
+        let running = child.is_running().unwrap_or(true);
+        async move { !running }
+    })
+    .await
+    .expect("it ends within its grace period");
+}
