--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -221,7 +221,7 @@
         let is_heard = known
             .heard_at
             .is_some_and(|at| now.saturating_duration_since(at) < ENTRY_LAG);
-        if is_heard && !old.state.is_moving {
+        if is_heard && state.layers.is_none() && !old.state.is_moving {
             state.layers = old.state.layers;
         }
         known.settle_order(now);
@@ -380,9 +380,10 @@
             return false;
         };
         let state = &mut known.record.state;
-        let is_newer = known
-            .heard_at
-            .is_none_or(|at| at + HEARSAY_SLACK < heard.heard_at);
+        let is_newer = known.renewed_at < heard.heard_at
+            && known
+                .heard_at
+                .is_none_or(|at| at + HEARSAY_SLACK < heard.heard_at);
         if state.started_unix_ms != heard.started_unix_ms
             || state.orders_begun > heard.orders_begun
             || !is_newer
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,6 +15,7 @@
 mod run;
 mod store_client;
 
+use std::collections::BTreeSet;
 use std::sync::atomic::AtomicU64;
 
 use parking_lot::{Mutex, RwLock};
@@ -59,6 +60,8 @@
     pub(crate) endpoints: Mutex<EndpointBook>,
     pub(crate) load: Mutex<LoadBook>,
     pub(crate) members: Mutex<Membership>,
+    /// The peers that say that the store does not answer them.
+    pub(crate) cut_off_peers: Mutex<BTreeSet<EntryId>>,
     pub(crate) retries: Mutex<RetryBudget>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) plain_pace: Mutex<PlainPace>,
@@ -106,6 +109,7 @@
             endpoints: Mutex::default(),
             load: Mutex::default(),
             members: Mutex::new(Membership::new(own, PEER_TIMEOUT, now)),
+            cut_off_peers: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(share, slack)),
             quarantine: Mutex::new(Quarantine::new(QUARANTINE_HOLD)),
             plain_pace: Mutex::default(),
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -55,7 +55,7 @@
     }
     let known: Vec<EndpointId> = router.endpoints.lock().ids().cloned().collect();
     for endpoint in known.iter().filter(|e| !listed.contains(e.as_str())) {
-        remove(router, endpoint);
+        remove(router, endpoint, router.store.failed_within(LAPSE_GRACE));
     }
     Ok(page.revision)
 }
@@ -71,7 +71,7 @@
         if !change.deleted {
             apply(router, &change.object);
         } else if let Ok(endpoint) = EndpointId::try_from(change.object.name.as_str()) {
-            remove(router, &endpoint);
+            remove(router, &endpoint, router.store.failed_within(LAPSE_GRACE));
             note_revision(router, change.object.revision);
         }
     }
@@ -119,15 +119,14 @@
     router.endpoints_changed.notify_one();
 }
 
-pub(super) fn remove(router: &Router, endpoint: &EndpointId) {
-    let after_outage = router.store.failed_within(LAPSE_GRACE);
+/// Removes an endpoint whose entry is gone; right after an outage of the store it gets
+/// time to register again.
+pub(super) fn remove(router: &Router, endpoint: &EndpointId, after_outage: bool) {
     let now = Instant::now();
     let is_removed = router.endpoints.lock().remove(endpoint, after_outage, now);
-    if is_removed || after_outage {
-        spdlog::info!("endpoints: entry gone", kv: {
-            endpoint = endpoint.as_str(), is_removed, after_outage
-        });
-    }
+    spdlog::info!("endpoints: entry gone", kv: {
+        endpoint = endpoint.as_str(), is_removed, after_outage
+    });
     if is_removed {
         router.endpoints_changed.notify_one();
     }
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -54,6 +54,8 @@
 struct Gossip {
     /// The sender's record first, then some that it passes on.
     members: Vec<MemberRecord>,
+    /// Whether the store answers the sender.
+    reaches_store: bool,
     /// The store's revision of the newest change of an endpoint that the sender saw.
     endpoints_revision: u64,
     /// The sender's load: an endpoint's short key, requests, token-layers.
@@ -116,6 +118,14 @@
     if sender.revision.0 > router.version() {
         router.config_behind.notify_one();
     }
+    {
+        let mut cut_off = router.cut_off_peers.lock();
+        if gossip.reaches_store {
+            cut_off.remove(&sender.entry);
+        } else {
+            cut_off.insert(sender.entry.clone());
+        }
+    }
     notice_lag(router, gossip.endpoints_revision, now);
     router.quarantine.lock().merge(&gossip.quarantine, now);
     let mut endpoints = router.endpoints.lock();
@@ -257,6 +267,7 @@
     quarantine.truncate(MAX_MARKS);
     let gossip = Gossip {
         members,
+        reaches_store: router.store.is_reached(),
         endpoints_revision: router.endpoints_revision.load(Ordering::Relaxed),
         load: load.collect(),
         heard,
@@ -284,6 +295,7 @@
     let mut load = router.load.lock();
     for (record, _) in lost {
         load.forget_peer(&record.entry);
+        router.cut_off_peers.lock().remove(&record.entry);
     }
 }
 
--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -70,12 +70,28 @@
     plan_cards(spec, cards, usual * ROOM_REQUESTS)
 }
 
-/// Tells whether this entry is the one to hold the lease: the first of the live ones.
+/// Tells whether this entry is the one to hold the lease: the first of the live ones
+/// that reach the store, or of all where none does.
 ///
 /// Peers that disagree for a moment are kept apart by the lease.
 pub(super) fn is_candidate(router: &Router, now: Instant) -> bool {
+    let own = &router.settings.entry;
     let members = router.members.lock();
-    let live = members.live(now);
-    let first = live.iter().map(|record| &record.entry).min();
-    first == Some(&router.settings.entry)
+    let live: Vec<&EntryId> = members
+        .live(now)
+        .into_iter()
+        .map(|record| &record.entry)
+        .collect();
+    let cut_off = router.cut_off_peers.lock();
+    let is_own_cut_off = !router.store.is_reached();
+    let is_cut_off = |entry: &EntryId| {
+        if entry == own {
+            is_own_cut_off
+        } else {
+            cut_off.contains(entry)
+        }
+    };
+    let reaching = live.iter().filter(|entry| !is_cut_off(entry)).min();
+    let first = reaching.or_else(|| live.iter().min());
+    first.is_some_and(|first| *first == own)
 }
--- a/src/router/controller/placement/lease.rs
+++ b/src/router/controller/placement/lease.rs
@@ -15,11 +15,11 @@
 const LEASE_KIND: ObjectKind = ObjectKind("leases");
 const LEASE_NAME: &str = "placement";
 /// How long the lease lasts without renewal; a lost holder is replaced after it.
-const TERM: Duration = Duration::from_secs(4);
+const TERM: Duration = Duration::from_secs(3);
 /// The pause between two tries to settle the lease.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// The time before the end of the term in which no order is given any more.
-const MARGIN: Duration = Duration::from_millis(800);
+const MARGIN: Duration = Duration::from_millis(600);
 
 /// This process's hold on the lease.
 #[derive(Default)]
--- a/src/router/controller/standby.rs
+++ b/src/router/controller/standby.rs
@@ -120,7 +120,8 @@
     if state.is_current {
         let known: Vec<EndpointId> = router.endpoints.lock().ids().cloned().collect();
         for endpoint in known.iter().filter(|endpoint| !listed.contains(*endpoint)) {
-            endpoints::remove(router, endpoint);
+            // The peer reads the store without an outage of its own.
+            endpoints::remove(router, endpoint, false);
         }
     }
 }
