--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -84,6 +84,8 @@
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     hold: Duration,
+    /// Whether suspects run apart, so that two crashes can be enough.
+    keeps_suspects_apart: bool,
     cases: BTreeMap<RequestDigest, Case>,
 }
 
@@ -92,10 +94,21 @@
     pub fn new(hold: Duration) -> Self {
         Self {
             hold,
+            keeps_suspects_apart: true,
             cases: BTreeMap::new(),
         }
     }
 
+    /// Starts without cases, for callers of this type that do not keep suspects apart.
+    ///
+    /// Only three crashes convict then, since a bystander can share two.
+    pub fn without_lanes(hold: Duration) -> Self {
+        Self {
+            keeps_suspects_apart: false,
+            ..Self::new(hold)
+        }
+    }
+
     /// Notes the crash of an endpoint's run.
     ///
     /// `running` are all requests of this entry that had a stage there. The same
@@ -203,7 +216,8 @@
         }
         for case in self.cases.values_mut().filter(|c| c.is_repeater()) {
             let alone = case.crashed.iter().any(|boot| repeaters[boot] == 1);
-            case.convicted |= alone || case.crashed.len() >= CRASHES_TO_CONVICT;
+            let is_enough = alone && self.keeps_suspects_apart;
+            case.convicted |= is_enough || case.crashed.len() >= CRASHES_TO_CONVICT;
         }
     }
 }
--- /dev/null
+++ b/crates/pistachioyard_policy/tests/pipeline/plain.rs
@@ -0,0 +1,81 @@
+//! Which endpoint of a plain service a request goes to.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use pistachioyard_policy::{CrossingMeter, LoadBook, PlainPace, choose_plain};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::fixture::{data_centre, id, record, spec};
+
+fn shares(pace: &PlainPace, load: &LoadBook, now: Instant) -> BTreeMap<String, u32> {
+    let mut records = [
+        record("one", 1, None),
+        record("two", 2, None),
+        record("three", 3, None),
+    ];
+    for record in &mut records {
+        record.slots = 6;
+    }
+    let endpoints: Vec<_> = records.iter().collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut shares = BTreeMap::new();
+    for _ in 0..300 {
+        let chosen = choose_plain(&endpoints, pace, load, &data_centre("a"), now, &mut rng);
+        let name = chosen.expect("there is one").endpoint.as_str().to_owned();
+        *shares.entry(name).or_default() += 1;
+    }
+    shares
+}
+
+#[test]
+fn sound_endpoints_share_the_load() {
+    let now = Instant::now();
+    let shares = shares(&PlainPace::default(), &LoadBook::default(), now);
+    assert!(
+        shares.len() == 3 && shares.values().all(|n| *n > 60),
+        "{shares:?}"
+    );
+}
+
+#[test]
+fn an_endpoint_that_turned_slow_is_passed_by_and_forgiven_with_time() {
+    let now = Instant::now();
+    let mut pace = PlainPace::default();
+    for _ in 0..5 {
+        pace.note(&id("one"), Duration::from_millis(400), now);
+    }
+    assert_eq!(shares(&pace, &LoadBook::default(), now).get("one"), None);
+    let later = now + Duration::from_secs(30);
+    assert!(shares(&pace, &LoadBook::default(), later).contains_key("one"));
+}
+
+#[test]
+fn requests_in_flight_count() {
+    let now = Instant::now();
+    let mut load = LoadBook::default();
+    for _ in 0..6 {
+        load.begin_plain(&id("one"));
+    }
+    assert_eq!(shares(&PlainPace::default(), &load, now).get("one"), None);
+}
+
+/// Replays gaps in every data centre: the pipes carry far fewer tokens than wanted.
+#[test]
+fn crossings_are_held_to_this_entry_s_share_of_the_pipes() {
+    let spec = spec();
+    let start = Instant::now();
+    let mut meter = CrossingMeter::new(start);
+    let mut tokens = 0.0;
+    for ms in 1..=10_000 {
+        meter.refill(&spec, 4, start + Duration::from_millis(ms));
+        if meter.has_room() {
+            meter.take(2.0 * 924.0);
+            tokens += 2.0 * 924.0;
+        }
+    }
+    let carried = 7_900e6 / 8.0 / 22_900.0 * 10.0;
+    assert!(tokens < carried / 4.0, "{tokens} of {carried}");
+    assert!(tokens > carried / 4.0 * 0.6, "{tokens} of {carried}");
+}
--- a/crates/pistachioyard_policy/tests/quarantine.rs
+++ b/crates/pistachioyard_policy/tests/quarantine.rs
@@ -100,3 +100,18 @@
     assert_eq!(lanes.busy_endpoints(), [c].into());
     assert!(lanes.begin(BYSTANDERS[1], &[a]));
 }
+
+/// Where suspects are not kept apart, a bystander may share two crashes.
+#[test]
+fn without_lanes_only_three_crashes_convict() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::without_lanes(Duration::from_secs(60));
+    let request = RequestDigest(7);
+    for crashes in 1..=3 {
+        assert!(!matches!(quarantine.verdict(request, now), Verdict::Convicted { .. }), "{crashes}");
+        quarantine.crashed(&[request], BootId::generate(), now);
+    }
+    assert!(matches!(quarantine.verdict(request, now), Verdict::Convicted { .. }));
+    quarantine.cleared(request);
+    assert_eq!(quarantine.verdict(request, now), Verdict::Clear);
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -24,9 +24,10 @@
     CrossingMeter, EndpointBook, LoadBook, Membership, PlainPace, Quarantine, RetryBudget,
     RouteTable, Suspect,
 };
-use pistachioyard_wire::{EntryState, MemberRecord};
+use pistachioyard_wire::{EntryState, MemberRecord, RequestDigest};
 pub(crate) use run::run_router;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_128;
 
 use crate::lifecycle::Lifecycle;
 use crate::prelude::*;
@@ -111,7 +112,7 @@
             members: Mutex::new(Membership::new(own, PEER_TIMEOUT, now)),
             cut_off_peers: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(share, slack)),
-            quarantine: Mutex::new(Quarantine::new(QUARANTINE_HOLD)),
+            quarantine: Mutex::new(Quarantine::without_lanes(QUARANTINE_HOLD)),
             plain_pace: Mutex::default(),
             crossings: Mutex::new(CrossingMeter::new(now)),
             room: Notify::new(),
@@ -186,6 +187,25 @@
         }
     }
 
+    /// Notes that an endpoint was lost while it ran a request.
+    ///
+    /// A request that is never answered and loses three endpoints is refused; one that
+    /// is answered was a bystander.
+    pub(crate) fn note_crash(&self, digest: RequestDigest, endpoint: &EndpointId) {
+        let started = {
+            let endpoints = self.endpoints.lock();
+            let record = endpoints.get(endpoint);
+            record
+                .and_then(|record| record.state.started_unix_ms)
+                .unwrap_or_default()
+        };
+        let run = xxh3_128(format!("{endpoint}/{started}").as_bytes());
+        let run = BootId(uuid::Uuid::from_u128(run));
+        self.quarantine
+            .lock()
+            .crashed(&[digest], run, Instant::now());
+    }
+
     /// Returns the addresses that callers may use, this entry's first.
     pub(crate) fn caller_addresses(&self, now: Instant) -> Vec<std::net::SocketAddr> {
         let members = self.members.lock();
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -69,6 +69,7 @@
         tried.push(target.endpoint.clone());
         match attempt {
             Attempt::Answered(head, headers, body) => {
+                router.quarantine.lock().cleared(call.digest);
                 let is_failure = head.status.is_server_error();
                 let response = deliver(head.status, &headers, body);
                 if !(is_failure && may_repeat && !is_last && router.try_retry()) {
@@ -99,6 +100,7 @@
             }
             Attempt::Lost(detail) => {
                 record.attempt_failed(&target.endpoint, &detail);
+                router.note_crash(call.digest, &target.endpoint);
                 runs += 1;
                 if !may_repeat || runs >= call.route.max_attempts || !router.try_retry() {
                     return Err(result_lost(detail));
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -73,8 +73,8 @@
 enum Verdict {
     /// Go on waiting.
     Wait,
-    /// Leave the path, for this reason.
-    Leave(String),
+    /// Leave the path; the endpoint that was lost, if one was, and the reason.
+    Leave(Option<EndpointId>, String),
 }
 
 impl Relay {
@@ -228,6 +228,7 @@
             Opened::NotRun => record.attempt_failed(&head, "not run"),
             Opened::NotReached => record.attempt_failed(&head, "no connection"),
             Opened::Lost(detail) => {
+                self.router.note_crash(self.call.digest, &head);
                 if !self.heads.contains(&head) {
                     self.heads.push(head.clone());
                 }
@@ -243,16 +244,20 @@
             if let Some(events) = self.whole_events() {
                 return Ok(Some(events));
             }
-            let loss = match self.wait().await {
+            let (at_fault, why) = match self.wait().await {
                 Arrival::Data => continue,
                 Arrival::End => {
+                    self.router.quarantine.lock().cleared(self.call.digest);
                     self.record.answered(200);
                     return Ok(None);
                 }
-                Arrival::Lost(why) => why,
+                Arrival::Lost(at_fault, why) => (at_fault, why),
             };
             self.flight = None;
-            self.recover(&loss).await?;
+            if let Some(endpoint) = at_fault {
+                self.router.note_crash(self.call.digest, &endpoint);
+            }
+            self.recover(&why).await?;
         }
     }
 
@@ -282,20 +287,20 @@
     /// Waits for bytes, and looks into it when they are overdue.
     async fn wait(&mut self) -> Arrival {
         let Some(flight) = &mut self.flight else {
-            return Arrival::Lost("there is no path".to_owned());
+            return Arrival::Lost(None, "there is no path".to_owned());
         };
         let Some(left) = self.call.time_left() else {
-            return Arrival::Lost("the time is over".to_owned());
+            return Arrival::Lost(None, "the time is over".to_owned());
         };
         let patience = self.gaps.patience(Instant::now()).min(left);
         match tokio::time::timeout(patience, flight.read(&mut self.splitter)).await {
             Ok(Arrival::End) if self.splitter.has_remainder() => {
-                Arrival::Lost("the stream broke off inside an event".to_owned())
+                Arrival::Lost(None, "the stream broke off inside an event".to_owned())
             }
             Ok(arrival) => arrival,
             Err(_) => match flight.look_into(&self.call, &mut self.gaps).await {
                 Verdict::Wait => Arrival::Data,
-                Verdict::Leave(why) => Arrival::Lost(why),
+                Verdict::Leave(at_fault, why) => Arrival::Lost(at_fault, why),
             },
         }
     }
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -46,8 +46,8 @@
     Data,
     /// The whole end.
     End,
-    /// The path is lost.
-    Lost(String),
+    /// The path is lost: the endpoint at fault, if one is known, and the reason.
+    Lost(Option<EndpointId>, String),
 }
 
 /// Counts a request on its path until it is dropped.
@@ -120,7 +120,7 @@
                 Ok(sent) => break sent,
                 Err(_) => match self.look_into(call, &mut gaps).await {
                     Verdict::Wait => {}
-                    Verdict::Leave(why) => return (self, Opened::Lost(why)),
+                    Verdict::Leave(_, why) => return (self, Opened::Lost(why)),
                 },
             }
         };
@@ -223,7 +223,7 @@
     /// Reads what comes next into the splitter.
     pub(super) async fn read(&mut self, splitter: &mut EventSplitter) -> Arrival {
         let Some((body, ..)) = &mut self.answer else {
-            return Arrival::Lost("there is no answer to read".to_owned());
+            return Arrival::Lost(None, "there is no answer to read".to_owned());
         };
         match body.frame().await {
             Some(Ok(frame)) => {
@@ -234,7 +234,8 @@
             }
             Some(Err(_)) => {
                 self.first_endpoint_lost();
-                Arrival::Lost("the connection broke".to_owned())
+                let first = self.path.stages[0].endpoint.clone();
+                Arrival::Lost(Some(first), "the connection broke".to_owned())
             }
             None => {
                 self.keep_connection();
@@ -259,7 +260,8 @@
             .await;
         let Some(report) = report else {
             self.router.suspect(&first.endpoint, Suspect::NoAnswer);
-            return Verdict::Leave("the first endpoint does not answer".to_owned());
+            let why = "the first endpoint does not answer".to_owned();
+            return Verdict::Leave(Some(first.endpoint.clone()), why);
         };
         let mut stalled_at = None;
         for (request_id, address) in &report.stalled {
@@ -272,13 +274,16 @@
             }
         }
         match stalled_at {
-            Some(endpoint) => Verdict::Leave(format!("{endpoint} does not answer")),
+            Some(endpoint) => {
+                let why = format!("{endpoint} does not answer");
+                Verdict::Leave(Some(endpoint), why)
+            }
             None => match gaps.next_look(Instant::now()) {
                 PauseVerdict::Wait => {
                     self.survey();
                     Verdict::Wait
                 }
-                PauseVerdict::Leave => Verdict::Leave("nothing came for too long".to_owned()),
+                PauseVerdict::Leave => Verdict::Leave(None, "nothing came for too long".to_owned()),
             },
         }
     }
