--- a/crates/pistachioyard_policy/tests/quarantine.rs
+++ b/crates/pistachioyard_policy/tests/quarantine.rs
@@ -108,10 +108,16 @@
     let mut quarantine = Quarantine::without_lanes(Duration::from_secs(60));
     let request = RequestDigest(7);
     for crashes in 1..=3 {
-        assert!(!matches!(quarantine.verdict(request, now), Verdict::Convicted { .. }), "{crashes}");
+        assert!(
+            !matches!(quarantine.verdict(request, now), Verdict::Convicted { .. }),
+            "{crashes}"
+        );
         quarantine.crashed(&[request], BootId::generate(), now);
     }
-    assert!(matches!(quarantine.verdict(request, now), Verdict::Convicted { .. }));
+    assert!(matches!(
+        quarantine.verdict(request, now),
+        Verdict::Convicted { .. }
+    ));
     quarantine.cleared(request);
     assert_eq!(quarantine.verdict(request, now), Verdict::Clear);
 }
--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -85,8 +85,8 @@
             site.workers[worker].process.kill();
         }
         4 => {
-            site.set_store_fault(if rng.random() { 503 } else { 429 })
-                .await
+            let status = if rng.random() { 503 } else { 429 };
+            site.set_store_fault(status).await;
         }
         5 => {
             let kinds = [
