--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -38,7 +38,8 @@
     let Some(in_force) = router.in_force() else {
         return;
     };
-    if !is_candidate(router, Instant::now()) {
+    // Who holds the lease keeps it, so that an entry that comes back changes nothing.
+    if !lease.is_held() && !is_candidate(router, Instant::now()) {
         return;
     }
     let Some(fence) = lease.fence(router).await else {
