--- a/crates/pistachioyard_policy/src/pipeline/load.rs
+++ b/crates/pistachioyard_policy/src/pipeline/load.rs
@@ -11,7 +11,7 @@
 const ANSWER_SHARE: f64 = 0.75;
 
 /// A request's size in tokens.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RequestSize {
     /// The prompt.
     pub prompt: f64,
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -234,7 +234,7 @@
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
         tokio::time::sleep(PLAIN_WORK).await;
-        return signed(&id, whole(answer_line(&id, 0)));
+        return signed(&id, whole(format!("{}\n\n", answer_line(&id, 0))));
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
     if let Err(answer) = check_path(&worker, &path).await {
--- a/crates/pistachioyard_wire/src/layer_range.rs
+++ b/crates/pistachioyard_wire/src/layer_range.rs
@@ -36,6 +36,9 @@
 
 #[expect(clippy::len_without_is_empty, reason = "a layer range is never empty")]
 impl LayerRange {
+    /// Stands for all layers where an endpoint holds a model whole.
+    pub const WHOLE: Self = Self { first: 0, end: 1 };
+
     /// Makes a range of the layers `first..end`.
     ///
     /// # Errors
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -1,9 +1,10 @@
 //! Finds a path for a generation, waiting a moment for memory where there is none.
 
 use pistachioyard_policy::{
-    NoPath, Path, PathQuery, PipelineSpec, RequestSize, choose_path, crossing_ms,
+    NoPath, Path, PathQuery, PathStage, PipelineSpec, RequestSize, choose_path, choose_plain,
+    crossing_ms,
 };
-use pistachioyard_wire::ServiceName;
+use pistachioyard_wire::{LayerRange, ServiceName};
 
 use super::{Call, no_capacity};
 use crate::prelude::*;
@@ -14,13 +15,17 @@
 const WAIT_SHARE: f64 = 0.5;
 /// How often it is looked for a path while nothing announces that memory came free.
 const LOOK_AGAIN: Duration = Duration::from_millis(25);
+/// When a caller may come back after no endpoint that serves alone was usable, in ms;
+/// about the time of a heartbeat.
+const ALONE_RETRY_MS: f64 = 1_000.0;
 /// How much a missing path may be made up for by spreading callers that come back.
 const RETRY_SPREAD: f64 = 0.5;
 
 /// What a path is wanted for.
 pub(crate) struct Wanted<'a> {
     pub(crate) service: &'a ServiceName,
-    pub(crate) spec: &'a PipelineSpec,
+    /// The model that endpoints hold in parts; none if each of them serves alone.
+    pub(crate) spec: Option<&'a PipelineSpec>,
     pub(crate) size: RequestSize,
     /// The endpoint that must come first, if any.
     pub(crate) first: Option<&'a EndpointId>,
@@ -35,18 +40,58 @@
 /// Chooses a path by what is known now.
 pub(crate) fn find(router: &Router, wanted: &Wanted<'_>) -> Result<Found, NoPath> {
     let now = Instant::now();
+    let path = match wanted.spec {
+        Some(spec) => find_over_layers(router, wanted, spec, now)?,
+        None => find_alone(router, wanted, now)?,
+    };
+    let endpoints = router.endpoints.lock();
+    let ages = path
+        .stages
+        .iter()
+        .filter_map(|s| endpoints.age(&s.endpoint, now));
+    let oldest_entry = ages.max().unwrap_or_default();
+    Ok(Found { path, oldest_entry })
+}
+
+/// Chooses an endpoint that serves alone, as a path of one stage.
+fn find_alone(router: &Router, wanted: &Wanted<'_>, now: Instant) -> Result<Path, NoPath> {
+    let endpoints = router.endpoints.lock();
+    let mut usable = endpoints.usable(wanted.service, now);
+    usable.retain(|record| wanted.first.is_none_or(|first| *first == record.endpoint));
+    let pace = router.plain_pace.lock();
+    let load = router.load.lock();
+    let home = &router.settings.data_centre;
+    let chosen = choose_plain(&usable, &pace, &load, home, now, &mut rand::rng());
+    let record = chosen.ok_or(NoPath::Gap { layer: 0 })?;
+    Ok(Path {
+        stages: vec![PathStage {
+            endpoint: record.endpoint.clone(),
+            address: record.address,
+            layers: LayerRange::WHOLE,
+        }],
+        crossings: 0,
+        cost_ms: pace.ms(&record.endpoint, now),
+    })
+}
+
+fn find_over_layers(
+    router: &Router,
+    wanted: &Wanted<'_>,
+    spec: &PipelineSpec,
+    now: Instant,
+) -> Result<Path, NoPath> {
     let offers = {
         let endpoints = router.endpoints.lock();
         let load = router.load.lock();
-        endpoints.offers(wanted.service, wanted.spec, &load, now)
+        endpoints.offers(wanted.service, spec, &load, now)
     };
     let query = PathQuery {
         size: wanted.size,
         home: &router.settings.data_centre,
-        crossing_ms: crossing(router, wanted.spec, now),
+        crossing_ms: crossing(router, spec, now),
         first: wanted.first,
     };
-    let path = choose_path(wanted.spec, &offers, &query, &mut rand::rng())?;
+    let path = choose_path(spec, &offers, &query, &mut rand::rng())?;
     if path.crossings > 0 {
         let tokens = wanted.size.prompt + wanted.size.answer;
         router
@@ -54,13 +99,7 @@
             .lock()
             .take(tokens * f64::from(path.crossings));
     }
-    let endpoints = router.endpoints.lock();
-    let ages = path
-        .stages
-        .iter()
-        .filter_map(|s| endpoints.age(&s.endpoint, now));
-    let oldest_entry = ages.max().unwrap_or_default();
-    Ok(Found { path, oldest_entry })
+    Ok(path)
 }
 
 fn crossing(router: &Router, spec: &PipelineSpec, now: Instant) -> Option<f64> {
@@ -95,8 +134,18 @@
     let _ = tokio::time::timeout(LOOK_AGAIN, router.room.notified()).await;
 }
 
-fn refuse(spec: &PipelineSpec, no_path: NoPath) -> Problem {
-    let usual_ms = match no_path {
+fn refuse(spec: Option<&PipelineSpec>, no_path: NoPath) -> Problem {
+    let usual_ms = spec.map_or(ALONE_RETRY_MS, |spec| usual_wait_ms(spec, no_path));
+    let spread = 1.0 + RETRY_SPREAD * rand::random::<f64>();
+    no_capacity(
+        format!("{no_path}; nothing was run"),
+        (usual_ms * spread) as u64,
+    )
+}
+
+/// Estimates when there will be a path, in ms.
+fn usual_wait_ms(spec: &PipelineSpec, no_path: NoPath) -> f64 {
+    match no_path {
         // Another card takes the missing layers over, which takes as long as a load.
         NoPath::Gap { .. } | NoPath::NoCrossing => {
             let cards = spec.cards.values().map(|card| spec.max_layers(card));
@@ -105,10 +154,5 @@
         }
         // Requests end all the time; places come free within one answer's time.
         NoPath::NoRoom { .. } | NoPath::Tangled => spec.usual_answer * spec.step_ms * 4.0,
-    };
-    let spread = 1.0 + RETRY_SPREAD * rand::random::<f64>();
-    no_capacity(
-        format!("{no_path}; nothing was run"),
-        (usual_ms * spread) as u64,
-    )
+    }
 }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -44,7 +44,8 @@
     router: Arc<Router>,
     call: Call,
     service: ServiceName,
-    spec: Arc<PipelineSpec>,
+    /// The model that endpoints hold in parts; none if each of them serves alone.
+    spec: Option<Arc<PipelineSpec>>,
     size: RequestSize,
     flight: Option<Flight>,
     splitter: EventSplitter,
@@ -83,7 +84,7 @@
         router: Arc<Router>,
         call: Call,
         service: ServiceName,
-        spec: Arc<PipelineSpec>,
+        spec: Option<Arc<PipelineSpec>>,
         size: RequestSize,
         in_flight: InFlight,
     ) -> Self {
@@ -118,7 +119,7 @@
     fn wanted<'a>(&'a self, first: Option<&'a EndpointId>) -> Wanted<'a> {
         Wanted {
             service: &self.service,
-            spec: &self.spec,
+            spec: self.spec.as_deref(),
             size: self.size,
             first,
         }
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -53,7 +53,7 @@
 /// Counts a request on its path until it is dropped.
 pub(super) struct Flight {
     router: Arc<Router>,
-    spec: Arc<PipelineSpec>,
+    spec: Option<Arc<PipelineSpec>>,
     path: Path,
     size: RequestSize,
     answer: Option<(Incoming, Option<Connection>, Option<Duration>)>,
@@ -69,7 +69,7 @@
 impl Flight {
     pub(super) fn new(
         router: Arc<Router>,
-        spec: Arc<PipelineSpec>,
+        spec: Option<Arc<PipelineSpec>>,
         path: Path,
         size: RequestSize,
     ) -> Self {
@@ -98,7 +98,7 @@
                 endpoint: &first.endpoint,
                 workspace: call.workspace.as_ref().map(|w| &w.name),
                 time_left,
-                path: &self.path.stages,
+                path: self.spec.as_ref().map_or(&[], |_| &self.path.stages),
                 last_event_id: last_id,
                 urgency: Some(call.urgency()),
             },
@@ -208,8 +208,9 @@
     fn room_of(&self, endpoints: &EndpointBook, endpoint: &EndpointId) -> f64 {
         let room = endpoints.get(endpoint).and_then(|record| {
             let state = &record.state;
-            let card = self.spec.cards.get(state.card.as_ref()?)?;
-            Some(self.spec.token_layers_beside(card, state.layers?.len()))
+            let spec = self.spec.as_ref()?;
+            let card = spec.cards.get(state.card.as_ref()?)?;
+            Some(spec.token_layers_beside(card, state.layers?.len()))
         });
         room.unwrap_or_default()
     }
--- a/src/router/filter/stream.rs
+++ b/src/router/filter/stream.rs
@@ -8,9 +8,9 @@
 use pistachioyard_policy::RequestSize;
 use pistachioyard_wire::ServiceName;
 
+use super::Call;
 use super::record::Record;
 use super::relay::{Relay, Start};
-use super::{Call, no_capacity};
 use crate::lifecycle::InFlight;
 use crate::prelude::*;
 use crate::router::Router;
@@ -25,13 +25,12 @@
     record: &mut Record,
 ) -> Result<Response<AnswerBody>, Problem> {
     let configured = call.in_force.table.service(service);
-    let Some(spec) = configured.and_then(|service| service.pipeline.clone()) else {
-        return Err(no_capacity("the service holds no model in parts", 1_000));
-    };
-    let size = call.head.size.unwrap_or(RequestSize {
+    let spec = configured.and_then(|service| service.pipeline.clone());
+    let usual = spec.as_ref().map(|spec| RequestSize {
         prompt: spec.usual_prompt,
         answer: spec.usual_answer,
     });
+    let size = call.head.size.or(usual).unwrap_or_default();
     let mut relay = Relay::new(router.clone(), call, service.clone(), spec, size, in_flight);
     match relay.start(record).await? {
         Start::Stream(status, headers) => {
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -418,6 +418,7 @@
         add("draft", "streaming", "model", 2);
         add("record", "non_idempotent", "records", 1);
         add("lookup", "idempotent", "records", 2);
+        add("feed", "streaming", "records", 2);
         for n in 1..=extra {
             add(&format!("extra-{n}"), "idempotent", "records", 2);
         }
