--- a/src/router/front.rs
+++ b/src/router/front.rs
@@ -25,6 +25,8 @@
 /// How long a caller keeps a directory answer, in seconds; the least that the
 /// platform counts, so that callers leave a stopping entry soon.
 const DIRECTORY_TTL_S: u64 = 1;
+/// The least buffer for a request's head, in bytes; the server library takes no less.
+const MIN_HEAD_BYTES: usize = 8_192;
 /// How long an idle connection is kept before the first configuration is known.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 /// The pause after a connection could not be accepted, as when sockets run out.
@@ -78,6 +80,7 @@
     }
     let limits = router.in_force().map(|in_force| in_force.table.limits);
     let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout.max(l.header_timeout));
+    let max_head = limits.map_or(MIN_HEAD_BYTES, |l| l.max_header_bytes.max(MIN_HEAD_BYTES));
     let state = router.clone();
     let handler = service_fn(move |req| {
         let router = state.clone();
@@ -87,6 +90,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
+        .max_buf_size(max_head)
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     tokio::select! {
--- a/tests/site/calm.rs
+++ b/tests/site/calm.rs
@@ -30,6 +30,11 @@
             .send(Method::GET, to, "/lookup/a", &headers, "".into())
             .await;
         assert_eq!(sent.expect("it is answered").status, 401);
+        let long = "x".repeat(40_000);
+        let too_long = site
+            .ask(to, Method::GET, "/lookup/a", "x2", &[("x-long", &long)])
+            .await;
+        assert_eq!(too_long.expect("it is answered").0, 431);
         let large = "x".repeat(100_001);
         let headers = [("authorization", "Bearer key-one")];
         let sent = site
