Tell a stream that was sent and timed out from one that has not run, and never leave a path without another try

Found by reading: a stream's first attempt that was sent and got no answer in time was told as not run; a stream that may not be resumed left its path after a pause although nothing could follow; services without a model were asked for reports.

--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -154,6 +154,7 @@
                 }
                 Opened::Lost(detail) => Loss::MayHaveRun(detail),
             };
+            has_run |= matches!(loss, Loss::MayHaveRun(_));
             if self.call.time_left().is_none() {
                 return Err(self.out_of_time(has_run));
             }
@@ -166,7 +167,6 @@
                     }
                 }
                 Loss::MayHaveRun(detail) => {
-                    has_run = true;
                     why = "lost";
                     let is_allowed = self.may_repeat() && self.may_begin_again();
                     if !is_allowed || !self.router.try_retry() {
@@ -293,7 +293,13 @@
         let Some(left) = self.call.time_left() else {
             return Arrival::Lost(None, "the time is over".to_owned());
         };
-        let patience = self.gaps.patience(Instant::now()).min(left);
+        // A stream that may not begin again has nothing to gain from leaving its path.
+        let patience = match self.call.route.repeatability {
+            Repeatability::AtMostOnce => left,
+            Repeatability::Idempotent | Repeatability::Resumable => {
+                self.gaps.patience(Instant::now()).min(left)
+            }
+        };
         match tokio::time::timeout(patience, flight.read(&mut self.splitter)).await {
             Ok(Arrival::End) if self.splitter.has_remainder() => {
                 Arrival::Lost(None, "the stream broke off inside an event".to_owned())
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use pistachioyard_platform::{AnswerHead, EventSplitter, Send, decode_answer_head};
 use pistachioyard_policy::{
-    EndpointBook, GapMeter, Path, PauseVerdict, PipelineSpec, RequestSize, Suspect,
+    EndpointBook, GapMeter, Path, PauseVerdict, PipelineSpec, Repeatability, RequestSize, Suspect,
 };
 
 use super::Verdict;
@@ -104,7 +104,13 @@
             },
         );
         let router = self.router.clone();
-        let sending = router.client.send(first.address, req, Reuse::Allowed);
+        let may_repeat = call.route.repeatability != Repeatability::AtMostOnce;
+        let reuse = if may_repeat {
+            Reuse::Allowed
+        } else {
+            Reuse::Never
+        };
+        let sending = router.client.send(first.address, req, reuse);
         tokio::pin!(sending);
         let mut gaps = GapMeter::new(
             call.route.latency_target,
@@ -115,9 +121,15 @@
             let Some(left) = call.time_left() else {
                 return (self, Opened::Lost("the time is over".to_owned()));
             };
-            let patience = gaps.patience(Instant::now()).min(left);
+            let patience = match may_repeat {
+                true => gaps.patience(Instant::now()).min(left),
+                false => left,
+            };
             match tokio::time::timeout(patience, &mut sending).await {
                 Ok(sent) => break sent,
+                Err(_) if !may_repeat => {
+                    return (self, Opened::Lost("the time is over".to_owned()));
+                }
                 Err(_) => match self.look_into(call, &mut gaps).await {
                     Verdict::Wait => {}
                     Verdict::Leave(_, why) => return (self, Opened::Lost(why)),
@@ -253,6 +265,9 @@
 
     /// Asks the first endpoint why nothing comes.
     pub(super) async fn look_into(&self, call: &Call, gaps: &mut GapMeter) -> Verdict {
+        if self.spec.is_none() {
+            return next_look(gaps);
+        }
         let first = &self.path.stages[0];
         let report = self
             .router
@@ -279,13 +294,13 @@
                 let why = format!("{endpoint} does not answer");
                 Verdict::Leave(Some(endpoint), why)
             }
-            None => match gaps.next_look(Instant::now()) {
-                PauseVerdict::Wait => {
+            None => {
+                let verdict = next_look(gaps);
+                if matches!(verdict, Verdict::Wait) {
                     self.survey();
-                    Verdict::Wait
                 }
-                PauseVerdict::Leave => Verdict::Leave(None, "nothing came for too long".to_owned()),
-            },
+                verdict
+            }
         }
     }
 
@@ -310,3 +325,11 @@
             .any(|stage| stage.endpoint == *endpoint)
     }
 }
+
+/// Decides after a look that found nothing.
+fn next_look(gaps: &mut GapMeter) -> Verdict {
+    match gaps.next_look(Instant::now()) {
+        PauseVerdict::Wait => Verdict::Wait,
+        PauseVerdict::Leave => Verdict::Leave(None, "nothing came for too long".to_owned()),
+    }
+}
