--- a/tests/site/faults.rs
+++ b/tests/site/faults.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use http::Method;
 use pistachioyard_standins::wait_until;
 
-use super::support::Site;
+use super::support::{KEY, Site};
 
 /// Found on a day with `platform_down` and restarts: an entry that started while the
 /// store was down served nothing until it was back.
@@ -79,3 +80,28 @@
     .await
     .expect("it ends within its grace period");
 }
+
+/// Found by reading: a stream that was sent and got no answer before its deadline was
+/// refused as not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_was_sent_and_not_answered_is_not_called_not_run() {
+    let mut site = Site::start(1).await;
+    let engines = site.workers.iter_mut().filter(|worker| !worker.is_plain);
+    for worker in engines {
+        worker.process.running().freeze().expect("it is signalled");
+    }
+    let key = format!("Bearer {KEY}");
+    let headers = [
+        ("x-attempt-id", "frozen-1"),
+        ("x-deadline-ms", "200"),
+        ("authorization", key.as_str()),
+        ("x-token-usage", "100,20"),
+    ];
+    let to = site.entries[0].callers();
+    let sent = site
+        .client
+        .send(Method::POST, to, "/draft/a", &headers, "body".into())
+        .await;
+    let status = sent.expect("it is answered").status.as_u16();
+    assert!(!matches!(status, 408 | 421 | 429 | 503), "{status}");
+}
