Blame a request for a crash only if the endpoint is gone, and keep it out for fifteen seconds

Found by reading: requests that ask the same share a digest, so lost answers at three endpoints of a service could have refused a whole enquiry for two minutes.

--- a/src/router.rs
+++ b/src/router.rs
@@ -36,8 +36,9 @@
 
 /// How long a peer may be silent before it counts as lost; several gossip periods.
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
-/// How long a request that crashes endpoints is refused; longer than callers repeat one.
-const QUARANTINE_HOLD: Duration = Duration::from_secs(120);
+/// How long a request that crashes endpoints is refused. Crashed endpoints are back after
+/// some seconds; a request that was blamed wrongly is not kept out for long.
+const QUARANTINE_HOLD: Duration = Duration::from_secs(15);
 /// The part of the retry budget that entries use together, since they count their
 /// requests a moment apart from those who check the budget.
 const RETRY_BUDGET_SHARE: f64 = 0.9;
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -88,6 +88,17 @@
         }
     }
 
+    /// Tells whether an endpoint takes connections.
+    pub(crate) async fn is_reachable(&self, to: SocketAddr) -> bool {
+        match connect(to).await {
+            Ok(sender) => {
+                self.keep(Connection { to, sender }, None);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Keeps a connection whose answer was read whole.
     pub(crate) fn keep(&self, connection: Connection, idle_limit: Option<Duration>) {
         if connection.sender.is_closed() {
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -82,7 +82,7 @@
 
 /// The attempts at one request so far.
 struct Sending<'a> {
-    router: &'a Router,
+    router: &'a Arc<Router>,
     call: &'a Call,
     may_repeat: bool,
     tried: Vec<EndpointId>,
@@ -156,7 +156,7 @@
             }
             Attempt::Lost(detail) => {
                 record.attempt_failed(endpoint, &detail);
-                self.router.note_crash(self.call.digest, endpoint);
+                self.look_for_crash(endpoint);
                 let is_over = !self.may_repeat || self.is_last();
                 self.runs += 1;
                 if is_over || !self.router.try_retry() {
@@ -176,6 +176,20 @@
         }
     }
 
+    /// Has the endpoint tried after an answer was lost; requests that ask the same share
+    /// a digest, and a lost answer alone is no crash.
+    fn look_for_crash(&self, endpoint: &EndpointId) {
+        let (router, digest) = (self.router.clone(), self.call.digest);
+        let record = router.endpoints.lock().get(endpoint).cloned();
+        if let Some(record) = record {
+            tokio::spawn(async move {
+                if !router.client.is_reachable(record.address).await {
+                    router.note_crash(digest, &record.endpoint);
+                }
+            });
+        }
+    }
+
     fn answered(
         &mut self,
         endpoint: &EndpointId,
