Wait for the write of the claim itself in tests that pause an entry

Cause: the tests of a paused or killed entry waited for any write at the platform and took a renewal of the placement lease (each 2.5 s) for the claim, so the entry was paused before it claimed; the other entry then answered done, rightly. Ruled out: a second effect (the services counted one), a claim that another entry overrode. Change: the stand-in counts writes by the parent of the object's key, and the tests wait for one of the pages that may hold the claim. Checks and bounds are as before.

--- a/crates/pistachioyard_standins/src/platform/api.rs
+++ b/crates/pistachioyard_standins/src/platform/api.rs
@@ -76,10 +76,11 @@
     body: TypedBody<ObjectWrite>,
 ) -> Result<Response<Body>, HttpError> {
     let state = cx.context();
+    let key = ObjectKey(path.into_inner().key.into());
+    state.count_write_under(&key);
     state.enter(CallKind::Write).await?;
     let write = body.into_inner();
     check_size(&write)?;
-    let key = ObjectKey(path.into_inner().key.into());
     let result = state.write(key, write).await?;
     if result.lost {
         return Ok(hang_up());
--- a/crates/pistachioyard_standins/src/platform/control.rs
+++ b/crates/pistachioyard_standins/src/platform/control.rs
@@ -1,5 +1,7 @@
 //! What tests set and read on the platform stand-in.
 
+use std::collections::BTreeMap;
+
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +30,9 @@
     pub reads: u64,
     /// Writes of one object.
     pub writes: u64,
+    /// Those writes by the object's key without its last part, so that a test can wait
+    /// for one of them while controllers write other objects.
+    pub writes_under: BTreeMap<String, u64>,
     /// Reads of all objects under a prefix.
     pub lists: u64,
     /// Watches.
--- a/crates/pistachioyard_standins/src/platform/state.rs
+++ b/crates/pistachioyard_standins/src/platform/state.rs
@@ -72,6 +72,14 @@
         self.refuse_when_down()
     }
 
+    /// Counts a write by its object's key without the last part.
+    pub(crate) fn count_write_under(&self, key: &ObjectKey) {
+        let parent = key.0.rsplit_once('/').map_or("", |(parent, _)| parent);
+        let mut inner = self.inner.lock();
+        let counts = &mut inner.counts.writes_under;
+        *counts.entry(parent.to_owned()).or_default() += 1;
+    }
+
     fn refuse_when_down(&self) -> Result<(), HttpError> {
         let mut inner = self.inner.lock();
         if !inner.faults.down {
--- a/crates/pistachioyard_standins/tests/standins/platform.rs
+++ b/crates/pistachioyard_standins/tests/standins/platform.rs
@@ -62,6 +62,9 @@
         CallCounts {
             reads: 2,
             writes: 32,
+            writes_under: {
+                "config": 32,
+            },
             lists: 0,
             watches: 0,
             hosts: 0,
--- a/tests/operations/pauses.rs
+++ b/tests/operations/pauses.rs
@@ -21,9 +21,9 @@
     let mut bench = Bench::start(Deployment::CradleCount, 2).await;
     bench.platform(delayed_writes(WRITE_DELAY_MS)).await;
     let key = new_key();
-    let before = bench.writes().await;
+    let before = bench.claim_writes(key).await;
     let first = tokio::spawn(bench.sender(0)(key, "{}".to_owned()));
-    bench.wait_for_write(before).await;
+    bench.wait_for_claim_write(key, before).await;
     let paused = &mut bench.cluster.entries[0].child;
     paused.freeze().expect("it is paused");
     // The claim lands, and its answer waits for the paused entry.
@@ -114,11 +114,11 @@
             bench.services(faults).await;
         }
     }
-    let before = bench.writes().await;
+    let before = bench.claim_writes(key).await;
     let mut first = tokio::spawn(bench.sender(0)(key, "{}".to_owned()));
     match step {
         Step::BeforeClaim => tokio::time::sleep(millis(300)).await,
-        Step::AfterClaim => bench.wait_for_write(before).await,
+        Step::AfterClaim => bench.wait_for_claim_write(key, before).await,
         Step::AfterSend => bench.wait_for_effect(key).await,
         Step::BeforeSettle => {
             bench.wait_for_effect(key).await;
--- a/tests/operations/support.rs
+++ b/tests/operations/support.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::Method;
+use pistachioyard_policy::LedgerShape;
 use pistachioyard_standins::{
     CallCounts, Caller, Cluster, ClusterError, ClusterPlan, ClusterSize, Deployment, EffectRecord,
     PlatformFaults, ServiceFaults, wait_until,
@@ -111,18 +112,33 @@
 
     /// Returns how many writes the platform has been asked for.
     pub(crate) async fn writes(&self) -> u64 {
+        self.counts().await.writes
+    }
+
+    /// Returns how many writes the platform has been asked for of the pages that may
+    /// hold a key's claim; entries write leases and cursors in between.
+    pub(crate) async fn claim_writes(&self, key: OperationKey) -> u64 {
+        let page = LedgerShape::default().page_key(key);
+        let (parent, _) = page.0.rsplit_once('/').expect("a page has a parent");
+        let counts = self.counts().await.writes_under;
+        counts.get(parent).copied().unwrap_or_default()
+    }
+
+    async fn counts(&self) -> CallCounts {
         let counts = self
             .cluster
             .client
-            .get_json::<CallCounts>(self.cluster.platform, "/control/counts");
-        counts.await.expect("the counts").writes
+            .get_json(self.cluster.platform, "/control/counts");
+        counts.await.expect("the counts")
     }
 
-    /// Waits until the platform has been asked for more writes than before.
-    pub(crate) async fn wait_for_write(&self, before: u64) {
-        wait_until(LONG, "a write", || async { self.writes().await > before })
-            .await
-            .expect("the platform is asked");
+    /// Waits until the platform has been asked for more writes of claims than before.
+    pub(crate) async fn wait_for_claim_write(&self, key: OperationKey, before: u64) {
+        wait_until(LONG, "a claim's write", || async {
+            self.claim_writes(key).await > before
+        })
+        .await
+        .expect("the platform is asked");
     }
 
     /// Waits until a key has taken effect.
