Mend paths whose middle endpoint died, and place cards in pairs that back each other up

Change: a pause of 60 ms has the endpoints through which no other stream's events came in 40 ms asked to accept a connection; a dead one's layers go to its twin by a path order, and the others keep what they have read. Cards of one kind are paired on the same layers as far as all layers stay held, each with room for half of the requests. The end of a request logs its longest pause.

--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -27,6 +27,9 @@
 /// How long an entry in the store can be behind what its endpoint says: a heartbeat on
 /// its way and the pause between two watches.
 const ENTRY_LAG: Duration = Duration::from_millis(1_000);
+/// How long a failure counts for the streams that run at an endpoint; longer than their
+/// callers wait.
+const SILENT_SPAN: Duration = Duration::from_secs(3);
 /// How much newer what a peer heard must be than what was heard directly.
 const HEARSAY_SLACK: Duration = Duration::from_millis(50);
 
@@ -151,6 +154,15 @@
         known.is_some_and(|known| known.suspect(why, now))
     }
 
+    /// Tells whether an endpoint failed and has not answered since, so that what runs
+    /// there will not go on.
+    pub fn is_silent(&self, endpoint: &EndpointId, now: Instant) -> bool {
+        let suspect = self.known.get(endpoint).and_then(|known| known.suspect);
+        suspect.is_some_and(|suspect| {
+            !suspect.has_answered && now.saturating_duration_since(suspect.since) < SILENT_SPAN
+        })
+    }
+
     /// Lists the suspects that are due to be asked for their state.
     pub fn due_checks(&self, now: Instant) -> Vec<EndpointRecord> {
         let due = self.known.values().filter(|known| {
--- a/crates/pistachioyard_policy/src/gap_meter.rs
+++ b/crates/pistachioyard_policy/src/gap_meter.rs
@@ -5,6 +5,16 @@
 
 use std::time::{Duration, Instant};
 
+/// How many times its usual gap a stream may pause until the endpoints of its path are
+/// glanced at.
+const GLANCE_GAPS: f64 = 1.25;
+/// The least pause at which they are; callers accept about three times as much, in which
+/// the dead endpoint must be found and its layers read again.
+const MIN_GLANCE: Duration = Duration::from_millis(60);
+/// The part of the target for the first event after which they are.
+const FIRST_GLANCE_SHARE: f64 = 0.25;
+/// How long after a glance the next one follows.
+const GLANCE_AGAIN: Duration = Duration::from_millis(20);
 /// How many times its usual gap a stream may pause until it is looked into.
 const SUSPICIOUS_GAPS: f64 = 4.0;
 /// The least pause that is looked into; shorter ones come from other requests' prompts.
@@ -29,6 +39,15 @@
     Leave,
 }
 
+/// What is due when a stream has paused for its patience.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Look {
+    /// The endpoints through which nothing comes are asked whether they live.
+    Glance,
+    /// The first endpoint's report is asked for too.
+    Report,
+}
+
 /// Measures the gaps between the events of one stream.
 #[derive(Clone, Debug)]
 pub struct GapMeter {
@@ -37,6 +56,7 @@
     /// The mean gap; none before two events.
     usual: Option<f64>,
     last_event_at: Instant,
+    next_glance_at: Option<Instant>,
     next_look_at: Option<Instant>,
     has_event: bool,
 }
@@ -49,6 +69,7 @@
             max_patience: gap_target.unwrap_or(latency_target),
             usual: None,
             last_event_at: now,
+            next_glance_at: None,
             next_look_at: None,
             has_event: false,
         }
@@ -57,6 +78,7 @@
     /// Begins to wait for the first event on a path.
     pub fn begin(&mut self, now: Instant) {
         self.last_event_at = now;
+        self.next_glance_at = None;
         self.next_look_at = None;
         self.has_event = false;
     }
@@ -71,16 +93,45 @@
             self.usual = Some(usual + NEW_WEIGHT * (gap - usual));
         }
         self.last_event_at = now;
+        self.next_glance_at = None;
         self.next_look_at = None;
         self.has_event = true;
     }
 
     /// Returns how long to wait until the pause is looked into.
     pub fn patience(&self, now: Instant) -> Duration {
-        let look_at = self
-            .next_look_at
-            .unwrap_or(self.last_event_at + self.first_look());
-        look_at.saturating_duration_since(now)
+        let due_at = self.glance_at().min(self.look_at());
+        due_at.saturating_duration_since(now)
+    }
+
+    /// Begins a look and says what is due.
+    pub fn begin_look(&mut self, now: Instant) -> Look {
+        self.next_glance_at = Some(now + GLANCE_AGAIN);
+        if now >= self.look_at() {
+            Look::Report
+        } else {
+            Look::Glance
+        }
+    }
+
+    fn glance_at(&self) -> Instant {
+        let first = self.last_event_at + self.first_glance();
+        self.next_glance_at.unwrap_or(first)
+    }
+
+    fn look_at(&self) -> Instant {
+        let first = self.last_event_at + self.first_look();
+        self.next_look_at.unwrap_or(first)
+    }
+
+    fn first_glance(&self) -> Duration {
+        if !self.has_event {
+            return self
+                .first_patience
+                .mul_f64(FIRST_GLANCE_SHARE / FIRST_EVENT_SHARE);
+        }
+        let usual = Duration::from_secs_f64(self.usual.unwrap_or(0.0) * GLANCE_GAPS);
+        usual.clamp(MIN_GLANCE, self.max_patience.max(MIN_GLANCE))
     }
 
     fn first_look(&self) -> Duration {
@@ -94,10 +145,11 @@
     /// Decides after a look that found nothing.
     pub fn next_look(&mut self, now: Instant) -> PauseVerdict {
         let pause = now.saturating_duration_since(self.last_event_at);
+        self.next_look_at = Some(now + LOOK_AGAIN);
         if pause >= MAX_PAUSE {
-            return PauseVerdict::Leave;
+            PauseVerdict::Leave
+        } else {
+            PauseVerdict::Wait
         }
-        self.next_look_at = Some(now + LOOK_AGAIN);
-        PauseVerdict::Wait
     }
 }
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod endpoint_book;
 mod fair_queue;
 mod fleet;
+mod flow_book;
 mod gap_meter;
 mod lease;
 mod ledger;
@@ -42,7 +43,8 @@
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, Ticket};
 pub use fleet::{EndpointView, FleetView};
-pub use gap_meter::{GapMeter, PauseVerdict};
+pub use flow_book::FlowBook;
+pub use gap_meter::{GapMeter, Look, PauseVerdict};
 pub use lease::{LeaseHold, LeaseMove, LeaseRecord, decide};
 pub use ledger::{
     ChangeAnswer, Claim, ClaimState, KeyAgeFault, LedgerChange, LedgerFault, LedgerPage,
@@ -51,7 +53,7 @@
 pub use membership::Membership;
 pub use pipeline::{
     Card, CardState, LayerMove, LoadBook, NoPath, Path, PathQuery, PathStage, PipelineSpec,
-    RequestSize, StageOffer, choose_path, plan_cards,
+    RequestSize, StageOffer, choose_path, plan_cards, repair_path,
 };
 pub use placement::{
     Held, LoadPacer, PlacementChange, PlacementEndpoint, PlacementInput, PlacementModel,
--- a/crates/pistachioyard_policy/src/pipeline.rs
+++ b/crates/pistachioyard_policy/src/pipeline.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`card_placement`](self::plan_cards): which layers each card holds.
 //! - [`path_choice`](self::choose_path): which cards a request passes, in order.
+//! - [`path_repair`](self::repair_path): which cards replace one that was lost meanwhile.
 //! - [`load`](self::LoadBook): the memory that requests take on each card.
 //!
 //! See `docs/design/operators-platform.md`.
@@ -9,9 +10,11 @@
 mod card_placement;
 mod load;
 mod path_choice;
+mod path_repair;
 mod spec;
 
 pub use card_placement::{CardState, LayerMove, plan_cards};
 pub use load::{LoadBook, RequestSize};
 pub use path_choice::{NoPath, Path, PathQuery, PathStage, StageOffer, choose_path};
+pub use path_repair::repair_path;
 pub use spec::{Card, PipelineSpec};
--- a/crates/pistachioyard_policy/src/pipeline/card_placement.rs
+++ b/crates/pistachioyard_policy/src/pipeline/card_placement.rs
@@ -3,8 +3,11 @@
 //! Answers the load pattern of a fleet that has lost cards while it is busy: every
 //! data centre holds all layers by itself, so that requests need no pipe between
 //! data centres, and memory is kept free for the requests that the loss of a data
-//! centre would bring. A gap is closed by an empty card, else by a card that holds
-//! what others hold too, else by a neighbour that grows.
+//! centre would bring. What memory is left goes to cards in pairs that hold the same
+//! layers: when one of them is lost, the other takes over its requests at once, and
+//! until then each carries half of them, so it needs room for half as many. A gap is
+//! closed by an empty card, else by a card that holds what others hold too, else by a
+//! neighbour that grows.
 
 use std::collections::BTreeMap;
 
@@ -39,6 +42,9 @@
 /// The least tokens of requests that a card which grows keeps room for, as a share
 /// of the wanted ones.
 const GROWN_TOKEN_SHARE: f64 = 0.35;
+/// The part of the tokens to keep room for below which a layer's holders lack room; a
+/// single holder has all of it and one that is left of a pair about half.
+const ENOUGH_ROOM: f64 = 0.8;
 /// The steps in which the tokens to keep room for are lowered until all layers fit.
 const TOKEN_STEP: f64 = 0.97;
 
@@ -50,6 +56,7 @@
     let mut moves = Vec::new();
     for group in groups(spec, cards) {
         let mut plan = GroupPlan::new(spec, group, wanted_tokens);
+        plan.lay_out();
         plan.fill_empty_cards();
         plan.close_gaps();
         moves.extend(plan.moves);
@@ -149,36 +156,140 @@
         });
     }
 
+    /// Returns the layers of a card that carries all requests of its data centre.
+    fn single_size(&self, at: usize) -> u32 {
+        let card = &self.cards[at].card;
+        self.spec.layers_beside(card, self.tokens)
+    }
+
+    /// Returns the layers of a card that shares the requests with another one.
+    fn paired_size(&self, at: usize) -> u32 {
+        let card = &self.cards[at].card;
+        self.spec.layers_beside(card, self.tokens / 2.0)
+    }
+
+    /// Gives a group that holds nothing yet all layers, over as many pairs as fit.
+    fn lay_out(&mut self) {
+        let is_empty = self.held.iter().all(Option::is_none);
+        if !is_empty || !self.cards.iter().all(|card| card.takes_orders) {
+            return;
+        }
+        let mut next = 0;
+        for (members, size) in self.pairs_and_singles() {
+            if next >= self.spec.layers || size == 0 {
+                break;
+            }
+            let first = next.min(self.spec.layers.saturating_sub(size));
+            let Ok(layers) = LayerRange::new(first, (first + size).min(self.spec.layers)) else {
+                break;
+            };
+            for at in members {
+                self.assign(at, layers);
+            }
+            next = layers.end();
+        }
+    }
+
+    /// Divides the cards into pairs of one kind, as many as leave all layers held, and
+    /// singles; with the layers of each, in the order of the cards.
+    fn pairs_and_singles(&self) -> Vec<(Vec<usize>, u32)> {
+        let mut free: Vec<Vec<usize>> = Vec::new();
+        for at in 0..self.cards.len() {
+            let card = self.cards[at].card;
+            match free.iter_mut().find(|c| self.cards[c[0]].card == card) {
+                Some(of_kind) => of_kind.push(at),
+                None => free.push(vec![at]),
+            }
+        }
+        // A pair of the kind that loses the fewest layers by it comes first.
+        let loss = |at: usize| (2 * self.single_size(at)).saturating_sub(self.paired_size(at));
+        free.sort_by_key(|of_kind| loss(of_kind[0]));
+        let singles = (0..self.cards.len()).map(|at| self.single_size(at));
+        let mut spare = singles.sum::<u32>().saturating_sub(self.spec.layers);
+        let mut groups = Vec::new();
+        for mut of_kind in free {
+            let (loss, size) = (loss(of_kind[0]), self.paired_size(of_kind[0]));
+            while of_kind.len() > 1 && loss <= spare {
+                spare -= loss;
+                let members = of_kind.split_off(of_kind.len() - 2);
+                groups.push((members, size));
+            }
+            let singles = of_kind.into_iter();
+            groups.extend(singles.map(|at| (vec![at], self.single_size(at))));
+        }
+        groups.sort_by_key(|(members, _)| members[0]);
+        groups
+    }
+
     fn fill_empty_cards(&mut self) {
         for at in 0..self.cards.len() {
             if self.held[at].is_some() || !self.cards[at].takes_orders {
                 continue;
             }
-            let size = self.spec.layers_beside(&self.cards[at].card, self.tokens);
-            if let Some(layers) = self.weakest_window(size) {
+            if let Some(layers) = self.weakest_window(at) {
                 self.assign(at, layers);
             }
         }
     }
 
-    /// Finds the run of `size` layers that most needs another holder: the first gap,
-    /// else the layers with the fewest holders.
-    fn weakest_window(&self, size: u32) -> Option<LayerRange> {
-        let size = size.min(self.spec.layers);
-        if size == 0 {
+    /// Finds the layers that most need another holder: the first gap, else those whose
+    /// holders lack room for requests, as after the loss of one of a pair, else those by
+    /// which the most cards get another holder for all that they hold, else those with
+    /// the fewest holders.
+    fn weakest_window(&self, at: usize) -> Option<LayerRange> {
+        let single = self.single_size(at).min(self.spec.layers);
+        if single == 0 {
             return None;
         }
         let cover = self.cover();
         if let Some(gap) = cover.iter().position(|holders| *holders == 0) {
-            let first = (gap as u32).min(self.spec.layers - size);
-            return LayerRange::new(first, first + size).ok();
+            let first = (gap as u32).min(self.spec.layers - single);
+            return LayerRange::new(first, first + single).ok();
         }
-        let load = |first: u32| -> u32 {
-            let window = &cover[first as usize..(first + size) as usize];
-            window.iter().map(|holders| holders * holders).sum()
+        let paired = self.paired_size(at).min(self.spec.layers);
+        let windows = [single, paired].into_iter().flat_map(|size| {
+            (0..=self.spec.layers - size)
+                .filter_map(move |first| LayerRange::new(first, first + size).ok())
+        });
+        let lacks_room: Vec<bool> = (0..self.spec.layers).map(|l| self.lacks_room(l)).collect();
+        windows.max_by_key(|layers| {
+            let range = layers.first() as usize..layers.end() as usize;
+            let relieved = lacks_room[range.clone()].iter().filter(|lacks| **lacks);
+            let load: u32 = cover[range].iter().map(|holders| holders * holders).sum();
+            let per_layer = load * self.spec.layers / layers.len();
+            (
+                relieved.count(),
+                self.backed_up(&cover, *layers),
+                std::cmp::Reverse(per_layer),
+            )
+        })
+    }
+
+    /// Tells whether the holders of a layer have too little room for the requests of
+    /// their data centre.
+    fn lacks_room(&self, layer: u32) -> bool {
+        let rooms = self
+            .held
+            .iter()
+            .zip(&self.cards)
+            .filter_map(|(held, card)| {
+                let held = held.filter(|held| held.first() <= layer && layer < held.end())?;
+                let room = self.spec.token_layers_beside(&card.card, held.len());
+                Some(room / f64::from(held.len()))
+            });
+        rooms.sum::<f64>() < self.tokens * ENOUGH_ROOM
+    }
+
+    /// Counts the cards all of whose layers have another holder once one more card
+    /// holds `added`.
+    fn backed_up(&self, cover: &[u32], added: LayerRange) -> usize {
+        let holders = |layer: u32| {
+            let is_added = added.first() <= layer && layer < added.end();
+            cover[layer as usize] + u32::from(is_added)
         };
-        let first = (0..=self.spec.layers - size).min_by_key(|first| load(*first))?;
-        LayerRange::new(first, first + size).ok()
+        let held = self.held.iter().flatten();
+        held.filter(|range| (range.first()..range.end()).all(|layer| holders(layer) > 1))
+            .count()
     }
 
     fn close_gaps(&mut self) {
@@ -207,11 +318,22 @@
             let layers = &cover[range.first() as usize..range.end() as usize];
             layers.iter().all(|holders| *holders > 1)
         };
-        let spare = (0..self.cards.len()).rev().find(|at| {
+        let spares = (0..self.cards.len()).filter(|at| {
             let card = self.cards[*at];
             let movable = card.takes_orders && card.held == self.held[*at];
             movable && self.held[*at].is_some_and(is_spare)
         });
+        // The smallest card that closes the gap alone, else the largest one.
+        let spare = spares.min_by_key(|at| {
+            let size = self.single_size(*at);
+            let is_too_small = size < gap.len();
+            let waste = if is_too_small {
+                self.spec.layers - size
+            } else {
+                size
+            };
+            (is_too_small, waste, std::cmp::Reverse(*at))
+        });
         let Some(at) = spare else {
             return false;
         };
--- a/crates/pistachioyard_policy/src/pipeline/path_choice.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice.rs
@@ -6,6 +6,7 @@
 //! data centres as far as the pipes allow.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use pistachioyard_wire::{DataCentre, EndpointId, LayerRange};
 use rand::Rng;
@@ -107,6 +108,9 @@
     /// Data centres would have to be crossed and the pipes between them are full.
     #[error("no data centre has all layers and the pipes between them have no room")]
     NoCrossing,
+    /// The lost endpoint is the first of its path, or not on it.
+    #[error("the endpoint cannot be replaced on the path")]
+    NotReplaceable,
     /// Every way found passes an endpoint twice or is too long.
     #[error("no path of few enough endpoints was found")]
     Tangled,
@@ -124,7 +128,32 @@
     query: &PathQuery<'_>,
     rng: &mut impl Rng,
 ) -> Result<Path, NoPath> {
-    check_cover(spec, offers, query)?;
+    let span = Span {
+        layers: 0..spec.layers,
+        from: None,
+        to: None,
+    };
+    choose_over(spec, offers, query, &span, rng)
+}
+
+/// The layers that a path or a part of one runs, and what it joins on to.
+pub(super) struct Span<'a> {
+    pub(super) layers: Range<u32>,
+    /// The data centre of the stage before; none at the beginning of a path.
+    pub(super) from: Option<&'a DataCentre>,
+    /// The data centre of the stage after; none at the end of a path.
+    pub(super) to: Option<&'a DataCentre>,
+}
+
+/// Chooses the stages of least cost over a span of layers.
+pub(super) fn choose_over(
+    spec: &PipelineSpec,
+    offers: &[StageOffer],
+    query: &PathQuery<'_>,
+    span: &Span<'_>,
+    rng: &mut impl Rng,
+) -> Result<Path, NoPath> {
+    check_cover(spec, offers, query, span)?;
     let mut open: Vec<Candidate<'_>> = offers
         .iter()
         .filter(|offer| has_room(spec, offer, query.size))
@@ -134,9 +163,9 @@
         })
         .collect();
     for _ in 0..MAX_SEARCHES {
-        let path = search(spec, &open, query)?;
+        let path = search(&open, query, span)?;
         match twice_passed(&path) {
-            None if path.stages.len() <= MAX_STAGES => return Ok(path),
+            None if is_short_enough(&path) => return Ok(path),
             None => return Err(NoPath::Tangled),
             Some(between) => open.retain(|candidate| candidate.offer.endpoint != between),
         }
@@ -144,6 +173,11 @@
     Err(NoPath::Tangled)
 }
 
+/// Tells whether the endpoints take a path of this length.
+pub(super) fn is_short_enough(path: &Path) -> bool {
+    path.stages.len() <= MAX_STAGES
+}
+
 /// An offer with room, and what a layer costs there.
 struct Candidate<'a> {
     offer: &'a StageOffer,
@@ -175,8 +209,9 @@
     spec: &PipelineSpec,
     offers: &[StageOffer],
     query: &PathQuery<'_>,
+    span: &Span<'_>,
 ) -> Result<(), NoPath> {
-    for layer in 0..spec.layers {
+    for layer in span.layers.clone() {
         let mut holders = offers.iter().filter(|o| holds(o.layers, layer)).peekable();
         if holders.peek().is_none() {
             return Err(NoPath::Gap { layer });
@@ -200,29 +235,26 @@
     from: usize,
 }
 
-/// Finds the cheapest sequence of candidates over all layers, layer by layer.
-fn search(
-    spec: &PipelineSpec,
-    open: &[Candidate<'_>],
-    query: &PathQuery<'_>,
-) -> Result<Path, NoPath> {
-    let mut ways: Vec<Vec<Option<Way>>> = Vec::with_capacity(spec.layers as usize);
-    for layer in 0..spec.layers {
+/// Finds the cheapest sequence of candidates over the span, layer by layer.
+fn search(open: &[Candidate<'_>], query: &PathQuery<'_>, span: &Span<'_>) -> Result<Path, NoPath> {
+    let mut ways: Vec<Vec<Option<Way>>> = Vec::with_capacity(span.layers.len());
+    for layer in span.layers.clone() {
         let before = ways.last();
         let row: Vec<Option<Way>> = (0..open.len())
-            .map(|at| best_way(open, query, before, layer, at))
+            .map(|at| best_way(open, query, span, before, layer, at))
             .collect();
         if row.iter().all(Option::is_none) {
             return Err(NoPath::NoCrossing);
         }
         ways.push(row);
     }
-    Ok(trace(open, &ways))
+    trace(open, query, span, &ways).ok_or(NoPath::NoCrossing)
 }
 
 fn best_way(
     open: &[Candidate<'_>],
     query: &PathQuery<'_>,
+    span: &Span<'_>,
     before: Option<&Vec<Option<Way>>>,
     layer: u32,
     at: usize,
@@ -232,75 +264,108 @@
         return None;
     }
     let Some(before) = before else {
-        return first_way(candidate, query, at);
+        return first_way(candidate, query, span, at);
     };
     let ways = before.iter().enumerate().filter_map(|(from, way)| {
-        let hop_ms = hop_ms(open[from].offer, candidate.offer, query)?;
+        let stays = from == at;
+        let hop_ms = if stays {
+            0.0
+        } else {
+            hop_ms(
+                &open[from].offer.data_centre,
+                &candidate.offer.data_centre,
+                query,
+            )?
+        };
         let cost_ms = (*way)?.cost_ms + hop_ms + candidate.layer_ms;
         Some(Way { cost_ms, from })
     });
     ways.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
 }
 
-fn first_way(candidate: &Candidate<'_>, query: &PathQuery<'_>, at: usize) -> Option<Way> {
+fn first_way(
+    candidate: &Candidate<'_>,
+    query: &PathQuery<'_>,
+    span: &Span<'_>,
+    at: usize,
+) -> Option<Way> {
     if query
         .first
         .is_some_and(|first| *first != candidate.offer.endpoint)
     {
         return None;
     }
-    let is_home = candidate.offer.data_centre == *query.home;
-    let away_ms = if is_home { 0.0 } else { AWAY_MS };
+    let reach_ms = match span.from {
+        Some(from) => hop_ms(from, &candidate.offer.data_centre, query)?,
+        None if candidate.offer.data_centre == *query.home => 0.0,
+        None => AWAY_MS,
+    };
     Some(Way {
-        cost_ms: away_ms + candidate.layer_ms,
+        cost_ms: reach_ms + candidate.layer_ms,
         from: at,
     })
 }
 
 /// Returns what passing the request's tokens on costs; none if it is not allowed.
-fn hop_ms(from: &StageOffer, to: &StageOffer, query: &PathQuery<'_>) -> Option<f64> {
-    if from.endpoint == to.endpoint {
-        return Some(0.0);
-    }
-    if from.data_centre == to.data_centre {
+fn hop_ms(from: &DataCentre, to: &DataCentre, query: &PathQuery<'_>) -> Option<f64> {
+    if from == to {
         return Some(HOP_MS * query.size.answer);
     }
     let tokens = query.size.prompt + query.size.answer;
     Some(query.crossing_ms? * tokens)
 }
 
-fn trace(open: &[Candidate<'_>], ways: &[Vec<Option<Way>>]) -> Path {
-    let last = ways.last().into_iter().flatten().enumerate();
-    let ends = last.filter_map(|(at, way)| Some((at, (*way)?.cost_ms)));
-    let (mut at, cost_ms) = ends
-        .min_by(|a, b| a.1.total_cmp(&b.1))
-        .unwrap_or((0, f64::INFINITY));
+/// Follows the cheapest way back from its end; none if no end reaches what comes after.
+fn trace(
+    open: &[Candidate<'_>],
+    query: &PathQuery<'_>,
+    span: &Span<'_>,
+    ways: &[Vec<Option<Way>>],
+) -> Option<Path> {
+    let ends = ways.last()?.iter().enumerate().filter_map(|(at, way)| {
+        let leave_ms = match span.to {
+            Some(to) => hop_ms(&open[at].offer.data_centre, to, query)?,
+            None => 0.0,
+        };
+        Some((at, (*way)?.cost_ms + leave_ms))
+    });
+    let (mut at, cost_ms) = ends.min_by(|a, b| a.1.total_cmp(&b.1))?;
+    let mut crossings = crossings_between(span.to, &open[at].offer.data_centre);
     let mut stages: Vec<PathStage> = Vec::new();
-    let mut crossings = 0;
-    let mut end = ways.len() as u32;
-    for layer in (0..ways.len()).rev() {
-        let from = ways[layer][at].map_or(at, |way| way.from);
-        if layer > 0 && from == at {
+    let mut end = span.layers.end;
+    for (layer, row) in span.layers.clone().zip(ways).rev() {
+        let from = row[at].map_or(at, |way| way.from);
+        let is_first = layer == span.layers.start;
+        if !is_first && from == at {
             continue;
         }
         let offer = open[at].offer;
-        if let Ok(layers) = LayerRange::new(layer as u32, end) {
+        if let Ok(layers) = LayerRange::new(layer, end) {
             stages.push(PathStage {
                 endpoint: offer.endpoint.clone(),
                 address: offer.address,
                 layers,
             });
         }
-        crossings += u32::from(open[from].offer.data_centre != offer.data_centre);
-        end = layer as u32;
+        let before = if is_first {
+            span.from
+        } else {
+            Some(&open[from].offer.data_centre)
+        };
+        crossings += crossings_between(before, &offer.data_centre);
+        end = layer;
         at = from;
     }
     stages.reverse();
-    Path {
+    Some(Path {
         stages,
         crossings,
         cost_ms,
-    }
+    })
+}
+
+fn crossings_between(a: Option<&DataCentre>, b: &DataCentre) -> u32 {
+    u32::from(a.is_some_and(|a| a != b))
 }
 
 /// Returns the endpoint after which a path comes back to an earlier one, if it does.
--- a/crates/pistachioyard_policy/tests/pipeline/main.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/main.rs
@@ -2,6 +2,7 @@
 
 mod endpoints;
 mod fixture;
+mod mending;
 mod paths;
 mod pauses;
 mod placement;
--- a/src/router.rs
+++ b/src/router.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod controller;
 mod endpoint_client;
+mod endpoint_order;
 mod filter;
 mod front;
 mod log;
@@ -21,8 +22,8 @@
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
-    CrossingMeter, EndpointBook, LoadBook, Membership, PlainPace, Quarantine, RetryBudget,
-    RouteTable, Suspect,
+    CrossingMeter, EndpointBook, FlowBook, LoadBook, Membership, PlainPace, Quarantine,
+    RetryBudget, RouteTable, Suspect,
 };
 use pistachioyard_wire::{EntryState, MemberRecord, RequestDigest};
 pub(crate) use run::run_router;
@@ -61,6 +62,7 @@
     pub(crate) config: RwLock<Option<InForce>>,
     pub(crate) endpoints: Mutex<EndpointBook>,
     pub(crate) load: Mutex<LoadBook>,
+    pub(crate) flow: Mutex<FlowBook>,
     pub(crate) members: Mutex<Membership>,
     /// The peers that say that the store does not answer them.
     pub(crate) cut_off_peers: Mutex<BTreeSet<EntryId>>,
@@ -110,6 +112,7 @@
             config: RwLock::new(None),
             endpoints: Mutex::default(),
             load: Mutex::default(),
+            flow: Mutex::default(),
             members: Mutex::new(Membership::new(own, PEER_TIMEOUT, now)),
             cut_off_peers: Mutex::default(),
             retries: Mutex::new(RetryBudget::new(share, slack)),
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -38,6 +38,8 @@
         let endpoints = router.endpoints.lock();
         let mut pace = router.plain_pace.lock();
         pace.retain(|endpoint| endpoints.get(endpoint).is_some());
+        let mut flow = router.flow.lock();
+        flow.retain(|endpoint| endpoints.get(endpoint).is_some());
     }
 }
 
--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -1,17 +1,14 @@
 //! Gives orders to endpoints and settles what became of them.
 
-use bytes::Bytes;
 use futures_util::future::join_all;
-use http::{Method, Request};
-use http_body_util::{BodyExt, Full};
-use pistachioyard_platform::{LoadOrder, OrderAnswer, decode_order_answer};
+use pistachioyard_platform::{LoadOrder, OrderAnswer};
 use pistachioyard_policy::{EndpointRecord, LayerMove, PipelineSpec, Suspect};
 use pistachioyard_wire::Fence;
 
 use crate::error::CallError;
 use crate::prelude::*;
-use crate::router::endpoint_client::Reuse;
-use crate::router::{Router, metric};
+use crate::router::Router;
+use crate::router::endpoint_order::post_order;
 
 /// How long an endpoint may take to answer an order; a sound one answers in a few ms.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -70,11 +67,9 @@
         fence,
         orders_begun: record.state.orders_begun,
     };
-    metric::count_order();
-    let sent = tokio::time::timeout(ORDER_TIMEOUT, send(router, record.address, &load_order));
-    let answer = sent
-        .await
-        .unwrap_or(Err(CallError::Timeout { to: record.address }));
+    let order_body = load_order.encode();
+    let answered = post_order(&router.client, record.address, &order_body, ORDER_TIMEOUT).await;
+    let answer = answered.map(|(answer, _)| answer);
     let held = record
         .state
         .layers
@@ -141,27 +136,3 @@
         tokio::time::sleep(FOLLOW_PERIOD).await;
     }
 }
-
-async fn send(
-    router: &Router,
-    to: std::net::SocketAddr,
-    order: &LoadOrder,
-) -> Result<OrderAnswer, CallError> {
-    let mut req = Request::new(Full::new(Bytes::from(order.encode().to_string())));
-    *req.method_mut() = Method::POST;
-    *req.uri_mut() = http::Uri::from_static(LoadOrder::PATH);
-    let headers = req.headers_mut();
-    headers.insert(
-        http::header::CONTENT_TYPE,
-        http::HeaderValue::from_static("application/json"),
-    );
-    if let Ok(host) = http::HeaderValue::from_str(&to.to_string()) {
-        headers.insert(http::header::HOST, host);
-    }
-    let (response, connection) = router.client.send(to, req, Reuse::Allowed).await?;
-    let status = response.status();
-    if response.into_body().collect().await.is_ok() {
-        router.client.keep(connection, None);
-    }
-    Ok(decode_order_answer(status))
-}
--- /dev/null
+++ b/src/router/endpoint_order.rs
@@ -0,0 +1,49 @@
+//! Posts orders to endpoints.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use pistachioyard_platform::{LoadOrder, OrderAnswer, decode_order_answer};
+
+use crate::error::CallError;
+use crate::prelude::*;
+use crate::router::endpoint_client::{EndpointClient, Reuse};
+use crate::router::metric;
+
+/// Posts an order and returns the endpoint's answer with its body.
+pub(crate) async fn post_order(
+    client: &EndpointClient,
+    to: SocketAddr,
+    order: &serde_json::Value,
+    timeout: Duration,
+) -> Result<(OrderAnswer, Bytes), CallError> {
+    metric::count_order();
+    let answered = tokio::time::timeout(timeout, exchange(client, to, order));
+    answered.await.unwrap_or(Err(CallError::Timeout { to }))
+}
+
+async fn exchange(
+    client: &EndpointClient,
+    to: SocketAddr,
+    order: &serde_json::Value,
+) -> Result<(OrderAnswer, Bytes), CallError> {
+    let mut req = Request::new(Full::new(Bytes::from(order.to_string())));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = http::Uri::from_static(LoadOrder::PATH);
+    let headers = req.headers_mut();
+    headers.insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    if let Ok(host) = http::HeaderValue::from_str(&to.to_string()) {
+        headers.insert(http::header::HOST, host);
+    }
+    let (response, connection) = client.send(to, req, Reuse::Allowed).await?;
+    let answer = decode_order_answer(response.status());
+    let body = response.into_body().collect().await;
+    let body = body.map_err(|_| CallError::AnswerLost { to })?.to_bytes();
+    client.keep(connection, None);
+    Ok((answer, body))
+}
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -1,8 +1,8 @@
 //! Finds a path for a generation, waiting a moment for memory where there is none.
 
 use pistachioyard_policy::{
-    NoPath, Path, PathQuery, PathStage, PipelineSpec, RequestSize, choose_path, choose_plain,
-    crossing_ms,
+    NoPath, Path, PathQuery, PathStage, PipelineSpec, RequestSize, StageOffer, choose_path,
+    choose_plain, crossing_ms, repair_path,
 };
 use pistachioyard_wire::{LayerRange, ServiceName};
 
@@ -80,18 +80,64 @@
     spec: &PipelineSpec,
     now: Instant,
 ) -> Result<Path, NoPath> {
-    let offers = {
+    let offers = offers(router, wanted.service, spec, now);
+    let query = query(router, wanted, spec, now);
+    let path = choose_path(spec, &offers, &query, &mut rand::rng())?;
+    take_crossings(router, wanted, &path);
+    Ok(path)
+}
+
+/// Finds who can take over the layers of a lost endpoint on a path that is in use.
+pub(crate) fn mend(
+    router: &Router,
+    wanted: &Wanted<'_>,
+    spec: &PipelineSpec,
+    path: &Path,
+    lost: &EndpointId,
+) -> Result<Path, NoPath> {
+    let now = Instant::now();
+    let offers = offers(router, wanted.service, spec, now);
+    // The whole prompt would cross at once, and many streams lose their path together:
+    // the pipes would hold all of them up for longer than to begin again takes.
+    let query = PathQuery {
+        crossing_ms: None,
+        ..query(router, wanted, spec, now)
+    };
+    let place = |endpoint: &EndpointId| {
         let endpoints = router.endpoints.lock();
-        let load = router.load.lock();
-        endpoints.offers(wanted.service, spec, &load, now)
+        endpoints
+            .get(endpoint)
+            .map(|record| record.data_centre.clone())
     };
-    let query = PathQuery {
+    repair_path(spec, &offers, path, lost, place, &query, &mut rand::rng())
+}
+
+fn offers(
+    router: &Router,
+    service: &ServiceName,
+    spec: &PipelineSpec,
+    now: Instant,
+) -> Vec<StageOffer> {
+    let endpoints = router.endpoints.lock();
+    let load = router.load.lock();
+    endpoints.offers(service, spec, &load, now)
+}
+
+fn query<'a>(
+    router: &'a Router,
+    wanted: &Wanted<'a>,
+    spec: &PipelineSpec,
+    now: Instant,
+) -> PathQuery<'a> {
+    PathQuery {
         size: wanted.size,
         home: &router.settings.data_centre,
         crossing_ms: crossing(router, spec, now),
         first: wanted.first,
-    };
-    let path = choose_path(spec, &offers, &query, &mut rand::rng())?;
+    }
+}
+
+fn take_crossings(router: &Router, wanted: &Wanted<'_>, path: &Path) {
     if path.crossings > 0 {
         let tokens = wanted.size.prompt + wanted.size.answer;
         router
@@ -99,7 +145,6 @@
             .lock()
             .take(tokens * f64::from(path.crossings));
     }
-    Ok(path)
 }
 
 fn crossing(router: &Router, spec: &PipelineSpec, now: Instant) -> Option<f64> {
@@ -153,6 +198,8 @@
             spec.load_ms * mean / f64::from(spec.layers)
         }
         // Requests end all the time; places come free within one answer's time.
-        NoPath::NoRoom { .. } | NoPath::Tangled => spec.usual_answer * spec.step_ms * 4.0,
+        NoPath::NoRoom { .. } | NoPath::NotReplaceable | NoPath::Tangled => {
+            spec.usual_answer * spec.step_ms * 4.0
+        }
     }
 }
--- a/src/router/filter/record.rs
+++ b/src/router/filter/record.rs
@@ -18,6 +18,10 @@
     version: u64,
     config_age_ms: u64,
     sends: u32,
+    /// When the caller was given something last.
+    passed_on_at: Option<Instant>,
+    first_event: Duration,
+    longest_pause: Duration,
     is_over: bool,
 }
 
@@ -32,6 +36,9 @@
             version: 0,
             config_age_ms: 0,
             sends: 0,
+            passed_on_at: None,
+            first_event: Duration::ZERO,
+            longest_pause: Duration::ZERO,
             is_over: false,
         }
     }
@@ -77,18 +84,46 @@
     /// Logs the path that was chosen, and what decided it.
     pub(crate) fn sends_along(&mut self, path: &Path, age: Duration, why: &str) {
         self.sends += 1;
-        let stages: Vec<String> = path
-            .stages
-            .iter()
-            .map(|stage| format!("{}={}", stage.endpoint, stage.layers))
-            .collect();
         spdlog::info!("request: sent", kv: {
-            request = &*self.request_id, path = stages.join(",").as_str(), attempt = self.sends,
+            request = &*self.request_id, path = stages(path).as_str(), attempt = self.sends,
             why, expected_ms = path.cost_ms as u64, crossings = path.crossings,
             oldest_entry_ms = ms(age), config = self.version
         });
     }
 
+    /// Notes that events go to the caller, so that the end tells whether they paused.
+    pub(crate) fn passes_on(&mut self, now: Instant) {
+        match self.passed_on_at.replace(now) {
+            None => {
+                self.first_event = now.saturating_duration_since(self.arrived_at);
+                metric::record_first_event(self.first_event);
+            }
+            Some(before) => {
+                let pause = now.saturating_duration_since(before);
+                self.longest_pause = self.longest_pause.max(pause);
+            }
+        }
+    }
+
+    /// Logs that the request goes on along another path without being sent again.
+    pub(crate) fn goes_on_along(&self, path: &Path, why: &str) {
+        metric::count_mend(true);
+        spdlog::info!("request: path mended", kv: {
+            request = &*self.request_id, path = stages(path).as_str(), why,
+            expected_ms = path.cost_ms as u64, crossings = path.crossings,
+            after_ms = ms(self.arrived_at.elapsed())
+        });
+    }
+
+    /// Logs that the path could not be mended.
+    pub(crate) fn not_mended(&self, lost: &EndpointId, why: &str, refusal: &str) {
+        metric::count_mend(false);
+        spdlog::info!("request: path not mended", kv: {
+            request = &*self.request_id, endpoint = lost.as_str(), why, refusal,
+            after_ms = ms(self.arrived_at.elapsed())
+        });
+    }
+
     /// Logs an attempt that failed.
     pub(crate) fn attempt_failed(&self, endpoint: &EndpointId, why: &str) {
         spdlog::warn!("request: attempt failed", kv: {
@@ -118,15 +153,29 @@
         }
         let took = self.arrived_at.elapsed();
         metric::count_request(ended, took);
+        if self.passed_on_at.is_some() {
+            metric::record_longest_pause(self.longest_pause);
+        }
         let route = self.route.as_ref().map_or("-", |route| &route.name);
         let service = self.service.as_ref().map_or("-", ServiceName::as_str);
         spdlog::info!("request: ended", kv: {
             request = &*self.request_id, ended, status, route, service, sends = self.sends,
-            took_ms = ms(took), config = self.version, config_age_ms = self.config_age_ms, detail
+            took_ms = ms(took), first_event_ms = ms(self.first_event),
+            longest_pause_ms = ms(self.longest_pause), config = self.version,
+            config_age_ms = self.config_age_ms, detail
         });
     }
 }
 
+/// Shows the endpoints of a path with their layers.
+fn stages(path: &Path) -> String {
+    let stages = path.stages.iter();
+    let shown: Vec<String> = stages
+        .map(|stage| format!("{}={}", stage.endpoint, stage.layers))
+        .collect();
+    shown.join(",")
+}
+
 impl Drop for Record {
     fn drop(&mut self) {
         self.end("caller_gone", 0, "");
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -17,13 +17,15 @@
 use super::{Call, deadline_passed, no_capacity, result_lost};
 use crate::lifecycle::InFlight;
 use crate::prelude::*;
+use crate::router::Router;
 use crate::router::answer::BrokenOff;
-use crate::router::{Router, metric};
-use flight::{Arrival, Flight, Opened};
+use flight::{Arrival, Flight, Mended, Opened};
 
 /// How often endpoints may refuse a request unrun until it is refused; each refusal
 /// leaves out the endpoint that was at fault.
 const MAX_REFUSALS: u32 = 4;
+/// How often the path of one stream is mended; each mend is an order, which is priced.
+const MAX_MENDS: u32 = 4;
 /// How long a stream that lost its path looks for another; callers give a silent
 /// stream up after two seconds.
 const RECOVERY_LIMIT: Duration = Duration::from_millis(1_800);
@@ -51,9 +53,9 @@
     splitter: EventSplitter,
     /// The last event that the caller has.
     last_id: Option<u64>,
-    /// The events that were passed on.
-    events: u64,
     gaps: GapMeter,
+    /// How often its path was ordered to go on without a lost endpoint.
+    mends: u32,
     /// The first endpoints of the paths that began to run it.
     heads: Vec<EndpointId>,
     record: Record,
@@ -104,8 +106,8 @@
             flight: None,
             splitter: EventSplitter::default(),
             last_id,
-            events: 0,
             gaps,
+            mends: 0,
             heads: Vec::new(),
             _in_flight: in_flight,
         }
@@ -271,17 +273,18 @@
             {
                 continue;
             }
-            if self.events == 0 {
-                metric::record_first_event(self.call.arrived_at.elapsed());
-            }
             self.last_id = event.id.or(self.last_id);
-            self.events += 1;
             events.extend_from_slice(&event.bytes);
         }
         if events.is_empty() {
             return None;
         }
-        self.gaps.event(Instant::now());
+        let now = Instant::now();
+        self.gaps.event(now);
+        self.record.passes_on(now);
+        if let Some(flight) = &self.flight {
+            flight.note_flow(now);
+        }
         Some(events.freeze())
     }
 
@@ -293,13 +296,7 @@
         let Some(left) = self.call.time_left() else {
             return Arrival::Lost(None, "the time is over".to_owned());
         };
-        // A stream that may not begin again has nothing to gain from leaving its path.
-        let patience = match self.call.route.repeatability {
-            Repeatability::AtMostOnce => left,
-            Repeatability::Idempotent | Repeatability::Resumable => {
-                self.gaps.patience(Instant::now()).min(left)
-            }
-        };
+        let patience = self.gaps.patience(Instant::now()).min(left);
         match tokio::time::timeout(patience, flight.read(&mut self.splitter)).await {
             Ok(Arrival::End) if self.splitter.has_remainder() => {
                 Arrival::Lost(None, "the stream broke off inside an event".to_owned())
@@ -307,11 +304,37 @@
             Ok(arrival) => arrival,
             Err(_) => match flight.look_into(&self.call, &mut self.gaps).await {
                 Verdict::Wait => Arrival::Data,
+                Verdict::Leave(Some(lost), why) if self.mend(&lost, &why).await => Arrival::Data,
+                // A stream that may not begin again has nothing to gain from leaving its path.
+                Verdict::Leave(..) if !self.may_repeat() => Arrival::Data,
                 Verdict::Leave(at_fault, why) => Arrival::Lost(at_fault, why),
             },
         }
     }
 
+    /// Has the path go on without a lost endpoint; tells whether it does.
+    async fn mend(&mut self, lost: &EndpointId, why: &str) -> bool {
+        let Some(flight) = &mut self.flight else {
+            return false;
+        };
+        if self.mends >= MAX_MENDS {
+            return false;
+        }
+        self.mends += 1;
+        let mended = flight.mend(&self.call, &self.service, lost).await;
+        self.gaps.begin(Instant::now());
+        match mended {
+            Mended::Along(path) => {
+                self.record.goes_on_along(&path, why);
+                true
+            }
+            Mended::Not(refusal) => {
+                self.record.not_mended(lost, why, &refusal);
+                false
+            }
+        }
+    }
+
     /// Goes on over another path, or ends the stream.
     async fn recover(&mut self, why: &str) -> Result<(), BrokenOff> {
         let lost_at = Instant::now();
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -1,4 +1,4 @@
-//! Reports of endpoints, asked for when streams through them pause.
+//! What endpoints answer when streams through them pause.
 //!
 //! Many streams through one endpoint pause at the same moment; they share one
 //! question, since each is priced.
@@ -27,13 +27,47 @@
 /// The change of an endpoint's slowdown that is worth a line.
 const LOGGED_SLOWDOWN: f64 = 0.2;
 
-/// A report, or that none came.
-type Shared = Option<(Instant, Option<Arc<EndpointReport>>)>;
+/// How long an endpoint may take to accept a connection until it counts as dead; a sound
+/// one takes a few ms, and callers accept no pause of much more than this.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(30);
 
-/// The newest report of each endpoint.
+/// The newest answer of an endpoint and when it came.
+type Newest<T> = Arc<tokio::sync::Mutex<Option<(Instant, T)>>>;
+
+/// Answers that many requests wait for at the same moment.
+struct Shared<T> {
+    cells: Mutex<HashMap<SocketAddr, Newest<T>>>,
+}
+
+impl<T> Default for Shared<T> {
+    fn default() -> Self {
+        Self {
+            cells: Mutex::default(),
+        }
+    }
+}
+
+impl<T: Clone> Shared<T> {
+    /// Returns a fresh answer; asks for it if nobody has just done so.
+    async fn get(&self, to: SocketAddr, ask: impl Future<Output = T>) -> T {
+        let cell = self.cells.lock().entry(to).or_default().clone();
+        let mut newest = cell.lock().await;
+        if let Some((at, answer)) = &*newest
+            && at.elapsed() < SHARED_FOR
+        {
+            return answer.clone();
+        }
+        let answer = ask.await;
+        *newest = Some((Instant::now(), answer.clone()));
+        answer
+    }
+}
+
+/// The newest answers of each endpoint.
 #[derive(Default)]
 pub(crate) struct ReportCache {
-    reports: Mutex<HashMap<SocketAddr, Arc<tokio::sync::Mutex<Shared>>>>,
+    reports: Shared<Option<Arc<EndpointReport>>>,
+    probes: Shared<bool>,
 }
 
 impl ReportCache {
@@ -43,17 +77,20 @@
         client: &EndpointClient,
         to: SocketAddr,
     ) -> Option<Arc<EndpointReport>> {
-        let cell = self.reports.lock().entry(to).or_default().clone();
-        let mut shared = cell.lock().await;
-        if let Some((at, report)) = &*shared
-            && at.elapsed() < SHARED_FOR
-        {
-            return report.clone();
-        }
-        let asked = tokio::time::timeout(REPORT_TIMEOUT, ask(client, to)).await;
-        let report = asked.ok().and_then(Result::ok).map(Arc::new);
-        *shared = Some((Instant::now(), report.clone()));
-        report
+        let asked = async {
+            let report = tokio::time::timeout(REPORT_TIMEOUT, ask(client, to)).await;
+            report.ok().and_then(Result::ok).map(Arc::new)
+        };
+        self.reports.get(to, asked).await
+    }
+
+    /// Tells whether an endpoint accepts a connection soon.
+    pub(crate) async fn is_alive(&self, client: &EndpointClient, to: SocketAddr) -> bool {
+        let probe = async {
+            let reached = tokio::time::timeout(PROBE_TIMEOUT, client.is_reachable(to)).await;
+            reached.unwrap_or(false)
+        };
+        self.probes.get(to, probe).await
     }
 }
 
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -40,6 +40,17 @@
     counter!("router_retries_total", "allowed" => allowed).increment(1);
 }
 
+/// Records the longest pause between two events of a stream that has ended.
+pub(crate) fn record_longest_pause(pause: Duration) {
+    histogram!("router_longest_pause_seconds").record(pause.as_secs_f64());
+}
+
+/// Counts a path that lost an endpoint, by whether the request goes on without it.
+pub(crate) fn count_mend(mended: bool) {
+    let mended = if mended { "yes" } else { "no" };
+    counter!("router_paths_mended_total", "mended" => mended).increment(1);
+}
+
 /// Counts an endpoint that is left out from now on.
 pub(crate) fn count_suspect() {
     counter!("router_suspects_total").increment(1);
--- a/tests/site/faults.rs
+++ b/tests/site/faults.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use pistachioyard_standins::wait_until;
 
+use super::caller::new_id;
 use super::support::{KEY, Site};
 
 /// Found on a day with `platform_down` and restarts: an entry that started while the
@@ -105,3 +106,44 @@
     let status = sent.expect("it is answered").status.as_u16();
     assert!(!matches!(status, 408 | 421 | 429 | 503), "{status}");
 }
+
+/// Found on all days with `srv_crash`: when a worker died in the middle of paths, every
+/// stream through it was sent again from the beginning, and came too late.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_whose_middle_worker_dies_go_on_without_being_sent_again() {
+    let mut site = Site::start(1).await;
+    let lost = site.backed_up_worker().await;
+    site.note_runs(lost).await;
+    let ids: Vec<String> = (0..16).map(|_| new_id()).collect();
+    let to = site.entries[0].callers();
+    let mut dying = site.workers[lost].process.child.take();
+    let streams = futures_util::future::join_all(ids.iter().map(|id| site.stream_of(to, id)));
+    let death = async {
+        tokio::time::sleep(Duration::from_millis(120)).await;
+        dying.as_mut().expect("it runs").kill().expect("it ends");
+    };
+    let (streams, ()) = tokio::join!(streams, death);
+    for ended in streams {
+        ended.expect("each stream is whole");
+    }
+    let runs = site.runs().await;
+    for id in &ids {
+        assert_eq!(runs.get(id), Some(&1), "{id} was sent once");
+    }
+    let metrics = site
+        .client
+        .send(
+            Method::GET,
+            site.entries[0].metrics(),
+            "/metrics",
+            &[],
+            "".into(),
+        )
+        .await
+        .expect("the metrics are served");
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    let mended = metrics
+        .lines()
+        .any(|line| line.starts_with("router_paths_mended_total{mended=\"yes\"}"));
+    assert!(mended, "{metrics}");
+}
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -274,6 +274,26 @@
         assert!(sent.status.is_success(), "{:?}", sent.status);
     }
 
+    /// Finds a worker that is never the first of a path and whose layers another one of
+    /// its data centre, the first entry's, holds too.
+    pub(crate) async fn backed_up_worker(&self) -> usize {
+        let mut held = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            let sent = self
+                .client
+                .get_json::<Value>(worker.address, "/report")
+                .await;
+            let report = sent.expect("a worker answers");
+            let is_home = report["zone"] == ZONES[0];
+            if is_home && report["layers"]["from"].as_u64() > Some(0) {
+                held.push((at, report["layers"].clone()));
+            }
+        }
+        let twin = |layers: &Value| held.iter().filter(|(_, other)| other == layers).count() > 1;
+        let backed_up = held.iter().find(|(_, layers)| twin(layers));
+        backed_up.expect("a pair holds the same layers").0
+    }
+
     /// Remembers the runs of a worker that is about to be killed.
     pub(crate) async fn note_runs(&mut self, at: usize) {
         let runs = self.runs_of(&self.workers[at]).await;
