--- a/crates/pistachioyard_policy/src/gap_meter.rs
+++ b/crates/pistachioyard_policy/src/gap_meter.rs
@@ -98,6 +98,11 @@
         self.has_event = true;
     }
 
+    /// Returns since when nothing has come.
+    pub fn silent_since(&self) -> Instant {
+        self.last_event_at
+    }
+
     /// Returns how long to wait until the pause is looked into.
     pub fn patience(&self, now: Instant) -> Duration {
         let due_at = self.glance_at().min(self.look_at());
--- a/crates/pistachioyard_policy/src/pipeline/card_placement.rs
+++ b/crates/pistachioyard_policy/src/pipeline/card_placement.rs
@@ -5,7 +5,8 @@
 //! data centres, and memory is kept free for the requests that the loss of a data
 //! centre would bring. What memory is left goes to cards in pairs that hold the same
 //! layers: when one of them is lost, the other takes over its requests at once, and
-//! until then each carries half of them, so it needs room for half as many. A gap is
+//! until then each carries half of them, so it needs room for half as many. Where there
+//! are cards for two copies of all layers with room to spare, each keeps it. A gap is
 //! closed by an empty card, else by a card that holds what others hold too, else by a
 //! neighbour that grows.
 
@@ -168,10 +169,16 @@
         self.spec.layers_beside(card, self.tokens / 2.0)
     }
 
+    /// Tells whether the cards are too few for two copies of all layers that each have
+    /// room for all requests.
+    fn shares_room(&self) -> bool {
+        self.total_layers() < 2 * self.spec.layers
+    }
+
     /// Gives a group that holds nothing yet all layers, over as many pairs as fit.
     fn lay_out(&mut self) {
         let is_empty = self.held.iter().all(Option::is_none);
-        if !is_empty || !self.cards.iter().all(|card| card.takes_orders) {
+        if !is_empty || !self.shares_room() || !self.cards.iter().all(|card| card.takes_orders) {
             return;
         }
         let mut next = 0;
@@ -246,8 +253,12 @@
             let first = (gap as u32).min(self.spec.layers - single);
             return LayerRange::new(first, first + single).ok();
         }
-        let paired = self.paired_size(at).min(self.spec.layers);
-        let windows = [single, paired].into_iter().flat_map(|size| {
+        let shared = if self.shares_room() {
+            self.paired_size(at).min(self.spec.layers)
+        } else {
+            single
+        };
+        let windows = [single, shared].into_iter().flat_map(|size| {
             (0..=self.spec.layers - size)
                 .filter_map(move |first| LayerRange::new(first, first + size).ok())
         });
--- a/crates/pistachioyard_policy/tests/pipeline/placement.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/placement.rs
@@ -3,7 +3,7 @@
 use pistachioyard_policy::{CardState, plan_cards};
 use pistachioyard_wire::LayerRange;
 
-use super::fixture::{LAYERS, TOKENS, cards, carry_out, gaps, spec};
+use super::fixture::{LAYERS, TOKENS, cards, carry_out, gaps, id, spec};
 
 fn placed() -> Vec<CardState> {
     let spec = spec();
@@ -77,6 +77,29 @@
     cards.iter().filter(is_backed_up).count()
 }
 
+/// Replays a larger fleet: where there are cards enough for two copies, none of them
+/// gives up room for requests to hold more layers.
+#[test]
+fn with_cards_for_two_copies_each_keeps_its_room() {
+    let spec = spec();
+    let mut cards = Vec::new();
+    for copy in 0..3 {
+        let mut more = super::fixture::cards(&spec);
+        for card in &mut more {
+            card.endpoint = id(&format!("{}-{copy}", card.endpoint));
+        }
+        cards.extend(more);
+    }
+    let moves = plan_cards(&spec, &cards, TOKENS);
+    carry_out(&mut cards, &moves);
+    for card in &cards {
+        let held = card.held.expect("every card is used").len();
+        let room = spec.token_layers_beside(&card.card, held);
+        assert!(room >= TOKENS * f64::from(held), "{card:?} keeps {room}");
+    }
+    assert_eq!(backed_up(&cards), cards.len());
+}
+
 /// Replays a worker that died and came back empty: as many cards are backed up as
 /// before, and no layer is left with the room of half a pair.
 #[test]
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -291,7 +291,7 @@
     /// Finds out why nothing comes.
     pub(super) async fn look_into(&self, call: &Call, gaps: &mut GapMeter) -> Verdict {
         let look = gaps.begin_look(Instant::now());
-        if let Some(dead) = self.dead_endpoint().await {
+        if let Some(dead) = self.dead_endpoint(gaps.silent_since()).await {
             let why = format!("{dead} is dead");
             return Verdict::Leave(Some(dead), why);
         }
@@ -302,7 +302,7 @@
     }
 
     /// Asks the endpoints through which nothing has come lately whether they live.
-    async fn dead_endpoint(&self) -> Option<EndpointId> {
+    async fn dead_endpoint(&self, silent_since: Instant) -> Option<EndpointId> {
         let now = Instant::now();
         let stages = &self.path.stages;
         let is_left_out = |stage: &&PathStage| {
@@ -312,7 +312,10 @@
         if let Some(stage) = stages.iter().find(is_left_out) {
             return Some(stage.endpoint.clone());
         }
-        let doubted = self.router.flow.lock().doubted(stages, now);
+        let doubted = {
+            let flow = self.router.flow.lock();
+            flow.doubted(stages, silent_since, now)
+        };
         let asked = doubted.into_iter().map(|stage| async move {
             let (reports, client) = (&self.router.reports, &self.router.client);
             let is_alive = reports.is_alive(client, stage.address).await;
