Mend all lost endpoints of a path with one order, spread over those that can take over

Change: all endpoints of the path that are silent are replaced at once, costs vary twofold while paths are mended, one order for each loss.

--- a/crates/pistachioyard_policy/src/pipeline/path_choice.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice.rs
@@ -23,6 +23,9 @@
 /// The share by which costs are varied at random, so that entries that see the same
 /// load do not all take the same path.
 const JITTER: f64 = 0.15;
+/// The same while paths are mended: all entries lose the same endpoint at one moment,
+/// before any of them can tell the others whom it has taken instead.
+const MEND_JITTER: f64 = 1.0;
 /// The part of an endpoint's memory that is given out by estimate; the rest covers
 /// answers that grow longer than estimated and what peers have sent meanwhile.
 const MAX_FILL: f64 = 0.85;
@@ -132,6 +135,7 @@
         layers: 0..spec.layers,
         from: None,
         to: None,
+        jitter: JITTER,
     };
     choose_over(spec, offers, query, &span, rng)
 }
@@ -143,6 +147,24 @@
     pub(super) from: Option<&'a DataCentre>,
     /// The data centre of the stage after; none at the end of a path.
     pub(super) to: Option<&'a DataCentre>,
+    /// The share by which costs are varied at random.
+    pub(super) jitter: f64,
+}
+
+impl<'a> Span<'a> {
+    /// Makes a span for the layers of a stage that was lost.
+    pub(super) fn of_lost(
+        layers: LayerRange,
+        from: Option<&'a DataCentre>,
+        to: Option<&'a DataCentre>,
+    ) -> Self {
+        Self {
+            layers: layers.first()..layers.end(),
+            from,
+            to,
+            jitter: MEND_JITTER,
+        }
+    }
 }
 
 /// Chooses the stages of least cost over a span of layers.
@@ -159,7 +181,7 @@
         .filter(|offer| has_room(spec, offer, query.size))
         .map(|offer| Candidate {
             offer,
-            layer_ms: layer_ms(spec, offer, query.size) * rng.random_range(1.0..1.0 + JITTER),
+            layer_ms: layer_ms(spec, offer, query.size) * rng.random_range(1.0..1.0 + span.jitter),
         })
         .collect();
     for _ in 0..MAX_SEARCHES {
--- a/crates/pistachioyard_policy/src/pipeline/path_repair.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_repair.rs
@@ -41,12 +41,7 @@
         .collect();
     let place = |stage: Option<&PathStage>| data_centre_of(&stage?.endpoint);
     let (before, after) = (place(stages.get(at - 1)), place(stages.get(at + 1)));
-    let layers = stages[at].layers;
-    let span = Span {
-        layers: layers.first()..layers.end(),
-        from: before.as_ref(),
-        to: after.as_ref(),
-    };
+    let span = Span::of_lost(stages[at].layers, before.as_ref(), after.as_ref());
     let patch = choose_over(spec, &others, query, &span, rng)?;
     let mut repaired = stages[..at].to_vec();
     repaired.extend(patch.stages);
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -87,16 +87,17 @@
     Ok(path)
 }
 
-/// Finds who can take over the layers of a lost endpoint on a path that is in use.
+/// Finds who can take over the layers of lost endpoints on a path that is in use.
 pub(crate) fn mend(
     router: &Router,
     wanted: &Wanted<'_>,
     spec: &PipelineSpec,
     path: &Path,
-    lost: &EndpointId,
+    lost: &[EndpointId],
 ) -> Result<Path, NoPath> {
     let now = Instant::now();
-    let offers = offers(router, wanted.service, spec, now);
+    let mut offers = offers(router, wanted.service, spec, now);
+    offers.retain(|offer| !lost.contains(&offer.endpoint));
     // The whole prompt would cross at once, and many streams lose their path together:
     // the pipes would hold all of them up for longer than to begin again takes.
     let query = PathQuery {
@@ -105,11 +106,22 @@
     };
     let place = |endpoint: &EndpointId| {
         let endpoints = router.endpoints.lock();
-        endpoints
-            .get(endpoint)
-            .map(|record| record.data_centre.clone())
+        let record = endpoints.get(endpoint);
+        record.map(|record| record.data_centre.clone())
     };
-    repair_path(spec, &offers, path, lost, place, &query, &mut rand::rng())
+    let mut path = path.clone();
+    for endpoint in lost {
+        path = repair_path(
+            spec,
+            &offers,
+            &path,
+            endpoint,
+            place,
+            &query,
+            &mut rand::rng(),
+        )?;
+    }
+    Ok(path)
 }
 
 fn offers(
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -10,8 +10,8 @@
     decode_conflict_address,
 };
 use pistachioyard_policy::{
-    EndpointBook, GapMeter, Look, Path, PathStage, PauseVerdict, PipelineSpec, Repeatability,
-    RequestSize, Suspect,
+    EndpointBook, GapMeter, Look, Path, PauseVerdict, PipelineSpec, Repeatability, RequestSize,
+    Suspect,
 };
 use pistachioyard_wire::ServiceName;
 
@@ -305,12 +305,8 @@
     async fn dead_endpoint(&self, silent_since: Instant) -> Option<EndpointId> {
         let now = Instant::now();
         let stages = &self.path.stages;
-        let is_left_out = |stage: &&PathStage| {
-            let endpoints = self.router.endpoints.lock();
-            endpoints.is_silent(&stage.endpoint, now)
-        };
-        if let Some(stage) = stages.iter().find(is_left_out) {
-            return Some(stage.endpoint.clone());
+        if let Some(silent) = self.silent_endpoints().into_iter().next() {
+            return Some(silent);
         }
         let doubted = {
             let flow = self.router.flow.lock();
@@ -333,6 +329,30 @@
         call: &Call,
         service: &ServiceName,
         lost: &EndpointId,
+    ) -> Mended {
+        let mut without = self.silent_endpoints();
+        if !without.contains(lost) {
+            without.push(lost.clone());
+        }
+        self.mend_without(call, service, &without).await
+    }
+
+    /// Lists the endpoints of the path that failed and have not answered since.
+    fn silent_endpoints(&self) -> Vec<EndpointId> {
+        let now = Instant::now();
+        let endpoints = self.router.endpoints.lock();
+        let silent = self.path.stages.iter().map(|stage| &stage.endpoint);
+        silent
+            .filter(|endpoint| endpoints.is_silent(endpoint, now))
+            .cloned()
+            .collect()
+    }
+
+    async fn mend_without(
+        &mut self,
+        call: &Call,
+        service: &ServiceName,
+        without: &[EndpointId],
     ) -> Mended {
         let Some(spec) = self.spec.clone() else {
             return Mended::Not("the endpoint serves alone".to_owned());
@@ -343,7 +363,7 @@
             size: self.size,
             first: None,
         };
-        let path = match path::mend(&self.router, &wanted, &spec, &self.path, lost) {
+        let path = match path::mend(&self.router, &wanted, &spec, &self.path, without) {
             Ok(path) => path,
             Err(e) => return Mended::Not(e.to_string()),
         };
@@ -355,7 +375,7 @@
         // Counted before the answer, so that others see at once what is taken.
         self.router.load.lock().begin(&path.stages, self.size);
         let answer = post_order(&self.router.client, first, &order.encode(), MEND_TIMEOUT).await;
-        let (old, refused) = match answer {
+        let (over, refused) = match answer {
             Ok((OrderAnswer::Begun | OrderAnswer::Holds, _)) => {
                 (std::mem::replace(&mut self.path, path), None)
             }
@@ -365,7 +385,7 @@
             }
             Err(e) => (path, Some(e.to_string())),
         };
-        self.router.load.lock().end(&old.stages, self.size);
+        self.router.load.lock().end(&over.stages, self.size);
         match refused {
             None => Mended::Along(self.path.clone()),
             Some(why) => Mended::Not(why),
