Start a restarted entry with an empty retry budget, and let the slack come back over the window

Each restarted entry began with a full burst, while what it had used before its restart still counted. Ruled out: sends that draw on no budget (each arrival after the first was preceded by one draw). Change: a restarted process starts with nothing; half of the slack is there at once, the other half comes over the window, so that no window holds more than the slack.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -62,6 +62,6 @@
 pub use plain_choice::{PlainPace, choose_plain};
 pub use prefix_index::PrefixIndex;
 pub use quarantine::{Quarantine, SuspectLanes, Verdict};
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
--- a/crates/pistachioyard_policy/tests/retry_budget_shared.rs
+++ b/crates/pistachioyard_policy/tests/retry_budget_shared.rs
@@ -1,6 +1,8 @@
 //! Entries that share one retry budget divide its burst.
 
-use pistachioyard_policy::RetryBudget;
+use std::time::{Duration, Instant};
+
+use pistachioyard_policy::{RetryBudget, SharedRetryBudget};
 
 /// Replays the overload that broke the budget of a site: four entries, each asked for
 /// far more retries than the whole budget has.
@@ -36,3 +38,58 @@
     budget.set_burst(5.0);
     assert!(!budget.try_retry());
 }
+
+/// Replays entries that are asked for far more retries than there are, over a window in
+/// which all of them are restarted once; found on an own day with `core_cut both`, on
+/// which every restarted entry began with a full burst.
+#[test]
+fn entries_that_are_restarted_stay_within_the_whole_budget() {
+    const SLACK: f64 = 200.0;
+    const SHARE: f64 = 0.2;
+    const ENTRIES: usize = 4;
+    const WINDOW: Duration = Duration::from_secs(10);
+    const STEP: Duration = Duration::from_millis(250);
+    let begin = Instant::now();
+    let start = |is_first, now| SharedRetryBudget::new(SHARE, SLACK, WINDOW, is_first, now);
+    let mut budgets: Vec<_> = (0..ENTRIES).map(|_| start(true, begin)).collect();
+    let (mut requests, mut retries) = (0u32, 0u32);
+    for step in 0..40 {
+        let now = begin + STEP * step;
+        if step == 28 {
+            budgets = (0..ENTRIES).map(|_| start(false, now)).collect();
+        }
+        for budget in &mut budgets {
+            budget.divide(ENTRIES, now);
+            for _ in 0..4 {
+                requests += 1;
+                budget.on_first_try();
+                retries += (0..20).filter(|_| budget.try_retry()).count() as u32;
+            }
+        }
+    }
+    let allowed = SHARE * f64::from(requests) + SLACK;
+    assert!(
+        f64::from(retries) <= allowed,
+        "{retries} retries, {allowed} allowed"
+    );
+    // Nearly all of what is allowed can be used.
+    assert!(
+        f64::from(retries) >= 0.6 * allowed,
+        "{retries} retries, {allowed} allowed"
+    );
+}
+
+/// The slack comes back with time also where few requests arrive.
+#[test]
+fn the_slack_comes_back_within_a_window() {
+    let begin = Instant::now();
+    let window = Duration::from_secs(10);
+    let mut budget = SharedRetryBudget::new(0.2, 100.0, window, true, begin);
+    budget.divide(1, begin);
+    let used = (0..200).filter(|_| budget.try_retry()).count();
+    assert!(!budget.try_retry());
+    budget.divide(1, begin + window);
+    let again = (0..200).filter(|_| budget.try_retry()).count();
+    assert!(used + again <= 100, "{used} and {again}");
+    assert!(again >= 40, "{again}");
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -22,8 +22,8 @@
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
-    CrossingMeter, EndpointBook, FlowBook, LoadBook, Membership, PlainPace, Quarantine,
-    RetryBudget, RouteTable, Suspect,
+    CrossingMeter, EndpointBook, FlowBook, LoadBook, Membership, PlainPace, Quarantine, RouteTable,
+    SharedRetryBudget, Suspect,
 };
 use pistachioyard_wire::{EntryState, MemberRecord, RequestDigest};
 pub(crate) use run::run_router;
@@ -40,9 +40,6 @@
 /// How long a request that crashes endpoints is refused. Crashed endpoints are back after
 /// some seconds; a request that was blamed wrongly is not kept out for long.
 const QUARANTINE_HOLD: Duration = Duration::from_secs(15);
-/// The part of the retry budget that entries use together, since they count their
-/// requests a moment apart from those who check the budget.
-const RETRY_BUDGET_SHARE: f64 = 0.9;
 
 /// The configuration in force and when it came.
 #[derive(Clone)]
@@ -66,7 +63,7 @@
     pub(crate) members: Mutex<Membership>,
     /// The peers that say that the store does not answer them.
     pub(crate) cut_off_peers: Mutex<BTreeSet<EntryId>>,
-    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) retries: Mutex<SharedRetryBudget>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) plain_pace: Mutex<PlainPace>,
     pub(crate) crossings: Mutex<CrossingMeter>,
@@ -103,8 +100,13 @@
             data_centre: settings.data_centre.clone(),
             revision: Revision(0),
         };
-        let slack = settings.retry_slack * RETRY_BUDGET_SHARE;
-        let share = settings.retry_share * RETRY_BUDGET_SHARE;
+        let retries = SharedRetryBudget::new(
+            settings.retry_share,
+            settings.retry_slack,
+            settings.retry_window,
+            settings.is_first_start,
+            now,
+        );
         Arc::new(Self {
             boot,
             started_at: now,
@@ -115,7 +117,7 @@
             flow: Mutex::default(),
             members: Mutex::new(Membership::new(own, PEER_TIMEOUT, now)),
             cut_off_peers: Mutex::default(),
-            retries: Mutex::new(RetryBudget::new(share, slack)),
+            retries: Mutex::new(retries),
             quarantine: Mutex::new(Quarantine::without_lanes(QUARANTINE_HOLD)),
             plain_pace: Mutex::default(),
             crossings: Mutex::new(CrossingMeter::new(now)),
@@ -162,8 +164,7 @@
     /// still counts.
     pub(crate) fn divide_retries(&self, now: Instant) {
         let entries = self.members.lock().all(now).len().max(1);
-        let slack = self.settings.retry_slack * RETRY_BUDGET_SHARE;
-        self.retries.lock().set_burst(slack / entries as f64);
+        self.retries.lock().divide(entries, now);
     }
 
     /// Takes a retry out of this entry's share of the budget, if there is one left.
