Load layers in turns after large losses, and never wait for the log's reader

Now as many orders are given as loads run together without slowing, and one data centre is made whole after the other. Before traffic all are ordered at once, since loads are quick then. Test: placement::after_a_loss_of_all_cards_*. Lines that did not fit the queue were not counted (the queue hands them back to the logger, whose handler was not set), and an entry whose standard output nobody reads did not end after SIGTERM, since the library waits for its queue at exit. Test: site logs::a_blocked_reader_* (failed on both counts before).

--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -341,6 +341,7 @@
                     && !record.state.is_moving
                     && !known.is_suspect(now)
                     && known.lapsed_at.is_none(),
+                is_loading: ordered.is_some() || record.state.is_moving,
             })
         });
         cards.collect()
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -53,7 +53,7 @@
 pub use membership::Membership;
 pub use pipeline::{
     Card, CardState, LayerMove, LoadBook, NoPath, Path, PathQuery, PathStage, PipelineSpec,
-    RequestSize, StageOffer, choose_path, plan_cards, repair_path,
+    RequestSize, StageOffer, choose_path, first_loads, plan_cards, repair_path,
 };
 pub use placement::{
     Held, LoadPacer, PlacementChange, PlacementEndpoint, PlacementInput, PlacementModel,
--- a/crates/pistachioyard_policy/src/pipeline/card_placement.rs
+++ b/crates/pistachioyard_policy/src/pipeline/card_placement.rs
@@ -29,6 +29,8 @@
     pub held: Option<LayerRange>,
     /// Whether it can be given an order now.
     pub takes_orders: bool,
+    /// Whether it is loading layers.
+    pub is_loading: bool,
 }
 
 /// An order that is due.
--- a/crates/pistachioyard_policy/tests/pipeline/fixture.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/fixture.rs
@@ -78,6 +78,7 @@
                     card: spec.cards[kind],
                     held: None,
                     takes_orders: true,
+                    is_loading: false,
                 });
             }
         }
--- a/crates/pistachioyard_policy/tests/pipeline/placement.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/placement.rs
@@ -1,6 +1,6 @@
 //! Which layers each card holds.
 
-use pistachioyard_policy::{CardState, plan_cards};
+use pistachioyard_policy::{CardState, first_loads, plan_cards};
 use pistachioyard_wire::LayerRange;
 
 use super::fixture::{LAYERS, TOKENS, cards, carry_out, gaps, id, spec};
@@ -100,6 +100,52 @@
     assert_eq!(backed_up(&cards), cards.len());
 }
 
+/// Replays the loss of all workers at once: loads that run together slow each other, so
+/// one data centre has to serve again long before all do.
+#[test]
+fn after_a_loss_of_all_cards_one_data_centre_is_whole_first() {
+    let spec = spec();
+    let mut cards = cards(&spec);
+    let mut loads_until_first = 0;
+    let mut loads = 0;
+    loop {
+        let moves = plan_cards(&spec, &cards, TOKENS);
+        let now = first_loads(&spec, &cards, moves);
+        if now.is_empty() {
+            break;
+        }
+        assert!(now.len() <= spec.loads_at_once as usize);
+        loads += now.len();
+        carry_out(&mut cards, &now);
+        let is_whole = |place: &&str| gaps(&cards, place).is_empty();
+        if loads_until_first == 0 && ["a", "b", "c"].iter().any(is_whole) {
+            loads_until_first = loads;
+        }
+    }
+    for place in ["a", "b", "c"] {
+        assert_eq!(gaps(&cards, place), Vec::<u32>::new(), "{place}");
+    }
+    // Two turns of loads more than the fewest cards that hold all layers.
+    assert!(
+        loads_until_first <= 9 + 2 * 6,
+        "{loads_until_first} of {loads}"
+    );
+    assert!(loads >= cards.len());
+}
+
+#[test]
+fn loads_in_progress_are_counted_and_few_loads_are_not_held_back() {
+    let spec = spec();
+    let mut cards = placed();
+    cards[0].held = None;
+    let moves = plan_cards(&spec, &cards, TOKENS);
+    assert!(!moves.is_empty());
+    assert_eq!(first_loads(&spec, &cards, moves.clone()), moves);
+    let busy = cards.iter_mut().rev().take(spec.loads_at_once as usize);
+    busy.for_each(|card| card.is_loading = true);
+    assert_eq!(first_loads(&spec, &cards, moves), Vec::new());
+}
+
 /// Replays a worker that died and came back empty: as many cards are backed up as
 /// before, and no layer is left with the room of half a pair.
 #[test]
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Whether the process serves, drains or stops, and what is in progress.
 
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 
 use tokio::sync::Notify;
 
@@ -19,6 +19,7 @@
 pub(crate) struct Lifecycle {
     stage: AtomicU8,
     in_flight: AtomicUsize,
+    has_begun: AtomicBool,
     idle: Notify,
 }
 
@@ -53,6 +54,7 @@
         // The count goes up before the stage is read, so that a stop which has
         // seen no request in progress refuses every later one.
         self.in_flight.fetch_add(1, Ordering::SeqCst);
+        self.has_begun.store(true, Ordering::Relaxed);
         let guard = InFlight {
             lifecycle: self.clone(),
         };
@@ -72,6 +74,11 @@
         self.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Tells whether any request has come since the start.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.has_begun.load(Ordering::Relaxed)
+    }
+
     /// Waits until new work is refused.
     pub(crate) async fn stopped(&self) {
         loop {
--- a/src/router.rs
+++ b/src/router.rs
@@ -153,6 +153,12 @@
             && self.endpoints.lock().ids().next().is_some()
     }
 
+    /// Tells whether callers may have sent requests already; an entry that was restarted
+    /// does not know, so it assumes so.
+    pub(crate) fn has_traffic(&self) -> bool {
+        !self.settings.is_first_start || self.lifecycle.has_begun()
+    }
+
     /// Returns the number of live entries, this one included.
     pub(crate) fn live_entries(&self, now: Instant) -> usize {
         self.members.lock().live(now).len().max(1)
--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -3,7 +3,7 @@
 mod lease;
 mod orders;
 
-use pistachioyard_policy::{CardState, PipelineSpec, plan_cards};
+use pistachioyard_policy::{CardState, PipelineSpec, first_loads, plan_cards};
 
 use crate::prelude::*;
 use crate::router::Router;
@@ -60,6 +60,12 @@
         }
         let cards = router.endpoints.lock().cards(service, spec, Instant::now());
         let moves = plan(spec, &cards);
+        // Loads that run before the first request are quick, and slow nobody.
+        let moves = if router.has_traffic() {
+            first_loads(spec, &cards, moves)
+        } else {
+            moves
+        };
         if !moves.is_empty() {
             orders::give(router, spec, &moves, fence).await;
         }
--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -133,6 +133,8 @@
             endpoints.apply_report(&endpoint, report, Instant::now());
         }
         router.room.notify_waiters();
+        // Others may wait for their turn to load.
+        router.endpoints_changed.notify_one();
         tokio::time::sleep(FOLLOW_PERIOD).await;
     }
 }
--- a/src/router/log.rs
+++ b/src/router/log.rs
@@ -34,14 +34,15 @@
         .sink(stdout)
         .thread_pool(pool)
         .overflow_policy(OverflowPolicy::DropIncoming)
-        .error_handler(|_| {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
-        })
         .build_arc()?;
     let logger = Logger::builder()
         .sink(queue)
         .level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Info))
         .flush_level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Warn))
+        // The queue hands a line that does not fit back to the logger.
+        .error_handler(|_| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
         .build_arc()?;
     spdlog::set_default_logger(logger);
     Ok(())
@@ -52,9 +53,30 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
-/// Writes what is still queued, at the end of the process.
-pub(crate) fn flush() {
-    spdlog::default_logger().flush();
+/// Writes what is still queued at the end of the process, for as long as `limit`.
+///
+/// The logger is taken out first, since the library would wait for its queue without a
+/// limit when the process exits, also for a reader that stands still.
+pub(crate) fn finish(limit: Duration) {
+    let silent = match Logger::builder().build_arc() {
+        Ok(silent) => silent,
+        Err(e) => {
+            spdlog::error!("log: not flushed", kv: { why = e.to_string().as_str() });
+            return;
+        }
+    };
+    let logger = spdlog::swap_default_logger(silent);
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for sink in logger.sinks() {
+            // Where the last lines were lost there is nowhere left to say so.
+            let _ = sink.flush_on_exit();
+        }
+        // Nobody waits any more once the limit has passed.
+        let _ = tx.send(());
+    });
+    // Either way the process ends now.
+    let _ = rx.recv_timeout(limit);
 }
 
 /// Shows a duration in whole milliseconds.
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -17,6 +17,8 @@
 const OLD_ANSWERS: Duration = Duration::from_millis(2_500);
 /// The time before the end of the grace period in which what is left is cut.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
+/// How long the last lines may take to be written; a reader that reads takes a few ms.
+const LOG_FLUSH_LIMIT: Duration = Duration::from_millis(150);
 /// The port of the metrics, as `deploy/system.toml` names it.
 const METRICS_PORT: u16 = 9_464;
 
@@ -129,5 +131,5 @@
     spdlog::info!("router: stopped", kv: {
         is_idle, cut_off = router.lifecycle.in_flight(), took_ms = ms(asked_at.elapsed())
     });
-    log::flush();
+    log::finish(LOG_FLUSH_LIMIT);
 }
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -4,5 +4,6 @@
 mod caller;
 mod calm;
 mod faults;
+mod logs;
 mod soak;
 mod support;
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -34,6 +34,11 @@
         self.child = Some(child.expect("the process starts"));
     }
 
+    /// Returns the program and its arguments, for a test that starts it in its own way.
+    pub(crate) fn command(&self) -> (PathBuf, Vec<String>) {
+        (self.program.clone(), self.args.clone())
+    }
+
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             child.kill().expect("the process can be killed");
