--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -3,7 +3,8 @@
 //! With a card it holds layers of a model and streams events, each after all stages of
 //! the request's path have said that they hold their layers; a request of whose path a
 //! stage does not answer stalls, until it is ordered along another one or for
-//! [`STALL_LIMIT`]. Else it is a plain service. `GET /control/runs` lists the ids of the
+//! [`STALL_LIMIT`]. Else it is a plain service. A request whose body is [`POISON`] ends
+//! the process. `GET /control/runs` lists the ids of the
 //! requests that it began to run.
 
 use std::collections::BTreeMap;
@@ -66,6 +67,9 @@
 /// How often a request that stalls looks at its path.
 const STALL_LOOK: Duration = Duration::from_millis(20);
 
+/// The body of a request that crashes each worker that begins to run it.
+const POISON: &[u8] = b"poison";
+
 /// The stages of a path: an address and the layers that run there.
 type Stages = Vec<(SocketAddr, u64, u64)>;
 
@@ -273,8 +277,12 @@
     if parts.headers.contains_key("authorization") || !parts.headers.contains_key("x-tenant") {
         return empty(StatusCode::IM_A_TEAPOT);
     }
-    if body.collect().await.is_err() {
+    let Ok(body) = body.collect().await else {
         return not_run(StatusCode::SERVICE_UNAVAILABLE, worker.address());
+    };
+    if body.to_bytes() == POISON {
+        // As a worker that crashes when it begins to run the request.
+        std::process::exit(1);
     }
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
--- a/tests/site/faults.rs
+++ b/tests/site/faults.rs
@@ -147,3 +147,43 @@
         .any(|line| line.starts_with("router_paths_mended_total{mended=\"yes\"}"));
     assert!(mended, "{metrics}");
 }
+
+/// A request that crashes each worker that begins to run it, sent again and again at two
+/// entries, costs three workers; the entries tell each other, and others are served on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_workers_costs_three_of_them() {
+    let mut site = Site::start(2).await;
+    let key = format!("Bearer {KEY}");
+    let mut last = None;
+    for at in 0..12 {
+        let id = new_id();
+        let headers = [
+            ("x-attempt-id", id.as_str()),
+            ("x-deadline-ms", "2000"),
+            ("authorization", key.as_str()),
+            ("x-token-usage", "100,20"),
+        ];
+        let to = site.entries[at % 2].callers();
+        let sent = site
+            .client
+            .send(Method::POST, to, "/draft/poison", &headers, "poison".into())
+            .await;
+        last = sent.ok().map(|answer| answer.status.as_u16());
+        // Longer than the entries take to tell each other.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    assert_eq!(last, Some(429), "it is refused as not run");
+    let workers = site.workers.iter_mut().filter(|worker| !worker.is_plain);
+    let crashed = workers
+        .filter_map(|worker| worker.process.running().is_running().ok())
+        .filter(|is_running| !is_running)
+        .count();
+    assert_eq!(crashed, 3);
+    for entry in &site.entries {
+        wait_until(Duration::from_secs(6), "a stream", || async {
+            site.stream(entry.callers()).await.is_ok()
+        })
+        .await
+        .expect("others are served");
+    }
+}
