--- a/crates/pistachioyard_policy/tests/pipeline/fixture.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/fixture.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use pistachioyard_policy::{
-    Card, CardState, EndpointRecord, EndpointReport, LayerMove, PipelineSpec, StageOffer,
+    Card, CardState, EndpointRecord, EndpointReport, LayerMove, PipelineSpec, RequestSize,
+    StageOffer, plan_cards,
 };
 use pistachioyard_wire::{DataCentre, EndpointId, LayerRange};
 
@@ -142,3 +143,18 @@
         },
     }
 }
+
+/// A usual request.
+pub(crate) const SIZE: RequestSize = RequestSize {
+    prompt: 770.0,
+    answer: 154.0,
+};
+
+/// Returns what the cards offer after their first placement.
+pub(crate) fn placed_offers() -> Vec<StageOffer> {
+    let spec = spec();
+    let mut cards = cards(&spec);
+    let moves = plan_cards(&spec, &cards, TOKENS);
+    carry_out(&mut cards, &moves);
+    offers(&cards)
+}
--- a/crates/pistachioyard_policy/tests/pipeline/mending.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/mending.rs
@@ -3,29 +3,15 @@
 use std::time::{Duration, Instant};
 
 use pistachioyard_policy::{
-    FlowBook, LoadBook, NoPath, Path, PathQuery, RequestSize, StageOffer, choose_path, crossing_ms,
-    plan_cards, repair_path,
+    FlowBook, LoadBook, NoPath, Path, PathQuery, StageOffer, choose_path, crossing_ms, repair_path,
 };
 use pistachioyard_wire::{DataCentre, EndpointId};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::fixture::{LAYERS, TOKENS, cards, carry_out, data_centre, offers, spec};
+use super::fixture::{LAYERS, SIZE, data_centre, placed_offers, spec};
 
 const MS: Duration = Duration::from_millis(1);
-const SIZE: RequestSize = RequestSize {
-    prompt: 770.0,
-    answer: 154.0,
-};
-
-fn placed_offers() -> Vec<StageOffer> {
-    let spec = spec();
-    let mut cards = cards(&spec);
-    let moves = plan_cards(&spec, &cards, TOKENS);
-    carry_out(&mut cards, &moves);
-    offers(&cards)
-}
-
 fn query(home: &DataCentre) -> PathQuery<'_> {
     PathQuery {
         size: SIZE,
--- a/crates/pistachioyard_policy/tests/pipeline/paths.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/paths.rs
@@ -3,26 +3,12 @@
 use std::collections::BTreeMap;
 
 use pistachioyard_policy::{
-    LoadBook, NoPath, Path, PathQuery, RequestSize, StageOffer, choose_path, crossing_ms,
-    plan_cards,
+    LoadBook, NoPath, Path, PathQuery, StageOffer, choose_path, crossing_ms,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::fixture::{LAYERS, TOKENS, cards, carry_out, data_centre, offers, spec};
-
-const SIZE: RequestSize = RequestSize {
-    prompt: 770.0,
-    answer: 154.0,
-};
-
-fn placed_offers() -> Vec<StageOffer> {
-    let spec = spec();
-    let mut cards = cards(&spec);
-    let moves = plan_cards(&spec, &cards, TOKENS);
-    carry_out(&mut cards, &moves);
-    offers(&cards)
-}
+use super::fixture::{LAYERS, SIZE, TOKENS, data_centre, placed_offers, spec};
 
 fn choose(offers: &[StageOffer], crossing: bool, seed: u64) -> Result<Path, NoPath> {
     let spec = spec();
--- a/src/router/filter/relay/flight.rs
+++ b/src/router/filter/relay/flight.rs
@@ -1,43 +1,30 @@
 //! One run of a stream on one path.
 
+mod look;
+mod mend;
+
 use bytes::Bytes;
-use futures_util::future::join_all;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use pistachioyard_platform::{
-    AnswerHead, EventSplitter, OrderAnswer, PathOrder, Send, decode_answer_head,
-    decode_conflict_address,
-};
+use pistachioyard_platform::{AnswerHead, EventSplitter, Send, decode_answer_head};
 use pistachioyard_policy::{
-    EndpointBook, GapMeter, Look, Path, PauseVerdict, PipelineSpec, Repeatability, RequestSize,
-    Suspect,
+    EndpointBook, GapMeter, Path, PipelineSpec, Repeatability, RequestSize, Suspect,
 };
-use pistachioyard_wire::ServiceName;
 
+pub(super) use self::mend::Mended;
 use super::Verdict;
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::endpoint_client::{Connection, Reuse};
-use crate::router::endpoint_order::post_order;
 use crate::router::filter::Call;
-use crate::router::filter::path::{self, Wanted};
 use crate::router::filter::plain::request;
-use crate::router::filter::report_cache::survey;
 
 /// The part of an endpoint's memory up to which a refusal can't be for want of it;
 /// what this entry knows of the load lags a little.
 const CLEARLY_FREE: f64 = 0.6;
 
-/// How long the first endpoint of a path may take to answer an order for another path; a
-/// sound one answers in a few ms.
-const MEND_TIMEOUT: Duration = Duration::from_millis(120);
-
-/// How old what an endpoint said may be until a stream that pauses has it asked again;
-/// each question is priced.
-const SURVEY_SPAN: Duration = Duration::from_millis(900);
-
 /// What sending a request along a path brought.
 pub(super) enum Opened {
     /// Events follow.
@@ -62,14 +49,6 @@
     Lost(Option<EndpointId>, String),
 }
 
-/// What an order to go on along another path came to.
-pub(super) enum Mended {
-    /// The request goes on along this path.
-    Along(Path),
-    /// It does not, for this reason.
-    Not(String),
-}
-
 /// Counts a request on its path until it is dropped.
 pub(super) struct Flight {
     router: Arc<Router>,
@@ -288,173 +267,6 @@
         self.router.flow.lock().note(&self.path.stages, now);
     }
 
-    /// Finds out why nothing comes.
-    pub(super) async fn look_into(&self, call: &Call, gaps: &mut GapMeter) -> Verdict {
-        let look = gaps.begin_look(Instant::now());
-        if let Some(dead) = self.dead_endpoint(gaps.silent_since()).await {
-            let why = format!("{dead} is dead");
-            return Verdict::Leave(Some(dead), why);
-        }
-        match look {
-            Look::Glance => Verdict::Wait,
-            Look::Report => self.ask_first(call, gaps).await,
-        }
-    }
-
-    /// Asks the endpoints through which nothing has come lately whether they live.
-    async fn dead_endpoint(&self, silent_since: Instant) -> Option<EndpointId> {
-        let now = Instant::now();
-        let stages = &self.path.stages;
-        if let Some(silent) = self.silent_endpoints().into_iter().next() {
-            return Some(silent);
-        }
-        let doubted = {
-            let flow = self.router.flow.lock();
-            flow.doubted(stages, silent_since, now)
-        };
-        let asked = doubted.into_iter().map(|stage| async move {
-            let (reports, client) = (&self.router.reports, &self.router.client);
-            let is_alive = reports.is_alive(client, stage.address).await;
-            (!is_alive).then_some(stage.endpoint)
-        });
-        let dead = join_all(asked).await.into_iter().flatten().next()?;
-        self.router.suspect(&dead, Suspect::NoAnswer);
-        Some(dead)
-    }
-
-    /// Has the path go on without a lost endpoint, while all others keep what they have
-    /// read; tells whether the first endpoint took the order.
-    pub(super) async fn mend(
-        &mut self,
-        call: &Call,
-        service: &ServiceName,
-        lost: &EndpointId,
-    ) -> Mended {
-        let mut without = self.silent_endpoints();
-        if !without.contains(lost) {
-            without.push(lost.clone());
-        }
-        self.mend_without(call, service, &without).await
-    }
-
-    /// Lists the endpoints of the path that failed and have not answered since.
-    fn silent_endpoints(&self) -> Vec<EndpointId> {
-        let now = Instant::now();
-        let endpoints = self.router.endpoints.lock();
-        let silent = self.path.stages.iter().map(|stage| &stage.endpoint);
-        silent
-            .filter(|endpoint| endpoints.is_silent(endpoint, now))
-            .cloned()
-            .collect()
-    }
-
-    async fn mend_without(
-        &mut self,
-        call: &Call,
-        service: &ServiceName,
-        without: &[EndpointId],
-    ) -> Mended {
-        let Some(spec) = self.spec.clone() else {
-            return Mended::Not("the endpoint serves alone".to_owned());
-        };
-        let wanted = Wanted {
-            service,
-            spec: Some(&spec),
-            size: self.size,
-            first: None,
-        };
-        let path = match path::mend(&self.router, &wanted, &spec, &self.path, without) {
-            Ok(path) => path,
-            Err(e) => return Mended::Not(e.to_string()),
-        };
-        let order = PathOrder {
-            request_id: &call.head.request_id,
-            path: &path.stages,
-        };
-        let first = path.stages[0].address;
-        // Counted before the answer, so that others see at once what is taken.
-        self.router.load.lock().begin(&path.stages, self.size);
-        let answer = post_order(&self.router.client, first, &order.encode(), MEND_TIMEOUT).await;
-        let (over, refused) = match answer {
-            Ok((OrderAnswer::Begun | OrderAnswer::Holds, _)) => {
-                (std::mem::replace(&mut self.path, path), None)
-            }
-            Ok((answer, body)) => {
-                self.note_conflict(&body);
-                (path, Some(format!("{answer:?}")))
-            }
-            Err(e) => (path, Some(e.to_string())),
-        };
-        self.router.load.lock().end(&over.stages, self.size);
-        match refused {
-            None => Mended::Along(self.path.clone()),
-            Some(why) => Mended::Not(why),
-        }
-    }
-
-    /// Has an endpoint asked that could not take part in a path.
-    fn note_conflict(&self, body: &[u8]) {
-        let at_fault = decode_conflict_address(body).and_then(|at| self.endpoint_at(at));
-        if let Some(endpoint) = at_fault {
-            self.router.suspect(&endpoint, Suspect::OtherLayers);
-        }
-    }
-
-    /// Asks the first endpoint why nothing comes.
-    async fn ask_first(&self, call: &Call, gaps: &mut GapMeter) -> Verdict {
-        if self.spec.is_none() {
-            return next_look(gaps);
-        }
-        let first = &self.path.stages[0];
-        let report = self
-            .router
-            .reports
-            .get(&self.router.client, first.address)
-            .await;
-        let Some(report) = report else {
-            self.router.suspect(&first.endpoint, Suspect::NoAnswer);
-            let why = "the first endpoint does not answer".to_owned();
-            return Verdict::Leave(Some(first.endpoint.clone()), why);
-        };
-        let mut stalled_at = None;
-        for (request_id, address) in &report.stalled {
-            let Some(endpoint) = self.endpoint_at(*address) else {
-                continue;
-            };
-            self.router.suspect(&endpoint, Suspect::RequestsStall);
-            if *request_id == call.head.request_id || self.passes(&endpoint) {
-                stalled_at = Some(endpoint);
-            }
-        }
-        match stalled_at {
-            Some(endpoint) => {
-                let why = format!("{endpoint} does not answer");
-                Verdict::Leave(Some(endpoint), why)
-            }
-            None => {
-                let verdict = next_look(gaps);
-                if matches!(verdict, Verdict::Wait) {
-                    self.survey();
-                }
-                verdict
-            }
-        }
-    }
-
-    /// Has the endpoints of the path asked how fast they run, since one that is slow
-    /// holds up all the others.
-    fn survey(&self) {
-        let now = Instant::now();
-        let unheard = {
-            let endpoints = self.router.endpoints.lock();
-            let path = self.path.stages.iter().map(|stage| &stage.endpoint);
-            endpoints.unheard(path, SURVEY_SPAN, now)
-        };
-        if !unheard.is_empty() {
-            tokio::spawn(survey(self.router.clone(), unheard));
-        }
-    }
-
     fn passes(&self, endpoint: &EndpointId) -> bool {
         self.path
             .stages
@@ -462,11 +274,3 @@
             .any(|stage| stage.endpoint == *endpoint)
     }
 }
-
-/// Decides after a look that found nothing.
-fn next_look(gaps: &mut GapMeter) -> Verdict {
-    match gaps.next_look(Instant::now()) {
-        PauseVerdict::Wait => Verdict::Wait,
-        PauseVerdict::Leave => Verdict::Leave(None, "nothing came for too long".to_owned()),
-    }
-}
--- /dev/null
+++ b/tests/site/deployment.rs
@@ -0,0 +1,143 @@
+//! What a site's processes are started with, and its configuration.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde_json::{Value, json};
+
+use super::support::{ENTRY_PORTS, EVENTS, Entry, KEY, Process, ZONES};
+
+pub(crate) fn standins_binary() -> PathBuf {
+    // Cargo builds the workspace's binaries side by side.
+    let own = Path::new(env!("CARGO_BIN_EXE_pistachioyard"));
+    own.with_file_name("pistachioyard_standins")
+}
+
+pub(crate) fn worker_process(
+    standins: &Path,
+    zone: &str,
+    at: usize,
+    is_plain: bool,
+    address: SocketAddr,
+    advertised: SocketAddr,
+    store: SocketAddr,
+) -> Process {
+    let service = if is_plain { "records" } else { "model" };
+    let name = format!("{service}-{zone}-{at}");
+    let mut args: Vec<String> = [
+        "--exit-with-stdin",
+        "site-worker",
+        "--id",
+        &name,
+        "--zone",
+        zone,
+    ]
+    .map(str::to_owned)
+    .to_vec();
+    args.extend(["--service".to_owned(), service.to_owned()]);
+    args.extend(["--listen".to_owned(), address.to_string()]);
+    args.extend(["--advertise".to_owned(), advertised.to_string()]);
+    args.extend(["--store".to_owned(), store.to_string()]);
+    args.extend(["--events".to_owned(), EVENTS.to_string()]);
+    if !is_plain {
+        args.extend(["--card".to_owned(), "small".to_owned()]);
+    }
+    Process {
+        name,
+        program: standins.to_owned(),
+        args,
+        child: None,
+    }
+}
+
+pub(crate) fn entry(files: &Path, at: usize, ip: std::net::IpAddr, store: SocketAddr) -> Entry {
+    let zone = ZONES[at % ZONES.len()];
+    let name = format!("entry-{at}");
+    let file = files.join(format!("{name}.toml"));
+    std::fs::write(&file, settings(&name, zone, ip, store)).expect("the settings can be written");
+    let args = [
+        "route",
+        "--config",
+        file.to_str().expect("the path is text"),
+    ];
+    let process = Process {
+        name,
+        program: env!("CARGO_BIN_EXE_pistachioyard").into(),
+        args: args.map(str::to_owned).to_vec(),
+        child: None,
+    };
+    Entry { process, ip }
+}
+
+fn settings(name: &str, zone: &str, ip: std::net::IpAddr, store: SocketAddr) -> String {
+    let [front, ready, directory, peers, _] = ENTRY_PORTS;
+    format!(
+        r#"
+node = "{name}"
+zone = "{zone}"
+region = "here"
+ip = "{ip}"
+port_range = [{peers}, {peers}]
+bootstrap = true
+heartbeat_ms = 300
+unknown = "fields are ignored"
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+directory = "{ip}:{directory}"
+[bounds]
+drain_ms = 2000
+config_ms = 2000
+grace_s = 4
+retry_budget_ratio = 0.2
+budget_slack = 200
+budget_window_s = 10
+stall_ms = 2500
+ttl_max_s = 5
+[platform]
+address = "{store}"
+writes_per_s = 400
+reads_per_s = 2000
+"#
+    )
+}
+
+/// Returns a configuration with some routes beside the fixed ones.
+pub(crate) fn config(version: u64, extra: u64, hosts: &[String]) -> Value {
+    let mut routes = Vec::new();
+    for host in hosts {
+        let mut add = |name: &str, kind: &str, service: &str, attempts: u64| {
+            routes.push(json!({
+                "name": format!("{name}-{host}"), "host": host,
+                "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 6000,
+                "target_latency_ms": 500, "priority": 1, "service": service,
+                "max_attempts": attempts, "anonymous": false,
+                "resumable": kind == "streaming", "gap_target_ms": 200,
+            }));
+        };
+        add("draft", "streaming", "model", 2);
+        add("record", "non_idempotent", "records", 1);
+        add("lookup", "idempotent", "records", 2);
+        add("feed", "streaming", "records", 2);
+        for n in 1..=extra {
+            add(&format!("extra-{n}"), "idempotent", "records", 2);
+        }
+    }
+    json!({
+        "version": version, "routes": routes,
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 5000 },
+        "tenants": [{ "name": "one", "api_keys": [KEY], "priority": 1 }],
+        "services": [
+            { "name": "model", "max_connections": 200, "engine": {
+                "slots": 64, "kv_token_bytes": 8000, "step_ms": 1.0, "per_seq_ms": 0.001,
+                "context_per_k": 0.001, "read_per_s": 100_000.0, "report_lag_ms": 20.0,
+                "loads_at_once": 4, "usual": { "prompt": 100, "answer": 20 },
+                "models": [{ "name": "m", "load_s": 0.04 }], "layers": 8, "layer_mb": 1000.0,
+                "activation_bytes": 1000, "pipe_mbps": 1000.0,
+                "kinds": [{ "name": "small", "size_mb": 4200.0, "pace": 1.0, "read_factor": 1.0 }],
+            } },
+            { "name": "records", "max_connections": 100 },
+        ],
+    })
+}
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod calm;
+mod deployment;
 mod faults;
 mod logs;
 mod soak;
