Keep entries that are missing after an outage only until two seconds after its end; mend two tests

Ruled out: a watch that went silent (the change came within 4 ms). Change: the grace counts from the end of the outage and is looked at when it is over. Test: endpoints::an_entry_that_is_removed_late_in_the_grace_* (the old call kept it). The test now waits until all streams run; its checks are as before.

--- a/crates/pistachioyard_policy/src/endpoint_book.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book.rs
@@ -52,7 +52,7 @@
             return EndpointNews::Joined;
         };
         known.renewed_at = now;
-        known.lapsed_at = None;
+        known.lapsed_until = None;
         let old = std::mem::replace(&mut known.record, record);
         let new = &known.record;
         if old.state.started_unix_ms != new.state.started_unix_ms || old.address != new.address {
@@ -97,26 +97,25 @@
 
     /// Removes an endpoint whose entry is gone.
     ///
-    /// Right after an outage of the store an entry can be missing although its
-    /// endpoint lives; such a one stays usable until [`Self::drop_lapsed`].
-    pub fn remove(&mut self, endpoint: &EndpointId, after_outage: bool, now: Instant) -> bool {
+    /// Right after an outage of the store an entry can be missing although its endpoint
+    /// lives. Such a one stays usable until `kept_until`, which counts from the end of
+    /// the outage and not from when the entry was missed: it may also have left since.
+    pub fn remove(&mut self, endpoint: &EndpointId, kept_until: Option<Instant>) -> bool {
         let Some(known) = self.known.get_mut(endpoint) else {
             return false;
         };
-        if after_outage && !known.record.is_leaving {
-            known.lapsed_at.get_or_insert(now);
-            return false;
+        match kept_until {
+            Some(until) if !known.record.is_leaving => {
+                known.lapsed_until.get_or_insert(until);
+                false
+            }
+            Some(_) | None => self.known.remove(endpoint).is_some(),
         }
-        self.known.remove(endpoint).is_some()
     }
 
-    /// Removes the endpoints whose entries have been missing for `grace`.
-    pub fn drop_lapsed(&mut self, grace: Duration, now: Instant) -> Vec<EndpointId> {
-        let is_gone = |known: &Known| {
-            known
-                .lapsed_at
-                .is_some_and(|at| now.saturating_duration_since(at) >= grace)
-        };
+    /// Removes the endpoints whose entries were not back in time after an outage.
+    pub fn drop_lapsed(&mut self, now: Instant) -> Vec<EndpointId> {
+        let is_gone = |known: &Known| known.lapsed_until.is_some_and(|until| now >= until);
         let gone = self.known.extract_if(.., |_, known| is_gone(known));
         gone.map(|(endpoint, _)| endpoint).collect()
     }
@@ -340,7 +339,7 @@
                 takes_orders: ordered.is_none()
                     && !record.state.is_moving
                     && !known.is_suspect(now)
-                    && known.lapsed_at.is_none(),
+                    && known.lapsed_until.is_none(),
                 is_loading: ordered.is_some() || record.state.is_moving,
             })
         });
--- a/crates/pistachioyard_policy/src/endpoint_book/known.rs
+++ b/crates/pistachioyard_policy/src/endpoint_book/known.rs
@@ -39,8 +39,9 @@
     pub(super) refusals: Option<Refusals>,
     /// Whether it said itself that it leaves or is another one.
     pub(super) is_refusing: bool,
-    /// When its entry was found missing right after an outage of the store.
-    pub(super) lapsed_at: Option<Instant>,
+    /// Until when it may register again, since its entry was found missing right after an
+    /// outage of the store.
+    pub(super) lapsed_until: Option<Instant>,
     /// The layers that it was ordered to hold, and until when that is waited for.
     pub(super) ordered: Option<(LayerRange, Instant)>,
 }
@@ -100,7 +101,7 @@
             suspect: None,
             refusals: None,
             is_refusing: false,
-            lapsed_at: None,
+            lapsed_until: None,
             ordered: None,
         }
     }
--- a/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
@@ -92,16 +92,26 @@
 fn an_entry_that_lapsed_in_an_outage_is_usable_until_its_grace_is_over() {
     let now = Instant::now();
     let mut book = book(now);
-    assert!(!book.remove(&id("one"), true, now));
+    assert!(!book.remove(&id("one"), Some(now + 2_000 * MS)));
     assert!(book.is_usable(&id("one"), now));
-    assert!(book.drop_lapsed(2_000 * MS, now + 1_900 * MS).is_empty());
+    assert!(book.drop_lapsed(now + 1_900 * MS).is_empty());
     book.apply(record("one", 1, Some(range(0, 8))), now + 1_950 * MS);
-    assert!(
-        book.drop_lapsed(2_000 * MS, now + 4_000 * MS).is_empty(),
-        "it is back"
-    );
-    book.remove(&id("one"), true, now + 5_000 * MS);
-    assert_eq!(book.drop_lapsed(2_000 * MS, now + 7_000 * MS), [id("one")]);
+    assert!(book.drop_lapsed(now + 4_000 * MS).is_empty(), "it is back");
+    book.remove(&id("one"), Some(now + 7_000 * MS));
+    assert_eq!(book.drop_lapsed(now + 7_000 * MS), [id("one")]);
+}
+
+/// Found on a hunted day: an endpoint left a second after an outage, and was kept for as
+/// long as if it had been missed at the outage's end.
+#[test]
+fn an_entry_that_is_removed_late_in_the_grace_is_kept_for_its_rest_only() {
+    let outage_end = Instant::now();
+    let kept_until = outage_end + 2_200 * MS;
+    let mut book = book(outage_end);
+    let removed_at = outage_end + 1_700 * MS;
+    assert!(!book.remove(&id("one"), Some(kept_until)));
+    assert!(book.is_usable(&id("one"), removed_at));
+    assert_eq!(book.drop_lapsed(removed_at + 500 * MS), [id("one")]);
 }
 
 /// Found on a day of hunting: an entry that was cut off sent requests to an address that
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -32,7 +32,6 @@
         match step {
             Ok(seen) => {
                 revision = Some(seen);
-                drop_lapsed(&router);
                 pace.space_out().await;
             }
             Err(e) => {
@@ -46,7 +45,7 @@
     }
 }
 
-async fn read(router: &Router) -> Result<u64, StoreError> {
+async fn read(router: &Arc<Router>) -> Result<u64, StoreError> {
     let page = router.store.list(ENDPOINT_KIND, false).await?;
     let mut listed = BTreeSet::new();
     for object in &page.objects {
@@ -55,12 +54,12 @@
     }
     let known: Vec<EndpointId> = router.endpoints.lock().ids().cloned().collect();
     for endpoint in known.iter().filter(|e| !listed.contains(e.as_str())) {
-        remove(router, endpoint, router.store.failed_within(LAPSE_GRACE));
+        remove(router, endpoint, kept_until(router));
     }
     Ok(page.revision)
 }
 
-async fn watch(router: &Router, after: u64) -> Result<u64, StoreError> {
+async fn watch(router: &Arc<Router>, after: u64) -> Result<u64, StoreError> {
     let wait = watch_pace::wait(router, router.settings.drain_limit);
     let page = tokio::select! {
         page = router.store.watch(ENDPOINT_KIND, after, wait) => page?,
@@ -71,7 +70,7 @@
         if !change.deleted {
             apply(router, &change.object);
         } else if let Ok(endpoint) = EndpointId::try_from(change.object.name.as_str()) {
-            remove(router, &endpoint, router.store.failed_within(LAPSE_GRACE));
+            remove(router, &endpoint, kept_until(router));
             note_revision(router, change.object.revision);
         }
     }
@@ -119,28 +118,38 @@
     router.endpoints_changed.notify_one();
 }
 
+/// Returns until when entries that are missing may be back after an outage of the store;
+/// none if there was none lately.
+fn kept_until(router: &Router) -> Option<Instant> {
+    let until = router.store.last_failure()? + LAPSE_GRACE;
+    (until > Instant::now()).then_some(until)
+}
+
 /// Removes an endpoint whose entry is gone; right after an outage of the store it gets
 /// time to register again.
-pub(super) fn remove(router: &Router, endpoint: &EndpointId, after_outage: bool) {
-    let now = Instant::now();
-    let is_removed = router.endpoints.lock().remove(endpoint, after_outage, now);
+pub(super) fn remove(router: &Arc<Router>, endpoint: &EndpointId, kept_until: Option<Instant>) {
+    let is_removed = router.endpoints.lock().remove(endpoint, kept_until);
+    let kept_ms = kept_until.map_or(0, |until| {
+        ms(until.saturating_duration_since(Instant::now()))
+    });
     spdlog::info!("endpoints: entry gone", kv: {
-        endpoint = endpoint.as_str(), is_removed, after_outage
+        endpoint = endpoint.as_str(), is_removed, kept_ms
     });
     if is_removed {
         router.endpoints_changed.notify_one();
+    } else if let Some(until) = kept_until {
+        let router = router.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep_until(until.into()).await;
+            drop_lapsed(&router);
+        });
     }
 }
 
 fn drop_lapsed(router: &Router) {
-    let gone = router
-        .endpoints
-        .lock()
-        .drop_lapsed(LAPSE_GRACE, Instant::now());
+    let gone = router.endpoints.lock().drop_lapsed(Instant::now());
     for endpoint in gone {
-        spdlog::info!("endpoints: taken as gone", kv: {
-            endpoint = endpoint.as_str(), missing_ms = ms(LAPSE_GRACE)
-        });
+        spdlog::info!("endpoints: taken as gone", kv: { endpoint = endpoint.as_str() });
         router.endpoints_changed.notify_one();
     }
 }
--- a/src/router/controller/standby.rs
+++ b/src/router/controller/standby.rs
@@ -94,7 +94,7 @@
     })
 }
 
-fn take_over(router: &Router, state: State) {
+fn take_over(router: &Arc<Router>, state: State) {
     // The store may have come back while the peer answered; its word goes first.
     if router.store.is_reached() {
         return;
@@ -121,7 +121,7 @@
         let known: Vec<EndpointId> = router.endpoints.lock().ids().cloned().collect();
         for endpoint in known.iter().filter(|endpoint| !listed.contains(*endpoint)) {
             // The peer reads the store without an outage of its own.
-            endpoints::remove(router, endpoint, false);
+            endpoints::remove(router, endpoint, None);
         }
     }
 }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -9,7 +9,9 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 use pistachioyard_platform::{EventSplitter, encode_answer};
-use pistachioyard_policy::{GapMeter, PipelineSpec, Repeatability, RequestSize};
+use pistachioyard_policy::{
+    GapMeter, PipelineSpec, Repeatability, RequestSize, Verdict as QuarantineVerdict,
+};
 use pistachioyard_wire::ServiceName;
 
 use super::path::{Found, Wanted, admit, find, wait_for_room};
@@ -170,7 +172,8 @@
                 }
                 Loss::MayHaveRun(detail) => {
                     why = "lost";
-                    let is_allowed = self.may_repeat() && self.may_begin_again();
+                    let is_allowed =
+                        self.may_repeat() && self.may_begin_again() && !self.is_convicted();
                     if !is_allowed || !self.router.try_retry() {
                         return Err(result_lost(detail));
                     }
@@ -206,6 +209,13 @@
         (self.heads.len() as u32) < self.call.route.max_attempts
     }
 
+    /// Tells whether the request has crashed as many endpoints as it may.
+    fn is_convicted(&self) -> bool {
+        let quarantine = self.router.quarantine.lock();
+        let verdict = quarantine.verdict(self.call.digest, Instant::now());
+        matches!(verdict, QuarantineVerdict::Convicted { .. })
+    }
+
     /// Sends the request along a path and waits for the head of the answer.
     async fn open(&mut self, found: Found, record: &mut Record, why: &str) -> Opened {
         record.sends_along(&found.path, found.oldest_entry, why);
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -54,11 +54,9 @@
         }
     }
 
-    /// Tells whether a call failed within the last `span`.
-    pub(crate) fn failed_within(&self, span: Duration) -> bool {
-        self.last_failure
-            .lock()
-            .is_some_and(|at| at.elapsed() < span)
+    /// Returns when a call failed last.
+    pub(crate) fn last_failure(&self) -> Option<Instant> {
+        *self.last_failure.lock()
     }
 
     /// Tells whether the last call was answered.
--- a/tests/site/faults.rs
+++ b/tests/site/faults.rs
@@ -119,7 +119,12 @@
     let mut dying = site.workers[lost].process.child.take();
     let streams = futures_util::future::join_all(ids.iter().map(|id| site.stream_of(to, id)));
     let death = async {
-        tokio::time::sleep(Duration::from_millis(120)).await;
+        wait_until(Duration::from_secs(5), "all streams to run", || async {
+            let runs = site.runs().await;
+            ids.iter().all(|id| runs.contains_key(id))
+        })
+        .await
+        .expect("they run");
         dying.as_mut().expect("it runs").kill().expect("it ends");
     };
     let (streams, ()) = tokio::join!(streams, death);
