--- a/src/router/filter/relay/flight/mend.rs
+++ b/src/router/filter/relay/flight/mend.rs
@@ -1,11 +1,12 @@
 //! Has a stream go on without the endpoints that its path has lost.
 
 use pistachioyard_platform::{OrderAnswer, PathOrder, decode_conflict_address};
-use pistachioyard_policy::{Path, Suspect};
+use pistachioyard_policy::{Path, RequestSize, Suspect};
 use pistachioyard_wire::ServiceName;
 
 use super::Flight;
 use crate::prelude::*;
+use crate::router::Router;
 use crate::router::endpoint_order::post_order;
 use crate::router::filter::Call;
 use crate::router::filter::path::{self, Wanted};
@@ -22,6 +23,27 @@
     Not(String),
 }
 
+/// Counts a request on a path until it is dropped, also when its caller leaves while the
+/// order is under way.
+struct Reserved {
+    router: Arc<Router>,
+    path: Path,
+    size: RequestSize,
+}
+
+impl Reserved {
+    fn new(router: Arc<Router>, path: Path, size: RequestSize) -> Self {
+        router.load.lock().begin(&path.stages, size);
+        Self { router, path, size }
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        self.router.load.lock().end(&self.path.stages, self.size);
+    }
+}
+
 impl Flight {
     /// Has the path go on without a lost endpoint, while all others keep what they have
     /// read; tells whether the first endpoint took the order.
@@ -73,23 +95,20 @@
             path: &path.stages,
         };
         let first = path.stages[0].address;
+        let order = order.encode();
         // Counted before the answer, so that others see at once what is taken.
-        self.router.load.lock().begin(&path.stages, self.size);
-        let answer = post_order(&self.router.client, first, &order.encode(), MEND_TIMEOUT).await;
-        let (over, refused) = match answer {
+        let mut reserved = Reserved::new(self.router.clone(), path, self.size);
+        let answer = post_order(&self.router.client, first, &order, MEND_TIMEOUT).await;
+        match answer {
             Ok((OrderAnswer::Begun | OrderAnswer::Holds, _)) => {
-                (std::mem::replace(&mut self.path, path), None)
+                std::mem::swap(&mut self.path, &mut reserved.path);
+                Mended::Along(self.path.clone())
             }
             Ok((answer, body)) => {
                 self.note_conflict(&body);
-                (path, Some(format!("{answer:?}")))
+                Mended::Not(format!("{answer:?}"))
             }
-            Err(e) => (path, Some(e.to_string())),
-        };
-        self.router.load.lock().end(&over.stages, self.size);
-        match refused {
-            None => Mended::Along(self.path.clone()),
-            Some(why) => Mended::Not(why),
+            Err(e) => Mended::Not(e.to_string()),
         }
     }
 
