Let a stand-in endpoint fall silent and go on

Change: `PUT /control/silence` makes a site-worker block for some milliseconds with a full accept queue, so that the kernel ignores attempts to connect; a test may also pause the process. `--event-interval-ms` makes streams long enough. A worker checks its own layers without a connection to itself. `Layout` describes the processes of a test site, with endpoints reached past the proxy; `Site::adopt_config_with` changes a version and waits until it is in force.

--- a/crates/pistachioyard_standins/src/site/http.rs
+++ b/crates/pistachioyard_standins/src/site/http.rs
@@ -12,7 +12,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+
+/// The maximum number of connections waiting to be accepted.
+pub(crate) const BACKLOG: u32 = 256;
 
 /// The body of an answer; an error closes the connection.
 pub(crate) type Body = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -52,7 +55,13 @@
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Response<Body>> + Send,
 {
-    let listener = TcpListener::bind(listen).await?;
+    let socket = match listen {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(listen)?;
+    let listener = socket.listen(BACKLOG)?;
     loop {
         let (stream, _) = listener.accept().await?;
         let handler = handler.clone();
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -3,29 +3,36 @@
 //! With `--card` it is an engine: it holds layers of a model and streams events. Before each
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
-//! [`STALL_LIMIT`]. Without `--card` it is a plain service. A request whose body is
-//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started.
+//! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
+//! ends the process. `GET /control/runs` lists the ids of the requests started.
+//!
+//! `PUT /control/silence` with a number of milliseconds makes it fall silent for that time: it
+//! accepts no connection and answers nothing, keeps its connections and then goes on.
+
+mod events;
+mod silence;
+mod stages;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ::http::{HeaderMap, Method, Request, Response, StatusCode};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Bytes, Frame, Incoming};
+use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::events::Events;
+use self::stages::{Stages, check_path, parse_path, parse_range};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
 use crate::http::{HttpClient, HttpClientConfig};
 
 /// The interval at which a worker renews its object in the store.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// The interval between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// The time to load one layer.
 const LAYER_LOAD_TIME: Duration = Duration::from_millis(5);
 /// The run time of a request to a plain service.
@@ -59,19 +66,14 @@
     /// The number of events in each stream.
     #[arg(long, default_value_t = 20)]
     pub events: u64,
+    /// The interval between two events of a stream, in milliseconds.
+    #[arg(long, default_value_t = 15)]
+    pub event_interval_ms: u64,
 }
 
-/// The maximum time that a request stalls before it fails.
-const STALL_LIMIT: Duration = Duration::from_millis(2_500);
-/// The interval at which a stalled request checks its path again.
-const STALL_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The body of a poison request, which crashes every worker that starts to run it.
 const POISON: &[u8] = b"poison";
 
-/// The stages of a path: the address, first layer and end layer (exclusive) of each.
-type Stages = Vec<(SocketAddr, u64, u64)>;
-
 struct Worker {
     args: SiteWorkerArgs,
     started_at_ms: u64,
@@ -123,6 +125,11 @@
         self.args.advertise.unwrap_or(self.args.listen)
     }
 
+    fn holds(&self, (first, end): (u64, u64)) -> bool {
+        let held = self.state.lock().layers;
+        held.is_some_and(|(from, to)| from <= first && end <= to)
+    }
+
     /// Returns the worker's status; `sequence` counts heartbeats in the store, orders in reports.
     fn status_report(&self, sequence: u64) -> Value {
         let state = self.state.lock();
@@ -176,6 +183,12 @@
             }
         }
         "/control/runs" => json_response(StatusCode::OK, &json!(worker.state.lock().runs)),
+        "/control/silence" => {
+            let body = read_json(req.into_body()).await;
+            let duration = Duration::from_millis(body.as_u64().unwrap_or_default());
+            tokio::spawn(silence::fall_silent(worker.args.listen, duration));
+            status_only(StatusCode::ACCEPTED)
+        }
         "/holds" => holds(&worker, req.uri().query().unwrap_or_default()),
         _ => run(worker, req).await,
     }
@@ -231,12 +244,7 @@
 
 /// Answers whether the worker holds the layer range given as `FROM-TO`.
 fn holds(worker: &Worker, range: &str) -> Response<Body> {
-    let held = worker.state.lock().layers;
-    let requested = parse_range(range);
-    let is_held = match (held, requested) {
-        (Some((from, to)), Some((first, end))) => from <= first && end <= to,
-        _ => false,
-    };
+    let is_held = parse_range(range).is_some_and(|range| worker.holds(range));
     status_only(if is_held {
         StatusCode::OK
     } else {
@@ -244,11 +252,6 @@
     })
 }
 
-fn parse_range(range: &str) -> Option<(u64, u64)> {
-    let (from, to) = range.split_once('-')?;
-    Some((from.parse().ok()?, to.parse().ok()?))
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -301,11 +304,7 @@
         state.paths.insert(id.clone(), path);
     }
     let last = header(&parts.headers, "last-event-id").and_then(|id| id.parse().ok());
-    let events = Events {
-        next: last.map_or(0, |last: u64| last + 1),
-        worker,
-        id: id.clone(),
-    };
+    let events = Events::new(worker, &id, last);
     let body = StreamBody::new(stream::unfold(Some(events), |events| async {
         let mut events = events?;
         match events.next().await {
@@ -334,89 +333,3 @@
 fn answer_line(id: &str, n: u64) -> String {
     format!("{:016x}", xxh3_64(format!("{id}/{n}").as_bytes()))
 }
-
-fn parse_path(path: &str) -> Stages {
-    let stages = path.split(',').filter_map(|stage| {
-        let (address, range) = stage.split_once('=')?;
-        let (from, to) = parse_range(range)?;
-        Some((address.parse().ok()?, from, to))
-    });
-    stages.collect()
-}
-
-/// Checks that each stage holds its layers.
-///
-/// The error names the first stage that does not, or is `None` if the layers are not in order.
-async fn check_path(
-    worker: &Worker,
-    path: &[(SocketAddr, u64, u64)],
-) -> Result<(), Option<(StatusCode, SocketAddr)>> {
-    let mut next = 0;
-    for (at, from, to) in path {
-        if *from != next {
-            return Err(None);
-        }
-        next = *to;
-        let target = format!("/holds?{from}-{to}");
-        let sent = worker
-            .client
-            .send(Method::GET, *at, &target, &[], Bytes::new());
-        match sent.await {
-            Ok(answer) if answer.status == StatusCode::OK => {}
-            Ok(answer) => return Err(Some((answer.status, *at))),
-            Err(_) => return Err(Some((StatusCode::SERVICE_UNAVAILABLE, *at))),
-        }
-    }
-    Ok(())
-}
-
-struct Events {
-    worker: Arc<Worker>,
-    id: String,
-    next: u64,
-}
-
-impl Drop for Events {
-    fn drop(&mut self) {
-        let mut state = self.worker.state.lock();
-        state.paths.remove(&self.id);
-        state.stalled.remove(&self.id);
-    }
-}
-
-impl Events {
-    /// Returns the next event once every stage of the path holds its layers.
-    async fn next(&mut self) -> std::io::Result<Option<Bytes>> {
-        if self.next >= self.worker.args.events {
-            return Ok(None);
-        }
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        self.wait_for_path().await?;
-        let n = self.next;
-        self.next += 1;
-        Ok(Some(
-            format!("id: {n}\ndata: {}\n\n", answer_line(&self.id, n)).into(),
-        ))
-    }
-
-    async fn wait_for_path(&self) -> std::io::Result<()> {
-        let since = Instant::now();
-        while since.elapsed() < STALL_LIMIT {
-            let path = self.worker.state.lock().paths.get(&self.id).cloned();
-            let checked = check_path(&self.worker, &path.unwrap_or_default()).await;
-            match checked {
-                Ok(()) => {
-                    self.worker.state.lock().stalled.remove(&self.id);
-                    return Ok(());
-                }
-                Err(Some((_, at))) => {
-                    let stalled = &mut self.worker.state.lock().stalled;
-                    stalled.insert(self.id.clone(), at);
-                }
-                Err(None) => break,
-            }
-            tokio::time::sleep(STALL_POLL_INTERVAL).await;
-        }
-        Err(std::io::ErrorKind::ConnectionAborted.into())
-    }
-}
--- /dev/null
+++ b/crates/pistachioyard_standins/src/site/worker/events.rs
@@ -0,0 +1,75 @@
+//! The events of one request's stream.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::body::Bytes;
+
+use super::stages::check_path;
+use super::{Worker, answer_line};
+
+/// The maximum time that a request stalls before it fails.
+const STALL_LIMIT: Duration = Duration::from_millis(2_500);
+/// The interval at which a stalled request checks its path again.
+const STALL_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Produces the events of a stream, each once its path is complete.
+pub(super) struct Events {
+    worker: Arc<Worker>,
+    id: String,
+    next: u64,
+}
+
+impl Drop for Events {
+    fn drop(&mut self) {
+        let mut state = self.worker.state.lock();
+        state.paths.remove(&self.id);
+        state.stalled.remove(&self.id);
+    }
+}
+
+impl Events {
+    /// Creates the events that follow event `last`.
+    pub(super) fn new(worker: Arc<Worker>, id: &str, last: Option<u64>) -> Self {
+        Self {
+            worker,
+            id: id.to_owned(),
+            next: last.map_or(0, |last| last + 1),
+        }
+    }
+
+    /// Returns the next event once every stage of the path holds its layers.
+    pub(super) async fn next(&mut self) -> std::io::Result<Option<Bytes>> {
+        if self.next >= self.worker.args.events {
+            return Ok(None);
+        }
+        tokio::time::sleep(Duration::from_millis(self.worker.args.event_interval_ms)).await;
+        self.wait_for_path().await?;
+        let n = self.next;
+        self.next += 1;
+        Ok(Some(
+            format!("id: {n}\ndata: {}\n\n", answer_line(&self.id, n)).into(),
+        ))
+    }
+
+    async fn wait_for_path(&self) -> std::io::Result<()> {
+        let since = Instant::now();
+        while since.elapsed() < STALL_LIMIT {
+            let path = self.worker.state.lock().paths.get(&self.id).cloned();
+            let checked = check_path(&self.worker, &path.unwrap_or_default()).await;
+            match checked {
+                Ok(()) => {
+                    self.worker.state.lock().stalled.remove(&self.id);
+                    return Ok(());
+                }
+                Err(Some((_, at))) => {
+                    let stalled = &mut self.worker.state.lock().stalled;
+                    stalled.insert(self.id.clone(), at);
+                }
+                Err(None) => break,
+            }
+            tokio::time::sleep(STALL_POLL_INTERVAL).await;
+        }
+        Err(std::io::ErrorKind::ConnectionAborted.into())
+    }
+}
--- a/tests/site/caller.rs
+++ b/tests/site/caller.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::support::{EVENTS, KEY, Site};
+use super::support::{KEY, Site};
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
@@ -50,11 +50,10 @@
         extra: &[(&str, &str)],
     ) -> Result<(u16, Vec<u8>), Failure> {
         let key = format!("Bearer {KEY}");
-        let mut headers = vec![
-            ("x-attempt-id", id),
-            ("x-deadline-ms", "5000"),
-            ("authorization", key.as_str()),
-        ];
+        let mut headers = vec![("x-attempt-id", id), ("authorization", key.as_str())];
+        if !extra.iter().any(|(name, _)| *name == "x-deadline-ms") {
+            headers.push(("x-deadline-ms", "5000"));
+        }
         headers.extend_from_slice(extra);
         let result = self
             .client
@@ -75,13 +74,24 @@
         to: SocketAddr,
         id: &str,
     ) -> Result<(), Failure> {
-        let extra = [("x-token-usage", "100,20")];
+        self.check_stream_with(to, id, &[]).await
+    }
+
+    /// Does the same as [`Site::check_stream_with_id`] with additional headers.
+    pub(crate) async fn check_stream_with(
+        &self,
+        to: SocketAddr,
+        id: &str,
+        extra: &[(&str, &str)],
+    ) -> Result<(), Failure> {
+        let mut headers = vec![("x-token-usage", "100,20")];
+        headers.extend_from_slice(extra);
         let (status, body) = self
-            .send_request(to, Method::POST, "/draft/a", id, &extra)
+            .send_request(to, Method::POST, "/draft/a", id, &headers)
             .await?;
         match status {
             200 => {
-                let expected: String = (0..EVENTS)
+                let expected: String = (0..self.layout.events)
                     .map(|n| format!("id: {n}\ndata: {}\n\n", event_payload(id, n)))
                     .collect();
                 assert_eq!(
--- a/tests/site/deployment.rs
+++ b/tests/site/deployment.rs
@@ -5,7 +5,8 @@
 
 use serde_json::{Value, json};
 
-use super::support::{DATA_CENTRES, ENTRY_PORTS, EVENTS, Entry, KEY, Process};
+use super::process::Process;
+use super::support::{DATA_CENTRES, ENTRY_PORTS, Entry, KEY};
 
 /// Returns the path of the stand-ins' binary.
 pub(crate) fn standins_binary() -> PathBuf {
@@ -14,42 +15,27 @@
     router.with_file_name("pistachioyard_standins")
 }
 
-/// Returns the process of an endpoint, not yet started.
-///
-/// It listens on `address` and registers `advertised`, which leads through the fault proxy.
+/// Returns the process of an endpoint, not yet started and without the arguments of its layout.
 pub(crate) fn endpoint_process(
     standins: &Path,
+    name: String,
     data_centre: &str,
-    index: usize,
-    is_plain: bool,
-    address: SocketAddr,
-    advertised: SocketAddr,
     store: SocketAddr,
 ) -> Process {
-    let service = if is_plain { "records" } else { "model" };
-    let name = format!("{service}-{data_centre}-{index}");
-    let mut args: Vec<String> = [
+    let args = [
         "--exit-with-stdin",
         "site-worker",
         "--id",
         &name,
         "--zone",
         data_centre,
-    ]
-    .map(str::to_owned)
-    .to_vec();
-    args.extend(["--service".to_owned(), service.to_owned()]);
-    args.extend(["--listen".to_owned(), address.to_string()]);
-    args.extend(["--advertise".to_owned(), advertised.to_string()]);
-    args.extend(["--store".to_owned(), store.to_string()]);
-    args.extend(["--events".to_owned(), EVENTS.to_string()]);
-    if !is_plain {
-        args.extend(["--card".to_owned(), "small".to_owned()]);
-    }
+        "--store",
+        &store.to_string(),
+    ];
     Process {
+        args: args.map(str::to_owned).to_vec(),
         name,
         program: standins.to_owned(),
-        args,
         child: None,
     }
 }
--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -155,7 +155,7 @@
 
 /// Resumes a paused process and restarts one that has exited.
 fn restart_if_stopped(
-    process: &mut super::support::Process,
+    process: &mut super::process::Process,
     launcher: &pistachioyard_standins::Launcher,
 ) {
     let is_running = match &mut process.child {
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::Method;
@@ -13,52 +13,20 @@
 use tempfile::TempDir;
 
 use super::deployment::{config, endpoint_process, entry, standins_binary};
+use super::layout::Layout;
+use super::process::Process;
 
 /// The site's data centres.
 pub(crate) const DATA_CENTRES: [&str; 2] = ["east", "west"];
 /// The API key of the site's only workspace.
 pub(crate) const KEY: &str = "key-one";
-/// The number of events of each stream; enough for faults to occur during one.
-pub(crate) const EVENTS: u64 = 20;
 /// How long a process may take to start and serve.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// How long a configuration may take to be in force; `config_ms` in the settings.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
 /// An entry's ports for callers, readiness, the directory, gossip and metrics.
 pub(crate) const ENTRY_PORTS: [u16; 5] = [8_001, 8_002, 8_003, 8_004, 9_464];
 
-/// Holds a process that can be killed and started again.
-pub(crate) struct Process {
-    pub(crate) name: String,
-    pub(crate) program: PathBuf,
-    pub(crate) args: Vec<String>,
-    pub(crate) child: Option<Child>,
-}
-
-impl Process {
-    /// Starts the process; kills the one that runs, if any.
-    pub(crate) fn start(&mut self, launcher: &Launcher) {
-        self.child = None;
-        let child = launcher.spawn(&self.name, &self.program, &self.args);
-        self.child = Some(child.expect("the process starts"));
-    }
-
-    /// Returns the program and its arguments, for tests that start it themselves.
-    pub(crate) fn command(&self) -> (PathBuf, Vec<String>) {
-        (self.program.clone(), self.args.clone())
-    }
-
-    /// Kills the process if it runs.
-    pub(crate) fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            child.kill().expect("the process can be killed");
-        }
-    }
-
-    /// Returns the child process, which must have been started.
-    pub(crate) fn running_child(&mut self) -> &mut Child {
-        self.child.as_mut().expect("the process was started")
-    }
-}
-
 /// Holds an endpoint, which the stand-in `site-worker` plays.
 pub(crate) struct Endpoint {
     pub(crate) process: Process,
@@ -105,13 +73,23 @@
     pub(crate) entries: Vec<Entry>,
     pub(crate) endpoints: Vec<Endpoint>,
     pub(crate) client: HttpClient,
-    version: u64,
-    routes: u64,
+    pub(crate) layout: Layout,
+    version: AtomicU64,
+    routes: AtomicU64,
 }
 
 impl Site {
-    /// Starts a site and waits until its entries serve requests.
+    /// Starts a site of the default layout and waits until its entries serve requests.
     pub(crate) async fn start(entries: usize) -> Self {
+        Self::start_with(Layout {
+            entries,
+            ..Layout::default()
+        })
+        .await
+    }
+
+    /// Starts a site and waits until its entries serve requests.
+    pub(crate) async fn start_with(layout: Layout) -> Self {
         let launcher = Launcher::new().expect("the launcher can be set up");
         let pool = AddressPool::new().expect("addresses are free");
         let next = || pool.next_address().expect("an address is free");
@@ -133,20 +111,24 @@
         ];
         let mut routes = vec![format!("{proxied_store}={store}")];
         let mut endpoints = Vec::new();
-        for data_centre in DATA_CENTRES {
-            for (count, is_plain) in [(3, false), (1, true)] {
+        for data_centre in layout.data_centres {
+            let counts = [(layout.engines, false), (layout.plain_endpoints, true)];
+            for (count, is_plain) in counts {
                 for index in 0..count {
-                    let (address, advertised) = (next(), next());
-                    routes.push(format!("{advertised}={address}"));
-                    let process = endpoint_process(
-                        &standins,
-                        data_centre,
-                        index,
-                        is_plain,
-                        address,
-                        advertised,
-                        store,
-                    );
+                    let address = next();
+                    let advertised = if layout.is_proxied { next() } else { address };
+                    if layout.is_proxied {
+                        routes.push(format!("{advertised}={address}"));
+                    }
+                    let name = layout.endpoint_name(data_centre, index, is_plain);
+                    let mut process = endpoint_process(&standins, name, data_centre, store);
+                    process.args.extend(layout.endpoint_args(is_plain));
+                    process.args.extend([
+                        "--listen".to_owned(),
+                        address.to_string(),
+                        "--advertise".to_owned(),
+                        advertised.to_string(),
+                    ]);
                     endpoints.push(Endpoint {
                         process,
                         address,
@@ -167,7 +149,7 @@
                 .expect("the proxy starts"),
         );
         let files = tempfile::tempdir().expect("a directory can be created");
-        let entries = (0..entries)
+        let entries = (0..layout.entries)
             .map(|index| entry(files.path(), index, next().ip(), proxied_store))
             .collect();
         let mut site = Self {
@@ -184,8 +166,9 @@
                 request_timeout: Duration::from_secs(8),
                 ..HttpClientConfig::default()
             }),
-            version: 0,
-            routes: 0,
+            layout,
+            version: AtomicU64::new(0),
+            routes: AtomicU64::new(0),
         };
         site.await_store().await;
         assert!(
@@ -272,15 +255,21 @@
 
     /// Writes the next version of the configuration, as an operator does, and returns whether
     /// the store accepted it.
-    pub(crate) async fn apply_config(&mut self) -> bool {
-        self.version += 3;
+    pub(crate) async fn apply_config(&self) -> bool {
+        self.apply_config_with(|_| {}).await
+    }
+
+    /// Does the same as [`Site::apply_config`] with a change of that version.
+    pub(crate) async fn apply_config_with(&self, change: impl FnOnce(&mut Value)) -> bool {
+        let version = self.version.fetch_add(3, Ordering::SeqCst) + 3;
         // The client sends the address to which it connects as the host.
         let hosts: Vec<String> = self
             .entries
             .iter()
             .map(|entry| entry.ip.to_string())
             .collect();
-        let spec = config(self.version, self.routes, &hosts);
+        let mut spec = config(version, self.routes.load(Ordering::SeqCst), &hosts);
+        change(&mut spec);
         let body = json!({ "metadata": { "name": "main" }, "spec": spec });
         let created = self
             .call(self.store, Method::POST, "/objects/config", body.clone())
@@ -294,10 +283,29 @@
         created == Some(200)
     }
 
+    /// Applies the next version with a change of it, and waits until it is in force at every
+    /// entry.
+    pub(crate) async fn adopt_config_with(&self, change: impl FnOnce(&mut Value)) {
+        assert!(
+            self.apply_config_with(change).await,
+            "the store accepts the configuration"
+        );
+        let version = self.version.load(Ordering::SeqCst);
+        let expected = format!("router_config_version {version}");
+        for entry in &self.entries {
+            wait_until(CONFIG_TIMEOUT, "the configuration", || async {
+                let metrics = self.fetch_metrics(entry).await;
+                metrics.lines().any(|line| line == expected)
+            })
+            .await
+            .expect("the configuration is in force in time");
+        }
+    }
+
     /// Adds a route and returns its path; none if the store did not accept it.
-    pub(crate) async fn add_route(&mut self) -> Option<String> {
-        self.routes += 1;
-        let path = format!("/extra-{}/", self.routes);
+    pub(crate) async fn add_route(&self) -> Option<String> {
+        let routes = self.routes.fetch_add(1, Ordering::SeqCst) + 1;
+        let path = format!("/extra-{routes}/");
         self.apply_config().await.then_some(path)
     }
 
