Show that streams are cut off: streams go on after their only first endpoint was silent twice

Callers see a closed connection in the middle of a sound stream while the first endpoint is paused twice for 1 s, beside a change of the configuration. No connection breaks and no process ends. Cause as the entry logs it: "the first endpoint does not answer" or "... is unresponsive", the stream drops its connection, and then "request: ended { ended=broken_off status=200 ... detail=the retry budget is exhausted }"; "the connection broke" is never logged.

--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -238,3 +238,15 @@
     };
     check_streams(&site, &first, scenario).await;
 }
+
+/// Streams are cut off in the second of two silences, with the retry budget used up in the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_their_only_first_endpoint_was_silent_twice() {
+    let site = start_site(1, &["east"], 2).await;
+    let first = engines_with_first_layer(&site, true).await;
+    let scenario = Scenario {
+        times: 2,
+        ..MID_STREAM
+    };
+    check_streams(&site, &first, scenario).await;
+}
