Show that streams are cut off: streams go on after their only middle endpoint was deaf

Callers see a closed connection in the middle of a sound stream while the middle endpoint accepts no connection and answers nothing for 1 s, beside a change of the configuration. No connection breaks and no process ends. Cause as the entry logs it: "the first endpoint does not answer" or "... is unresponsive", the stream drops its connection, and then "request: ended { ended=broken_off status=200 ... detail=the retry budget is exhausted }"; "the connection broke" is never logged.

--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -258,3 +258,16 @@
     let middle = engines_with_first_layer(&site, false).await;
     check_streams(&site, &middle, MID_STREAM).await;
 }
+
+/// Streams are cut off when the only endpoint in the middle of their paths accepts no
+/// connections for a while.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_their_only_middle_endpoint_was_deaf() {
+    let site = start_site(1, &["east"], 2).await;
+    let middle = engines_with_first_layer(&site, false).await;
+    let scenario = Scenario {
+        how: Silence::Deaf,
+        ..MID_STREAM
+    };
+    check_streams(&site, &middle, scenario).await;
+}
