Show that streams are cut off: streams go on after the first endpoints of their data centre were deaf

Callers see a closed connection in the middle of a sound stream while the first endpoints of one data centre accept no connection and answer nothing for 1 s; others hold the layers, beside a change of the configuration. No connection breaks and no process ends. Cause as the entry logs it: "the first endpoint does not answer" or "... is unresponsive", the stream drops its connection, and then "request: ended { ended=broken_off status=200 ... detail=the retry budget is exhausted }"; "the connection broke" is never logged.

--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -13,7 +13,7 @@
 
 use super::caller::{Failure, new_request_id};
 use super::layout::Layout;
-use super::support::Site;
+use super::support::{DATA_CENTRES, Site};
 
 /// How long an endpoint falls silent.
 const SILENCE: Duration = Duration::from_secs(1);
@@ -271,3 +271,25 @@
     };
     check_streams(&site, &middle, scenario).await;
 }
+
+/// Streams are cut off when the first endpoints of their data centre are silent, although
+/// there are other paths, for want of retries.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_the_first_endpoints_of_their_data_centre_were_deaf() {
+    let site = start_site(2, &DATA_CENTRES, 3).await;
+    let first = engines_with_first_layer(&site, true).await;
+    let local: Vec<usize> = first
+        .into_iter()
+        .filter(|index| {
+            site.endpoints[*index]
+                .process
+                .name
+                .contains(DATA_CENTRES[0])
+        })
+        .collect();
+    let scenario = Scenario {
+        how: Silence::Deaf,
+        ..MID_STREAM
+    };
+    check_streams(&site, &local, scenario).await;
+}
