Log how a caller's connection broke

The log had a line for each request but none for a connection that ended before a request was read or while its answer was written, so a request that crossed the close of an idle connection could not be told from one that was never sent. The line names the cause, the number of requests and the idle limit of the connection.

--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -1,7 +1,9 @@
 //! The HTTP servers for callers, the directory, readiness, peers and metrics.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
@@ -18,6 +20,7 @@
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
 use crate::router::controller::{STATE_PATH, encode_state};
+use crate::router::log::ms;
 use crate::router::{Router, filter, metric};
 
 /// The maximum number of connections waiting to be accepted; exceeds the number of callers.
@@ -81,8 +84,11 @@
     let limits = router.active_config().map(|active| active.table.limits);
     let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout.max(l.header_timeout));
     let max_head = limits.map_or(MIN_HEAD_BYTES, |l| l.max_header_bytes.max(MIN_HEAD_BYTES));
-    let state = router.clone();
+    let is_caller = matches!(service, Service::Callers);
+    let requests = Arc::new(AtomicU64::new(0));
+    let (state, counted) = (router.clone(), requests.clone());
     let handler = service_fn(move |req| {
+        counted.fetch_add(1, Ordering::Relaxed);
         let router = state.clone();
         let service = service.clone();
         async move { Ok::<_, Infallible>(handle(router, service, req).await) }
@@ -93,12 +99,29 @@
         .max_buf_size(max_head)
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
-    tokio::select! {
-        // The log lines of the requests show how the connection ended.
-        _ = &mut connection => return,
-        () = router.lifecycle.stopped() => connection.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        ended = &mut connection => ended,
+        () = router.lifecycle.stopped() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended
+        && is_caller
+    {
+        spdlog::info!("http: caller's connection broke", kv: {
+            why = error_text(&e).as_str(), is_timeout = e.is_timeout(),
+            requests = requests.load(Ordering::Relaxed), idle_limit_ms = ms(idle)
+        });
+    }
+}
+
+/// Returns an error with its causes as text.
+fn error_text(e: &hyper::Error) -> String {
+    match e.source() {
+        Some(cause) => format!("{e}: {cause}"),
+        None => e.to_string(),
     }
-    let _ = connection.await;
 }
 
 async fn handle(
