Test plain services whose endpoints fall silent

Operations are answered, or refused as not run, while their only endpoint is paused or accepts no connections for 1 s beside a change of the configuration; so are look-ups with one of two endpoints paused, and streams of a plain service with a paused endpoint.

--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -3,6 +3,8 @@
 //! A sound endpoint may fall silent for about a second and then go on. None of its connections
 //! breaks, so whatever runs there goes on as well.
 
+mod plain;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -38,19 +40,21 @@
     Deaf,
 }
 
-/// Returns a site whose endpoints are reached without the proxy, since it accepts connections
-/// for them while they are silent.
-async fn start_site(entries: usize, data_centres: &'static [&'static str], engines: usize) -> Site {
-    let site = Site::start_with(Layout {
-        entries,
-        data_centres,
-        engines,
-        plain_endpoints: 1,
-        is_proxied: false,
-        events: 25,
-        event_interval_ms: 100,
-    })
-    .await;
+/// One path and one endpoint of the plain service, all reached without the proxy, since it
+/// accepts connections for them while they are silent.
+const ONE_PATH: Layout = Layout {
+    entries: 1,
+    data_centres: &["east"],
+    engines: 2,
+    plain_endpoints: 1,
+    is_proxied: false,
+    events: 25,
+    event_interval_ms: 100,
+};
+
+/// Starts a site whose route timeouts allow for silences.
+async fn start_site(layout: Layout) -> Site {
+    let site = Site::start_with(layout).await;
     apply_config(&site).await;
     site
 }
@@ -204,7 +208,7 @@
 /// Streams that fit into the retry budget go on after a silence.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_few_streams_go_on_after_their_only_first_endpoint_was_silent() {
-    let site = start_site(1, &["east"], 2).await;
+    let site = start_site(ONE_PATH).await;
     let first = engines_with_first_layer(&site, true).await;
     let paused = Scenario {
         streams: FEW_STREAMS,
@@ -222,7 +226,7 @@
 /// Streams are cut off when the only first endpoint is paused.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_after_their_only_first_endpoint_was_paused() {
-    let site = start_site(1, &["east"], 2).await;
+    let site = start_site(ONE_PATH).await;
     let first = engines_with_first_layer(&site, true).await;
     check_streams(&site, &first, MID_STREAM).await;
 }
@@ -230,7 +234,7 @@
 /// Streams are cut off when the only first endpoint accepts no connections for a while.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_after_their_only_first_endpoint_was_deaf() {
-    let site = start_site(1, &["east"], 2).await;
+    let site = start_site(ONE_PATH).await;
     let first = engines_with_first_layer(&site, true).await;
     let scenario = Scenario {
         how: Silence::Deaf,
@@ -242,7 +246,7 @@
 /// Streams are cut off in the second of two silences, with the retry budget used up in the first.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_after_their_only_first_endpoint_was_silent_twice() {
-    let site = start_site(1, &["east"], 2).await;
+    let site = start_site(ONE_PATH).await;
     let first = engines_with_first_layer(&site, true).await;
     let scenario = Scenario {
         times: 2,
@@ -254,7 +258,7 @@
 /// Streams are cut off when the only endpoint in the middle of their paths is paused.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_after_their_only_middle_endpoint_was_paused() {
-    let site = start_site(1, &["east"], 2).await;
+    let site = start_site(ONE_PATH).await;
     let middle = engines_with_first_layer(&site, false).await;
     check_streams(&site, &middle, MID_STREAM).await;
 }
@@ -263,7 +267,7 @@
 /// connections for a while.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_after_their_only_middle_endpoint_was_deaf() {
-    let site = start_site(1, &["east"], 2).await;
+    let site = start_site(ONE_PATH).await;
     let middle = engines_with_first_layer(&site, false).await;
     let scenario = Scenario {
         how: Silence::Deaf,
@@ -276,7 +280,13 @@
 /// there are other paths, for want of retries.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_after_the_first_endpoints_of_their_data_centre_were_deaf() {
-    let site = start_site(2, &DATA_CENTRES, 3).await;
+    let layout = Layout {
+        entries: 2,
+        data_centres: &DATA_CENTRES,
+        engines: 3,
+        ..ONE_PATH
+    };
+    let site = start_site(layout).await;
     let first = engines_with_first_layer(&site, true).await;
     let local: Vec<usize> = first
         .into_iter()
@@ -297,7 +307,7 @@
 /// Streams without an event yet are cut off when the only first endpoint is paused.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_without_events_go_on_after_their_only_first_endpoint_was_paused() {
-    let site = start_site(1, &["east"], 2).await;
+    let site = start_site(ONE_PATH).await;
     let first = engines_with_first_layer(&site, true).await;
     let scenario = Scenario {
         begins: Begins::BeforeFirstEvents,
