Show a failure: look ups are answered after their only endpoint was deaf

Callers see a 502 for look-ups that run while their only endpoint accepts no connections for 1 s, although it goes on afterwards. Cause: an attempt on an open connection is dropped after 1.5 times the latency target for another endpoint, and there is none. No connection breaks and no process ends; the 502 comes while the deadline of 5 s and the route timeout of 20 s leave time.

--- a/tests/site/lost/plain.rs
+++ b/tests/site/lost/plain.rs
@@ -81,6 +81,13 @@
     check_requests(&site, "/lookup/a", &[silent], Silence::Paused).await;
 }
 
+/// Look-ups fail early while their only endpoint accepts no connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn look_ups_are_answered_after_their_only_endpoint_was_deaf() {
+    let (site, silent) = start_plain_site(1).await;
+    check_requests(&site, "/lookup/a", &[silent], Silence::Deaf).await;
+}
+
 /// Look-ups fail early while one of two endpoints is paused and the retries are used up.
 #[tokio::test(flavor = "multi_thread")]
 async fn look_ups_are_answered_after_one_of_two_endpoints_was_paused() {
