Show a failure: streams of a plain service are answered after their only endpoint was deaf

Callers see a 502 for streams of a plain service whose only endpoint accepts no connections for 1 s, although it goes on afterwards. Cause: the check of a pause takes the endpoint for dead, the attempt is dropped, and there is no other endpoint. No connection breaks and no process ends; the 502 comes while the deadline of 5 s and the route timeout of 20 s leave time.

--- a/tests/site/lost/plain.rs
+++ b/tests/site/lost/plain.rs
@@ -101,3 +101,10 @@
     let (site, silent) = start_plain_site(1).await;
     check_requests(&site, "/feed/a", &[silent], Silence::Paused).await;
 }
+
+/// Streams of a plain service fail early while their only endpoint accepts no connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_plain_service_are_answered_after_their_only_endpoint_was_deaf() {
+    let (site, silent) = start_plain_site(1).await;
+    check_requests(&site, "/feed/a", &[silent], Silence::Deaf).await;
+}
