--- /dev/null
+++ b/tests/site/lost/kept.rs
@@ -0,0 +1,113 @@
+//! Connections that callers keep while the idle limit changes.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use serde_json::json;
+
+use super::{ONE_PATH, start_site};
+use crate::caller::new_request_id;
+use crate::raw::{Exchange, RawConnection};
+use crate::support::Site;
+
+/// The shorter idle limit.
+const SHORT_LIMIT: Duration = Duration::from_secs(1);
+/// The longer idle limit.
+const LONG_LIMIT: Duration = Duration::from_secs(4);
+/// The share of the idle limit within which callers use a connection again.
+const REUSE_SHARE: f64 = 0.8;
+/// The number of connections of each kind.
+const CONNECTIONS: usize = 20;
+/// The number of requests that cross the close of their connections.
+const CROSSING_REQUESTS: u32 = 300;
+/// The span around the idle limit in which those requests are sent.
+const CROSSING_SPAN: Duration = Duration::from_millis(60);
+
+/// Applies a version with this limit for idle connections and slow heads.
+async fn set_idle_limit(site: &Site, limit: Duration) {
+    let ms = limit.as_millis() as u64;
+    site.adopt_config_with(|spec| {
+        spec["limits"]["idle_timeout_ms"] = json!(ms);
+        spec["limits"]["header_timeout_ms"] = json!(ms);
+    })
+    .await;
+}
+
+async fn open_used_connections(site: &Site) -> Vec<RawConnection> {
+    let to = site.entries[0].caller_address();
+    join_all((0..CONNECTIONS).map(|_| async {
+        let mut connection = RawConnection::open(to).await;
+        let answered = request(&mut connection, &new_request_id()).await;
+        assert!(
+            matches!(answered, Exchange::Complete(200, _)),
+            "{answered:?}"
+        );
+        connection
+    }))
+    .await
+}
+
+async fn request(connection: &mut RawConnection, id: &str) -> Exchange {
+    if !connection.write("/record/a", id, &[]).await {
+        return Exchange::Cut("the connection was closed before the request".to_owned());
+    }
+    connection.read().await
+}
+
+/// Sends a request on each connection and checks that all of them are answered.
+async fn check_all_answered(connections: Vec<RawConnection>) {
+    let answers =
+        join_all(connections.into_iter().map(|mut connection| async move {
+            request(&mut connection, &new_request_id()).await
+        }))
+        .await;
+    let cut: Vec<&Exchange> = answers
+        .iter()
+        .filter(|answer| !matches!(answer, Exchange::Complete(200, _)))
+        .collect();
+    assert!(
+        cut.is_empty(),
+        "{} of {CONNECTIONS} requests on kept connections had no answer; first: {:?}",
+        cut.len(),
+        cut[0],
+    );
+}
+
+/// A connection from before a shorter idle limit is closed too early.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_from_before_a_shorter_idle_limit_is_served_within_the_new_limit() {
+    let site = start_site(ONE_PATH).await;
+    set_idle_limit(&site, LONG_LIMIT).await;
+    let connections = open_used_connections(&site).await;
+    set_idle_limit(&site, SHORT_LIMIT).await;
+    tokio::time::sleep(SHORT_LIMIT.mul_f64(REUSE_SHARE)).await;
+    check_all_answered(connections).await;
+}
+
+/// A request that crosses the close of its idle connection is passed on and not answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crosses_an_idle_close_is_answered_or_not_passed_on() {
+    let site = start_site(ONE_PATH).await;
+    set_idle_limit(&site, SHORT_LIMIT).await;
+    let to = site.entries[0].caller_address();
+    let earliest = SHORT_LIMIT - CROSSING_SPAN / 2;
+    let exchanges = join_all((0..CROSSING_REQUESTS).map(|n| async move {
+        let mut connection = RawConnection::open(to).await;
+        let first = request(&mut connection, &new_request_id()).await;
+        assert!(matches!(first, Exchange::Complete(200, _)), "{first:?}");
+        tokio::time::sleep(earliest + CROSSING_SPAN * n / CROSSING_REQUESTS).await;
+        let id = new_request_id();
+        let exchange = request(&mut connection, &id).await;
+        (id, exchange)
+    }))
+    .await;
+    let runs = site.count_runs().await;
+    let is_cut = |exchange: &Exchange| matches!(exchange, Exchange::Cut(_));
+    let cut = exchanges.iter().filter(|(_, exchange)| is_cut(exchange));
+    println!(
+        "kept: {} of {CROSSING_REQUESTS} crossed a close",
+        cut.clone().count()
+    );
+    let lost: Vec<_> = cut.filter(|(id, _)| runs.contains_key(id)).collect();
+    assert!(lost.is_empty(), "ran and had no answer: {lost:?}");
+}
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -11,5 +11,6 @@
 mod logs;
 mod lost;
 mod process;
+mod raw;
 mod soak;
 mod support;
