Show a failure: a connection from before a longer idle limit is served within the new limit

Callers find their connections closed after the older limit although the version in force allows a longer idle time. Cause: a connection keeps the limits that were in force when it was opened. The requests were not read, so nothing that was accepted was lost.

--- a/tests/site/lost/kept.rs
+++ b/tests/site/lost/kept.rs
@@ -73,6 +73,17 @@
     );
 }
 
+/// A connection from before a longer idle limit is closed by the older limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_from_before_a_longer_idle_limit_is_served_within_the_new_limit() {
+    let site = start_site(ONE_PATH).await;
+    set_idle_limit(&site, SHORT_LIMIT).await;
+    let connections = open_used_connections(&site).await;
+    set_idle_limit(&site, LONG_LIMIT).await;
+    tokio::time::sleep(LONG_LIMIT.mul_f64(REUSE_SHARE)).await;
+    check_all_answered(connections).await;
+}
+
 /// A connection from before a shorter idle limit is closed too early.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_from_before_a_shorter_idle_limit_is_served_within_the_new_limit() {
