Let a silent plain endpoint keep a request while another one is tried

What callers saw: a look-up was answered with 502 after a quarter of a second although its endpoint was sound and the deadline far away.

Cause: an attempt that was silent for 1.5 times the latency target was dropped before it was known whether another endpoint, or a retry of the budget, was to be had. Without either the caller was told at once that no answer came.

Change: the silent attempt goes on beside the next one, and the first good answer is returned. Without another endpoint or a retry it is waited for until the deadline. One attempt and its result move to a module of their own.

--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -1,21 +1,24 @@
 //! Sends requests to the endpoints of plain services, those without a pipeline.
 
+mod attempt;
+
+use attempt::{AttemptResult, attempt};
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use pistachioyard_platform::{
-    AnswerHead, OutboundRequest, decode_answer_head, encode_answer_headers, encode_request_headers,
+    AnswerHead, OutboundRequest, encode_answer_headers, encode_request_headers,
 };
 use pistachioyard_policy::{EndpointRecord, Repeatability, SuspectReason, choose_plain_endpoint};
 use pistachioyard_wire::ServiceName;
 
 use super::record::Record;
 use super::{Call, deadline_passed, no_capacity, result_lost};
-use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::answer::{self, AnswerBody};
-use crate::router::endpoint_client::Reuse;
 
 /// The retry delay for a caller whose request no endpoint could take, in ms; about the time
 /// that a few requests take.
@@ -23,35 +26,21 @@
 /// The number of refusals by endpoints after which the caller is refused.
 const MAX_REFUSALS: u32 = 4;
 /// The multiple of the route's latency target after which a request that may be repeated is
-/// sent to another endpoint.
-const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.5;
+/// also sent to another endpoint.
+const SILENCE_LIMIT_FACTOR: f64 = 1.5;
 /// How often a waiting request looks for a usable endpoint.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Says how one attempt ended.
-enum AttemptResult {
-    /// An answer arrived that may be passed on.
-    Answered(AnswerHead, HeaderMap, Bytes),
-    /// The endpoint refused the request without running it.
-    NotRun { is_full: bool },
-    /// No connection was made, so nothing was sent.
-    NotReached,
-    /// The request may have run, but its answer was lost.
-    Lost(String),
-    /// No answer arrived in the time given.
-    TimedOut,
-}
-
 /// Says what to do after an attempt.
 enum NextStep {
     /// Return this answer to the caller.
     Answer(Response<AnswerBody>),
-    /// Return this problem to the caller.
+    /// Return this problem to the caller, unless another attempt is still running.
     Refuse(Problem),
     /// Try another endpoint, for this reason.
     TryAnother(&'static str),
-    /// Tell the caller that the deadline has passed.
-    OutOfTime,
+    /// Wait for the attempts that are still running.
+    Wait,
 }
 
 /// Sends a request and returns its complete answer.
@@ -66,7 +55,7 @@
         call,
         may_repeat: call.route.repeatability != Repeatability::AtMostOnce,
         tried: Vec::new(),
-        runs: 0,
+        started: 0,
         refusals: 0,
         failed_answer: None,
     };
@@ -88,8 +77,8 @@
     call: &'a Call,
     may_repeat: bool,
     tried: Vec<EndpointId>,
-    /// The number of attempts that may have run.
-    runs: u32,
+    /// The number of attempts that are running or may have run.
+    started: u32,
     /// The number of attempts that endpoints refused without running them.
     refusals: u32,
     /// An endpoint's error response, which is passed on if no later attempt succeeds.
@@ -98,27 +87,63 @@
 
 impl Attempts<'_> {
     /// Sends the request to one endpoint after another until one answers.
+    ///
+    /// An endpoint that is silent keeps the request while another one is tried, since it may
+    /// still answer.
     async fn run(
         &mut self,
         service: &ServiceName,
         record: &mut Record,
     ) -> Result<Response<AnswerBody>, Problem> {
-        let mut why = "first";
-        while self.call.time_left().is_some() {
-            let chosen = choose_endpoint(self.router, self.call, service, &self.tried).await;
-            let target = chosen.ok_or_else(|| no_endpoint_left(self.runs))?;
-            let (load, age) = load_and_age(self.router, &target);
-            record.log_send(&target.endpoint, load, age, why);
-            let attempt = attempt(self.router, self.call, &target, self.attempt_timeout()).await;
-            self.tried.push(target.endpoint.clone());
-            match self.handle_result(&target.endpoint, attempt, record) {
-                NextStep::Answer(response) => return Ok(response),
-                NextStep::Refuse(problem) => return Err(problem),
-                NextStep::TryAnother(reason) => why = reason,
-                NextStep::OutOfTime => break,
+        let (router, call) = (self.router, self.call);
+        let mut running = FuturesUnordered::new();
+        let mut next = Some("first");
+        let mut silent_at = None;
+        while let Some(time_left) = call.time_left() {
+            if let Some(why) = next.take() {
+                let chosen = match running.is_empty() {
+                    true => choose_endpoint(router, call, service, &self.tried).await,
+                    false => find_endpoint(router, service, &self.tried, Instant::now()),
+                };
+                match chosen {
+                    Some(target) => {
+                        let (load, age) = load_and_age(router, &target);
+                        record.log_send(&target.endpoint, load, age, why);
+                        self.tried.push(target.endpoint.clone());
+                        self.started += 1;
+                        silent_at = self.silence_limit().map(|limit| Instant::now() + limit);
+                        running.push(async move {
+                            let attempt = attempt(router, call, &target).await;
+                            (target.endpoint, attempt)
+                        });
+                    }
+                    None if running.is_empty() => return Err(no_endpoint_left(self.started)),
+                    None => {}
+                }
+                continue;
+            }
+            let until_silent =
+                silent_at.map(|at: Instant| at.saturating_duration_since(Instant::now()));
+            let wait = until_silent.map_or(time_left, |until| until.min(time_left));
+            match tokio::time::timeout(wait, running.next()).await {
+                Ok(Some((endpoint, attempt))) => {
+                    match self.handle_result(&endpoint, attempt, running.is_empty(), record) {
+                        NextStep::Answer(response) => return Ok(response),
+                        NextStep::Refuse(problem) if running.is_empty() => return Err(problem),
+                        NextStep::TryAnother(reason) => next = Some(reason),
+                        NextStep::Refuse(_) | NextStep::Wait => {}
+                    }
+                }
+                Ok(None) => return Err(no_endpoint_left(self.started)),
+                Err(_) => {
+                    silent_at = None;
+                    if self.may_start_another() && router.try_retry() {
+                        next = Some("silent");
+                    }
+                }
             }
         }
-        if self.runs == 0 {
+        if self.started == 0 {
             let detail = "the deadline passed before an endpoint was free";
             return Err(no_capacity(detail, RETRY_AFTER_MS));
         }
@@ -126,64 +151,70 @@
         Err(deadline_passed(detail))
     }
 
-    fn is_last_attempt(&self) -> bool {
-        self.runs + 1 >= self.call.route.max_attempts
+    /// Returns whether another attempt may be started while the earlier ones may have run.
+    fn may_start_another(&self) -> bool {
+        self.may_repeat && self.started < self.call.route.max_attempts
     }
 
-    /// Returns how long to wait for an answer before another endpoint is tried; `None` if no
-    /// other may be.
-    fn attempt_timeout(&self) -> Option<Duration> {
+    /// Returns how long to wait for an answer before another endpoint is tried as well; `None`
+    /// if no other may be.
+    fn silence_limit(&self) -> Option<Duration> {
         let target = self.call.route.latency_target;
-        (self.may_repeat && !self.is_last_attempt()).then(|| target.mul_f64(ATTEMPT_TIMEOUT_FACTOR))
+        self.may_start_another()
+            .then(|| target.mul_f64(SILENCE_LIMIT_FACTOR))
     }
 
     fn handle_result(
         &mut self,
         endpoint: &EndpointId,
         attempt: AttemptResult,
+        is_only: bool,
         record: &mut Record,
     ) -> NextStep {
         match attempt {
             AttemptResult::Answered(head, headers, body) => {
-                self.handle_answer(endpoint, &head, &headers, body, record)
+                self.handle_answer(endpoint, &head, &headers, body, is_only, record)
             }
             AttemptResult::NotRun { is_full } => {
                 record.log_attempt_failed(endpoint, "not run");
                 note_not_run(self.router, endpoint, is_full);
+                self.started -= 1;
                 self.refusals += 1;
                 if self.refusals >= MAX_REFUSALS || !self.router.try_retry() {
-                    let detail = "the service has no free capacity; retry later";
-                    return NextStep::Refuse(no_capacity(detail, RETRY_AFTER_MS));
+                    return NextStep::Refuse(self.refused());
                 }
                 NextStep::TryAnother("not_run")
             }
             AttemptResult::NotReached => {
                 record.log_attempt_failed(endpoint, "no connection");
                 self.router.suspect(endpoint, SuspectReason::NoAnswer);
+                self.started -= 1;
                 NextStep::TryAnother("not_reached")
             }
             AttemptResult::Lost(detail) => {
                 record.log_attempt_failed(endpoint, &detail);
                 self.check_for_crash(endpoint);
-                let is_final = !self.may_repeat || self.is_last_attempt();
-                self.runs += 1;
-                if is_final || !self.router.try_retry() {
+                if !self.may_start_another() || !self.router.try_retry() {
                     return NextStep::Refuse(result_lost(detail));
                 }
                 NextStep::TryAnother("lost")
             }
             AttemptResult::TimedOut => {
                 record.log_attempt_failed(endpoint, "no answer in time");
-                let is_final = self.is_last_attempt() || self.call.time_left().is_none();
-                self.runs += 1;
-                if is_final || !self.router.try_retry() {
-                    return NextStep::OutOfTime;
-                }
-                NextStep::TryAnother("silent")
+                NextStep::Wait
             }
         }
     }
 
+    /// Creates the problem for a request that the endpoints refused.
+    fn refused(&self) -> Problem {
+        if self.started > 0 {
+            return result_lost("an attempt's answer was lost; later ones were refused");
+        }
+        let detail = "the service has no free capacity; retry later";
+        no_capacity(detail, RETRY_AFTER_MS)
+    }
+
     /// Probes an endpoint whose answer was lost, and records a crash if it is unreachable.
     ///
     /// A lost answer alone is no crash. It must not count as one, since requests with the same
@@ -206,6 +237,7 @@
         head: &AnswerHead,
         headers: &HeaderMap,
         body: Bytes,
+        is_only: bool,
         record: &mut Record,
     ) -> NextStep {
         self.router
@@ -213,21 +245,24 @@
             .lock()
             .record_completion(self.call.digest);
         let response = caller_response(head.status, headers, body);
-        let is_retryable =
-            head.status.is_server_error() && self.may_repeat && !self.is_last_attempt();
-        if !is_retryable || !self.router.try_retry() {
+        let is_failure = head.status.is_server_error();
+        if is_failure && !is_only {
+            record.log_attempt_failed(endpoint, "answered with a server error");
+            self.failed_answer = Some(response);
+            return NextStep::Wait;
+        }
+        if !is_failure || !self.may_start_another() || !self.router.try_retry() {
             record.end_answered(head.status.as_u16());
             return NextStep::Answer(response);
         }
         record.log_attempt_failed(endpoint, "answered with a server error");
         self.failed_answer = Some(response);
-        self.runs += 1;
         NextStep::TryAnother("failure")
     }
 }
 
-fn no_endpoint_left(runs: u32) -> Problem {
-    if runs == 0 {
+fn no_endpoint_left(started: u32) -> Problem {
+    if started == 0 {
         no_capacity(
             "the service has no usable endpoint; retry later",
             RETRY_AFTER_MS,
@@ -265,15 +300,7 @@
     let give_up_at = (call.arrived_at + call.route.latency_target).min(call.deadline);
     loop {
         let now = Instant::now();
-        let chosen = {
-            let endpoints = router.endpoints.lock();
-            let mut usable = endpoints.usable(service, now);
-            usable.retain(|record| !tried.contains(&record.endpoint));
-            let latency = router.plain_latency.lock();
-            let load = router.load.lock();
-            let home = &router.settings.data_centre;
-            choose_plain_endpoint(&usable, &latency, &load, home, now, &mut rand::rng()).cloned()
-        };
+        let chosen = find_endpoint(router, service, tried, now);
         if chosen.is_some() || now >= give_up_at {
             return chosen;
         }
@@ -281,92 +308,20 @@
     }
 }
 
-/// Counts a request as load of an endpoint until it is dropped, then records its latency.
-struct LoadGuard<'a> {
-    router: &'a Router,
-    endpoint: &'a EndpointId,
-    since: Instant,
-}
-
-impl Drop for LoadGuard<'_> {
-    fn drop(&mut self) {
-        self.router.load.lock().end_plain(self.endpoint);
-        let now = Instant::now();
-        let took = now.saturating_duration_since(self.since);
-        self.router
-            .plain_latency
-            .lock()
-            .record(self.endpoint, took, now);
-    }
-}
-
-async fn attempt(
+/// Chooses an endpoint that was not tried yet, without waiting.
+fn find_endpoint(
     router: &Router,
-    call: &Call,
-    target: &EndpointRecord,
-    attempt_timeout: Option<Duration>,
-) -> AttemptResult {
-    let Some(time_left) = call.time_left() else {
-        return AttemptResult::TimedOut;
-    };
-    router.load.lock().begin_plain(&target.endpoint);
-    let _load_guard = LoadGuard {
-        router,
-        endpoint: &target.endpoint,
-        since: Instant::now(),
-    };
-    let attempt_timeout =
-        attempt_timeout.map_or(time_left, |attempt_timeout| attempt_timeout.min(time_left));
-    match tokio::time::timeout(attempt_timeout, exchange(router, call, target, time_left)).await {
-        Ok(attempt) => attempt,
-        Err(_) => AttemptResult::TimedOut,
-    }
-}
-
-async fn exchange(
-    router: &Router,
-    call: &Call,
-    target: &EndpointRecord,
-    time_left: Duration,
-) -> AttemptResult {
-    let send = OutboundRequest {
-        endpoint: &target.endpoint,
-        workspace: call.workspace.as_ref().map(|w| &w.name),
-        time_left,
-        path: &[],
-        last_event_id: None,
-        urgency: Some(call.urgency()),
-    };
-    let reuse = match call.route.repeatability {
-        Repeatability::AtMostOnce => Reuse::Never,
-        Repeatability::Idempotent | Repeatability::Resumable => Reuse::Allowed,
-    };
-    let req = endpoint_request(call, &send);
-    let (response, connection) = match router.client.send(target.address, req, reuse).await {
-        Ok(answer) => answer,
-        Err(CallError::NotSent { .. }) => return AttemptResult::NotReached,
-        Err(e) => return AttemptResult::Lost(e.to_string()),
-    };
-    let (parts, body) = response.into_parts();
-    let head = decode_answer_head(parts.status, &parts.headers);
-    if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
-        return AttemptResult::Lost("the answer belongs to another request".to_owned());
-    }
-    let Ok(body) = body.collect().await else {
-        return AttemptResult::Lost("the connection broke inside the answer".to_owned());
-    };
-    if !head.closes {
-        router.client.keep(connection, head.idle_limit);
-    }
-    if head.is_not_run {
-        return AttemptResult::NotRun {
-            is_full: !head.is_other_endpoint,
-        };
-    }
-    if head.status.is_success() && !head.is_signed {
-        return AttemptResult::Lost("the answer lacks the endpoint's signature".to_owned());
-    }
-    AttemptResult::Answered(head, parts.headers, body.to_bytes())
+    service: &ServiceName,
+    tried: &[EndpointId],
+    now: Instant,
+) -> Option<EndpointRecord> {
+    let endpoints = router.endpoints.lock();
+    let mut usable = endpoints.usable(service, now);
+    usable.retain(|record| !tried.contains(&record.endpoint));
+    let latency = router.plain_latency.lock();
+    let load = router.load.lock();
+    let home = &router.settings.data_centre;
+    choose_plain_endpoint(&usable, &latency, &load, home, now, &mut rand::rng()).cloned()
 }
 
 /// Builds the request to an endpoint.
