Place the layers of a silent endpoint anew only after 1.5 s

What callers saw: streams through an endpoint that was silent for a second were cut off although it went on, since another stage of their path had been given other layers meanwhile.

Cause: two failed probes, half a second, made the placement controller count an endpoint as lost. It ordered a replica to load the layers of the silent one; the replica gave up its own, which running streams needed.

Change: a probe tells a refused connection, which shows that no process is left, from silence. An endpoint that refuses connections is lost after two probes as before, a silent one after 1.5 s, since a sound one may be silent for a second.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -16,8 +16,8 @@
 
 use crate::pipeline::{CardState, LoadTracker, PipelineSpec, StageOffer};
 pub use record::{EndpointChange, EndpointRecord, EndpointReport, GossipReport};
-pub use tracked::SuspectReason;
 use tracked::{PROBE_INTERVAL, TrackedEndpoint};
+pub use tracked::{ProbeResult, SuspectReason};
 
 /// The slowdown above which an endpoint is asked for a new report.
 const RECHECK_SLOWDOWN: f64 = 1.5;
@@ -181,11 +181,13 @@
     }
 
     /// Records the result of probing a suspect endpoint.
-    pub fn note_probe(&mut self, endpoint: &EndpointId, answered: bool, now: Instant) {
+    pub fn note_probe(&mut self, endpoint: &EndpointId, result: ProbeResult, now: Instant) {
+        let answered = result == ProbeResult::Answered;
         let tracked = self.by_id.get_mut(endpoint);
         if let Some(suspect) = tracked.and_then(|tracked| tracked.suspect.as_mut()) {
             suspect.has_answered = answered;
             suspect.failed_probes += u32::from(!answered);
+            suspect.is_refused = result == ProbeResult::Refused;
             suspect.next_probe_at = now + PROBE_INTERVAL;
         }
     }
@@ -344,7 +346,7 @@
                 || tracked.is_unavailable
                 || tracked.seems_leaving(now)
                 || record.state.slowdown > REPLACE_SLOWDOWN
-                || tracked.is_lost();
+                || tracked.is_lost(now);
             let card = *spec.cards.get(record.state.card.as_ref()?)?;
             let pending_order = tracked.pending_order.filter(|(_, until)| now < *until);
             (!is_lost).then(|| CardState {
--- a/crates/pistachioyard_policy/src/endpoint_registry/tracked.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/tracked.rs
@@ -26,6 +26,9 @@
 const REFUSALS_UNTIL_LEAVING: u32 = 3;
 /// The failed probes after which the layers of a suspect endpoint are treated as lost.
 const FAILED_PROBES_UNTIL_LOST: u32 = 2;
+/// How long a suspect endpoint that refuses no connections must be silent before its layers are
+/// treated as lost; a sound endpoint may be silent for about a second.
+const SILENCE_UNTIL_LOST: Duration = Duration::from_millis(1_500);
 
 #[derive(Clone, Debug)]
 pub(super) struct TrackedEndpoint {
@@ -53,9 +56,22 @@
     pub(super) next_probe_at: Instant,
     pub(super) failures: u32,
     pub(super) failed_probes: u32,
+    /// Whether the last probe was refused, so that no process listens there.
+    pub(super) is_refused: bool,
     pub(super) has_answered: bool,
 }
 
+/// Says how a probe of a suspect endpoint ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbeResult {
+    /// It answered.
+    Answered,
+    /// It refused the connection, so no process listens there.
+    Refused,
+    /// No answer arrived in time.
+    Silent,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Refusals {
     pub(super) last_at: Instant,
@@ -139,6 +155,7 @@
                 next_probe_at: now,
                 failures,
                 failed_probes: 0,
+                is_refused: false,
                 has_answered: false,
             });
         }
@@ -176,9 +193,13 @@
             .is_some_and(|suspect| now < suspect.ejected_until || !suspect.has_answered)
     }
 
-    pub(super) fn is_lost(&self) -> bool {
-        self.suspect
-            .is_some_and(|s| !s.has_answered && s.failed_probes >= FAILED_PROBES_UNTIL_LOST)
+    pub(super) fn is_lost(&self, now: Instant) -> bool {
+        self.suspect.is_some_and(|suspect| {
+            let silence = now.saturating_duration_since(suspect.since);
+            !suspect.has_answered
+                && suspect.failed_probes >= FAILED_PROBES_UNTIL_LOST
+                && (suspect.is_refused || silence >= SILENCE_UNTIL_LOST)
+        })
     }
 
     pub(super) fn is_usable(&self, now: Instant) -> bool {
--- a/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use pistachioyard_policy::{
-    EndpointChange, EndpointRegistry, EndpointReport, GossipReport, SuspectReason,
+    EndpointChange, EndpointRegistry, EndpointReport, GossipReport, ProbeResult, SuspectReason,
 };
 
 use super::fixture::{id, range, record, spec};
@@ -23,14 +23,35 @@
     assert!(registry.mark_suspect(&id("one"), SuspectReason::NoAnswer, now));
     assert!(!registry.is_usable(&id("one"), now));
     assert_eq!(registry.due_probes(now).len(), 1);
-    registry.note_probe(&id("one"), false, now);
+    registry.note_probe(&id("one"), ProbeResult::Silent, now);
     assert!(registry.due_probes(now).is_empty(), "probes are spaced out");
     let later = now + 300 * MS;
     assert_eq!(registry.due_probes(later).len(), 1);
-    registry.note_probe(&id("one"), true, later);
+    registry.note_probe(&id("one"), ProbeResult::Answered, later);
     assert!(registry.is_usable(&id("one"), later));
 }
 
+/// Guards against placing the layers of an endpoint anew that is merely silent for a second.
+#[test]
+fn layers_of_a_silent_endpoint_are_kept_for_a_second() {
+    let now = Instant::now();
+    let is_lost = |result: ProbeResult, silence: Duration| {
+        let mut registry = registry(now);
+        registry.mark_suspect(&id("one"), SuspectReason::NoAnswer, now);
+        for _ in 0..2 {
+            registry.note_probe(&id("one"), result, now + silence);
+        }
+        let cards = registry.cards(&"model".try_into().expect("a name"), &spec(), now + silence);
+        cards.is_empty()
+    };
+    assert!(!is_lost(ProbeResult::Silent, 1_200 * MS));
+    assert!(is_lost(ProbeResult::Silent, 1_600 * MS));
+    assert!(
+        is_lost(ProbeResult::Refused, 500 * MS),
+        "no process is left"
+    );
+}
+
 /// Guards against a cut link between endpoints: the endpoint answers the router's probes, but
 /// other endpoints cannot reach it.
 #[test]
@@ -40,7 +61,7 @@
     let mut ejections = Vec::new();
     for _ in 0..3 {
         registry.mark_suspect(&id("one"), SuspectReason::RequestsStall, now);
-        registry.note_probe(&id("one"), true, now);
+        registry.note_probe(&id("one"), ProbeResult::Answered, now);
         let began_at = now;
         while !registry.is_usable(&id("one"), now) {
             now += 50 * MS;
--- a/src/error.rs
+++ b/src/error.rs
@@ -12,6 +12,12 @@
         /// The address that was called.
         to: std::net::SocketAddr,
     },
+    /// The connection was refused, so no process listens there; no byte of the call was sent.
+    #[error("{to} refused the connection")]
+    Refused {
+        /// The address that was called.
+        to: std::net::SocketAddr,
+    },
     /// The call may have been received; the response was lost.
     #[error("the response of {to} was lost")]
     AnswerLost {
--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -110,7 +110,9 @@
             drop(endpoints);
             tokio::spawn(track_load(router.clone(), order.endpoint.clone(), load));
         }
-        Err(CallError::NotSent { .. }) => router.suspect(&order.endpoint, SuspectReason::NoAnswer),
+        Err(CallError::NotSent { .. } | CallError::Refused { .. }) => {
+            router.suspect(&order.endpoint, SuspectReason::NoAnswer);
+        }
         // The endpoint may still execute the order, so the next round plans with its new state.
         Ok(_) | Err(_) => {
             let report = crate::router::filter::fetch_report(&router.client, record.address).await;
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -1,8 +1,9 @@
 //! Probes ejected endpoints until they answer.
 
 use futures_util::future::join_all;
-use pistachioyard_policy::EndpointRecord;
+use pistachioyard_policy::{EndpointRecord, ProbeResult};
 
+use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::{Router, filter};
 
@@ -42,20 +43,23 @@
 
 async fn probe(router: &Router, record: &EndpointRecord) {
     let asked = filter::fetch_report(&router.client, record.address);
-    let report = match tokio::time::timeout(PROBE_TIMEOUT, asked).await {
-        Ok(Ok(report)) => Some(report),
-        Ok(Err(_)) | Err(_) => None,
+    let (report, result) = match tokio::time::timeout(PROBE_TIMEOUT, asked).await {
+        Ok(Ok(report)) => (Some(report), ProbeResult::Answered),
+        Ok(Err(CallError::Refused { .. })) => (None, ProbeResult::Refused),
+        Ok(Err(_)) | Err(_) => (None, ProbeResult::Silent),
     };
     let now = Instant::now();
-    let answered = report.is_some();
+    let answered = result == ProbeResult::Answered;
     {
         let mut endpoints = router.endpoints.lock();
         if let Some(report) = report {
             endpoints.apply_report(&record.endpoint, report, now);
         }
-        endpoints.note_probe(&record.endpoint, answered, now);
+        endpoints.note_probe(&record.endpoint, result, now);
     }
-    spdlog::info!("endpoints: probed", kv: { endpoint = record.endpoint.as_str(), answered });
+    spdlog::info!("endpoints: probed", kv: {
+        endpoint = record.endpoint.as_str(), answered, result:?
+    });
     if answered {
         router.capacity_changed.notify_waiters();
     }
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -4,6 +4,7 @@
 //! the request can have reached the endpoint, and it never retries a request on its own.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -146,6 +147,9 @@
     let not_sent = CallError::NotSent { to };
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
         Ok(Ok(stream)) => stream,
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
+            return Err(CallError::Refused { to });
+        }
         Ok(Err(_)) | Err(_) => return Err(not_sent),
     };
     if stream.set_nodelay(true).is_err() {
--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -88,7 +88,9 @@
     let req = endpoint_request(call, &send);
     let (response, connection) = match router.client.send(target.address, req, reuse).await {
         Ok(answer) => answer,
-        Err(CallError::NotSent { .. }) => return AttemptResult::NotReached,
+        Err(CallError::NotSent { .. } | CallError::Refused { .. }) => {
+            return AttemptResult::NotReached;
+        }
         Err(e) => return AttemptResult::Lost(e.to_string()),
     };
     let (parts, body) = response.into_parts();
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -186,7 +186,7 @@
     ) -> OpenResult {
         match sent {
             Ok((response, connection)) => self.classify(call, response, connection).await,
-            Err(CallError::NotSent { .. }) => {
+            Err(CallError::NotSent { .. } | CallError::Refused { .. }) => {
                 let first = self.first_endpoint();
                 self.router.suspect(first, SuspectReason::NoAnswer);
                 OpenResult::NotReached
