Let the stand-in store come back from an older copy

What callers saw: nothing; no test could play the store's return from a copy some seconds old. Cause: the stand-in never lost what it had acknowledged. Change: PUT /control/copy takes a copy (optionally without some kinds), PUT /control/restore makes it current again after an optional time of 503 or silence. Every answer carries Store-Era, which each restore raises by one; revisions are given out again, and a watch from one that the store lacks gets 410. GET /control/lists counts lists. Workers refuse orders with a lower fencing token than one seen (412), and GET /control/fence returns it.

--- a/crates/pistachioyard_standins/src/site/store.rs
+++ b/crates/pistachioyard_standins/src/site/store.rs
@@ -1,24 +1,30 @@
 //! The object store of the operators' platform.
 //!
 //! `PUT /control/fault` with a status code makes it answer every call with that status;
-//! 0 removes the fault.
+//! 0 removes the fault. `PUT /control/copy` takes a copy of the objects, and
+//! `PUT /control/restore` makes the store come back from it in a new era, which every answer
+//! names. `GET /control/lists` returns the number of lists of each kind.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::time::Duration;
 
-use ::http::{Method, Request, Response, StatusCode};
+use ::http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::http::{Body, json_response, read_json, serve, status_only};
 
 /// The maximum number of events kept for watches.
 const MAX_EVENTS: usize = 4_096;
+/// The header of every answer that counts the returns from a copy.
+const ERA_HEADER: &str = "store-era";
 
 /// Holds the arguments of the store.
 #[derive(Clone, Debug, clap::Args)]
@@ -28,7 +34,27 @@
     pub listen: SocketAddr,
 }
 
-#[derive(Default)]
+/// Says what a copy of the objects contains.
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct CopyOrder {
+    /// The kinds that are left out, as in a copy from before they were written.
+    without: Vec<String>,
+}
+
+/// Says how the store comes back from the copy.
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct RestoreOrder {
+    /// How long the store is away before, in milliseconds.
+    away_ms: u64,
+    /// Whether calls get no answer while the store is away; otherwise they get 503.
+    silent: bool,
+    /// How long the store delays the answers to watches afterwards, in milliseconds.
+    watches_wait_ms: u64,
+}
+
+#[derive(Clone, Default)]
 struct Objects {
     revision: u64,
     by_key: BTreeMap<(String, String), Value>,
@@ -36,11 +62,25 @@
     events: Vec<(String, u64, Value)>,
 }
 
+/// Holds the objects and the number of times that they came from a copy.
+#[derive(Default)]
+struct State {
+    era: u64,
+    objects: Objects,
+}
+
 #[derive(Default)]
 struct Store {
-    objects: Mutex<Objects>,
+    state: Mutex<State>,
+    copy: Mutex<Objects>,
     changed: Notify,
     fault: AtomicU16,
+    /// The number of lists of each kind.
+    lists: Mutex<BTreeMap<String, u64>>,
+    /// Whether calls get no answer.
+    is_silent: AtomicBool,
+    /// The time before which no watch is answered.
+    watches_wait_until: Mutex<Option<Instant>>,
 }
 
 /// Serves the store until the process ends.
@@ -58,14 +98,11 @@
     let path = parts.uri.path().to_owned();
     let query = parts.uri.query().unwrap_or_default().to_owned();
     let body = read_json(body).await;
-    if path == "/control/fault" {
-        let status = body.as_u64().unwrap_or_default() as u16;
-        store.fault.store(status, Ordering::SeqCst);
-        store.changed.notify_waiters();
-        return status_only(StatusCode::OK);
+    if let Some(action) = path.strip_prefix("/control/") {
+        return store.control(action, body).await;
     }
-    if let Some(fault) = store.fault() {
-        return status_only(fault);
+    if let Some(answer) = store.fault_answer().await {
+        return answer;
     }
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (&parts.method, segments.as_slice()) {
@@ -73,14 +110,14 @@
             Some(after) => store.watch(kind, after, query_u64(&query, "wait_ms")).await,
             None => store.list(kind),
         },
-        (&Method::GET, ["objects", kind, name]) => store.read(kind, name),
+        (&Method::GET, ["objects", kind, name]) => store.state.lock().read(kind, name),
         (&Method::POST, ["objects", kind]) => {
             let name = body["metadata"]["name"].as_str().unwrap_or_default();
             store.write(kind, name, &body, true)
         }
         (&Method::PUT, ["objects", kind, name]) => store.write(kind, name, &body, false),
         (&Method::DELETE, ["objects", kind, name]) => store.delete(kind, name),
-        _ => status_only(StatusCode::BAD_REQUEST),
+        _ => store.state.lock().refuse(StatusCode::BAD_REQUEST),
     }
 }
 
@@ -90,62 +127,160 @@
 }
 
 impl Store {
-    fn fault(&self) -> Option<StatusCode> {
-        StatusCode::from_u16(self.fault.load(Ordering::SeqCst)).ok()
+    async fn control(&self, action: &str, body: Value) -> Response<Body> {
+        match action {
+            "fault" => {
+                let status = body.as_u64().unwrap_or_default() as u16;
+                self.set_fault(status);
+            }
+            "copy" => match serde_json::from_value(body) {
+                Ok(order) => self.take_copy(&order),
+                Err(e) => return json_response(StatusCode::BAD_REQUEST, &json!(e.to_string())),
+            },
+            "restore" => match serde_json::from_value(body) {
+                Ok(order) => self.restore(order).await,
+                Err(e) => return json_response(StatusCode::BAD_REQUEST, &json!(e.to_string())),
+            },
+            "lists" => return json_response(StatusCode::OK, &json!(*self.lists.lock())),
+            _ => return status_only(StatusCode::NOT_FOUND),
+        }
+        status_only(StatusCode::OK)
+    }
+
+    fn set_fault(&self, status: u16) {
+        self.fault.store(status, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the answer of every call while a fault lasts; does not return during silence.
+    async fn fault_answer(&self) -> Option<Response<Body>> {
+        if self.is_silent.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
+        let status = StatusCode::from_u16(self.fault.load(Ordering::SeqCst)).ok()?;
+        Some(self.state.lock().refuse(status))
+    }
+
+    fn take_copy(&self, order: &CopyOrder) {
+        let mut objects = self.state.lock().objects.clone();
+        objects
+            .by_key
+            .retain(|(kind, _), _| !order.without.contains(kind));
+        *self.copy.lock() = objects;
+    }
+
+    async fn restore(&self, order: RestoreOrder) {
+        if order.away_ms > 0 {
+            self.is_silent.store(order.silent, Ordering::SeqCst);
+            self.set_fault(StatusCode::SERVICE_UNAVAILABLE.as_u16());
+            tokio::time::sleep(Duration::from_millis(order.away_ms)).await;
+        }
+        let wait = Duration::from_millis(order.watches_wait_ms);
+        *self.watches_wait_until.lock() = Some(Instant::now() + wait);
+        {
+            let mut state = self.state.lock();
+            state.objects = self.copy.lock().clone();
+            state.era += 1;
+        }
+        self.is_silent.store(false, Ordering::SeqCst);
+        self.set_fault(0);
     }
 
     fn list(&self, kind: &str) -> Response<Body> {
-        let objects = self.objects.lock();
-        let of_kind = objects.by_key.iter().filter(|((k, _), _)| k == kind);
-        let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-        let page = json!({ "items": items, "has_more": false, "current_rev": objects.revision });
-        json_response(StatusCode::OK, &page)
+        *self.lists.lock().entry(kind.to_owned()).or_default() += 1;
+        self.state.lock().list(kind)
     }
 
     async fn watch(&self, kind: &str, after: u64, wait_ms: Option<u64>) -> Response<Body> {
         let wait = Duration::from_millis(wait_ms.unwrap_or_default());
-        let deadline = tokio::time::Instant::now() + wait;
+        let deadline = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            if let Some(fault) = self.fault() {
-                return status_only(fault);
+            let wait_until = *self.watches_wait_until.lock();
+            if let Some(until) = wait_until {
+                tokio::time::sleep_until(until).await;
             }
-            let page = self.changes(kind, after);
-            if page["events"].as_array().is_some_and(|e| !e.is_empty()) {
-                return json_response(StatusCode::OK, &page);
+            if let Some(answer) = self.fault_answer().await {
+                return answer;
             }
-            if tokio::time::timeout_at(deadline, changed).await.is_err() {
-                return json_response(StatusCode::OK, &page);
+            let is_over = Instant::now() >= deadline;
+            if let Some(answer) = self.state.lock().changes(kind, after, is_over) {
+                return answer;
             }
+            // At the deadline the changes are read once more.
+            let _ = tokio::time::timeout_at(deadline, changed).await;
         }
     }
 
-    fn changes(&self, kind: &str, after: u64) -> Value {
-        let objects = self.objects.lock();
+    fn write(&self, kind: &str, name: &str, body: &Value, create: bool) -> Response<Body> {
+        let answer = self.state.lock().write(kind, name, body, create);
+        self.changed.notify_waiters();
+        answer
+    }
+
+    fn delete(&self, kind: &str, name: &str) -> Response<Body> {
+        let answer = self.state.lock().delete(kind, name);
+        self.changed.notify_waiters();
+        answer
+    }
+}
+
+impl State {
+    /// Returns an answer in the current era.
+    fn answer(&self, status: StatusCode, value: &Value) -> Response<Body> {
+        self.with_era(json_response(status, value))
+    }
+
+    fn refuse(&self, status: StatusCode) -> Response<Body> {
+        self.with_era(status_only(status))
+    }
+
+    fn with_era(&self, mut answer: Response<Body>) -> Response<Body> {
+        let headers = answer.headers_mut();
+        headers.insert(ERA_HEADER, HeaderValue::from(self.era));
+        answer
+    }
+
+    fn list(&self, kind: &str) -> Response<Body> {
+        let objects = &self.objects;
+        let of_kind = objects.by_key.iter().filter(|((k, _), _)| k == kind);
+        let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
+        let page = json!({ "items": items, "has_more": false, "current_rev": objects.revision });
+        self.answer(StatusCode::OK, &page)
+    }
+
+    /// Returns the answer to a watch; none if there are no changes and its wait is not over.
+    fn changes(&self, kind: &str, after: u64, is_over: bool) -> Option<Response<Body>> {
+        let objects = &self.objects;
+        if after > objects.revision {
+            return Some(self.refuse(StatusCode::GONE));
+        }
         let newer = objects
             .events
             .iter()
             .filter(|(k, rev, _)| k == kind && *rev > after);
         let events: Vec<&Value> = newer.map(|(_, _, event)| event).collect();
-        json!({ "events": events, "current_rev": objects.revision })
+        let page = json!({ "events": events, "current_rev": objects.revision });
+        (is_over || !events.is_empty()).then(|| self.answer(StatusCode::OK, &page))
     }
 
     fn read(&self, kind: &str, name: &str) -> Response<Body> {
-        let objects = self.objects.lock();
-        match objects.by_key.get(&(kind.to_owned(), name.to_owned())) {
-            Some(object) => json_response(StatusCode::OK, object),
-            None => status_only(StatusCode::NOT_FOUND),
+        let key = (kind.to_owned(), name.to_owned());
+        match self.objects.by_key.get(&key) {
+            Some(object) => self.answer(StatusCode::OK, object),
+            None => self.refuse(StatusCode::NOT_FOUND),
         }
     }
 
-    fn write(&self, kind: &str, name: &str, body: &Value, create: bool) -> Response<Body> {
-        let mut objects = self.objects.lock();
+    fn write(&mut self, kind: &str, name: &str, body: &Value, create: bool) -> Response<Body> {
+        let objects = &mut self.objects;
         let key = (kind.to_owned(), name.to_owned());
         let old = objects.by_key.get(&key);
         let expected = body["metadata"]["revision"].as_u64();
         let current = old.and_then(|object| object["metadata"]["revision"].as_u64());
         if create && old.is_some() || !create && expected.is_some() && expected != current {
-            return json_response(StatusCode::CONFLICT, old.unwrap_or(&Value::Null));
+            let old = old.cloned().unwrap_or_default();
+            return self.answer(StatusCode::CONFLICT, &old);
         }
         objects.revision += 1;
         let revision = objects.revision;
@@ -156,23 +291,19 @@
         });
         objects.by_key.insert(key, object.clone());
         objects.record_event(kind, revision, &object, false);
-        drop(objects);
-        self.changed.notify_waiters();
-        json_response(StatusCode::OK, &object)
+        self.answer(StatusCode::OK, &object)
     }
 
-    fn delete(&self, kind: &str, name: &str) -> Response<Body> {
-        let mut objects = self.objects.lock();
+    fn delete(&mut self, kind: &str, name: &str) -> Response<Body> {
+        let objects = &mut self.objects;
         let Some(mut object) = objects.by_key.remove(&(kind.to_owned(), name.to_owned())) else {
-            return status_only(StatusCode::NOT_FOUND);
+            return self.refuse(StatusCode::NOT_FOUND);
         };
         objects.revision += 1;
         let revision = objects.revision;
         object["metadata"]["revision"] = revision.into();
         objects.record_event(kind, revision, &object, true);
-        drop(objects);
-        self.changed.notify_waiters();
-        json_response(StatusCode::OK, &object)
+        self.answer(StatusCode::OK, &object)
     }
 }
 
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -4,7 +4,8 @@
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! [`STALL_LIMIT`]. Without `--card` it is a plain service. A request whose body is
-//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started.
+//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started, and
+//! `GET /control/fence` returns the highest fencing token of an order.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -84,6 +85,8 @@
     layers: Option<(u64, u64)>,
     busy: bool,
     orders: u64,
+    /// The highest fencing token of an order; orders with a lower one are refused.
+    fence: u64,
     heartbeats: u64,
     runs: Vec<String>,
     /// The paths of the running requests, by request id.
@@ -175,6 +178,7 @@
                 _ => order(&worker, &body),
             }
         }
+        "/control/fence" => json_response(StatusCode::OK, &json!(worker.state.lock().fence)),
         "/control/runs" => json_response(StatusCode::OK, &json!(worker.state.lock().runs)),
         "/holds" => holds(&worker, req.uri().query().unwrap_or_default()),
         _ => run(worker, req).await,
@@ -185,7 +189,12 @@
     let (Some(from), Some(to)) = (order["from"].as_u64(), order["to"].as_u64()) else {
         return status_only(StatusCode::BAD_REQUEST);
     };
+    let fence = order["fence"].as_u64().unwrap_or_default();
     let mut state = worker.state.lock();
+    if fence < state.fence {
+        return status_only(StatusCode::PRECONDITION_FAILED);
+    }
+    state.fence = fence;
     if state.layers == Some((from, to)) {
         return status_only(StatusCode::OK);
     }
