Read the configuration again when the store comes back from a copy

What callers saw: a route added right after the store's return from an older copy was never served, when the revisions had passed the one from which the watch went on. Cause: revisions were compared across the return, which gives them out again. Change: platform/ decodes Store-Era; the store's client keeps the latest one, refuses answers of an earlier one, and wakes who waits for a later one. The configuration's watch starts from an era and a revision, and a later era lists again. A missing or unreadable header changes nothing. The adopted configuration does not go back, as before; a test guards it.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod retry_budget;
 mod routing;
 mod stall_detector;
+mod store_position;
 mod stream_guard;
 
 pub use activity_tracker::ActivityTracker;
@@ -64,4 +65,5 @@
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
+pub use store_position::{StoreEra, StorePosition, is_later_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -2,11 +2,13 @@
 
 use pistachioyard_platform::{CONFIG_KIND, CONFIG_NAME, Object, StoreAnswerError, decode_config};
 
+use pistachioyard_policy::{StorePosition, is_later_era};
+
 use super::jittered;
 use super::watch_pace;
 use crate::prelude::*;
 use crate::router::log::ms;
-use crate::router::store_client::StoreError;
+use crate::router::store_client::{InEra, StoreError};
 use crate::router::{ActiveConfig, Router};
 
 /// The pause after a failed call. Refused calls have a cost too, and peers supply the
@@ -15,46 +17,54 @@
 
 /// Reads the configuration, then watches it for changes.
 pub(super) async fn run(router: Arc<Router>) {
-    let mut revision = None;
+    let mut position = None;
     loop {
-        let step = match revision {
+        let step = match position {
             None => read(&router).await,
             Some(after) => watch(&router, after).await,
         };
         match step {
-            Ok(seen) => revision = Some(seen),
+            Ok(seen) => position = Some(seen),
             Err(StoreError::Fault(StoreAnswerError::HistoryGone)) => {
                 spdlog::warn!("config: watch history expired, reading the configuration again");
-                revision = None;
+                position = None;
             }
             Err(_) => {
                 // The store may have dropped changes from its history since the failed watch.
-                revision = None;
+                position = None;
                 tokio::time::sleep(jittered(RETRY_PAUSE)).await;
             }
         }
     }
 }
 
-async fn read(router: &Router) -> Result<u64, StoreError> {
-    let page = router.store.list(CONFIG_KIND, false).await?;
+async fn read(router: &Router) -> Result<StorePosition, StoreError> {
+    let InEra { value: page, era } = router.store.list(CONFIG_KIND, false).await?;
     for object in &page.objects {
         adopt(router, object);
     }
-    Ok(page.revision)
+    let revision = page.revision;
+    Ok(StorePosition { era, revision })
 }
 
-async fn watch(router: &Router, after: u64) -> Result<u64, StoreError> {
+/// Waits for changes after a position; if the store has come back from an older copy since, the
+/// changes after that revision are not all, so the configuration is read again.
+async fn watch(router: &Router, after: StorePosition) -> Result<StorePosition, StoreError> {
     let wait = watch_pace::wait_time(router, router.settings.config_limit);
     tokio::select! {
-        page = router.store.watch(CONFIG_KIND, after, wait) => {
-            let page = page?;
+        page = router.store.watch(CONFIG_KIND, after.revision, wait) => {
+            let InEra { value: page, era } = page?;
+            if is_later_era(era, after.era) {
+                return read(router).await;
+            }
             for change in page.changes.iter().filter(|change| !change.deleted) {
                 adopt(router, &change.object);
             }
-            Ok(page.revision)
+            let revision = page.revision;
+            Ok(StorePosition { era, revision })
         }
         () = router.config_outdated.notified() => read(router).await,
+        () = router.store.wait_for_later_era(after.era) => read(router).await,
     }
 }
 
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -46,7 +46,7 @@
 }
 
 async fn read(router: &Arc<Router>) -> Result<u64, StoreError> {
-    let page = router.store.list(ENDPOINT_KIND, false).await?;
+    let page = router.store.list(ENDPOINT_KIND, false).await?.value;
     let mut listed = BTreeSet::new();
     for object in &page.objects {
         listed.insert(object.name.clone());
@@ -62,7 +62,7 @@
 async fn watch(router: &Arc<Router>, after: u64) -> Result<u64, StoreError> {
     let wait = watch_pace::wait_time(router, router.settings.drain_limit);
     let page = tokio::select! {
-        page = router.store.watch(ENDPOINT_KIND, after, wait) => page?,
+        page = router.store.watch(ENDPOINT_KIND, after, wait) => page?.value,
         // A peer has seen a newer change, so this watch may be on a dead connection.
         () = router.endpoints_outdated.notified() => return read(router).await,
     };
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -86,7 +86,7 @@
 async fn sync_registrations(router: &Router) -> OwnRegistration {
     // A stale list is sufficient, since it only bootstraps discovery.
     let page = match router.store.list(ENTRY_KIND, true).await {
-        Ok(page) => page,
+        Ok(page) => page.value,
         Err(e) => {
             spdlog::debug!("peers: cannot list entries", kv: { why = e.to_string().as_str() });
             return OwnRegistration::NotMissing;
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -1,14 +1,17 @@
 //! A client of the platform's store.
 //!
 //! A connection on which a call timed out may be dead, so the next call opens a new one.
+//! The store may come back from an older copy; each answer tells its era.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use pistachioyard_platform::{
-    ListPage, Object, ObjectKind, StoreAnswerError, StoreCall, WatchPage, decode_list,
+    ListPage, Object, ObjectKind, StoreAnswerError, StoreCall, WatchPage, decode_era, decode_list,
     decode_object, decode_watch,
 };
+use pistachioyard_policy::{StoreEra, is_later_era};
+use tokio::sync::watch;
 
 use crate::client::{Answer, Call, HttpClient, Reuse};
 use crate::error::CallError;
@@ -28,6 +31,23 @@
     /// The store's answer is an error or cannot be decoded.
     #[error("{0}")]
     Fault(#[from] StoreAnswerError),
+    /// The answer is from before the store came back from an older copy, so what it says may
+    /// be gone.
+    #[error("the answer is of era {} of the store, which is in era {}", answer.0, known.0)]
+    EarlierEra {
+        /// The era of the answer.
+        answer: StoreEra,
+        /// The latest known era.
+        known: StoreEra,
+    },
+}
+
+/// Holds a result and the store's era at that time; the last known one if the answer does not
+/// name it.
+#[derive(Debug)]
+pub(crate) struct InEra<T> {
+    pub(crate) value: T,
+    pub(crate) era: Option<StoreEra>,
 }
 
 /// Calls the store and tracks whether it is reachable.
@@ -39,6 +59,8 @@
     is_reachable: AtomicBool,
     /// When a call last failed.
     last_failure: parking_lot::Mutex<Option<Instant>>,
+    /// The latest era that an answer named.
+    era: watch::Sender<Option<StoreEra>>,
 }
 
 impl StoreClient {
@@ -50,6 +72,7 @@
             fresh: HttpClient::new(None, Reuse::Fresh),
             is_reachable: AtomicBool::new(true),
             last_failure: parking_lot::Mutex::new(None),
+            era: watch::Sender::new(None),
         }
     }
 
@@ -63,13 +86,25 @@
         self.is_reachable.load(Ordering::Relaxed)
     }
 
+    /// Waits until the store is in a later era than `seen`.
+    pub(crate) async fn wait_for_later_era(&self, seen: Option<StoreEra>) {
+        let mut era = self.era.subscribe();
+        // The sender lives as long as this client, so the channel is not closed.
+        let _ = era.wait_for(|now| is_later_era(*now, seen)).await;
+    }
+
     /// Lists all objects of a kind; the revision is that of the first page.
-    pub(crate) async fn list(&self, kind: ObjectKind, stale: bool) -> Result<ListPage, StoreError> {
+    pub(crate) async fn list(
+        &self,
+        kind: ObjectKind,
+        stale: bool,
+    ) -> Result<InEra<ListPage>, StoreError> {
         let mut list = self.list_page(kind, None, stale).await?;
-        while let Some(after) = list.continue_after.take() {
+        while let Some(after) = list.value.continue_after.take() {
             let page = self.list_page(kind, Some(&after), stale).await?;
-            list.objects.extend(page.objects);
-            list.continue_after = page.continue_after;
+            check_era(list.era, page.era)?;
+            list.value.objects.extend(page.value.objects);
+            list.value.continue_after = page.value.continue_after;
         }
         Ok(list)
     }
@@ -79,9 +114,10 @@
         kind: ObjectKind,
         after: Option<&str>,
         stale: bool,
-    ) -> Result<ListPage, StoreError> {
-        let answer = self.send(&StoreCall::list(kind, after, stale)).await?;
-        Ok(decode_list(answer.status, &answer.body)?)
+    ) -> Result<InEra<ListPage>, StoreError> {
+        let InEra { value, era } = self.send(&StoreCall::list(kind, after, stale)).await?;
+        let value = decode_list(value.status, &value.body)?;
+        Ok(InEra { value, era })
     }
 
     /// Waits for changes to the objects of a kind, with a long poll.
@@ -90,12 +126,13 @@
         kind: ObjectKind,
         after_revision: u64,
         wait: Duration,
-    ) -> Result<WatchPage, StoreError> {
+    ) -> Result<InEra<WatchPage>, StoreError> {
         let wait_ms = super::log::ms(wait);
-        let answer = self
+        let InEra { value, era } = self
             .send(&StoreCall::watch(kind, after_revision, wait_ms))
             .await?;
-        Ok(decode_watch(answer.status, &answer.body)?)
+        let value = decode_watch(value.status, &value.body)?;
+        Ok(InEra { value, era })
     }
 
     /// Reads one object.
@@ -105,11 +142,11 @@
 
     /// Makes a call whose answer is a single object.
     pub(crate) async fn object(&self, call: &StoreCall) -> Result<Object, StoreError> {
-        let answer = self.send(call).await?;
+        let answer = self.send(call).await?.value;
         Ok(decode_object(answer.status, &answer.body)?)
     }
 
-    async fn send(&self, call: &StoreCall) -> Result<Answer, StoreError> {
+    async fn send(&self, call: &StoreCall) -> Result<InEra<Answer>, StoreError> {
         let mut http_call = Call::new(call.method.clone(), self.address, call.path.clone());
         if let Some(body) = &call.body {
             http_call = http_call.json(body);
@@ -129,7 +166,30 @@
             Ok(answer) => format!("status {}", answer.status),
             Err(e) => e.to_string(),
         });
-        Ok(answer?)
+        let value = answer?;
+        let era = self.note_era(&value)?;
+        Ok(InEra { value, era })
+    }
+
+    /// Records the era of an answer and returns it; an answer of an earlier era is an error.
+    fn note_era(&self, answer: &Answer) -> Result<Option<StoreEra>, StoreError> {
+        let named = decode_era(&answer.headers).unwrap_or_else(|e| {
+            spdlog::debug!("store: ignoring the era", kv: { why = e.to_string().as_str() });
+            None
+        });
+        let mut known = None;
+        self.era.send_if_modified(|era| {
+            known = *era;
+            if named > known {
+                *era = named;
+            }
+            named > known
+        });
+        check_era(named, known)?;
+        if let (true, Some(StoreEra(era))) = (is_later_era(named, known), named) {
+            spdlog::warn!("store: came back from an older copy", kv: { era });
+        }
+        Ok(named.or(known))
     }
 
     fn record_result(&self, is_reachable: bool, why: impl FnOnce() -> String) {
@@ -145,3 +205,13 @@
         }
     }
 }
+
+/// Checks that an answer is not of an earlier era than the known one.
+fn check_era(answer: Option<StoreEra>, known: Option<StoreEra>) -> Result<(), StoreError> {
+    match (answer, known) {
+        (Some(answer), Some(known)) if known > answer => {
+            Err(StoreError::EarlierEra { answer, known })
+        }
+        _ => Ok(()),
+    }
+}
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -9,4 +9,5 @@
 mod faults;
 mod logs;
 mod soak;
+mod store_era;
 mod support;
--- /dev/null
+++ b/tests/site/store_era.rs
@@ -0,0 +1,82 @@
+//! The store comes back from an older copy: what was written since is gone, and its revisions
+//! are given out again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use pistachioyard_standins::wait_until;
+use serde_json::{Value, json};
+
+use super::support::Site;
+
+/// The time within which a change must be known; the sum of the bound on a change of the
+/// configuration and of what a busy machine adds.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(4);
+
+impl Site {
+    async fn control_store(&self, action: &str, body: Value) {
+        let path = format!("/control/{action}");
+        let status = self.call(self.store, Method::PUT, &path, body).await;
+        assert_eq!(status, Some(200), "{action}");
+    }
+
+    /// Writes objects that no entry reads.
+    async fn raise_revision(&self, count: usize) {
+        for n in 0..count {
+            let body = json!({ "spec": n });
+            let status = self
+                .call(self.store, Method::PUT, "/objects/notes/n", body)
+                .await;
+            assert_eq!(status, Some(200));
+        }
+    }
+
+    async fn await_path(&self, to: SocketAddr, path: &str, timeout: Duration) -> bool {
+        let path = format!("{path}a");
+        let served = || async { self.check_plain(to, &path).await.result.is_ok() };
+        wait_until(timeout, "a route", served).await.is_ok()
+    }
+}
+
+/// A configuration is adopted although the watch continues from a revision that the store has
+/// given out again in the meantime.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_written_under_a_reused_revision_is_adopted() {
+    let mut site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    site.control_store("copy", json!({})).await;
+    site.raise_revision(60).await;
+    let path = site.add_route().await.expect("the store accepts it");
+    assert!(site.await_path(to, &path, CHANGE_TIMEOUT).await);
+    site.control_store("restore", json!({ "watches_wait_ms": 800 }))
+        .await;
+    let path = site.add_route().await.expect("the store accepts it");
+    site.raise_revision(200).await;
+    assert!(site.await_path(to, &path, CHANGE_TIMEOUT).await);
+}
+
+/// An older configuration from the copy does not replace the adopted one.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_configuration_does_not_go_back_with_the_copy() {
+    let mut site = Site::start(2).await;
+    site.control_store("copy", json!({})).await;
+    let newer = site.add_route().await.expect("the store accepts it");
+    for entry in &site.entries {
+        let to = entry.caller_address();
+        assert!(site.await_path(to, &newer, CHANGE_TIMEOUT).await);
+    }
+    let restore = json!({ "away_ms": 700, "silent": true });
+    site.control_store("restore", restore).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for entry in &site.entries {
+        let to = entry.caller_address();
+        let outcome = site.check_plain(to, &format!("{newer}a")).await;
+        assert_eq!(outcome.result, Ok(()));
+    }
+    let newest = site.add_route().await.expect("the store accepts it");
+    for entry in &site.entries {
+        let to = entry.caller_address();
+        assert!(site.await_path(to, &newest, CHANGE_TIMEOUT).await);
+    }
+}
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -100,7 +100,7 @@
     _pool: AddressPool,
     _files: TempDir,
     _store_and_proxy: Vec<Child>,
-    store: SocketAddr,
+    pub(crate) store: SocketAddr,
     proxy: SocketAddr,
     pub(crate) entries: Vec<Entry>,
     pub(crate) endpoints: Vec<Endpoint>,
