List all endpoints again when the store comes back from a copy

What callers saw: an endpoint that registered after the copy and died stayed known for ever. Cause: the watch went on from its old revision, which the store had given out again, and the missing record is no change after it. Change: the watch starts from an era and a revision; a later era lists all records again. Result: an_endpoint_that_the_copy_lacks_is_dropped_after_the_grace_period failed before (still known after 6 s) and passes, with the other tests of store_era.

--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -4,14 +4,14 @@
 use std::sync::atomic::Ordering;
 
 use pistachioyard_platform::{ENDPOINT_KIND, Object, StoreAnswerError, decode_endpoint};
-use pistachioyard_policy::{EndpointChange, EndpointRecord};
+use pistachioyard_policy::{EndpointChange, EndpointRecord, StorePosition, is_later_era};
 
 use super::jittered;
 use super::watch_pace::{self, WatchPace};
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::log::ms;
-use crate::router::store_client::StoreError;
+use crate::router::store_client::{InEra, StoreError};
 
 /// The pause after a failed call, because even a refused call has a cost. Peers supply the
 /// endpoints in the meantime.
@@ -22,22 +22,22 @@
 
 /// Reads all records, then watches them for changes.
 pub(super) async fn run(router: Arc<Router>) {
-    let mut revision = None;
+    let mut position = None;
     let mut pace = WatchPace::default();
     loop {
-        let step = match revision {
+        let step = match position {
             None => read(&router).await,
             Some(after) => watch(&router, after).await,
         };
         match step {
             Ok(seen) => {
-                revision = Some(seen);
+                position = Some(seen);
                 pace.throttle().await;
             }
             Err(e) => {
                 if matches!(e, StoreError::Fault(StoreAnswerError::HistoryGone)) {
                     spdlog::warn!("endpoints: watch history expired, listing all records again");
-                    revision = None;
+                    position = None;
                 }
                 tokio::time::sleep(jittered(RETRY_PAUSE)).await;
             }
@@ -45,8 +45,8 @@
     }
 }
 
-async fn read(router: &Arc<Router>) -> Result<u64, StoreError> {
-    let page = router.store.list(ENDPOINT_KIND, false).await?.value;
+async fn read(router: &Arc<Router>) -> Result<StorePosition, StoreError> {
+    let InEra { value: page, era } = router.store.list(ENDPOINT_KIND, false).await?;
     let mut listed = BTreeSet::new();
     for object in &page.objects {
         listed.insert(object.name.clone());
@@ -56,16 +56,23 @@
     for endpoint in known.iter().filter(|e| !listed.contains(e.as_str())) {
         remove(router, endpoint, retain_until(router));
     }
-    Ok(page.revision)
+    let revision = page.revision;
+    Ok(StorePosition { era, revision })
 }
 
-async fn watch(router: &Arc<Router>, after: u64) -> Result<u64, StoreError> {
+/// Waits for changes after a position; if the store has come back from an older copy since, the
+/// changes after that revision are not all, so all records are read again.
+async fn watch(router: &Arc<Router>, after: StorePosition) -> Result<StorePosition, StoreError> {
     let wait = watch_pace::wait_time(router, router.settings.drain_limit);
-    let page = tokio::select! {
-        page = router.store.watch(ENDPOINT_KIND, after, wait) => page?.value,
+    let InEra { value: page, era } = tokio::select! {
+        page = router.store.watch(ENDPOINT_KIND, after.revision, wait) => page?,
         // A peer has seen a newer change, so this watch may be on a dead connection.
         () = router.endpoints_outdated.notified() => return read(router).await,
+        () = router.store.wait_for_later_era(after.era) => return read(router).await,
     };
+    if is_later_era(era, after.era) {
+        return read(router).await;
+    }
     for change in &page.changes {
         if !change.deleted {
             apply(router, &change.object);
@@ -74,7 +81,8 @@
             note_revision(router, change.object.revision);
         }
     }
-    Ok(page.revision)
+    let revision = page.revision;
+    Ok(StorePosition { era, revision })
 }
 
 /// Records the revision of the newest change, for comparison with the peers.
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -8,11 +8,13 @@
 use pistachioyard_standins::wait_until;
 use serde_json::{Value, json};
 
-use super::support::Site;
+use super::support::{Entry, Site};
 
 /// The time within which a change must be known; the sum of the bound on a change of the
 /// configuration and of what a busy machine adds.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longer than a heartbeat and the interval between two watches together.
+const WATCH_SETTLE_TIME: Duration = Duration::from_millis(900);
 
 impl Site {
     async fn control_store(&self, action: &str, body: Value) {
@@ -37,6 +39,16 @@
         let served = || async { self.check_plain(to, &path).await.result.is_ok() };
         wait_until(timeout, "a route", served).await.is_ok()
     }
+
+    async fn await_known_endpoints(&self, entry: &Entry, count: usize) -> bool {
+        let expected = format!("router_endpoints_known {count}");
+        let has_count = || async {
+            let metrics = self.fetch_metrics(entry).await;
+            metrics.lines().any(|line| line == expected)
+        };
+        let waited = wait_until(Duration::from_secs(6), "the endpoints", has_count).await;
+        waited.is_ok()
+    }
 }
 
 /// A configuration is adopted although the watch continues from a revision that the store has
@@ -80,3 +92,28 @@
         assert!(site.await_path(to, &newest, CHANGE_TIMEOUT).await);
     }
 }
+
+/// An endpoint that died while the store went back to before it registered is dropped, although
+/// the revisions have passed the one from which the watch continues.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_the_copy_lacks_is_dropped_after_the_grace_period() {
+    let mut site = Site::start(1).await;
+    let all = site.endpoints.len();
+    let lost = all - 1;
+    site.endpoints[lost].process.kill();
+    let path = format!("/objects/servers/{}", site.endpoints[lost].process.name);
+    let deleted = site.call(site.store, Method::DELETE, &path, Value::Null);
+    assert_eq!(deleted.await, Some(200));
+    assert!(site.await_known_endpoints(&site.entries[0], all - 1).await);
+    site.control_store("copy", json!({})).await;
+    site.raise_revision(60).await;
+    let launcher = site.launcher.clone();
+    site.endpoints[lost].process.start(&launcher);
+    assert!(site.await_known_endpoints(&site.entries[0], all).await);
+    tokio::time::sleep(WATCH_SETTLE_TIME).await;
+    site.endpoints[lost].process.kill();
+    site.control_store("restore", json!({ "watches_wait_ms": 700 }))
+        .await;
+    site.raise_revision(200).await;
+    assert!(site.await_known_endpoints(&site.entries[0], all - 1).await);
+}
