Keep endpoints for the grace period when the store comes back from a copy

What callers saw: an endpoint whose record the copy lacked was dropped at once, and its requests were refused or sent elsewhere until it wrote again. Cause: the grace period for missing records only followed an outage that this entry had seen. Change: the first answer of a later era starts it too. Result: endpoints_that_the_copy_lacks_are_kept_until_they_write_again failed before (record deleted, is_removed=true, kept_ms=0) and passes, with the other tests of store_era.

--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -16,8 +16,8 @@
 /// The pause after a failed call, because even a refused call has a cost. Peers supply the
 /// endpoints in the meantime.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// The grace period for missing records after a store outage. The platform specifies that
-/// endpoints register again within about two seconds.
+/// The grace period for missing records after a store outage or the store's return from an
+/// older copy. The platform specifies that endpoints register again within about two seconds.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_200);
 
 /// Reads all records, then watches them for changes.
@@ -126,15 +126,19 @@
     router.endpoints_changed.notify_one();
 }
 
-/// Returns the end of the grace period after a store outage, or `None` if there was no
-/// recent outage.
+/// Returns the end of the grace period after a store outage or its return from an older copy,
+/// or `None` if there was neither recently.
 fn retain_until(router: &Router) -> Option<Instant> {
-    let until = router.store.last_failure()? + REREGISTRATION_GRACE;
+    let since = router
+        .store
+        .last_failure()
+        .max(router.store.last_return())?;
+    let until = since + REREGISTRATION_GRACE;
     (until > Instant::now()).then_some(until)
 }
 
-/// Removes an endpoint whose record was deleted. Right after a store outage the endpoint is
-/// kept until the end of the grace period, so that it can register again.
+/// Removes an endpoint whose record was deleted. Right after a store outage or return the
+/// endpoint is kept until the end of the grace period, so that it can register again.
 pub(super) fn remove(router: &Arc<Router>, endpoint: &EndpointId, retain_until: Option<Instant>) {
     let is_removed = router.endpoints.lock().remove(endpoint, retain_until);
     let kept_ms = retain_until.map_or(0, |until| {
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -61,6 +61,8 @@
     last_failure: parking_lot::Mutex<Option<Instant>>,
     /// The latest era that an answer named.
     era: watch::Sender<Option<StoreEra>>,
+    /// When an answer first told that the store came back from an older copy.
+    last_return: parking_lot::Mutex<Option<Instant>>,
 }
 
 impl StoreClient {
@@ -73,6 +75,7 @@
             is_reachable: AtomicBool::new(true),
             last_failure: parking_lot::Mutex::new(None),
             era: watch::Sender::new(None),
+            last_return: parking_lot::Mutex::new(None),
         }
     }
 
@@ -81,6 +84,11 @@
         *self.last_failure.lock()
     }
 
+    /// Returns when an answer first told that the store came back from an older copy.
+    pub(crate) fn last_return(&self) -> Option<Instant> {
+        *self.last_return.lock()
+    }
+
     /// Returns whether the last call was answered.
     pub(crate) fn is_reachable(&self) -> bool {
         self.is_reachable.load(Ordering::Relaxed)
@@ -180,6 +188,10 @@
         let mut known = None;
         self.era.send_if_modified(|era| {
             known = *era;
+            if is_later_era(named, known) {
+                // Set before the era, since those that it wakes read it.
+                *self.last_return.lock() = Some(Instant::now());
+            }
             if named > known {
                 *era = named;
             }
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -117,3 +117,35 @@
     site.raise_revision(200).await;
     assert!(site.await_known_endpoints(&site.entries[0], all - 1).await);
 }
+
+/// An endpoint whose record is missing after a return stays in use until it has had time to
+/// write the record again.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_that_the_copy_lacks_are_kept_until_they_write_again() {
+    let mut site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    site.control_store("copy", json!({ "without": ["servers"] }))
+        .await;
+    tokio::time::sleep(WATCH_SETTLE_TIME).await;
+    let late = site.endpoints.last_mut().expect("the site has endpoints");
+    late.process
+        .running_child()
+        .freeze()
+        .expect("the signal is sent");
+    site.control_store("restore", json!({})).await;
+    // Within the two seconds that endpoints may take to write again.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let late = site.endpoints.last_mut().expect("the site has endpoints");
+    late.process
+        .running_child()
+        .thaw()
+        .expect("the signal is sent");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(site.check_plain(to, "/lookup/a").await.result, Ok(()));
+    let log = site.entries[0].process.running_child().log();
+    let removed: Vec<&str> = log
+        .lines()
+        .filter(|line| line.contains("is_removed=true") || line.contains("grace period over"))
+        .collect();
+    assert!(removed.is_empty(), "{removed:#?}");
+}
