Compare what peers have seen of the store by era and revision

What callers saw: an entry that started after the store's return listed all endpoints about once a second, until the revisions had passed the peers' old ones. Cause: the newest revision of the earlier era was taken for a change that this entry missed; entries that ran through the return noticed no lag any more, for the same reason. Change: gossip names the era of its revision. WatchLag in the policy crate orders by era, then revision; a peer in a later era causes a list at once. If an era is unknown, as from a peer of an older version, only revisions count.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -65,5 +65,5 @@
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
-pub use store_position::{StoreEra, StorePosition, is_later_era};
+pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
--- a/crates/pistachioyard_policy/src/store_position.rs
+++ b/crates/pistachioyard_policy/src/store_position.rs
@@ -3,6 +3,8 @@
 //! Each return starts a new era, in which revisions of the last one are given out again, so
 //! revisions of different eras cannot be compared.
 
+use std::time::{Duration, Instant};
+
 use serde::{Deserialize, Serialize};
 
 /// Counts how often the store came back from an older copy.
@@ -25,3 +27,53 @@
     /// The revision within the era.
     pub revision: u64,
 }
+
+impl StorePosition {
+    /// Returns whether another position is later; if an era is unknown, only the revisions count.
+    fn is_before(&self, other: Self) -> bool {
+        match (self.era, other.era) {
+            (Some(own), Some(others)) if own != others => own < others,
+            _ => self.revision < other.revision,
+        }
+    }
+}
+
+/// Tracks the newest change that a watch has delivered, and detects that peers know of a newer
+/// one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WatchLag {
+    newest: StorePosition,
+    /// Since when a peer has known of a newer change.
+    behind_since: Option<Instant>,
+}
+
+impl WatchLag {
+    /// Returns the position of the newest change.
+    pub fn newest(&self) -> StorePosition {
+        self.newest
+    }
+
+    /// Records a change, or the start of an era, at revision 0.
+    pub fn note(&mut self, seen: StorePosition) {
+        if self.newest.is_before(seen) {
+            self.newest.revision = seen.revision;
+        }
+        self.newest.era = self.newest.era.max(seen.era);
+    }
+
+    /// Returns whether to list again, because a peer has known of a newer change for longer
+    /// than `max_lag`, or of a later era.
+    pub fn check(&mut self, peer: StorePosition, now: Instant, max_lag: Duration) -> bool {
+        if !self.newest.is_before(peer) {
+            self.behind_since = None;
+            return false;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        let is_due = is_later_era(peer.era, self.newest.era)
+            || now.saturating_duration_since(since) > max_lag;
+        if is_due {
+            self.behind_since = None;
+        }
+        is_due
+    }
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -17,13 +17,12 @@
 mod store_client;
 
 use std::collections::BTreeSet;
-use std::sync::atomic::AtomicU64;
 
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
     ActivityTracker, CrossingLimiter, EndpointRegistry, LatencyEstimates, LoadTracker, Membership,
-    Quarantine, RouteTable, SharedRetryBudget, SuspectReason,
+    Quarantine, RouteTable, SharedRetryBudget, SuspectReason, WatchLag,
 };
 use pistachioyard_wire::{EntryState, MemberRecord, RequestDigest};
 pub(crate) use run::run_router;
@@ -77,10 +76,8 @@
     pub(crate) config_outdated: Notify,
     /// Wakes the endpoint controller when this entry has missed a change that a peer has seen.
     pub(crate) endpoints_outdated: Notify,
-    /// The store revision of the newest endpoint change that this entry has seen.
-    pub(crate) endpoints_revision: AtomicU64,
-    /// Since when a peer has known of an endpoint change that this entry has not seen.
-    pub(crate) endpoints_outdated_since: Mutex<Option<Instant>>,
+    /// How far this entry has seen the changes of the endpoints.
+    pub(crate) endpoints_lag: Mutex<WatchLag>,
     pub(crate) client: EndpointClient,
     pub(crate) store: StoreClient,
     pub(crate) reports: filter::ReportCache,
@@ -126,8 +123,7 @@
             suspects_due: Notify::new(),
             config_outdated: Notify::new(),
             endpoints_outdated: Notify::new(),
-            endpoints_revision: AtomicU64::new(0),
-            endpoints_outdated_since: Mutex::default(),
+            endpoints_lag: Mutex::default(),
             client: EndpointClient::default(),
             store: StoreClient::new(settings.store.address),
             reports: filter::ReportCache::default(),
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -1,10 +1,9 @@
 //! Keeps the list of endpoints in sync with their records in the store.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::Ordering;
 
 use pistachioyard_platform::{ENDPOINT_KIND, Object, StoreAnswerError, decode_endpoint};
-use pistachioyard_policy::{EndpointChange, EndpointRecord, StorePosition, is_later_era};
+use pistachioyard_policy::{EndpointChange, EndpointRecord, StoreEra, StorePosition, is_later_era};
 
 use super::jittered;
 use super::watch_pace::{self, WatchPace};
@@ -47,10 +46,11 @@
 
 async fn read(router: &Arc<Router>) -> Result<StorePosition, StoreError> {
     let InEra { value: page, era } = router.store.list(ENDPOINT_KIND, false).await?;
+    note_position(router, era, 0);
     let mut listed = BTreeSet::new();
     for object in &page.objects {
         listed.insert(object.name.clone());
-        apply(router, object);
+        apply(router, object, era);
     }
     let known: Vec<EndpointId> = router.endpoints.lock().ids().cloned().collect();
     for endpoint in known.iter().filter(|e| !listed.contains(e.as_str())) {
@@ -75,25 +75,24 @@
     }
     for change in &page.changes {
         if !change.deleted {
-            apply(router, &change.object);
+            apply(router, &change.object, era);
         } else if let Ok(endpoint) = EndpointId::try_from(change.object.name.as_str()) {
             remove(router, &endpoint, retain_until(router));
-            note_revision(router, change.object.revision);
+            note_position(router, era, change.object.revision);
         }
     }
     let revision = page.revision;
     Ok(StorePosition { era, revision })
 }
 
-/// Records the revision of the newest change, for comparison with the peers.
-fn note_revision(router: &Router, revision: u64) {
-    router
-        .endpoints_revision
-        .fetch_max(revision, Ordering::Relaxed);
+/// Records the position of a change, for comparison with the peers.
+fn note_position(router: &Router, era: Option<StoreEra>, revision: u64) {
+    let seen = StorePosition { era, revision };
+    router.endpoints_lag.lock().note(seen);
 }
 
-fn apply(router: &Router, object: &Object) {
-    note_revision(router, object.revision);
+fn apply(router: &Router, object: &Object, era: Option<StoreEra>) {
+    note_position(router, era, object.revision);
     let record = match decode_endpoint(&object.name, &object.spec) {
         Ok(record) => record,
         Err(e) => {
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -8,9 +8,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 
-use pistachioyard_policy::GossipReport;
+use pistachioyard_policy::{GossipReport, StoreEra, StorePosition};
 use pistachioyard_wire::{EntryState, LayerRange, MemberRecord, QuarantineMark};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
@@ -50,6 +49,9 @@
     reaches_store: bool,
     /// The store revision of the newest endpoint change that the sender has seen.
     endpoints_revision: u64,
+    /// The era of that revision, if it is known.
+    #[serde(default)]
+    endpoints_era: Option<StoreEra>,
     /// The sender's load per endpoint: short key, requests, token-layers.
     load: Vec<(u32, u32, f32)>,
     /// The layer reports that the sender has recently received from endpoints.
@@ -120,7 +122,13 @@
             without_store.insert(sender.entry.clone());
         }
     }
-    detect_watch_lag(router, gossip.endpoints_revision, now);
+    let seen = StorePosition {
+        era: gossip.endpoints_era,
+        revision: gossip.endpoints_revision,
+    };
+    if router.endpoints_lag.lock().check(seen, now, MAX_WATCH_LAG) {
+        router.endpoints_outdated.notify_one();
+    }
     router.quarantine.lock().merge(&gossip.quarantine, now);
     let mut endpoints = router.endpoints.lock();
     let by_key: HashMap<u32, EndpointId> = endpoints
@@ -164,21 +172,6 @@
     router.load.lock().set_peer(sender.entry.clone(), load);
 }
 
-/// Triggers a new read of the endpoints when a peer has known of a change for longer than
-/// a working watch takes to deliver it.
-fn detect_watch_lag(router: &Router, revision: u64, now: Instant) {
-    let mut endpoints_outdated_since = router.endpoints_outdated_since.lock();
-    if revision <= router.endpoints_revision.load(Ordering::Relaxed) {
-        *endpoints_outdated_since = None;
-        return;
-    }
-    let since = *endpoints_outdated_since.get_or_insert(now);
-    if now.saturating_duration_since(since) > MAX_WATCH_LAG {
-        *endpoints_outdated_since = None;
-        router.endpoints_outdated.notify_one();
-    }
-}
-
 /// Sends this entry's state to peers periodically.
 pub(super) async fn gossip(router: Arc<Router>, socket: Arc<UdpSocket>) {
     loop {
@@ -260,10 +253,12 @@
     });
     let mut quarantine = router.quarantine.lock().marks(now);
     quarantine.truncate(MAX_ITEMS_PER_LIST);
+    let seen = router.endpoints_lag.lock().newest();
     let gossip = Gossip {
         members,
         reaches_store: router.store.is_reachable(),
-        endpoints_revision: router.endpoints_revision.load(Ordering::Relaxed),
+        endpoints_revision: seen.revision,
+        endpoints_era: seen.era,
         load: load.collect(),
         heard,
         quarantine,
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -49,6 +49,15 @@
         let waited = wait_until(Duration::from_secs(6), "the endpoints", has_count).await;
         waited.is_ok()
     }
+
+    async fn endpoint_lists(&self) -> u64 {
+        let lists = self
+            .client
+            .get_json::<Value>(self.store, "/control/lists")
+            .await
+            .expect("the store answers");
+        lists["servers"].as_u64().unwrap_or_default()
+    }
 }
 
 /// A configuration is adopted although the watch continues from a revision that the store has
@@ -149,3 +158,24 @@
         .collect();
     assert!(removed.is_empty(), "{removed:#?}");
 }
+
+/// An entry whose peer has seen higher revisions of the earlier era does not list all records
+/// over and over.
+#[tokio::test(flavor = "multi_thread")]
+async fn revisions_of_the_earlier_era_do_not_cause_endless_lists() {
+    let mut site = Site::start(2).await;
+    site.control_store("copy", json!({})).await;
+    site.raise_revision(3_000).await;
+    tokio::time::sleep(WATCH_SETTLE_TIME).await;
+    site.control_store("restore", json!({})).await;
+    tokio::time::sleep(WATCH_SETTLE_TIME).await;
+    site.entries[1].process.kill();
+    let launcher = site.launcher.clone();
+    site.entries[1].process.start(&launcher);
+    site.await_service().await;
+    tokio::time::sleep(WATCH_SETTLE_TIME).await;
+    let before = site.endpoint_lists().await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let lists = site.endpoint_lists().await - before;
+    assert!(lists <= 1, "{lists} lists in five seconds");
+}
