Void the placement lease when the store comes back from a copy

Cause: the token was one more than that in the store, which may have lost it; the holder of the earlier era went on until its next renewal; a reused revision passed for an unchanged lease. Change: a hold belongs to an era and to the newest token, of which entries tell each other by gossip. A token to be written is above the newest known one. Revisions of the lease are compared with their era. A lease that was written in a later era than it was read may have replaced another entry's, so its writer waits for a term. The end of a hold with its era and the wait for a term have no end-to-end test.

--- a/crates/pistachioyard_policy/src/lease.rs
+++ b/crates/pistachioyard_policy/src/lease.rs
@@ -9,6 +9,8 @@
 use pistachioyard_wire::{BootId, EntryId, Fence};
 use serde::{Deserialize, Serialize};
 
+use crate::store_position::{StoreEra, is_later_era};
+
 /// The maximum number of terms from now until a lease can plausibly end; one that ends later
 /// was written with a wrong clock.
 const MAX_TERMS_AHEAD: u64 = 2;
@@ -101,3 +103,54 @@
         now.saturating_duration_since(self.granted_at) + margin < self.term
     }
 }
+
+/// Holds a lease in a store that may come back from an older copy, by the holder's view.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EraLease {
+    /// The hold within the era.
+    pub hold: HeldLease,
+    /// The fencing token.
+    pub fence: Fence,
+    /// The era in which the lease was written.
+    pub era: Option<StoreEra>,
+}
+
+impl EraLease {
+    /// Returns whether the lease is valid for at least `margin` after `now`.
+    ///
+    /// A later era of the store has lost it, and a higher token shows that another process has
+    /// taken it since.
+    pub fn is_valid(
+        &self,
+        now: Instant,
+        margin: Duration,
+        era: Option<StoreEra>,
+        newest_fence: Fence,
+    ) -> bool {
+        self.hold.is_valid(now, margin)
+            && !is_later_era(era, self.era)
+            && self.fence >= newest_fence
+    }
+}
+
+/// Raises the fencing token of a record to be written above the newest known one.
+///
+/// A store that came back from an older copy holds an older token or none, and endpoints refuse
+/// orders with a lower token than they have seen.
+pub fn raise_fence(action: LeaseAction, newest_fence: Fence) -> LeaseAction {
+    match action {
+        LeaseAction::Take(record) if record.fence <= newest_fence => {
+            LeaseAction::Take(LeaseRecord {
+                fence: newest_fence.next(),
+                ..record
+            })
+        }
+        LeaseAction::Renew(record) if record.fence < newest_fence => {
+            LeaseAction::Take(LeaseRecord {
+                fence: newest_fence.next(),
+                ..record
+            })
+        }
+        action => action,
+    }
+}
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -45,7 +45,7 @@
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
-pub use lease::{HeldLease, LeaseAction, LeaseRecord, decide_lease};
+pub use lease::{EraLease, HeldLease, LeaseAction, LeaseRecord, decide_lease, raise_fence};
 pub use ledger::{
     ChangeAnswer, Claim, ClaimState, KeyAgeError, LedgerChange, LedgerLayout, LedgerPage,
     LedgerPageError,
--- a/crates/pistachioyard_policy/src/store_position.rs
+++ b/crates/pistachioyard_policy/src/store_position.rs
@@ -29,6 +29,12 @@
 }
 
 impl StorePosition {
+    /// Returns whether an object whose last change was here has not changed, since its last
+    /// change is at `now`; a revision that a later era gives out again is another change.
+    pub fn is_unchanged(&self, now: Self) -> bool {
+        self.revision == now.revision && !is_later_era(now.era, self.era)
+    }
+
     /// Returns whether another position is later; if an era is unknown, only the revisions count.
     fn is_before(&self, other: Self) -> bool {
         match (self.era, other.era) {
--- a/crates/pistachioyard_policy/tests/lease.rs
+++ b/crates/pistachioyard_policy/tests/lease.rs
@@ -3,7 +3,9 @@
 
 use std::time::{Duration, Instant};
 
-use pistachioyard_policy::{HeldLease, LeaseAction, LeaseRecord, decide_lease};
+use pistachioyard_policy::{
+    EraLease, HeldLease, LeaseAction, LeaseRecord, StoreEra, decide_lease, raise_fence,
+};
 use pistachioyard_wire::{BootId, EntryId, Fence};
 use uuid::Uuid;
 
@@ -73,3 +75,46 @@
     assert!(held_lease.is_valid(start + Duration::from_secs(7), margin));
     assert!(!held_lease.is_valid(start + Duration::from_secs(8), margin));
 }
+
+/// Endpoints would refuse the orders of a holder whose token an older copy of the store gave it.
+#[test]
+fn a_token_from_an_older_copy_is_raised_above_the_newest_known_one() {
+    let newest = Fence(7);
+    let raised = LeaseAction::Take(held("one", 1, 8, 10_000));
+    let actions = [
+        decide_as_entry_one(None),
+        decide_as_entry_one(Some(&held("two", 1, 6, 0))),
+        decide_as_entry_one(Some(&held("one", 1, 6, 0))),
+        decide_as_entry_one(Some(&held("one", 1, 6, 5_000))),
+    ];
+    for action in actions {
+        assert_eq!(raise_fence(action.clone(), newest), raised, "{action:?}");
+    }
+    let unchanged = [
+        decide_as_entry_one(Some(&held("two", 1, 7, 0))),
+        decide_as_entry_one(Some(&held("one", 1, 7, 5_000))),
+        decide_as_entry_one(Some(&held("one", 1, 3, 9_000))),
+        decide_as_entry_one(Some(&held("two", 1, 3, 700))),
+    ];
+    for action in unchanged {
+        assert_eq!(raise_fence(action.clone(), newest), action);
+    }
+}
+
+/// Another process may have taken the lease that the store's return has lost.
+#[test]
+fn a_lease_of_an_earlier_era_or_with_a_lower_token_is_not_held() {
+    let now = Instant::now();
+    let lease = |era| EraLease {
+        hold: HeldLease::new(now, TERM),
+        fence: Fence(4),
+        era,
+    };
+    let is_valid = |lease: EraLease, era, newest| lease.is_valid(now, TERM / 4, era, newest);
+    let (one, two) = (Some(StoreEra(1)), Some(StoreEra(2)));
+    assert!(is_valid(lease(one), one, Fence(4)));
+    assert!(!is_valid(lease(one), two, Fence(4)));
+    assert!(!is_valid(lease(one), one, Fence(5)));
+    assert!(is_valid(lease(None), one, Fence(4)));
+    assert!(is_valid(lease(one), None, Fence(4)));
+}
--- a/crates/pistachioyard_policy/tests/store_position.rs
+++ b/crates/pistachioyard_policy/tests/store_position.rs
@@ -79,3 +79,13 @@
         assert_eq!(lag.newest(), at(own.or(peer), 12));
     }
 }
+
+/// A lease at a reused revision must not look as if its holder had not renewed it.
+#[test]
+fn a_reused_revision_is_another_change() {
+    assert!(at(Some(1), 7).is_unchanged(at(Some(1), 7)));
+    assert!(at(None, 7).is_unchanged(at(Some(1), 7)));
+    assert!(at(Some(1), 7).is_unchanged(at(None, 7)));
+    assert!(!at(Some(1), 7).is_unchanged(at(Some(1), 8)));
+    assert!(!at(Some(1), 7).is_unchanged(at(Some(2), 7)));
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -17,6 +17,7 @@
 mod store_client;
 
 use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
@@ -24,7 +25,7 @@
     ActivityTracker, CrossingLimiter, EndpointRegistry, LatencyEstimates, LoadTracker, Membership,
     Quarantine, RouteTable, SharedRetryBudget, SuspectReason, WatchLag,
 };
-use pistachioyard_wire::{EntryState, MemberRecord, RequestDigest};
+use pistachioyard_wire::{EntryState, Fence, MemberRecord, RequestDigest};
 pub(crate) use run::run_router;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_128;
@@ -78,6 +79,8 @@
     pub(crate) endpoints_outdated: Notify,
     /// How far this entry has seen the changes of the endpoints.
     pub(crate) endpoints_lag: Mutex<WatchLag>,
+    /// The highest fencing token of the placement lease that this entry knows of.
+    newest_fence: AtomicU64,
     pub(crate) client: EndpointClient,
     pub(crate) store: StoreClient,
     pub(crate) reports: filter::ReportCache,
@@ -124,6 +127,7 @@
             config_outdated: Notify::new(),
             endpoints_outdated: Notify::new(),
             endpoints_lag: Mutex::default(),
+            newest_fence: AtomicU64::new(0),
             client: EndpointClient::default(),
             store: StoreClient::new(settings.store.address),
             reports: filter::ReportCache::default(),
@@ -142,6 +146,16 @@
         config.as_ref().map_or(0, |active| active.table.version)
     }
 
+    /// Returns the highest fencing token of the placement lease that this entry knows of.
+    pub(crate) fn newest_fence(&self) -> Fence {
+        Fence(self.newest_fence.load(Ordering::Relaxed))
+    }
+
+    /// Records a fencing token that was read, written or named by a peer.
+    pub(crate) fn note_fence(&self, fence: Fence) {
+        self.newest_fence.fetch_max(fence.0, Ordering::Relaxed);
+    }
+
     /// Returns whether this entry is ready to serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.lifecycle.is_draining()
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 
 use pistachioyard_policy::{GossipReport, StoreEra, StorePosition};
-use pistachioyard_wire::{EntryState, LayerRange, MemberRecord, QuarantineMark};
+use pistachioyard_wire::{EntryState, Fence, LayerRange, MemberRecord, QuarantineMark};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
 use serde::{Deserialize, Serialize};
@@ -52,6 +52,10 @@
     /// The era of that revision, if it is known.
     #[serde(default)]
     endpoints_era: Option<StoreEra>,
+    /// The highest fencing token of the placement lease that the sender knows of, since the
+    /// store may lose it.
+    #[serde(default)]
+    newest_fence: Fence,
     /// The sender's load per endpoint: short key, requests, token-layers.
     load: Vec<(u32, u32, f32)>,
     /// The layer reports that the sender has recently received from endpoints.
@@ -129,6 +133,7 @@
     if router.endpoints_lag.lock().check(seen, now, MAX_WATCH_LAG) {
         router.endpoints_outdated.notify_one();
     }
+    router.note_fence(gossip.newest_fence);
     router.quarantine.lock().merge(&gossip.quarantine, now);
     let mut endpoints = router.endpoints.lock();
     let by_key: HashMap<u32, EndpointId> = endpoints
@@ -259,6 +264,7 @@
         reaches_store: router.store.is_reachable(),
         endpoints_revision: seen.revision,
         endpoints_era: seen.era,
+        newest_fence: router.newest_fence(),
         load: load.collect(),
         heard,
         quarantine,
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -53,7 +53,7 @@
         Err(StoreError::Fault(StoreAnswerError::Conflict)) => {
             match router.store.read(ENTRY_KIND, &name).await {
                 Ok(old) => {
-                    let call = StoreCall::replace(ENTRY_KIND, &name, old.revision, spec);
+                    let call = StoreCall::replace(ENTRY_KIND, &name, old.value.revision, spec);
                     router.store.object(&call).await
                 }
                 Err(e) => Err(e),
@@ -63,7 +63,8 @@
     };
     match written {
         Ok(object) => {
-            spdlog::info!("peers: registered", kv: { revision = object.revision });
+            let revision = object.value.revision;
+            spdlog::info!("peers: registered", kv: { revision });
             true
         }
         Err(e) => {
--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -39,7 +39,7 @@
         return;
     };
     // The holder keeps the lease, so that a returning entry does not force a handover.
-    if !lease.is_held() && !is_candidate(router, Instant::now()) {
+    if !lease.is_held(router) && !is_candidate(router, Instant::now()) {
         return;
     }
     let Some(fence) = lease.fence(router).await else {
--- a/src/router/controller/placement/lease.rs
+++ b/src/router/controller/placement/lease.rs
@@ -3,14 +3,21 @@
 //! Safety does not depend on the lease: each order states how many orders the endpoint has
 //! begun so far, so an endpoint refuses an order that is based on stale state. Nor does it
 //! depend on the wall clock, which may differ between hosts by seconds.
+//!
+//! A store that comes back from an older copy loses the lease. A hold ends with its era, and the
+//! next one has a higher fencing token than any that an entry knows of, since endpoints refuse
+//! lower ones.
 
 use pistachioyard_platform::{ObjectKind, StoreAnswerError, StoreCall};
-use pistachioyard_policy::{HeldLease, LeaseAction, LeaseRecord, decide_lease};
+use pistachioyard_policy::{
+    EraLease, HeldLease, LeaseAction, LeaseRecord, StorePosition, decide_lease, is_later_era,
+    raise_fence,
+};
 use pistachioyard_wire::Fence;
 
 use crate::prelude::*;
 use crate::router::Router;
-use crate::router::store_client::StoreError;
+use crate::router::store_client::{InEra, StoreError};
 
 /// The kind and the name of the lease object.
 const LEASE_KIND: ObjectKind = ObjectKind("leases");
@@ -29,12 +36,10 @@
 /// Tracks this process's hold on the lease.
 #[derive(Default)]
 pub(super) struct Lease {
-    held: Option<(HeldLease, Fence)>,
+    held: Option<EraLease>,
     next_attempt_at: Option<Instant>,
-    /// The highest fencing token that was read or written.
-    newest_fence: Fence,
-    /// The last revision of the lease object, and when this process first saw it.
-    last_read: Option<(u64, Instant)>,
+    /// The position of the lease object's last change, and when this process first saw it.
+    last_read: Option<(StorePosition, Instant)>,
 }
 
 impl Lease {
@@ -46,34 +51,40 @@
     pub(super) async fn fence(&mut self, router: &Router) -> Option<Fence> {
         let fence = self.maintain(router).await;
         let is_store_unreachable = !router.store.is_reachable();
-        fence.or_else(|| is_store_unreachable.then_some(self.newest_fence))
+        fence.or_else(|| is_store_unreachable.then(|| router.newest_fence()))
     }
 
     /// Returns whether this process holds the lease and may send orders under it.
     ///
     /// Uses the monotonic clock; the answer turns false [`ORDER_MARGIN`] before the term ends.
-    pub(super) fn is_held(&self) -> bool {
-        self.held
-            .is_some_and(|(hold, _)| hold.is_valid(Instant::now(), ORDER_MARGIN))
+    pub(super) fn is_held(&self, router: &Router) -> bool {
+        self.valid_fence(router, ORDER_MARGIN).is_some()
+    }
+
+    /// Returns the fencing token if the lease is valid for at least `margin` from now.
+    fn valid_fence(&self, router: &Router, margin: Duration) -> Option<Fence> {
+        let (era, newest_fence) = (router.store.era(), router.newest_fence());
+        let now = Instant::now();
+        let held = self.held?;
+        held.is_valid(now, margin, era, newest_fence)
+            .then_some(held.fence)
     }
 
     /// Acquires or renews the lease; returns its fencing token if it is held.
     async fn maintain(&mut self, router: &Router) -> Option<Fence> {
-        if let Some((hold, fence)) = self.held
-            && hold.is_valid(Instant::now(), TERM / 2)
-        {
+        if let Some(fence) = self.valid_fence(router, TERM / 2) {
             return Some(fence);
         }
         if self.next_attempt_at.is_some_and(|at| Instant::now() < at) {
-            return self.held.filter(|_| self.is_held()).map(|(_, fence)| fence);
+            return self.valid_fence(router, ORDER_MARGIN);
         }
         self.next_attempt_at = Some(Instant::now() + RETRY_PAUSE);
-        let had = self.held.map(|(_, fence)| fence);
+        let had = self.held.map(|held| held.fence);
         let result = self.acquire_or_renew(router).await;
         if let Err(e) = &result {
             spdlog::warn!("lease: cannot acquire or renew", kv: { why = e.to_string().as_str() });
         }
-        let fence = self.held.filter(|_| self.is_held()).map(|(_, fence)| fence);
+        let fence = self.valid_fence(router, ORDER_MARGIN);
         match (had, fence) {
             (before, Some(now)) if before != Some(now) => {
                 spdlog::info!("lease: acquired", kv: { fence = now.0 });
@@ -86,21 +97,25 @@
 
     async fn acquire_or_renew(&mut self, router: &Router) -> Result<(), StoreError> {
         let asked_at = Instant::now();
-        let current = match router.store.read(LEASE_KIND, LEASE_NAME).await {
-            Ok(object) => Some(object),
-            Err(StoreError::Fault(StoreAnswerError::NotFound)) => None,
+        let (current, read_era) = match router.store.read(LEASE_KIND, LEASE_NAME).await {
+            Ok(InEra { value, era }) => (Some(value), era),
+            Err(StoreError::Fault(StoreAnswerError::NotFound)) => (None, router.store.era()),
             Err(e) => return Err(e),
         };
         let record: Option<LeaseRecord> = current
             .as_ref()
             .and_then(|object| serde_json::from_value(object.spec.clone()).ok());
         if let Some(record) = &record {
-            self.newest_fence = self.newest_fence.max(record.fence);
+            router.note_fence(record.fence);
         }
-        let revision = current.as_ref().map(|object| object.revision);
-        let now_ms = self.evaluation_time(router, record.as_ref(), revision, asked_at);
+        let position = current.as_ref().map(|object| StorePosition {
+            era: read_era,
+            revision: object.revision,
+        });
+        let now_ms = self.evaluation_time(router, record.as_ref(), position, asked_at);
         let me = &router.settings.entry;
-        let next = match decide_lease(record.as_ref(), me, router.boot, now_ms, TERM) {
+        let action = decide_lease(record.as_ref(), me, router.boot, now_ms, TERM);
+        let next = match raise_fence(action, router.newest_fence()) {
             LeaseAction::Keep => return Ok(()),
             LeaseAction::Take(next) | LeaseAction::Renew(next) => next,
             LeaseAction::Wait { ms } => {
@@ -118,10 +133,25 @@
             Some(object) => StoreCall::replace(LEASE_KIND, LEASE_NAME, object.revision, spec),
         };
         match router.store.object(&call).await {
-            Ok(object) => {
-                self.newest_fence = next.fence;
-                self.last_read = Some((object.revision, asked_at));
-                self.held = Some((HeldLease::new(asked_at, TERM), next.fence));
+            Ok(InEra { era, .. }) if is_later_era(era, read_era) => {
+                // The revision may have been given out again, to another entry's lease, which
+                // this write has then replaced.
+                self.held = None;
+                self.next_attempt_at = Some(Instant::now() + TERM);
+                spdlog::warn!("lease: the store came back from a copy, waiting for a term", kv: {
+                    fence = next.fence.0
+                });
+                Ok(())
+            }
+            Ok(InEra { value, era }) => {
+                router.note_fence(next.fence);
+                let revision = value.revision;
+                self.last_read = Some((StorePosition { era, revision }, asked_at));
+                self.held = Some(EraLease {
+                    hold: HeldLease::new(asked_at, TERM),
+                    fence: next.fence,
+                    era,
+                });
                 Ok(())
             }
             Err(e) => {
@@ -141,20 +171,20 @@
         &mut self,
         router: &Router,
         record: Option<&LeaseRecord>,
-        revision: Option<u64>,
+        position: Option<StorePosition>,
         now: Instant,
     ) -> u64 {
-        let Some((record, revision)) = record.zip(revision) else {
+        let Some((record, position)) = record.zip(position) else {
             return unix_ms();
         };
         let since = match self.last_read {
-            Some((seen, since)) if seen == revision => since,
+            Some((seen, since)) if seen.is_unchanged(position) => since,
             _ => now,
         };
-        self.last_read = Some((revision, since));
+        self.last_read = Some((position, since));
         let is_own = record.boot == router.boot;
         let is_expired = if is_own {
-            !self.is_held()
+            !self.is_held(router)
         } else {
             now.saturating_duration_since(since) >= TERM || is_holder_lost(router, record, now)
         };
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -94,6 +94,11 @@
         self.is_reachable.load(Ordering::Relaxed)
     }
 
+    /// Returns the latest known era of the store.
+    pub(crate) fn era(&self) -> Option<StoreEra> {
+        *self.era.borrow()
+    }
+
     /// Waits until the store is in a later era than `seen`.
     pub(crate) async fn wait_for_later_era(&self, seen: Option<StoreEra>) {
         let mut era = self.era.subscribe();
@@ -144,14 +149,19 @@
     }
 
     /// Reads one object.
-    pub(crate) async fn read(&self, kind: ObjectKind, name: &str) -> Result<Object, StoreError> {
+    pub(crate) async fn read(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+    ) -> Result<InEra<Object>, StoreError> {
         self.object(&StoreCall::read(kind, name)).await
     }
 
     /// Makes a call whose answer is a single object.
-    pub(crate) async fn object(&self, call: &StoreCall) -> Result<Object, StoreError> {
-        let answer = self.send(call).await?.value;
-        Ok(decode_object(answer.status, &answer.body)?)
+    pub(crate) async fn object(&self, call: &StoreCall) -> Result<InEra<Object>, StoreError> {
+        let InEra { value, era } = self.send(call).await?;
+        let value = decode_object(value.status, &value.body)?;
+        Ok(InEra { value, era })
     }
 
     async fn send(&self, call: &StoreCall) -> Result<InEra<Answer>, StoreError> {
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -34,6 +34,49 @@
         }
     }
 
+    /// Returns the content of an object in the store; null if there is none.
+    async fn stored_spec(&self, kind: &str, name: &str) -> Value {
+        let path = format!("/objects/{kind}/{name}");
+        let object = self.client.get_json::<Value>(self.store, &path).await;
+        object.map_or(Value::Null, |object| object["spec"].clone())
+    }
+
+    /// Waits until the lease has the given holder, and returns its fencing token.
+    async fn await_lease(&self, holder: &str) -> u64 {
+        wait_until(Duration::from_secs(12), "the lease", || async {
+            self.stored_spec("leases", "placement").await["holder"] == holder
+        })
+        .await
+        .expect("the entry takes the lease");
+        let lease = self.stored_spec("leases", "placement").await;
+        lease["fence"].as_u64().expect("the lease has a token")
+    }
+
+    /// Restarts an entry after the other one has taken the lease, and returns the new token.
+    async fn move_lease(&mut self, from: usize, to: usize) -> u64 {
+        self.entries[from].process.kill();
+        let holder = self.entries[to].process.name.clone();
+        let fence = self.await_lease(&holder).await;
+        let launcher = self.launcher.clone();
+        self.entries[from].process.start(&launcher);
+        self.await_service().await;
+        self.await_live_entries(2).await;
+        fence
+    }
+
+    /// Starts a site of two entries, the second of which holds the lease with the returned
+    /// token, and a copy of whose store lacks the lease.
+    async fn start_with_lease_after_the_copy() -> (Self, u64) {
+        let mut site = Self::start(2).await;
+        if site.stored_spec("leases", "placement").await["holder"] == "entry-1" {
+            site.move_lease(1, 0).await;
+        }
+        site.control_store("copy", json!({ "without": ["leases"] }))
+            .await;
+        let fence = site.move_lease(0, 1).await;
+        (site, fence)
+    }
+
     async fn await_path(&self, to: SocketAddr, path: &str, timeout: Duration) -> bool {
         let path = format!("{path}a");
         let served = || async { self.check_plain(to, &path).await.result.is_ok() };
@@ -179,3 +222,18 @@
     let lists = site.endpoint_lists().await - before;
     assert!(lists <= 1, "{lists} lists in five seconds");
 }
+
+/// A lease that is taken again after a return has a higher fencing token than all before, since
+/// endpoints refuse orders with a lower one.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_fencing_token_does_not_go_back_with_the_copy() {
+    let (site, seen) = Site::start_with_lease_after_the_copy().await;
+    site.control_store("restore", json!({})).await;
+    wait_until(Duration::from_secs(6), "a lease", || async {
+        !site.stored_spec("leases", "placement").await.is_null()
+    })
+    .await
+    .expect("the lease is taken again");
+    let lease = site.stored_spec("leases", "placement").await;
+    assert!(lease["fence"].as_u64() > Some(seen), "{seen}, then {lease}");
+}
