Register an entry again at once when the store comes back from a copy

What callers saw: an entry that started soon after the store's return from a copy without the registrations did not find its peers for up to five seconds. Cause: entries look at the registrations every four seconds, in a list that may be old. Change: a later era wakes the look, which then reads the current list; a missing registration is written in the same round.

--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -1,6 +1,7 @@
 //! Registrations of entries in the store, through which they discover each other.
 
 use pistachioyard_platform::{ObjectKind, StoreAnswerError, StoreCall};
+use pistachioyard_policy::is_later_era;
 use pistachioyard_wire::{EntryState, MemberRecord};
 
 use crate::prelude::*;
@@ -24,18 +25,30 @@
 pub(in crate::router::controller) async fn register(router: Arc<Router>) {
     let mut is_registered = false;
     let mut rounds = 0;
+    let mut era = router.store.era();
     loop {
         if !is_registered {
             is_registered = register_once(&router).await;
         }
-        if sync_registrations(&router).await == OwnRegistration::Missing {
-            // A peer removes it when it has received no gossip from this entry for a long time.
+        let has_returned = is_later_era(router.store.era(), era);
+        era = router.store.era();
+        // A stale list is sufficient, since it only bootstraps discovery; after the store's
+        // return it may still show the registration that is gone.
+        if sync_registrations(&router, !has_returned).await == OwnRegistration::Missing {
+            // A peer removes it when it has received no gossip from this entry for a long time,
+            // and a store that came back from an older copy may lack it.
             spdlog::warn!("peers: own registration is missing, registering again");
-            is_registered = false;
+            is_registered = register_once(&router).await;
         }
         let pause = SYNC_PAUSES[rounds.min(SYNC_PAUSES.len() - 1)];
         rounds += 1;
-        tokio::time::sleep(jittered(pause)).await;
+        tokio::select! {
+            () = tokio::time::sleep(jittered(pause)) => {}
+            () = router.store.wait_for_later_era(era) => {
+                rounds = 0;
+                tokio::time::sleep(jittered(SYNC_PAUSES[0])).await;
+            }
+        }
     }
 }
 
@@ -84,9 +97,8 @@
 }
 
 /// Reads the registrations of all entries and removes those of silent ones.
-async fn sync_registrations(router: &Router) -> OwnRegistration {
-    // A stale list is sufficient, since it only bootstraps discovery.
-    let page = match router.store.list(ENTRY_KIND, true).await {
+async fn sync_registrations(router: &Router, stale: bool) -> OwnRegistration {
+    let page = match router.store.list(ENTRY_KIND, stale).await {
         Ok(page) => page.value,
         Err(e) => {
             spdlog::debug!("peers: cannot list entries", kv: { why = e.to_string().as_str() });
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -237,3 +237,23 @@
     let lease = site.stored_spec("leases", "placement").await;
     assert!(lease["fence"].as_u64() > Some(seen), "{seen}, then {lease}");
 }
+
+/// Entries that the copy lacks register again soon, so that new entries find them.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_the_copy_lacks_register_again_soon() {
+    let site = Site::start(3).await;
+    site.control_store("copy", json!({ "without": ["entries"] }))
+        .await;
+    // Long enough for the entries to look at their registrations at the longest intervals only.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    site.control_store("restore", json!({})).await;
+    wait_until(Duration::from_millis(1_500), "registrations", || async {
+        let list = site
+            .client
+            .get_json::<Value>(site.store, "/objects/entries")
+            .await;
+        list.is_ok_and(|list| list["items"].as_array().map(Vec::len) == Some(3))
+    })
+    .await
+    .expect("all entries register again");
+}
