--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod retry_budget;
 mod routing;
 mod stall_detector;
+mod store_position;
 mod stream_guard;
 
 pub use activity_tracker::ActivityTracker;
@@ -45,7 +46,7 @@
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
-pub use lease::{HeldLease, LeaseAction, LeaseRecord, decide_lease};
+pub use lease::{EraLease, HeldLease, LeaseAction, LeaseRecord, decide_lease, raise_fence};
 pub use ledger::{
     ChangeAnswer, Claim, ClaimState, KeyAgeError, LedgerChange, LedgerLayout, LedgerPage,
     LedgerPageError,
@@ -65,4 +66,5 @@
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
+pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -13,4 +13,5 @@
 mod process;
 mod raw;
 mod soak;
+mod store_era;
 mod support;
