--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -107,7 +107,7 @@
 /// given out again in the meantime.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_written_under_a_reused_revision_is_adopted() {
-    let mut site = Site::start(1).await;
+    let site = Site::start(1).await;
     let to = site.entries[0].caller_address();
     site.control_store("copy", json!({})).await;
     site.raise_revision(60).await;
@@ -123,7 +123,7 @@
 /// An older configuration from the copy does not replace the adopted one.
 #[tokio::test(flavor = "multi_thread")]
 async fn the_configuration_does_not_go_back_with_the_copy() {
-    let mut site = Site::start(2).await;
+    let site = Site::start(2).await;
     site.control_store("copy", json!({})).await;
     let newer = site.add_route().await.expect("the store accepts it");
     for entry in &site.entries {
