Apply the idle limit in force to connections that are already open

What callers saw: after a version with a longer idle limit, a request on a connection that had been idle for less than the new limit found it closed.

Cause: a connection kept the limits that were in force when it was opened.

Change: the server tracks since when a connection is idle, its body included, and closes it gracefully once the limit in force has passed. The same limit bounds the head of a request, as before.

--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -1,22 +1,24 @@
 //! The HTTP servers for callers, the directory, readiness, peers and metrics.
 
+mod activity;
+
 use std::convert::Infallible;
 use std::error::Error;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
 use pistachioyard_platform::{
     DIRECTORY_PATH, READY_PATH, decode_directory_query, encode_directory_answer,
 };
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+use self::activity::{ActiveBody, ConnectionActivity, idle_limit};
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
 use crate::router::controller::{STATE_PATH, encode_state};
@@ -30,8 +32,6 @@
 const DIRECTORY_TTL_S: u64 = 1;
 /// The smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
-/// The idle timeout of connections that are opened before the first configuration is adopted.
-const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 /// The delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -82,25 +82,29 @@
         return;
     }
     let limits = router.active_config().map(|active| active.table.limits);
-    let idle = limits.map_or(DEFAULT_IDLE, |l| l.idle_timeout.max(l.header_timeout));
     let max_head = limits.map_or(MIN_HEAD_BYTES, |l| l.max_header_bytes.max(MIN_HEAD_BYTES));
     let is_caller = matches!(service, Service::Callers);
-    let requests = Arc::new(AtomicU64::new(0));
-    let (state, counted) = (router.clone(), requests.clone());
+    let activity = ConnectionActivity::new(Instant::now());
+    let (state, counted) = (router.clone(), activity.clone());
     let handler = service_fn(move |req| {
-        counted.fetch_add(1, Ordering::Relaxed);
+        let request = counted.begin();
         let router = state.clone();
         let service = service.clone();
-        async move { Ok::<_, Infallible>(handle(router, service, req).await) }
+        async move {
+            let response = handle(router, service, req).await;
+            Ok::<_, Infallible>(response.map(|body| ActiveBody::new(body, request)))
+        }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
         .max_buf_size(max_head)
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = &mut connection => ended,
+        () = activity.idle_limit_passed(&router) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
         () = router.lifecycle.stopped() => {
             connection.as_mut().graceful_shutdown();
             connection.await
@@ -110,8 +114,8 @@
         && is_caller
     {
         spdlog::info!("http: caller's connection broke", kv: {
-            why = error_text(&e).as_str(), is_timeout = e.is_timeout(),
-            requests = requests.load(Ordering::Relaxed), idle_limit_ms = ms(idle)
+            why = error_text(&e).as_str(), requests = activity.requests(),
+            idle_limit_ms = ms(idle_limit(&router))
         });
     }
 }
