Test a stop of an entry while answers are written to slow readers

`X-Answer-Bytes` makes a site-worker pad its answer, or each event of it, and the raw caller reads at a given rate. Loopback buffers hold an answer of 100 KiB whole, so this size cannot show an early exit here.

--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -5,6 +5,7 @@
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
 //! ends the process. `GET /control/runs` lists the ids of the requests started.
+//! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it.
 //!
 //! `PUT /control/silence` with a number of milliseconds makes it fall silent for that time: it
 //! accepts no connection and answers nothing, keeps its connections and then goes on.
@@ -289,7 +290,8 @@
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
         tokio::time::sleep(PLAIN_REQUEST_TIME).await;
-        return with_signature(&id, full_body(format!("{}\n\n", answer_line(&id, 0))));
+        let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
+        return with_signature(&id, full_body(format!("{line}\n\n")));
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
     if let Err(missing) = check_path(&worker, &path).await {
@@ -304,7 +306,7 @@
         state.paths.insert(id.clone(), path);
     }
     let last = header(&parts.headers, "last-event-id").and_then(|id| id.parse().ok());
-    let events = Events::new(worker, &id, last);
+    let events = Events::new(worker, &id, last, padded_len(&parts.headers));
     let body = StreamBody::new(stream::unfold(Some(events), |events| async {
         let mut events = events?;
         match events.next().await {
@@ -333,3 +335,14 @@
 fn answer_line(id: &str, n: u64) -> String {
     format!("{:016x}", xxh3_64(format!("{id}/{n}").as_bytes()))
 }
+
+/// Returns the length to which a request wants its answer, or each event of it, to be padded.
+fn padded_len(headers: &HeaderMap) -> usize {
+    let asked = header(headers, "x-answer-bytes").and_then(|len| len.parse().ok());
+    asked.unwrap_or_default()
+}
+
+fn padded(mut line: String, len: usize) -> String {
+    line.push_str(&".".repeat(len.saturating_sub(line.len())));
+    line
+}
--- a/crates/pistachioyard_standins/src/site/worker/events.rs
+++ b/crates/pistachioyard_standins/src/site/worker/events.rs
@@ -6,7 +6,7 @@
 use hyper::body::Bytes;
 
 use super::stages::check_path;
-use super::{Worker, answer_line};
+use super::{Worker, answer_line, padded};
 
 /// The maximum time that a request stalls before it fails.
 const STALL_LIMIT: Duration = Duration::from_millis(2_500);
@@ -18,6 +18,8 @@
     worker: Arc<Worker>,
     id: String,
     next: u64,
+    /// The length to which the data of each event is padded.
+    padded_len: usize,
 }
 
 impl Drop for Events {
@@ -30,11 +32,12 @@
 
 impl Events {
     /// Creates the events that follow event `last`.
-    pub(super) fn new(worker: Arc<Worker>, id: &str, last: Option<u64>) -> Self {
+    pub(super) fn new(worker: Arc<Worker>, id: &str, last: Option<u64>, padded_len: usize) -> Self {
         Self {
             worker,
             id: id.to_owned(),
             next: last.map_or(0, |last| last + 1),
+            padded_len,
         }
     }
 
@@ -47,9 +50,8 @@
         self.wait_for_path().await?;
         let n = self.next;
         self.next += 1;
-        Ok(Some(
-            format!("id: {n}\ndata: {}\n\n", answer_line(&self.id, n)).into(),
-        ))
+        let data = padded(answer_line(&self.id, n), self.padded_len);
+        Ok(Some(format!("id: {n}\ndata: {data}\n\n").into()))
     }
 
     async fn wait_for_path(&self) -> std::io::Result<()> {
--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -5,6 +5,7 @@
 
 mod kept;
 mod plain;
+mod stop;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -4,12 +4,20 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::Instant;
 
 use super::support::KEY;
 
 /// How long a caller waits for the next bytes of an answer.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// The size of the receive buffer of a slow reader, in bytes.
+const SMALL_BUFFER: u32 = 64 * 1024;
+/// The largest number of bytes read at once.
+const READ_BYTES: usize = 32 * 1024;
+
+/// The end of a chunked body without trailers.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// Holds a caller's connection to an entry, and what was read and not yet used.
 pub(crate) struct RawConnection {
@@ -33,6 +41,15 @@
         Self::new(stream)
     }
 
+    /// Connects with a receive buffer so small that the entry soon has to wait for the reader.
+    pub(crate) async fn open_with_small_buffer(to: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket is free");
+        socket
+            .set_recv_buffer_size(SMALL_BUFFER)
+            .expect("the size is valid");
+        Self::new(socket.connect(to).await.expect("the entry accepts"))
+    }
+
     fn new(stream: TcpStream) -> Self {
         stream.set_nodelay(true).expect("the connection is open");
         Self {
@@ -56,18 +73,26 @@
         self.stream.write_all(head.as_bytes()).await.is_ok()
     }
 
-    /// Reads an answer.
+    /// Reads an answer as fast as it comes.
     pub(crate) async fn read(&mut self) -> Exchange {
+        self.read_slowly(u64::MAX).await
+    }
+
+    /// Reads an answer at this number of bytes per second.
+    pub(crate) async fn read_slowly(&mut self, rate: u64) -> Exchange {
+        let started_at = Instant::now();
+        let mut buf = vec![0; READ_BYTES];
         loop {
             if let Some(answer) = self.take_answer() {
                 return answer;
             }
-            let mut buf = [0; 4 * 1024];
             let read = tokio::time::timeout(READ_TIMEOUT, self.stream.read(&mut buf)).await;
             let why = match read {
                 Ok(Ok(0)) => "end of the connection".to_owned(),
                 Ok(Ok(len)) => {
                     self.unread.extend_from_slice(&buf[..len]);
+                    let due = Duration::from_secs_f64(self.unread.len() as f64 / rate as f64);
+                    tokio::time::sleep_until(started_at + due).await;
                     continue;
                 }
                 Ok(Err(e)) => e.to_string(),
@@ -90,6 +115,8 @@
         let rest = &self.unread[head_end..];
         let (body, used) = match length {
             Some(length) => (rest.get(..length)?.to_vec(), length),
+            // Joining the chunks of a large answer on each read would take too long.
+            None if !rest.ends_with(LAST_CHUNK) => return None,
             None => join_chunks(rest)?,
         };
         self.unread.drain(..head_end + used);
