Show a failure: a stopping entry writes large answers to slow readers

Callers that read slowly lose the end of a large answer: the entry exits 2.5 s after SIGTERM with a grace period of 4 s, while the answer is still being written. Cause: a request leaves the count of those in progress before its response is written, so the entry counts as idle; it logs "router: stopped { is_idle=true cut_off=0 took_ms=2503 }".

--- a/tests/site/lost/stop.rs
+++ b/tests/site/lost/stop.rs
@@ -64,6 +64,13 @@
     check_slow_readers(&site, "/record/a", SMALL_ANSWER, 1).await;
 }
 
+/// A stopping entry exits before a large answer is written.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_writes_large_answers_to_slow_readers() {
+    let site = start_site(ONE_PATH).await;
+    check_slow_readers(&site, "/record/a", LARGE_ANSWER, 1).await;
+}
+
 /// A stopping entry exits before the last events of a stream are written.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stopping_entry_writes_large_streams_to_slow_readers() {
