--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -5,7 +5,8 @@
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
 //! ends the process. `GET /control/runs` lists the ids of the requests started.
-//! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it.
+//! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
+//! one with `X-Run-Ms` runs for that time on a plain service.
 //!
 //! `PUT /control/silence` with a number of milliseconds makes it fall silent for that time: it
 //! accepts no connection and answers nothing, keeps its connections and then goes on.
@@ -289,7 +290,8 @@
     }
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
-        tokio::time::sleep(PLAIN_REQUEST_TIME).await;
+        let asked = header(&parts.headers, "x-run-ms").and_then(|ms| ms.parse().ok());
+        tokio::time::sleep(asked.map_or(PLAIN_REQUEST_TIME, Duration::from_millis)).await;
         let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
         return with_signature(&id, full_body(format!("{line}\n\n")));
     }
--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -6,6 +6,7 @@
 mod kept;
 mod plain;
 mod stop;
+mod versions;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
