Test answers that end with their connection

`X-Answer-End` makes a site-worker end its answer with its connection, without a length or chunks, at the end or in the middle of an event, or announce with `Connection: close` that its connection ends.

--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -6,11 +6,13 @@
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
 //! ends the process. `GET /control/runs` lists the ids of the requests started.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
-//! one with `X-Run-Ms` runs for that time on a plain service.
+//! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-End` selects how its
+//! answer ends.
 //!
 //! `PUT /control/silence` with a number of milliseconds makes it fall silent for that time: it
 //! accepts no connection and answers nothing, keeps its connections and then goes on.
 
+mod answer;
 mod events;
 mod silence;
 mod stages;
@@ -28,6 +30,7 @@
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::answer::{Ending, padded, padded_len, signed};
 use self::events::Events;
 use self::stages::{Stages, check_path, parse_path, parse_range};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
@@ -288,12 +291,14 @@
         // Simulates a worker that crashes when it starts to run the request.
         std::process::exit(1);
     }
+    let ending = Ending::of(&parts.headers);
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
         let asked = header(&parts.headers, "x-run-ms").and_then(|ms| ms.parse().ok());
         tokio::time::sleep(asked.map_or(PLAIN_REQUEST_TIME, Duration::from_millis)).await;
         let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
-        return with_signature(&id, full_body(format!("{line}\n\n")));
+        let body = full_body(format!("{line}\n\n"));
+        return signed(&id, body, ending);
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
     if let Err(missing) = check_path(&worker, &path).await {
@@ -308,7 +313,8 @@
         state.paths.insert(id.clone(), path);
     }
     let last = header(&parts.headers, "last-event-id").and_then(|id| id.parse().ok());
-    let events = Events::new(worker, &id, last, padded_len(&parts.headers));
+    let padded_len = padded_len(&parts.headers);
+    let events = Events::new(worker, &id, last, padded_len, ending);
     let body = StreamBody::new(stream::unfold(Some(events), |events| async {
         let mut events = events?;
         match events.next().await {
@@ -317,34 +323,10 @@
             Err(e) => Some((Err(e), None)),
         }
     }));
-    with_signature(&id, body.boxed_unsync())
-}
-
-fn with_signature(id: &str, body: Body) -> Response<Body> {
-    let mut answer = Response::new(body);
-    let headers = answer.headers_mut();
-    if let Ok(id) = ::http::HeaderValue::from_str(id) {
-        headers.insert("x-attempt-id", id);
-    }
-    headers.insert(
-        "x-response-signature",
-        ::http::HeaderValue::from_static("stand-in"),
-    );
-    answer
+    signed(&id, body.boxed_unsync(), ending)
 }
 
 /// Returns the data of event `n` of a request, which is the same on every worker.
 fn answer_line(id: &str, n: u64) -> String {
     format!("{:016x}", xxh3_64(format!("{id}/{n}").as_bytes()))
 }
-
-/// Returns the length to which a request wants its answer, or each event of it, to be padded.
-fn padded_len(headers: &HeaderMap) -> usize {
-    let asked = header(headers, "x-answer-bytes").and_then(|len| len.parse().ok());
-    asked.unwrap_or_default()
-}
-
-fn padded(mut line: String, len: usize) -> String {
-    line.push_str(&".".repeat(len.saturating_sub(line.len())));
-    line
-}
--- a/crates/pistachioyard_standins/src/site/worker/events.rs
+++ b/crates/pistachioyard_standins/src/site/worker/events.rs
@@ -5,8 +5,9 @@
 
 use hyper::body::Bytes;
 
+use super::answer::{Ending, padded};
 use super::stages::check_path;
-use super::{Worker, answer_line, padded};
+use super::{Worker, answer_line};
 
 /// The maximum time that a request stalls before it fails.
 const STALL_LIMIT: Duration = Duration::from_millis(2_500);
@@ -20,6 +21,8 @@
     next: u64,
     /// The length to which the data of each event is padded.
     padded_len: usize,
+    /// The event in whose middle the stream ends, if any.
+    breaks_in: Option<u64>,
 }
 
 impl Drop for Events {
@@ -32,12 +35,20 @@
 
 impl Events {
     /// Creates the events that follow event `last`.
-    pub(super) fn new(worker: Arc<Worker>, id: &str, last: Option<u64>, padded_len: usize) -> Self {
+    pub(super) fn new(
+        worker: Arc<Worker>,
+        id: &str,
+        last: Option<u64>,
+        padded_len: usize,
+        ending: Ending,
+    ) -> Self {
+        let breaks = ending == Ending::InsideEvent && last.is_none();
         Self {
-            worker,
             id: id.to_owned(),
             next: last.map_or(0, |last| last + 1),
             padded_len,
+            breaks_in: breaks.then_some(worker.args.events / 2),
+            worker,
         }
     }
 
@@ -50,8 +61,15 @@
         self.wait_for_path().await?;
         let n = self.next;
         self.next += 1;
+        if self.breaks_in.is_some_and(|last| n > last) {
+            return Ok(None);
+        }
         let data = padded(answer_line(&self.id, n), self.padded_len);
-        Ok(Some(format!("id: {n}\ndata: {data}\n\n").into()))
+        let mut event = format!("id: {n}\ndata: {data}\n\n");
+        if self.breaks_in == Some(n) {
+            event.truncate(event.len() / 2);
+        }
+        Ok(Some(event.into()))
     }
 
     async fn wait_for_path(&self) -> std::io::Result<()> {
