--- a/tests/site/deployment.rs
+++ b/tests/site/deployment.rs
@@ -41,11 +41,17 @@
 }
 
 /// Writes an entry's settings file and returns the entry, not yet started.
-pub(crate) fn entry(files: &Path, index: usize, ip: std::net::IpAddr, store: SocketAddr) -> Entry {
+pub(crate) fn entry(
+    files: &Path,
+    index: usize,
+    ip: std::net::IpAddr,
+    store: SocketAddr,
+    retry_slack: u32,
+) -> Entry {
     let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
     let name = format!("entry-{index}");
     let file = files.join(format!("{name}.toml"));
-    std::fs::write(&file, settings(&name, data_centre, ip, store))
+    std::fs::write(&file, settings(&name, data_centre, ip, store, retry_slack))
         .expect("the settings file can be written");
     let args = [
         "route",
@@ -61,7 +67,13 @@
     Entry { process, ip }
 }
 
-fn settings(name: &str, data_centre: &str, ip: std::net::IpAddr, store: SocketAddr) -> String {
+fn settings(
+    name: &str,
+    data_centre: &str,
+    ip: std::net::IpAddr,
+    store: SocketAddr,
+    retry_slack: u32,
+) -> String {
     let [callers, ready, directory, peers, _] = ENTRY_PORTS;
     format!(
         r#"
@@ -82,7 +94,7 @@
 config_ms = 2000
 grace_s = 4
 retry_budget_ratio = 0.2
-budget_slack = 200
+budget_slack = {retry_slack}
 budget_window_s = 10
 stall_ms = 2500
 ttl_max_s = 5
--- a/tests/site/layout.rs
+++ b/tests/site/layout.rs
@@ -17,6 +17,8 @@
     /// The number of events of each stream.
     pub(crate) events: u64,
     pub(crate) event_interval_ms: u64,
+    /// The number of retries in the settings that all entries may make beyond a share.
+    pub(crate) retry_slack: u32,
 }
 
 impl Default for Layout {
@@ -30,6 +32,7 @@
             // Enough for faults to occur during a stream.
             events: 20,
             event_interval_ms: 15,
+            retry_slack: 200,
         }
     }
 }
--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -3,6 +3,7 @@
 //! A sound endpoint may fall silent for about a second and then go on. None of its connections
 //! breaks, so whatever runs there goes on as well.
 
+mod early;
 mod endings;
 mod kept;
 mod plain;
@@ -54,6 +55,7 @@
     is_proxied: false,
     events: 25,
     event_interval_ms: 100,
+    retry_slack: 200,
 };
 
 /// Starts a site whose route timeouts allow for silences.
--- a/tests/site/lost/plain.rs
+++ b/tests/site/lost/plain.rs
@@ -95,6 +95,20 @@
     check_requests(&site, "/lookup/a", &[silent], Silence::Paused).await;
 }
 
+/// Look-ups fail early while one of two endpoints is paused and there is no retry left.
+#[tokio::test(flavor = "multi_thread")]
+async fn look_ups_are_answered_after_a_silence_without_retries() {
+    let layout = Layout {
+        plain_endpoints: 2,
+        retry_slack: 0,
+        ..ONE_PATH
+    };
+    let site = start_site(layout).await;
+    let plain = site.endpoints.iter().position(|endpoint| endpoint.is_plain);
+    let silent = plain.expect("there is a plain endpoint");
+    check_requests(&site, "/lookup/a", &[silent], Silence::Paused).await;
+}
+
 /// Streams of a plain service fail early while their only endpoint is paused.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_a_plain_service_are_answered_after_their_only_endpoint_was_paused() {
