Show a failure: streams sent while their first endpoint is deaf are answered

Callers see a 502 for streams sent to a first endpoint that accepts no connections for 1 s, although it goes on afterwards and their deadline of 15 s leaves time. Cause: the check of the pause takes the endpoint for dead, the attempt is dropped, and no other path is found in time.

--- a/tests/site/lost/early.rs
+++ b/tests/site/lost/early.rs
@@ -52,6 +52,12 @@
     check_streams_sent_during(true, Silence::Paused).await;
 }
 
+/// Streams sent to a first endpoint that accepts no connections fail early.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_sent_while_their_first_endpoint_is_deaf_are_answered() {
+    check_streams_sent_during(true, Silence::Deaf).await;
+}
+
 /// Streams sent while an endpoint in the middle of their path is paused fail early.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_sent_while_their_middle_endpoint_is_paused_are_answered() {
