Show a failure: streams go on after a silence without retries

No connection breaks. A silence needs no retry, since the streams go on where they run. Cause as the entry logs it: the stream drops its connection and then ends as "broken_off ... the retry budget is exhausted".

--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -321,3 +321,19 @@
     };
     check_streams(&site, &first, scenario).await;
 }
+
+/// Streams are cut off after a silence when there is no retry left.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_a_silence_without_retries() {
+    let layout = Layout {
+        retry_slack: 0,
+        ..ONE_PATH
+    };
+    let site = start_site(layout).await;
+    let first = engines_with_first_layer(&site, true).await;
+    let scenario = Scenario {
+        streams: FEW_STREAMS,
+        ..MID_STREAM
+    };
+    check_streams(&site, &first, scenario).await;
+}
