Show a failure: look-ups are answered after a silence of both endpoints without retries

The same fault as with one paused endpoint, but every look-up in progress meets it: callers see a 504 after 0.75 s, with 4 s of their deadline left, from "deadline_passed ... no endpoint answered in time".

--- a/tests/site/lost/plain.rs
+++ b/tests/site/lost/plain.rs
@@ -116,6 +116,13 @@
     check_requests(&site, "/lookup/a", &plain[..1], Silence::Paused).await;
 }
 
+/// Look-ups fail early while both endpoints are paused and there is no retry left.
+#[tokio::test(flavor = "multi_thread")]
+async fn look_ups_are_answered_after_a_silence_of_both_endpoints_without_retries() {
+    let (site, plain) = start_two_plain_without_retries().await;
+    check_requests(&site, "/lookup/a", &plain, Silence::Paused).await;
+}
+
 /// Streams of a plain service fail early while their only endpoint is paused.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_a_plain_service_are_answered_after_their_only_endpoint_was_paused() {
