Exit only after the answers of a stopping entry were written

What callers saw: beside a planned stop, an answer to a slow reader was cut off 2.5 s after SIGTERM although the grace period had not passed.

Cause: a request left the count of those in progress as soon as its answer was known. An entry that stops exits when that count is zero, also while the answer is still being written.

Change: the lifecycle counts the open connections of callers too.

The stand-alone entry (src/entry) closes its server by dropshot and is not changed.

--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -19,6 +19,7 @@
 pub(crate) struct Lifecycle {
     phase: AtomicU8,
     in_flight: AtomicUsize,
+    open_connections: AtomicUsize,
     has_received_requests: AtomicBool,
     changed: Notify,
 }
@@ -69,6 +70,19 @@
         Ok(guard)
     }
 
+    /// Counts a caller's connection as open until the returned guard is dropped.
+    pub(crate) fn open_connection(self: &Arc<Self>) -> OpenConnection {
+        self.open_connections.fetch_add(1, Ordering::SeqCst);
+        OpenConnection {
+            lifecycle: self.clone(),
+        }
+    }
+
+    /// Returns the number of open connections of callers.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of requests in progress.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
@@ -92,13 +106,16 @@
         }
     }
 
-    /// Waits until no request is in progress.
+    /// Waits until no request is in progress and no caller's connection is open.
+    ///
+    /// A request is no longer in progress once its answer is known; its connection stays open
+    /// until the answer was written.
     pub(crate) async fn wait_until_idle(&self) {
         loop {
             let notified = self.changed.notified();
             tokio::pin!(notified);
             notified.as_mut().enable();
-            if self.in_flight() == 0 {
+            if self.in_flight() == 0 && self.open_connections() == 0 {
                 return;
             }
             notified.await;
@@ -118,3 +135,17 @@
         }
     }
 }
+
+/// Counts a caller's connection as open until it is dropped.
+pub(crate) struct OpenConnection {
+    lifecycle: Arc<Lifecycle>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let open = &self.lifecycle.open_connections;
+        if open.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.lifecycle.changed.notify_waiters();
+        }
+    }
+}
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -84,6 +84,7 @@
     let limits = router.active_config().map(|active| active.table.limits);
     let max_head = limits.map_or(MIN_HEAD_BYTES, |l| l.max_header_bytes.max(MIN_HEAD_BYTES));
     let is_caller = matches!(service, Service::Callers);
+    let _open = is_caller.then(|| router.lifecycle.open_connection());
     let activity = ConnectionActivity::new(Instant::now());
     let (state, counted) = (router.clone(), activity.clone());
     let handler = service_fn(move |req| {
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -132,7 +132,9 @@
     let idle = router.lifecycle.wait_until_idle();
     let is_idle = tokio::time::timeout(remaining, idle).await.is_ok();
     spdlog::info!("router: stopped", kv: {
-        is_idle, cut_off = router.lifecycle.in_flight(), took_ms = ms(asked_at.elapsed())
+        is_idle, cut_off = router.lifecycle.in_flight(),
+        open_connections = router.lifecycle.open_connections(),
+        took_ms = ms(asked_at.elapsed())
     });
     log::flush(LOG_FLUSH_LIMIT);
 }
