--- a/crates/pistachioyard_standins/src/site/worker/events.rs
+++ b/crates/pistachioyard_standins/src/site/worker/events.rs
@@ -5,6 +5,7 @@
 
 use hyper::body::Bytes;
 
+use super::answer::{Ending, padded};
 use super::stages::check_path;
 use super::{Worker, answer_line};
 
@@ -18,6 +19,10 @@
     worker: Arc<Worker>,
     id: String,
     next: u64,
+    /// The length to which the data of each event is padded.
+    padded_len: usize,
+    /// The event in whose middle the stream ends, if any.
+    breaks_in: Option<u64>,
 }
 
 impl Drop for Events {
@@ -30,11 +35,20 @@
 
 impl Events {
     /// Creates the events that follow event `last`.
-    pub(super) fn new(worker: Arc<Worker>, id: &str, last: Option<u64>) -> Self {
+    pub(super) fn new(
+        worker: Arc<Worker>,
+        id: &str,
+        last: Option<u64>,
+        padded_len: usize,
+        ending: Ending,
+    ) -> Self {
+        let breaks = ending == Ending::InsideEvent && last.is_none();
         Self {
-            worker,
             id: id.to_owned(),
             next: last.map_or(0, |last| last + 1),
+            padded_len,
+            breaks_in: breaks.then_some(worker.args.events / 2),
+            worker,
         }
     }
 
@@ -47,9 +61,15 @@
         self.wait_for_path().await?;
         let n = self.next;
         self.next += 1;
-        Ok(Some(
-            format!("id: {n}\ndata: {}\n\n", answer_line(&self.id, n)).into(),
-        ))
+        if self.breaks_in.is_some_and(|last| n > last) {
+            return Ok(None);
+        }
+        let data = padded(answer_line(&self.id, n), self.padded_len);
+        let mut event = format!("id: {n}\ndata: {data}\n\n");
+        if self.breaks_in == Some(n) {
+            event.truncate(event.len() / 2);
+        }
+        Ok(Some(event.into()))
     }
 
     async fn wait_for_path(&self) -> std::io::Result<()> {
--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -3,8 +3,12 @@
 //! A sound endpoint may fall silent for about a second and then go on. None of its connections
 //! breaks, so whatever runs there goes on as well.
 
+mod early;
+mod endings;
 mod kept;
 mod plain;
+mod stop;
+mod versions;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -51,6 +55,7 @@
     is_proxied: false,
     events: 25,
     event_interval_ms: 100,
+    retry_slack: 200,
 };
 
 /// Starts a site whose route timeouts allow for silences.
@@ -316,3 +321,19 @@
     };
     check_streams(&site, &first, scenario).await;
 }
+
+/// Streams are cut off after a silence when there is no retry left.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_a_silence_without_retries() {
+    let layout = Layout {
+        retry_slack: 0,
+        ..ONE_PATH
+    };
+    let site = start_site(layout).await;
+    let first = engines_with_first_layer(&site, true).await;
+    let scenario = Scenario {
+        streams: FEW_STREAMS,
+        ..MID_STREAM
+    };
+    check_streams(&site, &first, scenario).await;
+}
