Let the site's stand-in worker crash on a part of a prompt

A worker of the stand-in ended on one request's body only. It now also ends some tens of milliseconds after it has begun an answer to a prompt that has one part, whatever else the request holds, so that a test can send such requests, no two alike.

--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -4,7 +4,8 @@
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! [`STALL_LIMIT`]. Without `--card` it is a plain service. A request whose body is
-//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started.
+//! [`POISON`] ends the process, and so does one whose prompt has the part [`CRASHING_PART`],
+//! once its answer has begun. `GET /control/runs` lists the ids of the requests started.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -69,6 +70,11 @@
 /// The body of a poison request, which crashes every worker that starts to run it.
 const POISON: &[u8] = b"poison";
 
+/// The id of a prompt part that crashes every worker that begins to write an answer on it.
+const CRASHING_PART: &str = "bad0bad0";
+/// The time from the head of such an answer until the crash; a few events are sent meanwhile.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+
 /// The stages of a path: the address, first layer and end layer (exclusive) of each.
 type Stages = Vec<(SocketAddr, u64, u64)>;
 
@@ -283,8 +289,12 @@
         // Simulates a worker that crashes when it starts to run the request.
         std::process::exit(1);
     }
+    let crashes = has_crashing_part(&parts.headers);
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
+        if crashes {
+            tokio::spawn(crash_soon());
+        }
         tokio::time::sleep(PLAIN_REQUEST_TIME).await;
         return with_signature(&id, full_body(format!("{}\n\n", answer_line(&id, 0))));
     }
@@ -300,6 +310,9 @@
         state.runs.push(id.clone());
         state.paths.insert(id.clone(), path);
     }
+    if crashes {
+        tokio::spawn(crash_soon());
+    }
     let last = header(&parts.headers, "last-event-id").and_then(|id| id.parse().ok());
     let events = Events {
         next: last.map_or(0, |last: u64| last + 1),
@@ -317,6 +330,21 @@
     with_signature(&id, body.boxed_unsync())
 }
 
+/// Returns whether a part of the prompt, other than the last, is [`CRASHING_PART`].
+fn has_crashing_part(headers: &HeaderMap) -> bool {
+    let parts = header(headers, "x-prompt-prefix").unwrap_or_default();
+    let shared = parts.rsplit(',').skip(1);
+    shared.map(str::trim).any(|part| {
+        let id = part.split(':').next();
+        id == Some(CRASHING_PART)
+    })
+}
+
+async fn crash_soon() {
+    tokio::time::sleep(CRASH_DELAY).await;
+    std::process::exit(1);
+}
+
 fn with_signature(id: &str, body: Body) -> Response<Body> {
     let mut answer = Response::new(body);
     let headers = answer.headers_mut();
