Add a failing test of requests that share a crashing part

The test sends such requests, no two alike, at three entries, beside sound ones that share their key and their other parts, and restarts crashed endpoints after two seconds. From three seconds after the fifth crash at most three more may run, and half of the sound requests have to be served.

--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -8,5 +8,6 @@
 mod deployment;
 mod faults;
 mod logs;
+mod poison_part;
 mod soak;
 mod support;
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use http::Method;
 use pistachioyard_standins::{
@@ -22,6 +24,10 @@
 pub(crate) const EVENTS: u64 = 20;
 /// How long a process may take to start and serve.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// How often the endpoints are checked for crashes.
+const SUPERVISION_INTERVAL: Duration = Duration::from_millis(20);
+/// The time from the crash of an endpoint until it is started again.
+const RESTART_DELAY: Duration = Duration::from_secs(2);
 /// An entry's ports for callers, readiness, the directory, gossip and metrics.
 pub(crate) const ENTRY_PORTS: [u16; 5] = [8_001, 8_002, 8_003, 8_004, 9_464];
 
@@ -70,6 +76,68 @@
     pub(crate) earlier_runs: Vec<String>,
 }
 
+/// Restarts endpoints that have crashed, until it is stopped.
+pub(crate) struct Supervisor {
+    task: tokio::task::JoinHandle<Vec<Endpoint>>,
+    stop: Arc<AtomicBool>,
+    crashes: Arc<AtomicUsize>,
+}
+
+impl Supervisor {
+    fn start(endpoints: Vec<Endpoint>, launcher: Launcher) -> Self {
+        let (stop, crashes) = (Arc::new(AtomicBool::new(false)), Arc::default());
+        let task = tokio::spawn(supervise(
+            endpoints,
+            launcher,
+            stop.clone(),
+            Arc::clone(&crashes),
+        ));
+        Self {
+            task,
+            stop,
+            crashes,
+        }
+    }
+
+    /// Returns the number of crashes so far.
+    pub(crate) fn crashes(&self) -> usize {
+        self.crashes.load(Ordering::Relaxed)
+    }
+
+    /// Stops the restarts and returns the endpoints.
+    pub(crate) async fn stop(self) -> Vec<Endpoint> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.task.await.expect("the supervisor does not panic")
+    }
+}
+
+async fn supervise(
+    mut endpoints: Vec<Endpoint>,
+    launcher: Launcher,
+    stop: Arc<AtomicBool>,
+    crashes: Arc<AtomicUsize>,
+) -> Vec<Endpoint> {
+    let mut crashed_at: Vec<Option<Instant>> = endpoints.iter().map(|_| None).collect();
+    while !stop.load(Ordering::Relaxed) {
+        tokio::time::sleep(SUPERVISION_INTERVAL).await;
+        for (endpoint, crashed_at) in endpoints.iter_mut().zip(&mut crashed_at) {
+            let child = endpoint.process.running_child();
+            match *crashed_at {
+                None if !child.is_running().unwrap_or(true) => {
+                    crashes.fetch_add(1, Ordering::Relaxed);
+                    *crashed_at = Some(Instant::now());
+                }
+                Some(at) if at.elapsed() >= RESTART_DELAY => {
+                    endpoint.process.start(&launcher);
+                    *crashed_at = None;
+                }
+                None | Some(_) => {}
+            }
+        }
+    }
+    endpoints
+}
+
 /// Holds an entry, which runs the router's own binary.
 pub(crate) struct Entry {
     pub(crate) process: Process,
@@ -347,6 +415,12 @@
         redundant.expect("two endpoints hold the same layers").0
     }
 
+    /// Starts to restart endpoints that crash; the site has none itself until the supervisor
+    /// is stopped and returns them.
+    pub(crate) fn supervise_endpoints(&mut self) -> Supervisor {
+        Supervisor::start(std::mem::take(&mut self.endpoints), self.launcher.clone())
+    }
+
     /// Records the runs of an endpoint that is about to be killed.
     pub(crate) async fn record_runs(&mut self, index: usize) {
         let runs = self.fetch_runs(&self.endpoints[index]).await;
