--- a/tests/site/poison_part.rs
+++ b/tests/site/poison_part.rs
@@ -7,7 +7,7 @@
 use http::Method;
 
 use super::caller::new_request_id;
-use super::support::{EVENTS, Site};
+use super::support::Site;
 
 /// The part that crashes the stand-in's endpoints.
 const CRASHING_PART: &str = "bad0bad0";
@@ -54,7 +54,7 @@
     match answer {
         Ok((200, body)) => {
             let events = String::from_utf8_lossy(&body).matches("id: ").count();
-            assert_eq!(events as u64, EVENTS, "the stream of {id}");
+            assert_eq!(events as u64, site.layout.events, "the stream of {id}");
             End::Served
         }
         Ok((408 | 421 | 429 | 503, _)) => End::Refused,
