Find the parts of prompts that crash endpoints

The quarantine knew requests as a whole, by a digest. A part of a prompt that crashes every endpoint comes in requests that are never alike, so no digest was ever in three crashes.

`PartQuarantine` keeps crashes with the parts of the requests that were lost in them, leaves out the parts that are sound (a request with them has completed, or has been writing for half a second), and convicts the part that explains most crashes after three incidents. Crashes within a quarter of a second are one incident, so endpoints that end together convict nothing. Findings are exchanged with peers in a bounded report, in which convictions and the newest crashes come first. The head of a caller's request is decoded into its shared parts.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod lease;
 mod ledger;
 mod membership;
+mod part_quarantine;
 mod pipeline;
 mod placement;
 mod plain_choice;
@@ -50,6 +51,10 @@
     LedgerPageError,
 };
 pub use membership::Membership;
+pub use part_quarantine::{
+    LossCheck, PROOF_WRITING_TIME, PartConviction, PartFindings, PartQuarantine, PartVerdict,
+    WritingTime,
+};
 pub use pipeline::{
     Card, CardState, LayerMove, LoadTracker, NoPath, Path, PathQuery, PathStage, PipelineSpec,
     RequestSize, StageOffer, choose_path, loads_to_start, plan_moves, repair_path,
--- /dev/null
+++ b/crates/pistachioyard_policy/src/part_quarantine/explanation.rs
@@ -0,0 +1,197 @@
+//! Finds the smallest explanation of crashes: the parts that may have caused them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use pistachioyard_wire::{BootId, PromptPart};
+
+use super::PartConviction;
+
+/// The incidents that a part must explain to be convicted.
+const INCIDENTS_TO_CONVICT: usize = 3;
+/// The crashes after which parts that explain equally many are convicted together.
+const CRASHES_TO_CONVICT_EQUALS: usize = 5;
+/// How long a conviction is put off where other parts are in several crashes too. Meanwhile
+/// requests with the sound ones show that they are.
+const DOUBT_TIME: Duration = Duration::from_millis(1_500);
+/// The most crashes that another part may be in without casting doubt.
+const CRASHES_WITHOUT_DOUBT: usize = 1;
+/// The span within which crashes belong to one incident.
+const INCIDENT_SPAN: Duration = Duration::from_millis(250);
+/// The share of the crashes, and of the incidents, that one part must explain, in percent. If
+/// none does, two parts that explain them together are looked for.
+const MIN_SHARE_OF_ONE: usize = 75;
+/// The number of parts, those in the most crashes, that are considered in pairs.
+const MAX_PAIRED: usize = 24;
+
+/// Holds a crash and the parts that may have caused it.
+pub(super) struct Unexplained {
+    pub(super) run: BootId,
+    pub(super) at: Instant,
+    pub(super) suspects: Vec<PromptPart>,
+}
+
+/// Holds what a part would explain.
+#[derive(Clone, Debug, Default)]
+struct Suspicion {
+    /// A bit for each crash.
+    crashes: u64,
+    runs: Vec<BootId>,
+}
+
+/// Holds the crashes to explain, the oldest first.
+struct Evidence {
+    /// The incident and the time of each crash.
+    crashes: Vec<(u32, Instant)>,
+    now: Instant,
+    by_part: BTreeMap<PromptPart, Suspicion>,
+}
+
+impl Evidence {
+    fn collect(unexplained: Vec<Unexplained>, now: Instant) -> Self {
+        let mut by_part = BTreeMap::<PromptPart, Suspicion>::new();
+        let mut crashes = Vec::with_capacity(unexplained.len());
+        let mut incident = 0;
+        let mut began_at = None;
+        for (index, crash) in unexplained.into_iter().enumerate() {
+            let is_same = began_at.is_some_and(|began_at| crash.at < began_at + INCIDENT_SPAN);
+            if !is_same {
+                began_at = Some(crash.at);
+                incident += 1;
+            }
+            crashes.push((incident, crash.at));
+            for part in crash.suspects {
+                let suspicion = by_part.entry(part).or_default();
+                suspicion.crashes |= 1 << index;
+                suspicion.runs.push(crash.run);
+            }
+        }
+        Self {
+            crashes,
+            now,
+            by_part,
+        }
+    }
+
+    /// Returns the incident and the time of each of these crashes, the oldest first.
+    fn select(&self, crashes: u64) -> impl Iterator<Item = (u32, Instant)> {
+        let listed = self.crashes.iter().enumerate();
+        let listed = listed.filter(move |(index, _)| crashes & (1 << index) != 0);
+        listed.map(|(_, crash)| *crash)
+    }
+
+    /// Returns whether the doubts about parts that are in these crashes have had time to be
+    /// cleared since there were `enough` of them.
+    fn is_settled(&self, crashes: u64, enough: usize) -> bool {
+        let nth = self.select(crashes).nth(enough - 1);
+        nth.is_some_and(|(_, at)| self.now >= at + DOUBT_TIME)
+    }
+
+    /// Counts the incidents that these crashes belong to.
+    fn count_incidents(&self, crashes: u64) -> usize {
+        let incidents: BTreeSet<u32> = self.select(crashes).map(|(incident, _)| incident).collect();
+        incidents.len()
+    }
+
+    /// Returns whether crashes are most of those to explain, and belong to most incidents.
+    fn are_most(&self, crashes: u64) -> bool {
+        let incidents = self.count_incidents(u64::MAX);
+        crashes.count_ones() as usize * 100 >= self.crashes.len() * MIN_SHARE_OF_ONE
+            && self.count_incidents(crashes) * 100 >= incidents * MIN_SHARE_OF_ONE
+    }
+}
+
+/// Returns the parts that explain the crashes, if there are enough of them for a conviction.
+///
+/// At most 64 crashes are considered, the newest.
+pub(super) fn find_culprits(mut crashes: Vec<Unexplained>, now: Instant) -> Vec<PartConviction> {
+    crashes.retain(|crash| !crash.suspects.is_empty());
+    crashes.sort_by_key(|crash| Reverse((crash.at, crash.run)));
+    crashes.truncate(u64::BITS as usize);
+    crashes.reverse();
+    let evidence = Evidence::collect(crashes, now);
+    let culprits = find_one(&evidence).unwrap_or_else(|| find_pair(&evidence));
+    let convictions = culprits.into_iter().map(|part| PartConviction {
+        part,
+        crashed: evidence.by_part[&part].runs.clone(),
+    });
+    convictions.collect()
+}
+
+/// Returns the part that explains most crashes, or none yet if there are not enough of them;
+/// `None` if no part explains most.
+///
+/// Parts that explain equally many are returned together in the end.
+fn find_one(evidence: &Evidence) -> Option<Vec<PromptPart>> {
+    let rank = |suspicion: &Suspicion| {
+        let incidents = evidence.count_incidents(suspicion.crashes);
+        (incidents, suspicion.runs.len())
+    };
+    let suspicions = evidence.by_part.iter();
+    let ranked: Vec<_> = suspicions
+        .map(|(part, suspicion)| (rank(suspicion), *part, suspicion.crashes))
+        .collect();
+    let most = ranked.iter().map(|(rank, ..)| *rank).max()?;
+    let top: Vec<_> = ranked.iter().filter(|(rank, ..)| *rank == most).collect();
+    if !top
+        .iter()
+        .any(|(_, _, crashes)| evidence.are_most(*crashes))
+    {
+        return None;
+    }
+    let (incidents, _) = most;
+    let enough = match top.len() {
+        1 => INCIDENTS_TO_CONVICT,
+        _ => CRASHES_TO_CONVICT_EQUALS,
+    };
+    let doubtful = ranked
+        .iter()
+        .filter(|((_, crashes), ..)| *crashes > CRASHES_WITHOUT_DOUBT);
+    let is_clear = doubtful.count() == 1;
+    let is_settled = top
+        .iter()
+        .all(|(_, _, crashes)| evidence.is_settled(*crashes, enough));
+    if incidents < INCIDENTS_TO_CONVICT || !(is_clear || is_settled) {
+        return Some(Vec::new());
+    }
+    Some(top.into_iter().map(|(_, part, _)| *part).collect())
+}
+
+/// Returns the parts that belong to all pairs that explain the most crashes, if each of them
+/// explains enough that the other does not.
+fn find_pair(evidence: &Evidence) -> Vec<PromptPart> {
+    let mut ranked: Vec<(PromptPart, u64)> = evidence
+        .by_part
+        .iter()
+        .map(|(part, suspicion)| (*part, suspicion.crashes))
+        .collect();
+    ranked.sort_by_key(|(part, crashes)| (Reverse(crashes.count_ones()), *part));
+    ranked.truncate(MAX_PAIRED);
+    let mut most = 0;
+    let mut common: Option<BTreeSet<PromptPart>> = None;
+    for (index, (one, by_one)) in ranked.iter().enumerate() {
+        for (other, by_other) in &ranked[index + 1..] {
+            let explained = (by_one | by_other).count_ones();
+            if explained < most {
+                continue;
+            }
+            if explained > most {
+                most = explained;
+                common = None;
+            }
+            let needed = [(one, by_one & !by_other), (other, by_other & !by_one)];
+            let needed = needed.into_iter().filter_map(|(part, alone)| {
+                let is_enough = evidence.count_incidents(alone) >= INCIDENTS_TO_CONVICT
+                    && evidence.is_settled(alone, INCIDENTS_TO_CONVICT);
+                is_enough.then_some(*part)
+            });
+            let needed: BTreeSet<PromptPart> = needed.collect();
+            common = Some(match common {
+                Some(common) => &common & &needed,
+                None => needed,
+            });
+        }
+    }
+    common.unwrap_or_default().into_iter().collect()
+}
--- /dev/null
+++ b/crates/pistachioyard_policy/src/part_quarantine/report.rs
@@ -0,0 +1,128 @@
+//! Exchanges findings about prompt parts with peers.
+
+use std::time::{Duration, Instant};
+
+use pistachioyard_wire::{PartCrash, PartMark, PartReport, PromptPart};
+
+use super::{Crash, HOLD, PROOF_TTL, PartConviction, PartQuarantine, newest};
+use crate::quarantine::age_ms;
+
+/// The maximum numbers of items in one report, which keep it small.
+const MAX_REPORTED_CRASHES: usize = 8;
+const MAX_REPORTED_PARTS_PER_CRASH: usize = 24;
+const MAX_REPORTED_MARKS: usize = 16;
+/// The maximum numbers of items that are accepted from one report of a peer.
+const MAX_MERGED_ITEMS: usize = 64;
+
+/// Holds what a peer's report changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PartFindings {
+    /// The parts that are refused from now on.
+    pub convicted: Vec<PartConviction>,
+    /// The parts that are no longer refused.
+    pub acquitted: Vec<PromptPart>,
+}
+
+impl PartQuarantine {
+    /// Returns the report for peers: the newest findings of each kind.
+    pub fn report(&self, now: Instant) -> PartReport {
+        let crashes = self
+            .unexplained()
+            .map(|(run, crash)| (crash.at, (run, crash)));
+        let crashes = newest(crashes, MAX_REPORTED_CRASHES).into_iter();
+        let crashes = crashes.map(|(at, (run, crash))| PartCrash {
+            run: *run,
+            parts: self.reported_suspects(crash),
+            age_ms: age_ms(now, at),
+        });
+        let convicted = self.convicted.iter().map(|(part, since)| (*since, *part));
+        let convicted = convicted.filter(|(since, _)| now.saturating_duration_since(*since) < HOLD);
+        let was_suspect = |part: &PromptPart| {
+            let mut crashes = self.crashes.values();
+            crashes.any(|crash| crash.suspects.contains(part))
+        };
+        let sound = self.sound.iter().filter(|(part, _)| was_suspect(part));
+        let sound = sound.map(|(part, proved_at)| (*proved_at, *part));
+        PartReport {
+            crashes: crashes.collect(),
+            convicted: marks(newest(convicted, MAX_REPORTED_MARKS), now),
+            sound: marks(newest(sound, MAX_REPORTED_MARKS), now),
+        }
+    }
+
+    fn reported_suspects(&self, crash: &Crash) -> Vec<PromptPart> {
+        let mut suspects = self.ranked_suspects(crash);
+        suspects.truncate(MAX_REPORTED_PARTS_PER_CRASH);
+        suspects
+    }
+
+    /// Returns the suspects of a crash, those in the most crashes first.
+    pub(super) fn ranked_suspects(&self, crash: &Crash) -> Vec<PromptPart> {
+        let suspects = crash.suspects.iter().copied();
+        let mut suspects: Vec<PromptPart> = suspects
+            .filter(|part| !self.is_sound(*part, crash.at))
+            .collect();
+        suspects.sort_by_cached_key(|part| {
+            let crashes = self.crashes.values();
+            let count = crashes
+                .filter(|crash| crash.suspects.contains(part))
+                .count();
+            (std::cmp::Reverse(count), *part)
+        });
+        suspects
+    }
+
+    /// Merges the report of a peer.
+    ///
+    /// A part that is known to be sound is not convicted by a peer's report.
+    pub fn merge(&mut self, report: &PartReport, now: Instant) -> PartFindings {
+        let mut findings = PartFindings::default();
+        for mark in report.sound.iter().take(MAX_MERGED_ITEMS) {
+            if let Some(proved_at) = recorded_at(mark.age_ms, PROOF_TTL, now) {
+                let acquitted = self.record_sound(&[mark.part], proved_at);
+                findings.acquitted.extend(acquitted);
+            }
+        }
+        for mark in report.convicted.iter().take(MAX_MERGED_ITEMS) {
+            let Some(since) = recorded_at(mark.age_ms, HOLD, now) else {
+                continue;
+            };
+            if self.is_sound(mark.part, now) {
+                continue;
+            }
+            let known_since = self.convicted.get(&mark.part).copied();
+            if known_since.is_none_or(|known_since| known_since < since) {
+                self.add_conviction(mark.part, since);
+            }
+            if known_since.is_none() {
+                findings.convicted.push(PartConviction {
+                    part: mark.part,
+                    crashed: Vec::new(),
+                });
+            }
+        }
+        for reported in report.crashes.iter().take(MAX_MERGED_ITEMS) {
+            if let Some(at) = recorded_at(reported.age_ms, super::CRASH_TTL, now) {
+                let mut crash = Crash::new(at);
+                crash.add(&reported.parts);
+                self.add_crash(reported.run, crash);
+            }
+        }
+        findings.convicted.extend(self.review(now));
+        findings
+    }
+}
+
+fn marks(items: Vec<(Instant, PromptPart)>, now: Instant) -> Vec<PartMark> {
+    let marks = items.into_iter().map(|(at, part)| PartMark {
+        part,
+        age_ms: age_ms(now, at),
+    });
+    marks.collect()
+}
+
+/// Returns when a finding of this age was made; none if it no longer counts.
+fn recorded_at(age_ms: u64, ttl: Duration, now: Instant) -> Option<Instant> {
+    let age = Duration::from_millis(age_ms);
+    (age < ttl).then(|| now.checked_sub(age)).flatten()
+}
--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -231,7 +231,7 @@
 }
 
 /// Returns the age in ms, rounded up so that a mark cannot get younger by being passed around.
-fn age_ms(now: Instant, since: Instant) -> u64 {
+pub(crate) fn age_ms(now: Instant, since: Instant) -> u64 {
     let age = now.saturating_duration_since(since);
     u64::try_from(age.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/pistachioyard_policy/tests/part_quarantine.rs
@@ -0,0 +1,427 @@
+//! Tests that prompt parts that crash endpoints are convicted, and no others.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use pistachioyard_policy::{
+    LossCheck, PROOF_WRITING_TIME, PartConviction, PartQuarantine, PartVerdict, WritingTime,
+};
+use pistachioyard_wire::{BootId, PromptPart};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use uuid::Uuid;
+
+const BAD: PromptPart = PromptPart(666);
+const POPULAR: PromptPart = PromptPart(1);
+/// Longer than the span within which crashes count once.
+const APART: Duration = Duration::from_secs(1);
+/// Longer than the hold, and shorter than the time that a conviction is remembered.
+const AFTER_HOLD: Duration = Duration::from_secs(700);
+
+fn run(number: u128) -> BootId {
+    BootId(Uuid::from_u128(number))
+}
+
+fn crash(
+    quarantine: &mut PartQuarantine,
+    number: u128,
+    lost: &[&[PromptPart]],
+    now: Instant,
+) -> Vec<PromptPart> {
+    for (index, parts) in lost.iter().enumerate() {
+        let check = quarantine.record_loss(run(number), parts, now);
+        assert_eq!(check == LossCheck::Probe, index == 0);
+    }
+    let convictions = quarantine.confirm_crash(run(number), now).into_iter();
+    convictions.map(|conviction| conviction.part).collect()
+}
+
+fn is_refused(quarantine: &PartQuarantine, part: PromptPart, now: Instant) -> bool {
+    quarantine.verdict(&[part], now) != PartVerdict::Clear
+}
+
+#[test]
+fn a_part_that_is_in_three_crashes_is_refused_whatever_else_the_requests_hold() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant::now();
+    quarantine.record_sound(&[POPULAR], now);
+    for number in 0..3_u64 {
+        now += APART;
+        let (other, bystander) = (PromptPart(10 + number), PromptPart(20 + number));
+        let lost: [&[PromptPart]; 2] = [&[POPULAR, BAD, other], &[POPULAR, bystander]];
+        let convicted = crash(&mut quarantine, number.into(), &lost, now);
+        assert_eq!(
+            convicted,
+            [BAD]
+                .iter()
+                .take((number / 2) as usize)
+                .copied()
+                .collect::<Vec<_>>()
+        );
+    }
+    let verdict = quarantine.verdict(&[PromptPart(99), BAD], now);
+    assert!(
+        matches!(verdict, PartVerdict::Refused { part: BAD, .. }),
+        "{verdict:?}"
+    );
+    assert_eq!(
+        quarantine.verdict(&[POPULAR, PromptPart(10)], now),
+        PartVerdict::Clear
+    );
+}
+
+#[test]
+fn endpoints_that_crash_together_convict_nothing_before_anything_has_completed() {
+    let mut quarantine = PartQuarantine::default();
+    let now = Instant::now();
+    for number in 0..12 {
+        let at = now + Duration::from_millis(10 * number);
+        let convicted = crash(&mut quarantine, number.into(), &[&[POPULAR]], at);
+        assert_eq!(convicted, []);
+    }
+}
+
+#[test]
+fn lost_answers_of_endpoints_that_live_convict_nothing() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant::now();
+    for number in 0..10 {
+        now += APART;
+        assert_eq!(
+            quarantine.record_loss(run(number), &[BAD], now),
+            LossCheck::Probe
+        );
+        quarantine.dismiss_loss(run(number));
+        assert_eq!(quarantine.confirm_crash(run(number), now), []);
+    }
+}
+
+#[test]
+fn a_proof_excuses_a_part_from_crashes_before_and_after_it() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant::now();
+    for number in 0..10 {
+        now += APART;
+        assert_eq!(crash(&mut quarantine, number, &[&[POPULAR]], now), []);
+        if number == 1 {
+            quarantine.record_sound(&[POPULAR], now);
+        }
+    }
+}
+
+#[test]
+fn parts_that_are_always_together_are_told_apart_by_a_further_crash_or_refused_together() {
+    let together: [&[PromptPart]; 1] = [&[BAD, POPULAR]];
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant::now();
+    for number in 0..4 {
+        now += APART;
+        assert_eq!(crash(&mut quarantine, number, &together, now), []);
+    }
+    let mut told_apart = quarantine.clone();
+    now += APART;
+    assert_eq!(crash(&mut told_apart, 4, &[&[BAD]], now), [BAD]);
+    assert_eq!(crash(&mut quarantine, 4, &together, now), []);
+    let convicted = quarantine.review(now + 2 * APART).into_iter();
+    let convicted: Vec<PromptPart> = convicted.map(|conviction| conviction.part).collect();
+    assert_eq!(convicted, [POPULAR, BAD]);
+}
+
+#[test]
+fn two_bad_parts_are_both_refused() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant::now();
+    let other = PromptPart(667);
+    let mut convicted = BTreeSet::new();
+    for number in 0..12 {
+        now += APART;
+        let part = [BAD, other][number % 2];
+        if !is_refused(&quarantine, part, now) {
+            let noise = PromptPart(100 + number as u64);
+            convicted.extend(crash(
+                &mut quarantine,
+                number as u128,
+                &[&[part, noise]],
+                now,
+            ));
+        }
+    }
+    assert_eq!(convicted, BTreeSet::from([BAD, other]));
+}
+
+#[test]
+fn a_completion_acquits_a_part_and_peers_hear_of_it() {
+    let mut quarantine = PartQuarantine::default();
+    let mut peer = PartQuarantine::default();
+    let mut now = Instant::now();
+    for number in 0..3 {
+        now += APART;
+        crash(&mut quarantine, number, &[&[POPULAR]], now);
+    }
+    let findings = peer.merge(&quarantine.report(now), now);
+    let convicted = PartConviction {
+        part: POPULAR,
+        crashed: Vec::new(),
+    };
+    assert_eq!(findings.convicted, [convicted]);
+    assert!(is_refused(&peer, POPULAR, now));
+    now += APART;
+    assert_eq!(quarantine.record_sound(&[POPULAR], now), [POPULAR]);
+    let findings = peer.merge(&quarantine.report(now), now);
+    assert_eq!(findings.acquitted, [POPULAR]);
+    for known in [&quarantine, &peer] {
+        assert!(!is_refused(known, POPULAR, now));
+    }
+    // An outdated report must not convict it again.
+    let mut third = PartQuarantine::default();
+    for number in 0..3 {
+        crash(
+            &mut third,
+            number,
+            &[&[POPULAR]],
+            now - APART * (3 - number as u32),
+        );
+    }
+    assert_eq!(peer.merge(&third.report(now), now).convicted, []);
+}
+
+#[test]
+fn after_the_hold_one_crash_is_enough_to_refuse_a_part_again() {
+    let mut quarantine = PartQuarantine::default();
+    let mut now = Instant::now();
+    for number in 0..3 {
+        now += APART;
+        crash(&mut quarantine, number, &[&[BAD]], now);
+    }
+    assert!(is_refused(&quarantine, BAD, now));
+    now += AFTER_HOLD;
+    assert!(!is_refused(&quarantine, BAD, now));
+    assert_eq!(crash(&mut quarantine, 3, &[&[BAD]], now), [BAD]);
+    assert!(is_refused(&quarantine, BAD, now));
+}
+
+#[test]
+fn entries_that_saw_one_crash_each_convict_together() {
+    let mut entries: Vec<PartQuarantine> = (0..4).map(|_| PartQuarantine::default()).collect();
+    let mut now = Instant::now();
+    for (index, entry) in entries.iter_mut().enumerate().take(3) {
+        now += APART;
+        let other = PromptPart(index as u64);
+        crash(entry, index as u128, &[&[BAD, other]], now);
+    }
+    let reports: Vec<_> = entries.iter().map(|entry| entry.report(now)).collect();
+    for entry in &mut entries {
+        for report in &reports {
+            entry.merge(report, now);
+        }
+        assert!(is_refused(entry, BAD, now));
+    }
+}
+
+#[test]
+fn pieces_that_a_paused_process_reads_late_prove_nothing() {
+    let mut writing = WritingTime::default();
+    let mut now = Instant::now();
+    assert!(!writing.record_piece(now));
+    now += 4 * PROOF_WRITING_TIME;
+    for _ in 0..100 {
+        assert!(!writing.record_piece(now));
+    }
+    let proofs = (0..100).filter(|_| {
+        now += Duration::from_millis(20);
+        writing.record_piece(now)
+    });
+    assert_eq!(proofs.count(), 1);
+}
+
+/// Holds what varies between random days.
+struct Day {
+    bad: Vec<PromptPart>,
+    mass_crashes: usize,
+    sound_per_second: f64,
+    bad_per_second: f64,
+}
+
+/// Holds a request that runs at an endpoint.
+struct Running {
+    parts: Vec<PromptPart>,
+    entry: usize,
+    endpoint: usize,
+    writes_from: u64,
+    ends_at: u64,
+    is_proved: bool,
+}
+
+/// Holds what came of a day: the bad requests that ran long after the fifth crash, and the sound
+/// parts that were refused.
+#[derive(Debug, Default, Eq, PartialEq)]
+struct DayResult {
+    crashes: usize,
+    late_runs: usize,
+    wrongly_refused: BTreeSet<PromptPart>,
+}
+
+const ENTRIES: usize = 4;
+const ENDPOINTS: usize = 16;
+const TICK_MS: u64 = 20;
+const DAY_MS: u64 = 40_000;
+const GOSSIP_MS: u64 = 260;
+const RESTART_MS: u64 = 3_000;
+const SETTLE_MS: u64 = 3_000;
+
+fn sound_parts(rng: &mut ChaCha8Rng) -> Vec<PromptPart> {
+    // A few first parts are in most prompts, and many others are rare.
+    let first = rng.random_range(0.0..1.0_f64).powi(3) * 8.0;
+    let mut parts = vec![PromptPart(1 + first as u64)];
+    if rng.random_bool(0.6) {
+        parts.push(PromptPart(100 + rng.random_range(0..80)));
+    }
+    parts
+}
+
+fn play(day: &Day, seed: u64) -> DayResult {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut entries: Vec<PartQuarantine> =
+        (0..ENTRIES).map(|_| PartQuarantine::default()).collect();
+    let mut down_until = [0_u64; ENDPOINTS];
+    let mut runs = [0_u128; ENDPOINTS];
+    let mut running: Vec<Running> = Vec::new();
+    let mut result = DayResult::default();
+    let mut fifth_crash_at = None;
+    let mass_crashes: BTreeSet<u64> = (0..day.mass_crashes)
+        .map(|_| rng.random_range(10..DAY_MS / TICK_MS) * TICK_MS)
+        .collect();
+    let start = Instant::now();
+    for now_ms in (0..DAY_MS).step_by(TICK_MS as usize) {
+        let now = start + Duration::from_millis(now_ms);
+        let tick_s = TICK_MS as f64 / 1e3;
+        let mut arriving = Vec::new();
+        if rng.random_bool((day.sound_per_second * tick_s).min(1.0)) {
+            arriving.push(sound_parts(&mut rng));
+        }
+        if !day.bad.is_empty() && rng.random_bool((day.bad_per_second * tick_s).min(1.0)) {
+            let bad = day.bad[rng.random_range(0..day.bad.len())];
+            let mut parts = sound_parts(&mut rng);
+            parts.insert(rng.random_range(0..=parts.len()), bad);
+            arriving.push(parts);
+        }
+        for parts in arriving {
+            let entry = rng.random_range(0..ENTRIES);
+            let up: Vec<usize> = (0..ENDPOINTS)
+                .filter(|at| down_until[*at] <= now_ms)
+                .collect();
+            let is_bad = parts.iter().any(|part| day.bad.contains(part));
+            if let PartVerdict::Refused { part, .. } = entries[entry].verdict(&parts, now) {
+                if !day.bad.contains(&part) {
+                    result.wrongly_refused.insert(part);
+                }
+                continue;
+            }
+            if up.is_empty() {
+                continue;
+            }
+            let writes_from = now_ms + rng.random_range(40..400);
+            if is_bad && fifth_crash_at.is_some_and(|at| now_ms > at + SETTLE_MS) {
+                result.late_runs += 1;
+            }
+            running.push(Running {
+                parts,
+                entry,
+                endpoint: up[rng.random_range(0..up.len())],
+                writes_from,
+                ends_at: writes_from + rng.random_range(200..4_000),
+                is_proved: false,
+            });
+        }
+        let mut crashing = BTreeSet::new();
+        for request in &mut running {
+            let is_bad = request.parts.iter().any(|part| day.bad.contains(part));
+            if is_bad && now_ms >= request.writes_from + 60 {
+                crashing.insert(request.endpoint);
+            }
+            let proof_ms = request.writes_from + PROOF_WRITING_TIME.as_millis() as u64;
+            if !is_bad && !request.is_proved && now_ms >= proof_ms.min(request.ends_at) {
+                request.is_proved = true;
+                entries[request.entry].record_sound(&request.parts, now);
+            }
+        }
+        if mass_crashes.contains(&now_ms) {
+            let first = rng.random_range(0..ENDPOINTS);
+            crashing.extend((first..first + 6).map(|at| at % ENDPOINTS));
+        }
+        for endpoint in crashing {
+            if down_until[endpoint] > now_ms {
+                continue;
+            }
+            down_until[endpoint] = now_ms + RESTART_MS;
+            let run = run(runs[endpoint] * 100 + endpoint as u128);
+            runs[endpoint] += 1;
+            for request in running
+                .iter()
+                .filter(|request| request.endpoint == endpoint)
+            {
+                entries[request.entry].record_loss(run, &request.parts, now);
+            }
+            for entry in &mut entries {
+                entry.confirm_crash(run, now);
+            }
+            result.crashes += 1;
+            if result.crashes == 5 {
+                fifth_crash_at = Some(now_ms);
+            }
+        }
+        running
+            .retain(|request| down_until[request.endpoint] <= now_ms && request.ends_at > now_ms);
+        if now_ms % GOSSIP_MS == 0 {
+            let reports: Vec<_> = entries.iter().map(|entry| entry.report(now)).collect();
+            for entry in &mut entries {
+                for report in &reports {
+                    entry.merge(report, now);
+                }
+            }
+        }
+    }
+    result
+}
+
+#[test]
+fn mass_crashes_on_random_days_of_sound_requests_convict_nothing() {
+    for seed in 0..300 {
+        let day = Day {
+            bad: Vec::new(),
+            mass_crashes: 1 + seed as usize % 4,
+            sound_per_second: [3.0, 20.0, 45.0][seed as usize % 3],
+            bad_per_second: 0.0,
+        };
+        let result = play(&day, seed);
+        assert_eq!(
+            result.wrongly_refused,
+            BTreeSet::new(),
+            "seed {seed}: {result:?}"
+        );
+    }
+}
+
+#[test]
+fn on_random_days_bad_parts_are_refused_soon_and_sound_ones_are_not() {
+    for seed in 0..300 {
+        let bad = [BAD, PromptPart(667)];
+        let day = Day {
+            bad: bad[..1 + seed as usize % 2].to_vec(),
+            mass_crashes: seed as usize % 2,
+            sound_per_second: [3.0, 20.0, 45.0][seed as usize % 3],
+            bad_per_second: [0.5, 2.0, 8.0][seed as usize / 3 % 3],
+        };
+        let result = play(&day, seed);
+        let most_late_runs = 3 * day.bad.len();
+        assert!(
+            result.late_runs <= most_late_runs,
+            "seed {seed}: {result:?}"
+        );
+        assert_eq!(
+            result.wrongly_refused,
+            BTreeSet::new(),
+            "seed {seed}: {result:?}"
+        );
+    }
+}
--- a/crates/pistachioyard_wire/src/ids.rs
+++ b/crates/pistachioyard_wire/src/ids.rs
@@ -186,3 +186,23 @@
         Self(hasher.digest())
     }
 }
+
+/// The digest of the id of a prompt part that requests share, such as a system prompt.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct PromptPart(pub u64);
+
+impl PromptPart {
+    /// Computes the digest of a part's id.
+    pub fn of(id: &str) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64(id.as_bytes()))
+    }
+}
+
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/pistachioyard_wire/src/lib.rs
+++ b/crates/pistachioyard_wire/src/lib.rs
@@ -27,8 +27,8 @@
     StreamRequest,
 };
 pub use ids::{
-    ApplyId, Attempt, BootId, Fence, IdError, Nonce, OperationKey, RequestDigest, RequestId,
-    Revision, StreamId,
+    ApplyId, Attempt, BootId, Fence, IdError, Nonce, OperationKey, PromptPart, RequestDigest,
+    RequestId, Revision, StreamId,
 };
 pub use layer_range::{LayerRange, LayerRangeError};
 pub use names::{
@@ -42,8 +42,8 @@
 };
 pub use peer::{
     EndpointMark, EndpointMarkKind, EntryState, GossipState, MAX_PEER_MESSAGE_BYTES, MemberRecord,
-    PeerMessage, PeerMessageError, QuarantineMark, WorkspaceUsage, decode_peer_message,
-    encode_peer_message,
+    PartCrash, PartMark, PartReport, PeerMessage, PeerMessageError, QuarantineMark, WorkspaceUsage,
+    decode_peer_message, encode_peer_message,
 };
 pub use platform::{
     HostKind, HostRecord, HostState, ObjectKey, ObjectRecord, ObjectWrite, WatchPage, WriteAnswer,
--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     AcceptedConfig, BootId, DataCentre, EndpointId, EndpointReport, EntryId, LoadRecord,
-    RequestDigest, Revision, WorkspaceName,
+    PromptPart, RequestDigest, Revision, WorkspaceName,
 };
 
 /// The maximum size of a peer message, in bytes; large enough for a configuration.
@@ -114,6 +114,37 @@
     pub age_ms: u64,
 }
 
+/// A crash of an endpoint run, with the prompt parts of the requests that may have caused it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartCrash {
+    /// The endpoint run that crashed.
+    pub run: BootId,
+    /// The parts that are not known to be sound.
+    pub parts: Vec<PromptPart>,
+    /// The age of the crash when this message was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// A finding about a prompt part.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartMark {
+    /// The part.
+    pub part: PromptPart,
+    /// The age of the finding when this message was sent, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// What an entry knows of the prompt parts of requests that crashed endpoints.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartReport {
+    /// The newest crashes that no convicted part explains.
+    pub crashes: Vec<PartCrash>,
+    /// The parts whose requests are refused, from the time of their conviction.
+    pub convicted: Vec<PartMark>,
+    /// The parts that were suspected and are sound, from the time of the newest proof.
+    pub sound: Vec<PartMark>,
+}
+
 /// The load of a workspace at the sender.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct WorkspaceUsage {
--- a/src/router.rs
+++ b/src/router.rs
@@ -13,6 +13,7 @@
 mod http_server;
 mod log;
 mod metric;
+mod parts;
 mod run;
 mod store_client;
 
@@ -23,7 +24,7 @@
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
     ActivityTracker, CrossingLimiter, EndpointRegistry, LatencyEstimates, LoadTracker, Membership,
-    Quarantine, RouteTable, SharedRetryBudget, SuspectReason,
+    PartQuarantine, Quarantine, RouteTable, SharedRetryBudget, SuspectReason,
 };
 use pistachioyard_wire::{EntryState, MemberRecord, RequestDigest};
 pub(crate) use run::run_router;
@@ -65,6 +66,7 @@
     pub(crate) peers_without_store: Mutex<BTreeSet<EntryId>>,
     pub(crate) retries: Mutex<SharedRetryBudget>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) parts: Mutex<PartQuarantine>,
     pub(crate) plain_latency: Mutex<LatencyEstimates>,
     pub(crate) cross_centre_budget: Mutex<CrossingLimiter>,
     /// Wakes requests that wait for free memory on endpoints.
@@ -119,6 +121,7 @@
             peers_without_store: Mutex::default(),
             retries: Mutex::new(retries),
             quarantine: Mutex::new(Quarantine::without_isolation(QUARANTINE_HOLD)),
+            parts: Mutex::default(),
             plain_latency: Mutex::default(),
             cross_centre_budget: Mutex::new(CrossingLimiter::new(now)),
             capacity_changed: Notify::new(),
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::Ordering;
 
 use pistachioyard_policy::GossipReport;
-use pistachioyard_wire::{EntryState, LayerRange, MemberRecord, QuarantineMark};
+use pistachioyard_wire::{EntryState, LayerRange, MemberRecord, PartReport, QuarantineMark};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
 use serde::{Deserialize, Serialize};
@@ -56,6 +56,9 @@
     heard: Vec<LayerReport>,
     /// The requests that crashed endpoints.
     quarantine: Vec<QuarantineMark>,
+    /// The findings about prompt parts; empty from entries that have none.
+    #[serde(default)]
+    parts: PartReport,
 }
 
 /// Holds what an endpoint reported about its layers.
@@ -122,6 +125,7 @@
     }
     detect_watch_lag(router, gossip.endpoints_revision, now);
     router.quarantine.lock().merge(&gossip.quarantine, now);
+    router.merge_parts(&gossip.parts, &sender.entry, now);
     let mut endpoints = router.endpoints.lock();
     let by_key: HashMap<u32, EndpointId> = endpoints
         .ids()
@@ -267,6 +271,7 @@
         load: load.collect(),
         heard,
         quarantine,
+        parts: router.parts.lock().report(now),
     };
     let mut datagram = Vec::new();
     match ciborium::into_writer(&gossip, &mut datagram) {
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -5,6 +5,7 @@
 //! shows the chain.
 
 mod identify;
+mod part_trial;
 mod path;
 mod plain;
 mod record;
@@ -83,8 +84,12 @@
     dispatch(router, call, in_flight, record).await
 }
 
-/// Refuses a request that is quarantined because it crashed the endpoints that ran it.
+/// Refuses a request that is quarantined because it, or a part of its prompt, crashed the
+/// endpoints that ran it.
 fn check_quarantine(router: &Router, call: &Call) -> Result<(), Problem> {
+    if let Some(problem) = router.check_parts(&call.head.prompt_parts) {
+        return Err(problem);
+    }
     match router
         .quarantine
         .lock()
@@ -93,14 +98,19 @@
         QuarantineVerdict::Clear | QuarantineVerdict::Suspect { .. } => Ok(()),
         QuarantineVerdict::Quarantined { retry_after } => {
             let detail = "the request has crashed the endpoints that ran it; it was not run again";
-            let mut problem = Problem::new(ProblemKind::Quarantined, Outcome::NotRun, detail);
-            // On this platform only 408, 421, 429 and 503 tell a caller that nothing ran.
-            problem.status = 429;
-            Err(problem.with_retry_after_ms(super::log::ms(retry_after)))
+            let problem = Problem::new(ProblemKind::Quarantined, Outcome::NotRun, detail);
+            Err(quarantined(problem, retry_after))
         }
     }
 }
 
+/// Completes the problem for a request that is quarantined and was not run.
+pub(crate) fn quarantined(mut problem: Problem, retry_after: Duration) -> Problem {
+    // On this platform only 408, 421, 429 and 503 tell a caller that nothing ran.
+    problem.status = 429;
+    problem.with_retry_after_ms(super::log::ms(retry_after))
+}
+
 async fn dispatch(
     router: &Arc<Router>,
     call: Call,
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -57,6 +57,16 @@
     counter!("router_suspects_total").increment(1);
 }
 
+/// Counts a request that was refused because of a part of its prompt.
+pub(crate) fn count_part_refusal() {
+    counter!("router_part_refusals_total").increment(1);
+}
+
+/// Counts a part of prompts that is refused from now on.
+pub(crate) fn count_part_conviction() {
+    counter!("router_parts_refused_total").increment(1);
+}
+
 /// Counts a call to the store, by whether it was answered.
 pub(crate) fn count_store_call(answered: bool) {
     let answered = if answered { "yes" } else { "no" };
