Refuse requests with a part of the prompt that crashes endpoints

Cause: the router never read the parts of a prompt. Its quarantine knows whole requests, and no two of these are alike.

The relay and the plain attempts now record a request as lost when its connection breaks, probe the endpoint, and count a crash if it is gone or has started anew. Entries exchange their findings in each datagram and announce a conviction at once. A request is checked when it arrives, after it has waited for a path, and before each further attempt; it is refused as not run (429) or, if it may have run, ends as lost. An answer that ends with its connection is no proof that its parts are sound, since a crash looks the same.

--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -187,6 +187,7 @@
 pub(super) async fn gossip(router: Arc<Router>, socket: Arc<UdpSocket>) {
     loop {
         tokio::time::sleep(jittered(GOSSIP_PERIOD)).await;
+        router.review_parts();
         send_gossip(&router, &socket).await;
         forget_lost(&router);
     }
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -101,6 +101,13 @@
         let mut silent_at = None;
         while let Some(time_left) = call.time_left() {
             if let Some(why) = next.take() {
+                if let Some(problem) = router.check_parts(&call.head.prompt_parts) {
+                    match (self.started, running.is_empty()) {
+                        (0, _) => return Err(problem),
+                        (_, true) => return Err(no_endpoint_left(self.started)),
+                        (_, false) => continue,
+                    }
+                }
                 let chosen = match running.is_empty() {
                     true => choose_endpoint(router, call, service, &self.tried).await,
                     false => find_endpoint(router, service, &self.tried, Instant::now()),
--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -12,6 +12,7 @@
 use crate::router::Router;
 use crate::router::endpoint_client::Reuse;
 use crate::router::filter::Call;
+use crate::router::filter::part_trial::{Framing, PartTrial};
 
 /// Says how one attempt ended.
 pub(super) enum AttemptResult {
@@ -48,7 +49,7 @@
 
 /// Sends a request to an endpoint and waits for its complete answer until the deadline.
 pub(super) async fn attempt(
-    router: &Router,
+    router: &Arc<Router>,
     call: &Call,
     target: &EndpointRecord,
 ) -> AttemptResult {
@@ -68,7 +69,7 @@
 }
 
 async fn exchange(
-    router: &Router,
+    router: &Arc<Router>,
     call: &Call,
     target: &EndpointRecord,
     time_left: Duration,
@@ -86,10 +87,19 @@
         Repeatability::Idempotent | Repeatability::Resumable => Reuse::Allowed,
     };
     let req = endpoint_request(call, &send);
+    let trial = PartTrial::new(router, &call.head.prompt_parts, &target.endpoint);
+    let record_loss = || {
+        if let Some(trial) = &trial {
+            trial.record_loss();
+        }
+    };
     let (response, connection) = match router.client.send(target.address, req, reuse).await {
         Ok(answer) => answer,
         Err(CallError::NotSent { .. }) => return AttemptResult::NotReached,
-        Err(e) => return AttemptResult::Lost(e.to_string()),
+        Err(e) => {
+            record_loss();
+            return AttemptResult::Lost(e.to_string());
+        }
     };
     let (parts, body) = response.into_parts();
     let head = decode_answer_head(parts.status, &parts.headers);
@@ -97,6 +107,7 @@
         return AttemptResult::Lost("the answer belongs to another request".to_owned());
     }
     let Ok(body) = body.collect().await else {
+        record_loss();
         return AttemptResult::Lost("the connection broke inside the answer".to_owned());
     };
     if !head.closes {
@@ -110,5 +121,8 @@
     if head.status.is_success() && !head.is_signed {
         return AttemptResult::Lost("the answer lacks the endpoint's signature".to_owned());
     }
+    if let (Some(trial), true) = (&trial, head.status.is_success()) {
+        trial.record_end(Framing::of(&parts.headers));
+    }
     AttemptResult::Answered(head, parts.headers, body.to_bytes())
 }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -11,9 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 use pistachioyard_platform::{EventSplitter, encode_answer_headers};
-use pistachioyard_policy::{
-    PipelineSpec, QuarantineVerdict, Repeatability, RequestSize, StallDetector,
-};
+use pistachioyard_policy::{PipelineSpec, Repeatability, RequestSize, StallDetector};
 use pistachioyard_wire::ServiceName;
 
 use super::path::{FoundPath, PathRequest, admit};
@@ -147,6 +145,7 @@
                 }
                 Err(problem) => return Err(problem),
             };
+            self.check_parts()?;
             let opened = match self.open(found, why).await {
                 OpenResult::Silent(at_fault, detail) => {
                     self.outlast_silent_start(at_fault, &detail).await
@@ -228,13 +227,6 @@
         (self.first_endpoints.len() as u32) < self.call.route.max_attempts
     }
 
-    /// Returns whether the request is quarantined because it crashed too many endpoints.
-    fn is_quarantined(&self) -> bool {
-        let quarantine = self.router.quarantine.lock();
-        let verdict = quarantine.verdict(self.call.digest, Instant::now());
-        matches!(verdict, QuarantineVerdict::Quarantined { .. })
-    }
-
     /// Sends the request along a path and waits for the head of the answer. The run of the path
     /// is kept if a stream has started or the path is silent.
     async fn open(&mut self, found: FoundPath, why: &str) -> OpenResult {
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -21,6 +21,7 @@
 use crate::router::Router;
 use crate::router::endpoint_client::{Connection, Reuse};
 use crate::router::filter::Call;
+use crate::router::filter::part_trial::{Framing, PartTrial};
 use crate::router::filter::plain::endpoint_request;
 
 /// The share of an endpoint's memory in use below which a refusal cannot be due to lack of
@@ -68,6 +69,9 @@
     /// The request until the head of its answer arrives.
     sending: Option<Sending>,
     answer: Option<(Incoming, Option<Connection>, Option<Duration>)>,
+    framing: Framing,
+    /// Finds out whether the first endpoint crashes on the prompt; none if nothing was sent.
+    trial: Option<PartTrial>,
 }
 
 impl Drop for PathRun {
@@ -92,6 +96,8 @@
             size,
             sending: None,
             answer: None,
+            framing: Framing::UntilClose,
+            trial: None,
         }
     }
 
@@ -109,6 +115,8 @@
         let Some(time_left) = call.time_left() else {
             return deadline_passed();
         };
+        let parts = &call.head.prompt_parts;
+        self.trial = PartTrial::new(&self.router, parts, self.first_endpoint());
         self.sending = Some(self.send(call, last_id, time_left));
         let may_repeat = call.route.repeatability != Repeatability::AtMostOnce;
         let mut stall_detector = StallDetector::new(
@@ -218,6 +226,7 @@
         }
         if head.status.is_success() {
             let kept = (!head.closes).then_some(connection);
+            self.framing = Framing::of(&parts.headers);
             self.answer = Some((body, kept, head.idle_limit));
             return OpenResult::Stream(parts.status, parts.headers);
         }
@@ -283,6 +292,9 @@
             &self.path.stages[0].endpoint,
             SuspectReason::ConnectionBroke,
         );
+        if let Some(trial) = &self.trial {
+            trial.record_loss();
+        }
     }
 
     /// Reads the next data into the splitter, after the head of the answer if it is still due.
@@ -307,6 +319,9 @@
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     splitter.push(data);
+                    if let Some(trial) = &mut self.trial {
+                        trial.record_piece(Instant::now());
+                    }
                 }
                 ReadResult::Data
             }
@@ -316,9 +331,15 @@
                 ReadResult::Lost(Some(first), "the connection broke".to_owned())
             }
             None if splitter.has_remainder() => {
+                if let Some(trial) = &self.trial {
+                    trial.record_loss();
+                }
                 ReadResult::Lost(None, "the stream ended inside an event".to_owned())
             }
             None => {
+                if let Some(trial) = &self.trial {
+                    trial.record_end(self.framing);
+                }
                 self.keep_connection();
                 ReadResult::End
             }
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -1,10 +1,13 @@
 //! Resumes a stream on another path.
 
+use pistachioyard_policy::QuarantineVerdict;
+
 use super::Relay;
 use super::path_run::OpenResult;
 use crate::prelude::*;
 use crate::router::answer::StreamAborted;
 use crate::router::filter::path::{find_path, wait_for_capacity};
+use crate::router::filter::result_lost;
 
 /// How long a stream that lost its path looks for another one; callers give up on a silent
 /// stream after two seconds.
@@ -22,6 +25,29 @@
 }
 
 impl Relay {
+    /// Refuses the request if a part of its prompt was convicted while it waited.
+    pub(super) fn check_parts(&self) -> Result<(), Problem> {
+        match self.router.check_parts(&self.call.head.prompt_parts) {
+            None => Ok(()),
+            Some(_) if self.may_have_run() => Err(result_lost(
+                "an attempt's answer was lost; the request is quarantined",
+            )),
+            Some(problem) => Err(problem),
+        }
+    }
+
+    /// Returns whether the request is quarantined because it, or a part of its prompt, crashed
+    /// too many endpoints.
+    pub(super) fn is_quarantined(&self) -> bool {
+        let parts = &self.call.head.prompt_parts;
+        if self.router.check_parts(parts).is_some() {
+            return true;
+        }
+        let quarantine = self.router.quarantine.lock();
+        let verdict = quarantine.verdict(self.call.digest, Instant::now());
+        matches!(verdict, QuarantineVerdict::Quarantined { .. })
+    }
+
     /// Resumes the stream on another path, or aborts it.
     pub(super) async fn recover(&mut self, why: &str) -> Result<(), StreamAborted> {
         if self.call.time_left().is_none() || !self.may_repeat() {
