--- a/tests/site/lost/kept.rs
+++ b/tests/site/lost/kept.rs
@@ -1,9 +1,11 @@
 //! Connections that callers keep while the idle limit changes.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use serde_json::json;
+use tokio::time::Instant;
 
 use super::{ONE_PATH, start_site};
 use crate::caller::new_request_id;
@@ -18,6 +20,8 @@
 const REUSE_SHARE: f64 = 0.8;
 /// The number of connections of each kind.
 const CONNECTIONS: usize = 20;
+/// How long requests are sent one after the other.
+const SENDING_TIME: Duration = Duration::from_secs(3);
 /// The number of requests that cross the close of their connections.
 const CROSSING_REQUESTS: u32 = 300;
 /// The span around the idle limit in which those requests are sent.
@@ -73,6 +77,47 @@
     );
 }
 
+/// Sends one request after the other on a connection, and opens another one when it closes,
+/// until the time is over or the entry accepts no more.
+pub(super) async fn keep_sending(to: SocketAddr, until: Instant) -> Vec<(String, Exchange)> {
+    let mut exchanges = Vec::new();
+    while let Some(mut connection) = RawConnection::try_open(to).await {
+        loop {
+            if Instant::now() >= until {
+                return exchanges;
+            }
+            let id = new_request_id();
+            let exchange = request(&mut connection, &id).await;
+            let is_cut = matches!(exchange, Exchange::Cut(_));
+            exchanges.push((id, exchange));
+            if is_cut {
+                break;
+            }
+        }
+    }
+    exchanges
+}
+
+/// Requests on kept connections are cut off while versions with other limits are adopted.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_on_kept_connections_are_answered_beside_versions() {
+    let site = start_site(ONE_PATH).await;
+    set_idle_limit(&site, LONG_LIMIT).await;
+    let to = site.entries[0].caller_address();
+    let until = Instant::now() + SENDING_TIME;
+    let sent = join_all((0..CONNECTIONS).map(|_| keep_sending(to, until)));
+    let versions = async {
+        while Instant::now() < until {
+            set_idle_limit(&site, SHORT_LIMIT).await;
+            set_idle_limit(&site, LONG_LIMIT).await;
+        }
+    };
+    let (sent, ()) = tokio::join!(sent, versions);
+    let mut exchanges = sent.iter().flatten();
+    let cut = exchanges.find(|(_, exchange)| matches!(exchange, Exchange::Cut(_)));
+    assert_eq!(cut, None);
+}
+
 /// A connection from before a longer idle limit is closed by the older limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_connection_from_before_a_longer_idle_limit_is_served_within_the_new_limit() {
--- a/tests/site/lost/stop.rs
+++ b/tests/site/lost/stop.rs
@@ -4,7 +4,9 @@
 
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
+use tokio::time::Instant;
 
+use super::kept::keep_sending;
 use super::{ONE_PATH, start_site};
 use crate::caller::new_request_id;
 use crate::layout::Layout;
@@ -22,6 +24,10 @@
 /// How long a reader takes after the signal; longer than a stopping entry takes new requests,
 /// and shorter than the grace period of 4 s.
 const READ_TIME: Duration = Duration::from_millis(3_100);
+/// The number of connections on which requests are sent around a stop.
+const SENDERS: u32 = 100;
+/// How long they are sent; longer than a stopping entry runs.
+const SENDING_TIME: Duration = Duration::from_secs(5);
 /// The time in which each answer begins.
 const START_TIME: Duration = Duration::from_millis(300);
 
@@ -81,3 +87,29 @@
     let site = start_site(layout).await;
     check_slow_readers(&site, "/draft/a", LARGE_ANSWER, EVENTS).await;
 }
+
+/// A request that was passed on has no answer because the entry exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_around_a_stop_are_answered_or_not_passed_on() {
+    let site = start_site(ONE_PATH).await;
+    let to = site.entries[0].caller_address();
+    let until = Instant::now() + SENDING_TIME;
+    let sent = join_all((0..SENDERS).map(|_| keep_sending(to, until)));
+    let stop = async {
+        tokio::time::sleep(START_TIME).await;
+        site.entries[0].process.signal(Signal::SIGTERM);
+    };
+    let (sent, ()) = tokio::join!(sent, stop);
+    let runs = site.count_runs().await;
+    let exchanges = sent.iter().flatten();
+    let lost: Vec<_> = exchanges
+        .filter(|(id, exchange)| matches!(exchange, Exchange::Cut(_)) && runs.contains_key(id))
+        .collect();
+    let log = site.entries[0].process.log();
+    assert!(log.contains("router: stopped"), "the entry has stopped");
+    assert!(
+        lost.is_empty(),
+        "{} ran and had no answer: {lost:?}",
+        lost.len()
+    );
+}
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -37,8 +37,13 @@
 impl RawConnection {
     /// Connects to an entry.
     pub(crate) async fn open(to: SocketAddr) -> Self {
-        let stream = TcpStream::connect(to).await.expect("the entry accepts");
-        Self::new(stream)
+        Self::try_open(to).await.expect("the entry accepts")
+    }
+
+    /// Connects to an entry; returns none if it does not accept.
+    pub(crate) async fn try_open(to: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(to).await.ok()?;
+        Some(Self::new(stream))
     }
 
     /// Connects with a receive buffer so small that the entry soon has to wait for the reader.
@@ -51,7 +56,8 @@
     }
 
     fn new(stream: TcpStream) -> Self {
-        stream.set_nodelay(true).expect("the connection is open");
+        // It fails if the entry has already closed the connection, which the next write shows.
+        let _ = stream.set_nodelay(true);
         Self {
             stream,
             unread: Vec::new(),
