Show a failure: streams of a stopping entry go on after a silence

Callers see closed connections in the middle of sound streams when the only first endpoint is paused for 1 s while their entry stops, well before the end of its grace period. Cause as the entry logs it: the same as without the stop, "broken_off ... the retry budget is exhausted"; "the connection broke" is never logged.

--- a/tests/site/lost/stop.rs
+++ b/tests/site/lost/stop.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::kept::keep_sending;
-use super::{ONE_PATH, start_site};
+use super::{MID_STREAM, ONE_PATH, check_streams, engines_with_first_layer, start_site};
 use crate::caller::new_request_id;
 use crate::layout::Layout;
 use crate::raw::{Exchange, RawConnection};
@@ -28,6 +28,8 @@
 const SENDERS: u32 = 100;
 /// How long they are sent; longer than a stopping entry runs.
 const SENDING_TIME: Duration = Duration::from_secs(5);
+/// The time in which many streams begin.
+const STREAMS_START_TIME: Duration = Duration::from_millis(700);
 /// The time in which each answer begins.
 const START_TIME: Duration = Duration::from_millis(300);
 
@@ -113,3 +115,15 @@
         lost.len()
     );
 }
+
+/// Streams of a stopping entry are cut off when their only first endpoint is paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_stopping_entry_go_on_after_a_silence() {
+    let site = start_site(ONE_PATH).await;
+    let first = engines_with_first_layer(&site, true).await;
+    let stop = async {
+        tokio::time::sleep(STREAMS_START_TIME).await;
+        site.entries[0].process.signal(Signal::SIGTERM);
+    };
+    tokio::join!(check_streams(&site, &first, MID_STREAM), stop);
+}
