Tell peers of late acquittals, and probe only where a part is a suspect

An acquittal reached peers only while the crashes were remembered that had led to the conviction. Peers went on refusing the part, and told of it again. Acquitted parts now stay in the report as long as their proof counts.

A lost answer whose parts are all sound explains no crash, so it calls for no probe any more. The report counts the crashes of each part once instead of for each comparison.

--- a/crates/pistachioyard_policy/src/part_quarantine.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine.rs
@@ -61,7 +61,7 @@
 pub enum LossCheck {
     /// The endpoint is to be probed, and the result reported.
     Probe,
-    /// It is known, or being found out, whether the endpoint has crashed.
+    /// It is known, or being found out, whether the endpoint has crashed, or it does not matter.
     Known,
 }
 
@@ -90,14 +90,20 @@
     sound: BTreeMap<PromptPart, Instant>,
     /// The time of each conviction.
     convicted: BTreeMap<PromptPart, Instant>,
+    /// The parts that were convicted and turned out to be sound, with the time of the proof.
+    acquitted: BTreeMap<PromptPart, Instant>,
 }
 
 impl PartQuarantine {
     /// Records that an endpoint run lost a request with these parts, which may be a crash.
     ///
     /// For the first loss of a run, the caller probes the endpoint and then calls
-    /// [`PartQuarantine::confirm_crash`] or [`PartQuarantine::dismiss_loss`].
+    /// [`PartQuarantine::confirm_crash`] or [`PartQuarantine::dismiss_loss`]. A request without
+    /// suspects explains no crash, so its loss calls for no probe.
     pub fn record_loss(&mut self, run: BootId, parts: &[PromptPart], now: Instant) -> LossCheck {
+        if parts.iter().all(|part| self.is_sound(*part, now)) {
+            return LossCheck::Known;
+        }
         if let Some(crash) = self.crashes.get_mut(&run) {
             crash.add(parts);
             return LossCheck::Known;
@@ -125,7 +131,9 @@
     /// Returns the suspects in a crash, those in the most crashes first.
     pub fn suspects(&self, run: BootId) -> Vec<PromptPart> {
         let crash = self.crashes.get(&run);
-        crash.map_or_else(Vec::new, |crash| self.ranked_suspects(crash))
+        crash.map_or_else(Vec::new, |crash| {
+            self.ranked_suspects(crash, &self.count_crashes())
+        })
     }
 
     /// Discards the losses of an endpoint run that still lives.
@@ -144,9 +152,16 @@
             *proved_at = now.max(*proved_at);
         }
         let acquitted = parts.iter().copied();
-        acquitted
+        let acquitted: Vec<PromptPart> = acquitted
             .filter(|part| self.convicted.remove(part).is_some())
-            .collect()
+            .collect();
+        for part in &acquitted {
+            if self.acquitted.len() >= MAX_CONVICTIONS {
+                remove_oldest(&mut self.acquitted, |at| *at);
+            }
+            self.acquitted.insert(*part, now);
+        }
+        acquitted
     }
 
     /// Returns whether a request with these parts may run at `now`.
@@ -267,6 +282,7 @@
             .retain(|_, crash| is_within(crash.at, CRASH_TTL));
         self.sound
             .retain(|_, proved_at| is_within(*proved_at, PROOF_TTL));
+        self.acquitted.retain(|_, at| is_within(*at, PROOF_TTL));
         self.convicted
             .retain(|_, since| is_within(*since, CONVICTION_TTL));
     }
--- a/crates/pistachioyard_policy/src/part_quarantine/report.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine/report.rs
@@ -1,5 +1,7 @@
 //! Exchanges findings about prompt parts with peers.
 
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use pistachioyard_wire::{PartCrash, PartMark, PartReport, PromptPart};
@@ -26,23 +28,27 @@
 impl PartQuarantine {
     /// Returns the report for peers: the newest findings of each kind.
     pub fn report(&self, now: Instant) -> PartReport {
+        let counts = self.count_crashes();
         let crashes = self
             .unexplained()
             .map(|(run, crash)| (crash.at, (run, crash)));
         let crashes = newest(crashes, MAX_REPORTED_CRASHES).into_iter();
-        let crashes = crashes.map(|(at, (run, crash))| PartCrash {
-            run: *run,
-            parts: self.reported_suspects(crash),
-            age_ms: age_ms(now, at),
+        let crashes = crashes.map(|(at, (run, crash))| {
+            let mut parts = self.ranked_suspects(crash, &counts);
+            parts.truncate(MAX_REPORTED_PARTS_PER_CRASH);
+            PartCrash {
+                run: *run,
+                parts,
+                age_ms: age_ms(now, at),
+            }
         });
         let convicted = self.convicted.iter().map(|(part, since)| (*since, *part));
         let convicted = convicted.filter(|(since, _)| now.saturating_duration_since(*since) < HOLD);
-        let was_suspect = |part: &PromptPart| {
-            let mut crashes = self.crashes.values();
-            crashes.any(|crash| crash.suspects.contains(part))
-        };
-        let sound = self.sound.iter().filter(|(part, _)| was_suspect(part));
-        let sound = sound.map(|(part, proved_at)| (*proved_at, *part));
+        let suspected: BTreeSet<&PromptPart> = counts.keys().chain(self.acquitted.keys()).collect();
+        let sound = suspected.into_iter().filter_map(|part| {
+            let proved_at = self.sound.get(part)?;
+            Some((*proved_at, *part))
+        });
         PartReport {
             crashes: crashes.collect(),
             convicted: marks(newest(convicted, MAX_REPORTED_MARKS), now),
@@ -50,25 +56,26 @@
         }
     }
 
-    fn reported_suspects(&self, crash: &Crash) -> Vec<PromptPart> {
-        let mut suspects = self.ranked_suspects(crash);
-        suspects.truncate(MAX_REPORTED_PARTS_PER_CRASH);
-        suspects
+    /// Returns the number of crashes that each part is in.
+    pub(super) fn count_crashes(&self) -> BTreeMap<PromptPart, usize> {
+        let mut counts = BTreeMap::new();
+        for part in self.crashes.values().flat_map(|crash| &crash.suspects) {
+            *counts.entry(*part).or_default() += 1;
+        }
+        counts
     }
 
     /// Returns the suspects of a crash, those in the most crashes first.
-    pub(super) fn ranked_suspects(&self, crash: &Crash) -> Vec<PromptPart> {
+    pub(super) fn ranked_suspects(
+        &self,
+        crash: &Crash,
+        counts: &BTreeMap<PromptPart, usize>,
+    ) -> Vec<PromptPart> {
         let suspects = crash.suspects.iter().copied();
         let mut suspects: Vec<PromptPart> = suspects
             .filter(|part| !self.is_sound(*part, crash.at))
             .collect();
-        suspects.sort_by_cached_key(|part| {
-            let crashes = self.crashes.values();
-            let count = crashes
-                .filter(|crash| crash.suspects.contains(part))
-                .count();
-            (std::cmp::Reverse(count), *part)
-        });
+        suspects.sort_by_key(|part| (Reverse(counts.get(part)), *part));
         suspects
     }
 
