Put quarantined requests and new crashes first in messages to peers

A datagram has room for 16 marks of requests that crashed endpoints, and they came in the order of their digests. After a crash with a hundred bystanders, peers might never hear of the request that is quarantined. Marks now come with quarantined requests first, and then the newest crashes.

`--test quarantine`: the new test failed before (the first marks were those of digests 0, 1 and 2, and the quarantined request was last) and passes now; 6 of 6 passed.

--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -158,17 +158,21 @@
         self.quarantine_culprits();
     }
 
-    /// Returns the marks to gossip to peers.
+    /// Returns the marks to gossip to peers: those of quarantined requests first, and then the
+    /// newest, since a message may have no room for all of them.
     pub fn marks(&self, now: Instant) -> Vec<QuarantineMark> {
         let open = self.records.iter().filter(|(_, r)| !r.crashed.is_empty());
-        open.map(|(digest, record)| QuarantineMark {
-            digest: *digest,
-            crashed: record.crashed.iter().copied().collect(),
-            convicted: record.quarantined,
-            age_ms: age_ms(now, record.since),
-        })
-        .filter(|mark| Duration::from_millis(mark.age_ms) < self.hold_time)
-        .collect()
+        let marks = open
+            .map(|(digest, record)| QuarantineMark {
+                digest: *digest,
+                crashed: record.crashed.iter().copied().collect(),
+                convicted: record.quarantined,
+                age_ms: age_ms(now, record.since),
+            })
+            .filter(|mark| Duration::from_millis(mark.age_ms) < self.hold_time);
+        let mut marks: Vec<QuarantineMark> = marks.collect();
+        marks.sort_by_key(|mark| (!mark.convicted, mark.age_ms));
+        marks
     }
 
     /// Merges the marks of a peer.
--- a/crates/pistachioyard_policy/tests/quarantine.rs
+++ b/crates/pistachioyard_policy/tests/quarantine.rs
@@ -136,3 +136,20 @@
     quarantine.record_completion(request);
     assert_eq!(quarantine.verdict(request, now), QuarantineVerdict::Clear);
 }
+
+#[test]
+fn quarantined_requests_and_new_crashes_are_not_left_out_of_a_short_message() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::without_isolation(HOLD);
+    let culprit = RequestDigest(u64::MAX);
+    for number in 0..3 {
+        quarantine.record_crash(&[culprit], boot(number), start);
+    }
+    for number in 0..100 {
+        let at = start + Duration::from_secs(1 + number);
+        quarantine.record_crash(&[RequestDigest(number)], boot(10), at);
+    }
+    let marks = quarantine.marks(start + Duration::from_secs(200));
+    let first: Vec<RequestDigest> = marks.iter().take(3).map(|mark| mark.digest).collect();
+    assert_eq!(first, [culprit, RequestDigest(99), RequestDigest(98)]);
+}
