Ignore endpoint records of earlier runs that a copy brings back

What callers saw: after the store's return, a record from the copy took an endpoint that had restarted since, or had died, for one that restarted: its layers went back, and a crash counted against the same request once more, so that requests could be refused as quarantined. Cause: a record with an earlier start than the known one counted as a restart. Change: while endpoints may not have written again, a record is ignored if the known ones show that it is outdated: an earlier run of the endpoint or of the one at its address, or one from before the endpoint was leaving.

--- a/crates/pistachioyard_policy/src/endpoint_registry/record.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/record.rs
@@ -27,6 +27,20 @@
     pub state: EndpointReport,
 }
 
+impl EndpointRecord {
+    /// Returns whether a known record shows that this one is from an older copy of the store:
+    /// its endpoint or address belongs to a later run, or the endpoint is leaving by now.
+    pub fn is_outdated_by(&self, known: &Self) -> bool {
+        let is_same = known.endpoint == self.endpoint;
+        let (started, known_started) = (self.state.started_unix_ms, known.state.started_unix_ms);
+        let is_earlier_run = started
+            .zip(known_started)
+            .is_some_and(|(s, known)| s < known);
+        let has_stayed = started == known_started && known.is_leaving && !self.is_leaving;
+        is_earlier_run && (is_same || known.address == self.address) || is_same && has_stayed
+    }
+}
+
 /// Holds an endpoint's report of its layers and its load.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EndpointReport {
--- a/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
@@ -202,3 +202,27 @@
     assert!(registry.is_starting_up(&service, 1_900 * MS, now + 2_500 * MS));
     assert!(!registry.is_starting_up(&service, 1_900 * MS, now + 3_500 * MS));
 }
+
+/// An older copy of the store brings back records of runs that have ended, of endpoints that
+/// another one has replaced at its address, and from before an endpoint was leaving.
+#[test]
+fn a_record_from_an_older_copy_is_outdated() {
+    let run = |name: &str, port, started, is_leaving| {
+        let mut record = record(name, port, Some(range(0, 8)));
+        record.state.started_unix_ms = started;
+        record.is_leaving = is_leaving;
+        record
+    };
+    let known = run("one", 1, Some(5), true);
+    assert!(run("one", 1, Some(4), false).is_outdated_by(&known));
+    assert!(run("one", 2, Some(4), false).is_outdated_by(&known));
+    assert!(run("two", 1, Some(4), false).is_outdated_by(&known));
+    assert!(run("one", 1, Some(5), false).is_outdated_by(&known));
+
+    assert!(!run("one", 1, Some(5), true).is_outdated_by(&known));
+    assert!(!run("one", 1, Some(6), false).is_outdated_by(&known));
+    assert!(!run("two", 1, Some(6), false).is_outdated_by(&known));
+    assert!(!run("two", 2, Some(4), false).is_outdated_by(&known));
+    assert!(!run("two", 1, Some(5), false).is_outdated_by(&known));
+    assert!(!run("one", 1, None, false).is_outdated_by(&known));
+}
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -103,9 +103,29 @@
             return;
         }
     };
+    if is_just_returned(router) && is_outdated(router, &record) {
+        spdlog::info!("endpoints: ignoring a record from an older copy", kv: {
+            endpoint = record.endpoint.as_str(), revision = object.revision
+        });
+        return;
+    }
     apply_record(router, record, "store");
 }
 
+/// Returns whether the store came back from an older copy so recently that endpoints may not
+/// have written again.
+fn is_just_returned(router: &Router) -> bool {
+    let since = router.store.last_return();
+    since.is_some_and(|since| since.elapsed() < REREGISTRATION_GRACE)
+}
+
+fn is_outdated(router: &Router, record: &EndpointRecord) -> bool {
+    let endpoints = router.endpoints.lock();
+    endpoints
+        .records()
+        .any(|known| record.is_outdated_by(known))
+}
+
 /// Applies an endpoint's record from the store, or a copy of it from a peer.
 pub(super) fn apply_record(router: &Router, record: EndpointRecord, from: &'static str) {
     let endpoint = record.endpoint.clone();
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -93,6 +93,17 @@
         waited.is_ok()
     }
 
+    /// Returns what the endpoints with layers answer at a path, by their index.
+    async fn model_reports(&self, path: &str) -> Vec<(usize, Value)> {
+        let mut reports = Vec::new();
+        let endpoints = self.endpoints.iter().enumerate();
+        for (index, endpoint) in endpoints.filter(|(_, endpoint)| !endpoint.is_plain) {
+            let report = self.client.get_json(endpoint.address, path).await;
+            reports.push((index, report.unwrap_or(Value::Null)));
+        }
+        reports
+    }
+
     async fn endpoint_lists(&self) -> u64 {
         let lists = self
             .client
@@ -202,6 +213,31 @@
     assert!(removed.is_empty(), "{removed:#?}");
 }
 
+/// A record of an endpoint's earlier run, which the copy brings back, is not taken for a restart,
+/// after which a crash would count against its requests once more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_record_of_an_earlier_run_in_the_copy_is_ignored() {
+    let mut site = Site::start(1).await;
+    site.control_store("copy", json!({})).await;
+    let launcher = site.launcher.clone();
+    let restarted = site.endpoints.last_mut().expect("the site has endpoints");
+    restarted.process.start(&launcher);
+    tokio::time::sleep(2 * WATCH_SETTLE_TIME).await;
+    let restarted = site.endpoints.last_mut().expect("the site has endpoints");
+    let child = restarted.process.running_child();
+    child.freeze().expect("the signal is sent");
+    site.control_store("restore", json!({})).await;
+    tokio::time::sleep(WATCH_SETTLE_TIME).await;
+    let restarted = site.endpoints.last_mut().expect("the site has endpoints");
+    let child = restarted.process.running_child();
+    child.thaw().expect("the signal is sent");
+    tokio::time::sleep(2 * WATCH_SETTLE_TIME).await;
+    let log = site.entries[0].process.running_child().log();
+    let restarts = log.lines().filter(|line| line.contains("news=Restarted"));
+    assert_eq!(restarts.count(), 1, "{log}");
+    site.await_service().await;
+}
+
 /// An entry whose peer has seen higher revisions of the earlier era does not list all records
 /// over and over.
 #[tokio::test(flavor = "multi_thread")]
@@ -238,6 +274,38 @@
     assert!(lease["fence"].as_u64() > Some(seen), "{seen}, then {lease}");
 }
 
+/// Layers are placed again after a return that took the lease, on endpoints that have begun
+/// orders under a later one than the copy's.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_layers_are_placed_again_after_a_return_that_took_the_lease() {
+    let (mut site, fence) = Site::start_with_lease_after_the_copy().await;
+    let launcher = site.launcher.clone();
+    for endpoint in site.endpoints.iter_mut().filter(|e| !e.is_plain) {
+        endpoint.process.start(&launcher);
+    }
+    wait_until(Duration::from_secs(10), "all orders", || async {
+        let reports = site.model_reports("/control/fence").await;
+        reports.iter().all(|(_, seen)| seen.as_u64() >= Some(fence))
+    })
+    .await
+    .expect("every endpoint gets an order");
+    site.await_service().await;
+    site.control_store("restore", json!({})).await;
+    for (index, report) in site.model_reports("/report").await {
+        if report["layers"]["from"] == 0 {
+            site.endpoints[index].process.kill();
+        }
+    }
+    for entry in &site.entries {
+        let to = entry.caller_address();
+        wait_until(Duration::from_secs(10), "a stream", || async {
+            site.check_stream(to).await.is_ok()
+        })
+        .await
+        .expect("streams are served");
+    }
+}
+
 /// Entries that the copy lacks register again soon, so that new entries find them.
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_that_the_copy_lacks_register_again_soon() {
