Let the soak bring the store back from older copies

What callers saw: nothing; the soak did not cover a store that loses what it acknowledged. Change: two more faults, a copy and a return from it after up to 600 ms of 503 or silence, after which the operator writes again.

--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -11,6 +11,7 @@
 use pistachioyard_standins::{FaultKind, FaultRule};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use tokio::time::Instant;
 
 use super::caller::{Failure, Outcome};
@@ -57,6 +58,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut site = Site::start(3).await;
     let end = Instant::now() + seconds;
+    site.control_store("copy", json!({})).await;
     let mut outcomes: Vec<Outcome> = Vec::new();
     while Instant::now() < end {
         let faults = rng.random_range(1..=2);
@@ -74,7 +76,7 @@
 async fn inject_fault(site: &mut Site, rng: &mut ChaCha8Rng) {
     let entry = rng.random_range(0..site.entries.len());
     let endpoint = rng.random_range(0..site.endpoints.len());
-    match rng.random_range(0..8) {
+    match rng.random_range(0..10) {
         0 => site.entries[entry].process.kill(),
         1 => {
             if let Some(child) = &mut site.entries[entry].process.child {
@@ -112,6 +114,14 @@
             }])
             .await;
         }
+        6 => site.control_store("copy", json!({})).await,
+        7 => {
+            let away_ms = rng.random_range(0..600);
+            let restore = json!({ "away_ms": away_ms, "silent": rng.random::<bool>() });
+            site.control_store("restore", restore).await;
+            // The operator writes again what it wrote since the copy.
+            assert!(site.apply_config().await, "the store accepts it");
+        }
         // The store may be down; then the write fails, as an operator would see.
         _ => drop(site.add_route().await),
     }
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -17,12 +17,6 @@
 const WATCH_SETTLE_TIME: Duration = Duration::from_millis(900);
 
 impl Site {
-    async fn control_store(&self, action: &str, body: Value) {
-        let path = format!("/control/{action}");
-        let status = self.call(self.store, Method::PUT, &path, body).await;
-        assert_eq!(status, Some(200), "{action}");
-    }
-
     /// Writes objects that no entry reads.
     async fn raise_revision(&self, count: usize) {
         for n in 0..count {
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -309,6 +309,13 @@
         assert_eq!(set, Some(200));
     }
 
+    /// Makes the store take a copy of its objects or come back from it.
+    pub(crate) async fn control_store(&self, action: &str, body: Value) {
+        let path = format!("/control/{action}");
+        let status = self.call(self.store, Method::PUT, &path, body).await;
+        assert_eq!(status, Some(200), "{action}");
+    }
+
     /// Replaces the faults of the proxy in front of the store and the endpoints.
     pub(crate) async fn set_proxy_faults(&self, rules: &[FaultRule]) {
         let body = serde_json::to_value(rules).expect("the rules can be encoded");
