Take a newer configuration from a peer while the store has an older one

What callers saw: an entry that started after the store's return from a copy served the copy's configuration, without newer routes, until the operator wrote again; it listed the configuration at every datagram of a peer with a newer one. Cause: peers were asked only while the store was unreachable. Change: an entry whose store has not shown a peer's newer version for an interval takes it from that peer. Endpoints come from the store while it is reachable, as before.

--- a/src/router/controller/peer_fallback.rs
+++ b/src/router/controller/peer_fallback.rs
@@ -1,10 +1,13 @@
-//! Copies the configuration and the endpoints from a peer while the store is unreachable.
+//! Copies the configuration and the endpoints from a peer while the store is unreachable, and
+//! the configuration also while the store has an older one.
 //!
 //! The store may refuse individual hosts for a long time, and may be down when a process
 //! starts. A peer that has a configuration returns it with its list of endpoints. Only a
-//! newer version is adopted, so the store stays authoritative.
+//! newer version is adopted, so the store stays authoritative. A store that came back from an
+//! older copy lacks the version that the peers have adopted until the operator writes it again.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use pistachioyard_policy::EndpointRecord;
 use rand::seq::IteratorRandom;
@@ -18,7 +21,8 @@
 
 /// The path at which an entry serves its state to peers.
 pub(crate) const STATE_PATH: &str = "/v1/state";
-/// How often a peer is asked while the store is unreachable.
+/// How often a peer is asked while the store is unreachable, and how long the store may take to
+/// show a version that a peer has.
 const FETCH_PERIOD: Duration = Duration::from_millis(600);
 /// How long a peer may take to return its state.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -51,22 +55,23 @@
     }
 }
 
-/// Fetches the state of a random peer at intervals while the store is unreachable.
+/// Fetches the state of a random peer at intervals while the store is unreachable, or from one
+/// that has a newer configuration than the store for longer than an interval.
 pub(super) async fn run(router: Arc<Router>) {
     let client = HttpClient::new(None, Reuse::Fresh);
+    let mut was_outdated = false;
     loop {
         tokio::time::sleep(jittered(FETCH_PERIOD)).await;
-        if router.store.is_reachable() {
-            continue;
-        }
-        let peer = {
-            let members = router.members.lock();
-            let live = members.live(Instant::now());
-            let peers = live.iter().filter(|record| {
-                record.entry != router.settings.entry && record.revision > Revision(0)
-            });
-            let addresses = peers.map(|record| record.peer_address);
-            addresses.choose(&mut rand::rng())
+        let own_version = Revision(router.version());
+        let ahead = choose_peer(&router, own_version);
+        let is_outdated = was_outdated && ahead.is_some();
+        was_outdated = ahead.is_some();
+        let peer = if !router.store.is_reachable() {
+            choose_peer(&router, Revision(0))
+        } else if is_outdated {
+            ahead
+        } else {
+            None
         };
         let Some(peer) = peer else {
             continue;
@@ -78,7 +83,18 @@
     }
 }
 
-async fn fetch_state(client: &HttpClient, peer: std::net::SocketAddr) -> Result<State, CallError> {
+/// Returns the address of a random live peer whose configuration is newer than a version.
+fn choose_peer(router: &Router, newer_than: Revision) -> Option<SocketAddr> {
+    let members = router.members.lock();
+    let live = members.live(Instant::now());
+    let peers = live
+        .iter()
+        .filter(|record| record.entry != router.settings.entry && record.revision > newer_than);
+    let addresses = peers.map(|record| record.peer_address);
+    addresses.choose(&mut rand::rng())
+}
+
+async fn fetch_state(client: &HttpClient, peer: SocketAddr) -> Result<State, CallError> {
     let answer = client
         .send(Call::get(peer, STATE_PATH), FETCH_TIMEOUT)
         .await?;
@@ -95,10 +111,6 @@
 }
 
 fn apply_state(router: &Arc<Router>, state: State) {
-    // The store may have recovered during the call, and it takes precedence.
-    if router.store.is_reachable() {
-        return;
-    }
     let config = state.config.map(|text| serde_json::from_str(&text));
     match config {
         Some(Ok(source)) => config::adopt_source(router, &source, "peer"),
@@ -109,6 +121,10 @@
         }
         None => {}
     }
+    // The store may have recovered during the call, and its endpoints take precedence.
+    if router.store.is_reachable() {
+        return;
+    }
     let listed: BTreeSet<EndpointId> = state
         .endpoints
         .iter()
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -150,6 +150,26 @@
     }
 }
 
+/// An entry that starts after a return takes the newer configuration of its peer instead of the
+/// one that the copy has.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_on_the_copy_takes_its_peers_configuration() {
+    let mut site = Site::start(2).await;
+    site.control_store("copy", json!({})).await;
+    let newer = site.add_route().await.expect("the store accepts it");
+    for entry in &site.entries {
+        let to = entry.caller_address();
+        assert!(site.await_path(to, &newer, CHANGE_TIMEOUT).await);
+    }
+    site.control_store("restore", json!({})).await;
+    site.entries[1].process.kill();
+    let launcher = site.launcher.clone();
+    site.entries[1].process.start(&launcher);
+    site.await_service().await;
+    let to = site.entries[1].caller_address();
+    assert!(site.await_path(to, &newer, CHANGE_TIMEOUT).await);
+}
+
 /// An endpoint that died while the store went back to before it registered is dropped, although
 /// the revisions have passed the one from which the watch continues.
 #[tokio::test(flavor = "multi_thread")]
