--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -4,7 +4,8 @@
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
-//! ends the process. `GET /control/runs` lists the ids of the requests started, and
+//! ends the process, and so does one whose prompt has the part [`crash::CRASHING_PART`], once its
+//! answer has begun. `GET /control/runs` lists the ids of the requests started, and
 //! `GET /control/fence` returns the highest fencing token of an order.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
 //! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-End` selects how its
@@ -14,6 +15,7 @@
 //! accepts no connection and answers nothing, keeps its connections and then goes on.
 
 mod answer;
+mod crash;
 mod events;
 mod silence;
 mod stages;
@@ -301,8 +303,12 @@
         std::process::exit(1);
     }
     let ending = Ending::of(&parts.headers);
+    let crashes = crash::has_crashing_part(&parts.headers);
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
+        if crashes {
+            tokio::spawn(crash::crash_soon());
+        }
         let asked = header(&parts.headers, "x-run-ms").and_then(|ms| ms.parse().ok());
         tokio::time::sleep(asked.map_or(PLAIN_REQUEST_TIME, Duration::from_millis)).await;
         let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
@@ -321,6 +327,9 @@
         state.runs.push(id.clone());
         state.paths.insert(id.clone(), path);
     }
+    if crashes {
+        tokio::spawn(crash::crash_soon());
+    }
     let last = header(&parts.headers, "last-event-id").and_then(|id| id.parse().ok());
     let padded_len = padded_len(&parts.headers);
     let events = Events::new(worker, &id, last, padded_len, ending);
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 
 use pistachioyard_policy::{GossipReport, StoreEra, StorePosition};
-use pistachioyard_wire::{EntryState, Fence, LayerRange, MemberRecord, QuarantineMark};
+use pistachioyard_wire::{EntryState, Fence, LayerRange, MemberRecord, PartReport, QuarantineMark};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
 use serde::{Deserialize, Serialize};
@@ -62,6 +62,9 @@
     heard: Vec<LayerReport>,
     /// The requests that crashed endpoints.
     quarantine: Vec<QuarantineMark>,
+    /// The findings about prompt parts; empty from entries that have none.
+    #[serde(default)]
+    parts: PartReport,
 }
 
 /// Holds what an endpoint reported about its layers.
@@ -135,6 +138,7 @@
     }
     router.note_fence(gossip.newest_fence);
     router.quarantine.lock().merge(&gossip.quarantine, now);
+    router.merge_parts(&gossip.parts, &sender.entry, now);
     let mut endpoints = router.endpoints.lock();
     let by_key: HashMap<u32, EndpointId> = endpoints
         .ids()
@@ -181,6 +185,7 @@
 pub(super) async fn gossip(router: Arc<Router>, socket: Arc<UdpSocket>) {
     loop {
         tokio::time::sleep(jittered(GOSSIP_PERIOD)).await;
+        router.review_parts();
         send_gossip(&router, &socket).await;
         forget_lost(&router);
     }
@@ -268,6 +273,7 @@
         load: load.collect(),
         heard,
         quarantine,
+        parts: router.parts.lock().report(now),
     };
     let mut datagram = Vec::new();
     match ciborium::into_writer(&gossip, &mut datagram) {
