Make the dead middle endpoint one that a running stream passes

Cause: the test. It killed an endpoint that it had picked by layers alone. That endpoint may be on none of the 16 paths, and then nothing is to repair. The entry may also not know yet that another endpoint holds the same layers, since the test looked at the endpoints and not at the entry, and then a path cannot be repaired and its stream is rightly sent again. Change: the stand-in worker lists the paths of its running streams (GET /control/paths) and can be told to end at the next call of a running stream that passes through it (PUT /control/crash), so the dead endpoint is a middle stage of a running stream by construction. The test sends rounds of 16 streams until the entry has used every redundant endpoint, which shows that it knows their layers, and lets one that is in use crash. Stricter than before: the streams of every round must be complete and run once, the endpoint must have ended, and the count of repaired paths must have grown since the start.

--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -3,29 +3,33 @@
 //! With `--card` it is an engine: it holds layers of a model and streams events. Before each
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
-//! [`STALL_LIMIT`]. Without `--card` it is a plain service. A request whose body is
-//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started.
+//! [`events::STALL_LIMIT`]. Without `--card` it is a plain service. A request whose body is
+//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started, and
+//! `GET /control/paths` the addresses of the stages of each running stream. After
+//! `PUT /control/crash`, the next running stream that passes through the worker ends the process.
+
+mod events;
+mod path;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ::http::{HeaderMap, Method, Request, Response, StatusCode};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Bytes, Frame, Incoming};
+use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use xxhash_rust::xxh3::xxh3_64;
 
+use self::events::{Events, answer_line};
+use self::path::{HOLDS_PATH, PASS_PATH, Stages, check_path, holds, parse_path};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
 use crate::http::{HttpClient, HttpClientConfig};
 
 /// The interval at which a worker renews its object in the store.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// The interval between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// The time to load one layer.
 const LAYER_LOAD_TIME: Duration = Duration::from_millis(5);
 /// The run time of a request to a plain service.
@@ -61,17 +65,9 @@
     pub events: u64,
 }
 
-/// The maximum time that a request stalls before it fails.
-const STALL_LIMIT: Duration = Duration::from_millis(2_500);
-/// The interval at which a stalled request checks its path again.
-const STALL_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The body of a poison request, which crashes every worker that starts to run it.
 const POISON: &[u8] = b"poison";
 
-/// The stages of a path: the address, first layer and end layer (exclusive) of each.
-type Stages = Vec<(SocketAddr, u64, u64)>;
-
 struct Worker {
     args: SiteWorkerArgs,
     started_at_ms: u64,
@@ -90,6 +86,8 @@
     paths: BTreeMap<String, Stages>,
     /// The stalled requests by id, with the address of the stage that blocks each.
     stalled: BTreeMap<String, SocketAddr>,
+    /// Whether the process ends when the next running stream passes through it.
+    crashes_in_stream: bool,
 }
 
 /// Serves a worker until the process ends.
@@ -176,11 +174,32 @@
             }
         }
         "/control/runs" => json_response(StatusCode::OK, &json!(worker.state.lock().runs)),
-        "/holds" => holds(&worker, req.uri().query().unwrap_or_default()),
+        "/control/paths" => json_response(StatusCode::OK, &running_paths(&worker)),
+        "/control/crash" => {
+            worker.state.lock().crashes_in_stream = true;
+            status_only(StatusCode::OK)
+        }
+        HOLDS_PATH => holds(&worker, req.uri().query().unwrap_or_default()),
+        PASS_PATH => {
+            if worker.state.lock().crashes_in_stream {
+                std::process::exit(1);
+            }
+            holds(&worker, req.uri().query().unwrap_or_default())
+        }
         _ => run(worker, req).await,
     }
 }
 
+/// Returns the addresses of the stages of each running stream, by request id.
+fn running_paths(worker: &Worker) -> Value {
+    let state = worker.state.lock();
+    let paths = state.paths.iter().map(|(id, stages)| {
+        let addresses: Vec<SocketAddr> = stages.iter().map(|(at, ..)| *at).collect();
+        (id.clone(), json!(addresses))
+    });
+    Value::Object(paths.collect())
+}
+
 fn order(worker: &Arc<Worker>, order: &Value) -> Response<Body> {
     let (Some(from), Some(to)) = (order["from"].as_u64(), order["to"].as_u64()) else {
         return status_only(StatusCode::BAD_REQUEST);
@@ -221,7 +240,7 @@
         Some(first) if path.first() != Some(&first) => return status_only(StatusCode::BAD_REQUEST),
         Some(_) => {}
     }
-    if let Err(missing) = check_path(worker, &path).await {
+    if let Err(missing) = check_path(worker, &path, HOLDS_PATH).await {
         let at = missing.map(|(_, at)| at);
         return json_response(StatusCode::CONFLICT, &json!({ "address": at }));
     }
@@ -229,26 +248,6 @@
     status_only(StatusCode::ACCEPTED)
 }
 
-/// Answers whether the worker holds the layer range given as `FROM-TO`.
-fn holds(worker: &Worker, range: &str) -> Response<Body> {
-    let held = worker.state.lock().layers;
-    let requested = parse_range(range);
-    let is_held = match (held, requested) {
-        (Some((from, to)), Some((first, end))) => from <= first && end <= to,
-        _ => false,
-    };
-    status_only(if is_held {
-        StatusCode::OK
-    } else {
-        StatusCode::MISDIRECTED_REQUEST
-    })
-}
-
-fn parse_range(range: &str) -> Option<(u64, u64)> {
-    let (from, to) = range.split_once('-')?;
-    Some((from.parse().ok()?, to.parse().ok()?))
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -289,7 +288,7 @@
         return with_signature(&id, full_body(format!("{}\n\n", answer_line(&id, 0))));
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
-    if let Err(missing) = check_path(&worker, &path).await {
+    if let Err(missing) = check_path(&worker, &path, HOLDS_PATH).await {
         return match missing {
             Some((status, at)) => not_run(status, at),
             None => status_only(StatusCode::IM_A_TEAPOT),
@@ -329,94 +328,3 @@
     );
     answer
 }
-
-/// Returns the data of event `n` of a request, which is the same on every worker.
-fn answer_line(id: &str, n: u64) -> String {
-    format!("{:016x}", xxh3_64(format!("{id}/{n}").as_bytes()))
-}
-
-fn parse_path(path: &str) -> Stages {
-    let stages = path.split(',').filter_map(|stage| {
-        let (address, range) = stage.split_once('=')?;
-        let (from, to) = parse_range(range)?;
-        Some((address.parse().ok()?, from, to))
-    });
-    stages.collect()
-}
-
-/// Checks that each stage holds its layers.
-///
-/// The error names the first stage that does not, or is `None` if the layers are not in order.
-async fn check_path(
-    worker: &Worker,
-    path: &[(SocketAddr, u64, u64)],
-) -> Result<(), Option<(StatusCode, SocketAddr)>> {
-    let mut next = 0;
-    for (at, from, to) in path {
-        if *from != next {
-            return Err(None);
-        }
-        next = *to;
-        let target = format!("/holds?{from}-{to}");
-        let sent = worker
-            .client
-            .send(Method::GET, *at, &target, &[], Bytes::new());
-        match sent.await {
-            Ok(answer) if answer.status == StatusCode::OK => {}
-            Ok(answer) => return Err(Some((answer.status, *at))),
-            Err(_) => return Err(Some((StatusCode::SERVICE_UNAVAILABLE, *at))),
-        }
-    }
-    Ok(())
-}
-
-struct Events {
-    worker: Arc<Worker>,
-    id: String,
-    next: u64,
-}
-
-impl Drop for Events {
-    fn drop(&mut self) {
-        let mut state = self.worker.state.lock();
-        state.paths.remove(&self.id);
-        state.stalled.remove(&self.id);
-    }
-}
-
-impl Events {
-    /// Returns the next event once every stage of the path holds its layers.
-    async fn next(&mut self) -> std::io::Result<Option<Bytes>> {
-        if self.next >= self.worker.args.events {
-            return Ok(None);
-        }
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        self.wait_for_path().await?;
-        let n = self.next;
-        self.next += 1;
-        Ok(Some(
-            format!("id: {n}\ndata: {}\n\n", answer_line(&self.id, n)).into(),
-        ))
-    }
-
-    async fn wait_for_path(&self) -> std::io::Result<()> {
-        let since = Instant::now();
-        while since.elapsed() < STALL_LIMIT {
-            let path = self.worker.state.lock().paths.get(&self.id).cloned();
-            let checked = check_path(&self.worker, &path.unwrap_or_default()).await;
-            match checked {
-                Ok(()) => {
-                    self.worker.state.lock().stalled.remove(&self.id);
-                    return Ok(());
-                }
-                Err(Some((_, at))) => {
-                    let stalled = &mut self.worker.state.lock().stalled;
-                    stalled.insert(self.id.clone(), at);
-                }
-                Err(None) => break,
-            }
-            tokio::time::sleep(STALL_POLL_INTERVAL).await;
-        }
-        Err(std::io::ErrorKind::ConnectionAborted.into())
-    }
-}
--- a/tests/site/faults.rs
+++ b/tests/site/faults.rs
@@ -1,6 +1,7 @@
 //! Single faults, most of them first seen in the operators' bench.
 
-use std::time::Duration;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
 use http::Method;
 use pistachioyard_standins::wait_until;
@@ -8,6 +9,9 @@
 use super::caller::new_request_id;
 use super::support::{KEY, Site};
 
+/// How long streams are sent until one of them runs through the endpoint that is to crash.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// An entry that starts while the store is down takes its state from a peer.
 ///
 /// In the bench, with `platform_down` and restarts, such an entry served nothing until the
@@ -120,44 +124,65 @@
 
 /// When an endpoint in the middle of a path dies, its streams continue along a repaired path.
 ///
-/// In the bench, with `srv_crash` faults, every stream through such an endpoint was sent again
-/// from the beginning and missed its deadline.
+/// The endpoint crashes on a call of a stream that runs through it at that moment. In the bench,
+/// with `srv_crash` faults, every stream through such an endpoint was sent again from the
+/// beginning and missed its deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_whose_middle_worker_dies_go_on_without_being_sent_again() {
     let mut site = Site::start(1).await;
-    let lost = site.redundant_endpoint().await;
-    site.record_runs(lost).await;
-    let ids: Vec<String> = (0..16).map(|_| new_request_id()).collect();
+    let candidates = site.redundant_endpoints().await;
+    let repaired_before = site.count_repaired_paths().await;
     let to = site.entries[0].caller_address();
-    let mut killed = site.endpoints[lost].process.child.take();
-    let streams =
-        futures_util::future::join_all(ids.iter().map(|id| site.check_stream_with_id(to, id)));
-    let kill = async {
-        wait_until(Duration::from_secs(5), "all streams to run", || async {
-            let runs = site.count_runs().await;
-            ids.iter().all(|id| runs.contains_key(id))
-        })
-        .await
-        .expect("all streams run");
-        killed
-            .as_mut()
-            .expect("the endpoint runs")
-            .kill()
-            .expect("the endpoint can be killed");
-    };
-    let (streams, ()) = tokio::join!(streams, kill);
-    for result in streams {
-        result.expect("every stream is complete");
+    let mut all_ids = Vec::new();
+    // The entry knows the layers of an endpoint that it has used, so it can replace the lost one.
+    let mut known = BTreeSet::new();
+    let mut chosen = None;
+    let give_up_at = Instant::now() + CRASH_TIMEOUT;
+    loop {
+        let ids: Vec<String> = (0..16).map(|_| new_request_id()).collect();
+        let streams =
+            futures_util::future::join_all(ids.iter().map(|id| site.check_stream_with_id(to, id)));
+        let crash = async {
+            wait_until(Duration::from_secs(5), "all streams to run", || async {
+                let runs = site.count_runs().await;
+                ids.iter().all(|id| runs.contains_key(id))
+            })
+            .await
+            .expect("all streams run");
+            if chosen.is_some() {
+                return;
+            }
+            let in_use = site.endpoints_in_use(&ids, &candidates).await;
+            known.extend(in_use.iter().copied());
+            if known.len() == candidates.len() {
+                chosen = in_use.first().copied();
+            }
+            if let Some(lost) = chosen {
+                site.crash_in_stream(lost).await;
+            }
+        };
+        let (streams, ()) = tokio::join!(streams, crash);
+        for result in streams {
+            result.expect("every stream is complete");
+        }
+        all_ids.extend(ids);
+        // All streams of a round may take other paths, or end before the call.
+        if let Some(lost) = chosen
+            && !site.endpoints[lost].process.is_running()
+        {
+            break;
+        }
+        assert!(
+            Instant::now() < give_up_at,
+            "no stream crashed {chosen:?} of {candidates:?}; used so far: {known:?}"
+        );
     }
     let runs = site.count_runs().await;
-    for id in &ids {
+    for id in &all_ids {
         assert_eq!(runs.get(id), Some(&1), "{id} was sent once");
     }
-    let metrics = site.fetch_metrics(&site.entries[0]).await;
-    let has_repaired_path = metrics
-        .lines()
-        .any(|line| line.starts_with("router_paths_mended_total{mended=\"yes\"}"));
-    assert!(has_repaired_path, "{metrics}");
+    let repaired = site.count_repaired_paths().await;
+    assert!(repaired > repaired_before, "{repaired} paths were repaired");
 }
 
 /// A request that crashes every endpoint on which it runs crashes only three of them, even if
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -1,6 +1,5 @@
 //! A small site: a store, endpoints of a service with a pipeline and of one without, and entries.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -53,6 +52,12 @@
         }
     }
 
+    /// Returns whether the process was started and has not ended.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| child.is_running().expect("its state can be read"))
+    }
+
     /// Returns the child process, which must have been started.
     pub(crate) fn running_child(&mut self) -> &mut Child {
         self.child.as_mut().expect("the process was started")
@@ -64,6 +69,8 @@
     pub(crate) process: Process,
     /// The address on which the test reaches it without the proxy.
     pub(crate) address: SocketAddr,
+    /// The address on which the entries and the other endpoints reach it.
+    pub(crate) advertised: SocketAddr,
     /// Whether it belongs to the service without a pipeline and so holds no layers.
     pub(crate) is_plain: bool,
     /// The request ids that it ran before it was killed.
@@ -150,6 +157,7 @@
                     endpoints.push(Endpoint {
                         process,
                         address,
+                        advertised,
                         is_plain,
                         earlier_runs: Vec::new(),
                     });
@@ -255,6 +263,15 @@
         String::from_utf8_lossy(&body).into_owned()
     }
 
+    /// Returns how many paths the first entry has repaired.
+    pub(crate) async fn count_repaired_paths(&self) -> u64 {
+        let metrics = self.fetch_metrics(&self.entries[0]).await;
+        let count = metrics
+            .lines()
+            .find_map(|line| line.strip_prefix("router_paths_mended_total{mended=\"yes\"} "));
+        count.map_or(0, |count| count.parse().expect("the metric is a number"))
+    }
+
     /// Makes a call and returns the status of its answer; none if it fails.
     pub(crate) async fn call(
         &self,
@@ -326,58 +343,4 @@
             .expect("the proxy answers");
         assert!(answer.status.is_success(), "{:?}", answer.status);
     }
-
-    /// Returns the index of an endpoint in the first entry's data centre that is never the first
-    /// of a path and whose layers another endpoint there holds too.
-    pub(crate) async fn redundant_endpoint(&self) -> usize {
-        let mut held = Vec::new();
-        for (index, endpoint) in self.endpoints.iter().enumerate() {
-            let result = self
-                .client
-                .get_json::<Value>(endpoint.address, "/report")
-                .await;
-            let report = result.expect("the endpoint answers");
-            let is_local = report["zone"] == DATA_CENTRES[0];
-            if is_local && report["layers"]["from"].as_u64() > Some(0) {
-                held.push((index, report["layers"].clone()));
-            }
-        }
-        let shared = |layers: &Value| held.iter().filter(|(_, other)| other == layers).count() > 1;
-        let redundant = held.iter().find(|(_, layers)| shared(layers));
-        redundant.expect("two endpoints hold the same layers").0
-    }
-
-    /// Records the runs of an endpoint that is about to be killed.
-    pub(crate) async fn record_runs(&mut self, index: usize) {
-        let runs = self.fetch_runs(&self.endpoints[index]).await;
-        self.endpoints[index].earlier_runs.extend(runs);
-    }
-
-    /// Returns the request ids that an endpoint began to run; none if it does not answer.
-    async fn fetch_runs(&self, endpoint: &Endpoint) -> Vec<String> {
-        let request = self.client.send(
-            Method::GET,
-            endpoint.address,
-            "/control/runs",
-            &[],
-            bytes::Bytes::new(),
-        );
-        request
-            .await
-            .ok()
-            .and_then(|answer| answer.json().ok())
-            .unwrap_or_default()
-    }
-
-    /// Counts the runs of each request on all endpoints.
-    pub(crate) async fn count_runs(&self) -> BTreeMap<String, usize> {
-        let mut counts = BTreeMap::new();
-        for endpoint in &self.endpoints {
-            let current_runs = self.fetch_runs(endpoint).await;
-            for id in endpoint.earlier_runs.iter().cloned().chain(current_runs) {
-                *counts.entry(id).or_default() += 1;
-            }
-        }
-        counts
-    }
 }
