Let the fault proxy send answers without end

Endpoints in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes; no stand-in did. Change: the faults `endless_head` and `endless_body` of the fault proxy replace the target's next bytes with the start of an answer and then with filler, 64 KiB each millisecond at most, until the receiver closes the connection or the rule is removed. The target has received the request, so it may have run.

--- a/crates/pistachioyard_standins/src/proxy.rs
+++ b/crates/pistachioyard_standins/src/proxy.rs
@@ -10,6 +10,7 @@
 mod api;
 mod connection;
 mod control;
+mod endless;
 mod pipe;
 mod state;
 
--- a/crates/pistachioyard_standins/src/proxy/control.rs
+++ b/crates/pistachioyard_standins/src/proxy/control.rs
@@ -79,6 +79,10 @@
         /// The number of bytes that are still forwarded.
         bytes: u64,
     },
+    /// Replaces the target's next bytes with an answer whose head does not end.
+    EndlessHead,
+    /// Replaces the target's next bytes with a success whose body does not end.
+    EndlessBody,
     /// Keeps connections open but forwards no bytes until the rule is removed.
     Stall,
 }
--- /dev/null
+++ b/crates/pistachioyard_standins/src/proxy/endless.rs
@@ -0,0 +1,49 @@
+//! Sends bytes that do not end.
+
+use std::io;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::WriteHalf;
+
+use super::connection::ConnectionRules;
+
+/// The size of each write, in bytes.
+const CHUNK_BYTES: usize = 64 * 1024;
+/// The pause between two writes, so that a receiver without a limit does not exhaust the
+/// memory of the machine before its own timeout.
+const PAUSE: Duration = Duration::from_millis(1);
+
+/// Selects the part of an answer that does not end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Endless {
+    Body,
+    Head,
+}
+
+impl Endless {
+    /// Returns the bytes before the part that does not end.
+    ///
+    /// The body has the header that marks an answer of the operators' workers as theirs.
+    fn start(self) -> &'static [u8] {
+        match self {
+            Self::Body => b"HTTP/1.1 200 OK\r\nx-response-signature: stand-in\r\n\r\n",
+            Self::Head => b"HTTP/1.1 200 OK\r\nx-filler: ",
+        }
+    }
+}
+
+/// Writes bytes until the receiver closes the connection or the rule is removed.
+pub(crate) async fn send_endless(
+    to: &mut WriteHalf<'_>,
+    kind: Endless,
+    rules: &mut ConnectionRules,
+) -> io::Result<()> {
+    to.write_all(kind.start()).await?;
+    let chunk = vec![b'x'; CHUNK_BYTES];
+    while rules.active_faults().endless == Some(kind) {
+        to.write_all(&chunk).await?;
+        tokio::time::sleep(PAUSE).await;
+    }
+    Ok(())
+}
--- a/crates/pistachioyard_standins/src/proxy/pipe.rs
+++ b/crates/pistachioyard_standins/src/proxy/pipe.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::connection::ConnectionRules;
+use super::endless::send_endless;
 use super::state::ActiveFaults;
 
 /// The maximum size of a chunk, in bytes.
@@ -104,6 +105,10 @@
         if has_gap {
             return Err(PipeError::Gap);
         }
+        if let (Direction::FromTarget, Some(kind)) = (direction, faults.endless) {
+            send_endless(&mut to, kind, &mut rules).await?;
+            return Err(PipeError::Gap);
+        }
         let len = rules.admit(chunk.bytes.len());
         to.write_all(&chunk.bytes[..len]).await?;
         if len < chunk.bytes.len() {
--- a/crates/pistachioyard_standins/src/proxy/state.rs
+++ b/crates/pistachioyard_standins/src/proxy/state.rs
@@ -11,6 +11,7 @@
 
 use super::connection;
 use super::control::{FaultKind, FaultRule, Route};
+use super::endless::Endless;
 use crate::server::ServeError;
 
 /// The pause before accepting again after an error.
@@ -32,6 +33,7 @@
     pub(crate) cut_from_target: bool,
     pub(crate) delay: Duration,
     pub(crate) drop_after: Option<u64>,
+    pub(crate) endless: Option<Endless>,
     pub(crate) stall: bool,
 }
 
@@ -56,6 +58,8 @@
                 let lowest = self.drop_after.map_or(bytes, |limit| limit.min(bytes));
                 self.drop_after = Some(lowest);
             }
+            FaultKind::EndlessHead => self.endless = Some(Endless::Head),
+            FaultKind::EndlessBody => self.endless = Some(Endless::Body),
             FaultKind::Stall => self.stall = true,
         }
     }
--- a/crates/pistachioyard_standins/tests/standins/proxy.rs
+++ b/crates/pistachioyard_standins/tests/standins/proxy.rs
@@ -176,6 +176,33 @@
     assert!(sent.elapsed() >= Duration::from_millis(200));
 }
 
+/// An endless answer begins with the target's next bytes and ends with the rule.
+#[tokio::test]
+async fn an_endless_answer_replaces_the_targets_bytes_until_it_is_removed() {
+    for (kind, start) in [
+        (FaultKind::EndlessHead, "HTTP/1.1 200 OK\r\nx-filler: xxx"),
+        (
+            FaultKind::EndlessBody,
+            "HTTP/1.1 200 OK\r\nx-response-signature: stand-in\r\n\r\nxxx",
+        ),
+    ] {
+        let proxy = ProxyHarness::start().await;
+        let (mut client, mut server) = proxy.open().await.unwrap();
+        proxy.set_faults(&[kind]).await;
+        client.write_all(b"a").await.unwrap();
+        assert_eq!(server.read_u8().await.unwrap(), b'a');
+        assert!(timeout(SETTLE_TIME, client.read_u8()).await.is_err());
+        server.write_all(b"b").await.unwrap();
+        let mut seen = vec![0; 1_000_000];
+        client.read_exact(&mut seen).await.unwrap();
+        assert!(seen.starts_with(start.as_bytes()));
+        assert!(seen[start.len()..].iter().all(|byte| *byte == b'x'));
+        proxy.set_faults(&[]).await;
+        let ended = timeout(TIMEOUT, client.read_to_end(&mut seen)).await;
+        ended.unwrap().expect_err("the connection is reset");
+    }
+}
+
 #[tokio::test]
 async fn a_route_can_be_added() {
     let proxy = ProxyHarness::start().await;
--- /dev/null
+++ b/tests/site/endless.rs
@@ -0,0 +1,111 @@
+//! Endpoints whose answers do not end.
+
+use futures_util::future::join_all;
+use pistachioyard_standins::{FaultKind, FaultRule};
+
+use super::caller::Failure;
+use super::support::Site;
+
+/// The most by which the entry's memory may grow in one of these tests, in bytes. An answer
+/// that does not end grows by over twice as much within the time that a request has.
+const MAX_GROWTH_BYTES: u64 = 48_000_000;
+/// The number of requests sent at once.
+const REQUESTS: usize = 8;
+
+impl Site {
+    /// Returns the most memory that the first entry has held since its start, in bytes.
+    pub(crate) fn peak_memory_bytes(&self) -> u64 {
+        let child = self.entries[0].process.child.as_ref();
+        let pid = child.expect("the process was started").id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
+        let status = status.expect("the state of a child can be read");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|peak| peak.trim().strip_suffix("kB"));
+        let peak = peak.expect("the state has a peak in kB").trim();
+        peak.parse::<u64>().expect("the peak is a number") * 1_024
+    }
+}
+
+/// Returns the rules that play a fault at some of a site's endpoints.
+fn rules(site: &Site, endpoints: &[usize], kind: FaultKind) -> Vec<FaultRule> {
+    let rule = |index: &usize| FaultRule {
+        from: None,
+        to: Some(site.endpoints[*index].advertised),
+        kind,
+    };
+    endpoints.iter().map(rule).collect()
+}
+
+/// Returns the endpoints of the service without a pipeline.
+fn plain_endpoints(site: &Site) -> Vec<usize> {
+    let all = 0..site.endpoints.len();
+    all.filter(|index| site.endpoints[*index].is_plain)
+        .collect()
+}
+
+fn check_growth(site: &Site, before: u64) {
+    let growth = site.peak_memory_bytes() - before;
+    println!("the entry's memory grew by {growth} bytes");
+    assert!(growth < MAX_GROWTH_BYTES, "grew by {growth} bytes");
+}
+
+/// Requests that may run once are answered with a failure that does not call them not run.
+async fn check_operations(kind: FaultKind) {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let before = site.peak_memory_bytes();
+    let faulty = plain_endpoints(&site);
+    site.set_proxy_faults(&rules(&site, &faulty, kind)).await;
+    let outcomes = join_all((0..REQUESTS).map(|_| site.check_plain(to, "/record/a"))).await;
+    let runs = site.count_runs().await;
+    for outcome in outcomes {
+        assert!(
+            matches!(outcome.result, Err(Failure::Unknown(_))),
+            "{:?}",
+            outcome.result
+        );
+        assert_eq!(runs.get(&outcome.id), Some(&1), "it ran once");
+    }
+    check_growth(&site, before);
+}
+
+/// Requests that may be repeated are answered by an endpoint without the fault.
+async fn check_repeatable(path: &str, kind: FaultKind) {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let before = site.peak_memory_bytes();
+    for faulty in plain_endpoints(&site) {
+        site.set_proxy_faults(&rules(&site, &[faulty], kind)).await;
+        let outcomes = join_all((0..REQUESTS).map(|_| site.check_plain(to, path))).await;
+        for outcome in outcomes {
+            assert_eq!(outcome.result, Ok(()));
+        }
+    }
+    check_growth(&site, before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operation_whose_answer_has_no_end_fails_and_is_not_called_not_run() {
+    check_operations(FaultKind::EndlessBody).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operation_whose_answer_has_a_head_without_end_fails_and_is_not_called_not_run() {
+    check_operations(FaultKind::EndlessHead).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_whose_answer_has_no_end_is_answered_by_another_endpoint() {
+    check_repeatable("/lookup/a", FaultKind::EndlessBody).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_whose_answer_has_a_head_without_end_is_answered_by_another_endpoint() {
+    check_repeatable("/lookup/a", FaultKind::EndlessHead).await;
+}
+
+/// A stream whose event has no end goes on at another endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_event_has_no_end_goes_on_at_another_endpoint() {
+    check_repeatable("/feed/a", FaultKind::EndlessBody).await;
+}
