Limit the answers of endpoints that are read whole

Seen: an endpoint that sends a body without end filled the memory of the entry until the request's deadline, and a failure without end held a stream's request beyond its deadline, so its caller gave up without an answer. Cause: answers to operations, failures of streams, reports and answers to orders were collected without a limit. Change: `read_whole` of the HTTP client reads a body up to a limit and is now the only place that collects answers: 4 MB for an answer to a caller (MAX_ANSWER_BYTES), 1 MB for a report or the answer to an order (MAX_REPORT_BYTES). Beyond it, it logs `http: answer too long, connection closed` with the address, the part and the limit, drops the connection and returns CallError::TooLong, which counts as lost: a request that may run once is answered with an unknown outcome, one that may be repeated goes to another endpoint. A stream avoids the endpoint for the rest of this request, and its request is not blamed for a crash. The endpoint is not ejected, since an answer that is really that long would eject one endpoint after another.

--- a/crates/pistachioyard_standins/src/proxy/control.rs
+++ b/crates/pistachioyard_standins/src/proxy/control.rs
@@ -83,6 +83,8 @@
     EndlessHead,
     /// Replaces the target's next bytes with a success whose body does not end.
     EndlessBody,
+    /// Replaces the target's next bytes with a failure whose body does not end.
+    EndlessFailure,
     /// Keeps connections open but forwards no bytes until the rule is removed.
     Stall,
 }
--- a/crates/pistachioyard_standins/src/proxy/endless.rs
+++ b/crates/pistachioyard_standins/src/proxy/endless.rs
@@ -18,16 +18,20 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Endless {
     Body,
+    Failure,
     Head,
 }
 
 impl Endless {
     /// Returns the bytes before the part that does not end.
     ///
-    /// The body has the header that marks an answer of the operators' workers as theirs.
+    /// A body has the header that marks an answer of the operators' workers as theirs.
     fn start(self) -> &'static [u8] {
         match self {
             Self::Body => b"HTTP/1.1 200 OK\r\nx-response-signature: stand-in\r\n\r\n",
+            Self::Failure => {
+                b"HTTP/1.1 500 Internal Server Error\r\nx-response-signature: stand-in\r\n\r\n"
+            }
             Self::Head => b"HTTP/1.1 200 OK\r\nx-filler: ",
         }
     }
--- a/crates/pistachioyard_standins/src/proxy/state.rs
+++ b/crates/pistachioyard_standins/src/proxy/state.rs
@@ -60,6 +60,7 @@
             }
             FaultKind::EndlessHead => self.endless = Some(Endless::Head),
             FaultKind::EndlessBody => self.endless = Some(Endless::Body),
+            FaultKind::EndlessFailure => self.endless = Some(Endless::Failure),
             FaultKind::Stall => self.stall = true,
         }
     }
--- a/crates/pistachioyard_standins/tests/standins/proxy.rs
+++ b/crates/pistachioyard_standins/tests/standins/proxy.rs
@@ -185,6 +185,10 @@
             FaultKind::EndlessBody,
             "HTTP/1.1 200 OK\r\nx-response-signature: stand-in\r\n\r\nxxx",
         ),
+        (
+            FaultKind::EndlessFailure,
+            "HTTP/1.1 500 Internal Server Error\r\nx-response-signature: stand-in\r\n\r\nxxx",
+        ),
     ] {
         let proxy = ProxyHarness::start().await;
         let (mut client, mut server) = proxy.open().await.unwrap();
--- a/src/client.rs
+++ b/src/client.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -15,7 +15,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::error::CallError;
+use crate::error::{AnswerPart, CallError};
 use crate::prelude::*;
 
 /// The timeout of a connection attempt, in milliseconds.
@@ -172,11 +172,7 @@
     async fn send_unbounded(&self, call: Call) -> Result<Answer, CallError> {
         let to = call.to;
         let (head, body) = self.open(call).await?.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|_| CallError::AnswerLost { to })?
-            .to_bytes();
+        let body = read_whole(to, body, MAX_ANSWER_BYTES).await?;
         Ok(Answer {
             to,
             status: head.status,
@@ -185,3 +181,29 @@
         })
     }
 }
+
+/// Reads a body whole; one that is longer than `max_bytes` ends its connection.
+pub(crate) async fn read_whole(
+    to: SocketAddr,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, CallError> {
+    match Limited::new(body, max_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(too_long(to, AnswerPart::Body, max_bytes)),
+        Err(_) => Err(CallError::AnswerLost { to }),
+    }
+}
+
+/// Logs that a part of an answer is longer than its limit, and returns the error.
+pub(crate) fn too_long(to: SocketAddr, part: AnswerPart, max_bytes: usize) -> CallError {
+    let address = to.to_string();
+    spdlog::warn!("http: answer too long, connection closed", kv: {
+        address = address.as_str(), part = part.as_str(), max_bytes
+    });
+    CallError::TooLong {
+        to,
+        part,
+        max_bytes,
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -24,6 +24,16 @@
         /// The address that was called.
         to: std::net::SocketAddr,
     },
+    /// The call may have been received; a part of the response is longer than its limit.
+    #[error("the {} of the response of {to} is longer than {max_bytes} bytes", part.as_str())]
+    TooLong {
+        /// The address that was called.
+        to: std::net::SocketAddr,
+        /// The part of the response.
+        part: AnswerPart,
+        /// The limit, in bytes.
+        max_bytes: usize,
+    },
     /// The response could not be parsed.
     #[error("cannot parse the response of {to}: {why}")]
     Malformed {
@@ -41,3 +51,19 @@
         status: u16,
     },
 }
+
+/// A part of a response that has a limit of its own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AnswerPart {
+    /// The whole body.
+    Body,
+}
+
+impl AnswerPart {
+    /// Returns the name of the part as text for messages.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Body => "body",
+        }
+    }
+}
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -27,6 +27,12 @@
 /// The share of the endpoint's idle limit within which a connection is reused, so that a
 /// request does not race with the endpoint closing the connection.
 const IDLE_REUSE_SHARE: f64 = 0.6;
+/// The maximum size of an answer to a caller that is held in memory until it is complete, in
+/// bytes; a faulty endpoint may send bytes without end.
+pub(crate) const MAX_ANSWER_BYTES: usize = 4_000_000;
+/// The maximum size of a report or of the answer to an order, in bytes. A report has about a
+/// hundred bytes for each request that stalls.
+pub(crate) const MAX_REPORT_BYTES: usize = 1_000_000;
 /// The maximum number of idle connections per endpoint.
 const MAX_IDLE: usize = 64;
 
--- a/src/router/endpoint_order.rs
+++ b/src/router/endpoint_order.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use http::{Method, Request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use pistachioyard_platform::{LoadOrder, OrderAnswer, decode_order_answer};
 
+use crate::client::read_whole;
 use crate::error::CallError;
 use crate::prelude::*;
-use crate::router::endpoint_client::{EndpointClient, Reuse};
+use crate::router::endpoint_client::{EndpointClient, MAX_REPORT_BYTES, Reuse};
 use crate::router::metric;
 
 /// Posts an order and returns the endpoint's answer with the response body.
@@ -42,8 +43,7 @@
     }
     let (response, connection) = client.send(to, req, Reuse::Allowed).await?;
     let answer = decode_order_answer(response.status());
-    let body = response.into_body().collect().await;
-    let body = body.map_err(|_| CallError::AnswerLost { to })?.to_bytes();
+    let body = read_whole(to, response.into_body(), MAX_REPORT_BYTES).await?;
     client.keep(connection, None);
     Ok((answer, body))
 }
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -30,6 +30,8 @@
     pub(crate) size: RequestSize,
     /// The endpoint that must be the first of the path, if any.
     pub(crate) first: Option<&'a EndpointId>,
+    /// The endpoints that must not be on the path.
+    pub(crate) without: &'a [EndpointId],
 }
 
 /// Holds a path and the age of the oldest endpoint record that it was chosen by.
@@ -66,6 +68,7 @@
     let endpoints = router.endpoints.lock();
     let mut usable = endpoints.usable(request.service, now);
     usable.retain(|record| request.first.is_none_or(|first| *first == record.endpoint));
+    usable.retain(|record| !request.without.contains(&record.endpoint));
     let latency = router.plain_latency.lock();
     let load = router.load.lock();
     let home = &router.settings.data_centre;
@@ -88,7 +91,8 @@
     spec: &PipelineSpec,
     now: Instant,
 ) -> Result<Path, NoPath> {
-    let offers = offers(router, request.service, spec, now);
+    let mut offers = offers(router, request.service, spec, now);
+    offers.retain(|offer| !request.without.contains(&offer.endpoint));
     let query = query(router, request, spec, now);
     let path = choose_path(spec, &offers, &query, &mut rand::rng())?;
     charge_crossings(router, request, &path);
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use pistachioyard_platform::{
     AnswerHead, OutboundRequest, decode_answer_head, encode_answer_headers, encode_request_headers,
 };
@@ -11,11 +11,12 @@
 
 use super::record::Record;
 use super::{Call, deadline_passed, no_capacity, result_lost};
+use crate::client::read_whole;
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::answer::{self, AnswerBody};
-use crate::router::endpoint_client::Reuse;
+use crate::router::endpoint_client::{MAX_ANSWER_BYTES, Reuse};
 
 /// The retry delay for a caller whose request no endpoint could take, in ms; about the time
 /// that a few requests take.
@@ -352,8 +353,9 @@
     if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
         return AttemptResult::Lost("the answer belongs to another request".to_owned());
     }
-    let Ok(body) = body.collect().await else {
-        return AttemptResult::Lost("the connection broke inside the answer".to_owned());
+    let body = match read_whole(target.address, body, MAX_ANSWER_BYTES).await {
+        Ok(body) => body,
+        Err(e) => return AttemptResult::Lost(e.to_string()),
     };
     if !head.closes {
         router.client.keep(connection, head.idle_limit);
@@ -366,7 +368,7 @@
     if head.status.is_success() && !head.is_signed {
         return AttemptResult::Lost("the answer lacks the endpoint's signature".to_owned());
     }
-    AttemptResult::Answered(head, parts.headers, body.to_bytes())
+    AttemptResult::Answered(head, parts.headers, body)
 }
 
 /// Builds the request to an endpoint.
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -5,6 +5,7 @@
 //! answer, with the head that the first path returned.
 
 mod path_run;
+mod recovery;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
@@ -14,23 +15,18 @@
 };
 use pistachioyard_wire::ServiceName;
 
-use super::path::{FoundPath, PathRequest, admit, find_path, wait_for_capacity};
+use super::path::{FoundPath, PathRequest, admit};
 use super::record::Record;
 use super::{Call, deadline_passed, no_capacity, result_lost};
 use crate::lifecycle::InFlight;
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::answer::StreamAborted;
-use path_run::{OpenResult, PathRun, ReadResult, RepairResult};
+use path_run::{OpenResult, PathRun, ReadResult};
 
 /// The number of refusals by endpoints after which the caller is refused; each refusal
 /// ejects the endpoint at fault.
 const MAX_REFUSALS: u32 = 4;
-/// The maximum number of path repairs of one stream; each one sends an order, which has a cost.
-const MAX_REPAIRS: u32 = 4;
-/// How long a stream that lost its path looks for another one; callers give up on a silent
-/// stream after two seconds.
-const RECOVERY_LIMIT: Duration = Duration::from_millis(1_800);
 /// The retry delay for a caller when the endpoints are full, in ms; the time of a few dozen
 /// tokens, in which other requests end.
 const RETRY_AFTER_MS: u64 = 500;
@@ -60,6 +56,8 @@
     repairs: u32,
     /// The first endpoints of the paths on which the request may have begun to run.
     first_endpoints: Vec<EndpointId>,
+    /// The first endpoints whose answers to this request were too long, which are not tried again.
+    avoided: Vec<EndpointId>,
     record: Record,
     _in_flight: InFlight,
 }
@@ -111,6 +109,7 @@
             stall_detector,
             repairs: 0,
             first_endpoints: Vec::new(),
+            avoided: Vec::new(),
             _in_flight: in_flight,
         }
     }
@@ -126,6 +125,7 @@
             spec: self.spec.as_deref(),
             size: self.size,
             first,
+            without: &self.avoided,
         }
     }
 
@@ -160,7 +160,9 @@
                     why = "not_reached";
                     continue;
                 }
-                OpenResult::Lost(detail) => AttemptFailure::MayHaveRun(detail),
+                OpenResult::Lost(detail) | OpenResult::TooLong(detail) => {
+                    AttemptFailure::MayHaveRun(detail)
+                }
             };
             has_run |= matches!(failure, AttemptFailure::MayHaveRun(_));
             if self.call.time_left().is_none() {
@@ -251,6 +253,13 @@
                 }
                 record.log_attempt_failed(&first, detail);
             }
+            OpenResult::TooLong(detail) => {
+                record.log_attempt_failed(&first, detail);
+                if !self.first_endpoints.contains(&first) {
+                    self.first_endpoints.push(first.clone());
+                }
+                self.avoided.push(first);
+            }
         }
         opened
     }
@@ -336,59 +345,4 @@
             },
         }
     }
-
-    /// Replaces a lost endpoint of the path; returns whether the stream continues on the new path.
-    async fn repair(&mut self, lost: &EndpointId, why: &str) -> bool {
-        let Some(path_run) = &mut self.path_run else {
-            return false;
-        };
-        if self.repairs >= MAX_REPAIRS {
-            return false;
-        }
-        self.repairs += 1;
-        let repaired = path_run.repair(&self.call, &self.service, lost).await;
-        self.stall_detector.begin(Instant::now());
-        match repaired {
-            RepairResult::Repaired(path) => {
-                self.record.log_path_repaired(&path, why);
-                true
-            }
-            RepairResult::Failed(refusal) => {
-                self.record.log_repair_failed(lost, why, &refusal);
-                false
-            }
-        }
-    }
-
-    /// Resumes the stream on another path, or aborts it.
-    async fn recover(&mut self, why: &str) -> Result<(), StreamAborted> {
-        let lost_at = Instant::now();
-        if self.call.time_left().is_none() || !self.may_repeat() {
-            return self.give_up(why);
-        }
-        while lost_at.elapsed() < RECOVERY_LIMIT && self.call.time_left().is_some() {
-            let same_first = (!self.may_start_again())
-                .then(|| self.first_endpoints.last().cloned())
-                .flatten();
-            let Ok(found) = find_path(&self.router, &self.path_request(same_first.as_ref())) else {
-                wait_for_capacity(&self.router).await;
-                continue;
-            };
-            if !self.router.try_retry() {
-                return self.give_up("the retry budget is exhausted");
-            }
-            let mut record = self.record.take();
-            let opened = self.open(found, &mut record, why).await;
-            self.record = record;
-            if let OpenResult::Stream(..) = opened {
-                return Ok(());
-            }
-        }
-        self.give_up(why)
-    }
-
-    fn give_up(&mut self, why: &str) -> Result<(), StreamAborted> {
-        self.record.end_aborted(why);
-        Err(StreamAborted)
-    }
 }
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -14,10 +14,11 @@
 
 pub(super) use self::repair::RepairResult;
 use super::PauseAction;
+use crate::client::read_whole;
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::Router;
-use crate::router::endpoint_client::{Connection, Reuse};
+use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
 use crate::router::filter::plain::endpoint_request;
 
@@ -37,6 +38,8 @@
     NotReached,
     /// The request may have run, but its answer was lost.
     Lost(String),
+    /// The request may have run, but a part of its answer is longer than its limit.
+    TooLong(String),
 }
 
 /// Says what the next read of a stream returned.
@@ -176,12 +179,12 @@
         if let Some(endpoint) = head.at_fault.and_then(|at| self.endpoint_at(at)) {
             self.router.suspect(&endpoint, SuspectReason::RequestsStall);
         }
-        match body.collect().await {
-            Ok(body) if head.is_signed => {
-                OpenResult::Complete(parts.status, parts.headers, body.to_bytes())
-            }
+        let first = self.path.stages[0].address;
+        match read_whole(first, body, MAX_ANSWER_BYTES).await {
+            Ok(body) if head.is_signed => OpenResult::Complete(parts.status, parts.headers, body),
             Ok(_) => OpenResult::Lost(format!("the endpoint answered with status {}", head.status)),
-            Err(_) => OpenResult::Lost("the connection broke inside the answer".to_owned()),
+            Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
+            Err(e) => OpenResult::Lost(e.to_string()),
         }
     }
 
--- a/src/router/filter/relay/path_run/repair.rs
+++ b/src/router/filter/relay/path_run/repair.rs
@@ -85,6 +85,7 @@
             spec: Some(&spec),
             size: self.size,
             first: None,
+            without: &[],
         };
         let path = match path::repair(&self.router, &request, &spec, &self.path, without) {
             Ok(path) => path,
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -9,15 +9,16 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use parking_lot::Mutex;
 use pistachioyard_platform::{LoadOrder, decode_report};
 use pistachioyard_policy::{EndpointRecord, EndpointReport};
 
+use crate::client::read_whole;
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::Router;
-use crate::router::endpoint_client::{EndpointClient, Reuse};
+use crate::router::endpoint_client::{EndpointClient, MAX_REPORT_BYTES, Reuse};
 
 /// The maximum age of an answer that is shared.
 const MAX_SHARED_AGE: Duration = Duration::from_millis(150);
@@ -105,8 +106,7 @@
         req.headers_mut().insert(http::header::HOST, host);
     }
     let (response, connection) = client.send(to, req, Reuse::Allowed).await?;
-    let body = response.into_body().collect().await;
-    let body = body.map_err(|_| CallError::AnswerLost { to })?.to_bytes();
+    let body = read_whole(to, response.into_body(), MAX_REPORT_BYTES).await?;
     client.keep(connection, None);
     decode_report(&body).map_err(|e| CallError::Malformed {
         to,
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod calm;
 mod deployment;
+mod endless;
 mod endpoints;
 mod faults;
 mod logs;
