Set the limit for heads of answers on purpose

Seen: an endpoint whose head does not end was cut off by the default of the HTTP library, with nothing in the log that said so. Cause: neither client set a limit for heads; hyper's defaults are a buffer of 408 KB for each connection and 100 headers. Change: MAX_HEAD_BYTES, 64 KiB, for endpoints (`max_header_size`), and for the store, peers and engines (`max_buf_size`, as hyper-util offers no limit for heads alone). The number of headers stays at hyper's 100, since setting it moves the parsing of each response to the heap. A stream avoids such an endpoint and does not blame its request for a crash. Two tests play the same at the store. The tests also require that line in the log, so a test whose fault does not reach the limit fails.

--- a/src/client.rs
+++ b/src/client.rs
@@ -3,6 +3,7 @@
 //! The daemon binds outgoing connections to its own IP address. An error says whether any byte
 //! of the call may have been sent.
 
+use std::error::Error;
 use std::net::{IpAddr, SocketAddr};
 
 use bytes::Bytes;
@@ -22,6 +23,9 @@
 const CONNECT_TIMEOUT_MS: u64 = 400;
 /// How long an idle connection is kept in the pool, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
+/// The maximum size of the head of a response, in bytes; several times that of a caller's
+/// request, whose headers an endpoint may repeat. Hyper limits the number of headers to 100.
+pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The maximum size of a response body that is read whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 8_000_000;
 
@@ -126,6 +130,7 @@
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_timer(TokioTimer::new());
+        builder.http1_max_buf_size(MAX_HEAD_BYTES);
         match reuse {
             Reuse::Pooled => {
                 builder.pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS));
@@ -154,9 +159,11 @@
             .map_err(|_| CallError::NotSent { to })?;
         self.inner.request(req).await.map_err(|e| {
             if e.is_connect() {
-                CallError::NotSent { to }
-            } else {
-                CallError::AnswerLost { to }
+                return CallError::NotSent { to };
+            }
+            match e.source().and_then(|source| source.downcast_ref()) {
+                Some(e) => head_lost(to, e),
+                None => CallError::AnswerLost { to },
             }
         })
     }
@@ -195,6 +202,15 @@
     }
 }
 
+/// Returns the error for a call that was sent and whose response did not begin.
+pub(crate) fn head_lost(to: SocketAddr, e: &hyper::Error) -> CallError {
+    if e.is_parse_too_large() {
+        too_long(to, AnswerPart::Head, MAX_HEAD_BYTES)
+    } else {
+        CallError::AnswerLost { to }
+    }
+}
+
 /// Logs that a part of an answer is longer than its limit, and returns the error.
 pub(crate) fn too_long(to: SocketAddr, part: AnswerPart, max_bytes: usize) -> CallError {
     let address = to.to_string();
--- a/src/error.rs
+++ b/src/error.rs
@@ -57,6 +57,8 @@
 pub(crate) enum AnswerPart {
     /// The whole body.
     Body,
+    /// The status line and the headers.
+    Head,
 }
 
 impl AnswerPart {
@@ -64,6 +66,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Body => "body",
+            Self::Head => "head",
         }
     }
 }
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
+use crate::client::{MAX_HEAD_BYTES, head_lost};
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::metric;
@@ -80,7 +81,7 @@
                 Err(mut e) => match e.take_message() {
                     // Nothing was written: the idle connection had been closed.
                     Some(unsent) => req = unsent,
-                    None => return Err(CallError::AnswerLost { to }),
+                    None => return Err(head_lost(to, e.error())),
                 },
             }
         }
@@ -89,7 +90,7 @@
             Ok(response) => Ok((response, Connection { to, sender })),
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => CallError::NotSent { to },
-                None => CallError::AnswerLost { to },
+                None => head_lost(to, e.error()),
             }),
         }
     }
@@ -157,7 +158,9 @@
     if stream.set_nodelay(true).is_err() {
         return Err(not_sent);
     }
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+    let handshake = http1::Builder::new()
+        .max_header_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream));
     let Ok((mut sender, connection)) = handshake.await else {
         return Err(not_sent);
     };
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -145,6 +145,7 @@
                 router.suspect(&first.endpoint, SuspectReason::NoAnswer);
                 OpenResult::NotReached
             }
+            Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
             Err(e) => {
                 self.suspect_first_endpoint();
                 OpenResult::Lost(e.to_string())
--- a/tests/site/endless.rs
+++ b/tests/site/endless.rs
@@ -1,5 +1,7 @@
 //! Endpoints whose answers do not end.
 
+use std::time::Duration;
+
 use futures_util::future::join_all;
 use pistachioyard_standins::{FaultKind, FaultRule};
 
@@ -9,6 +11,8 @@
 /// The most by which the entry's memory may grow while it reads answers that do not end, in
 /// bytes. Without a limit it grows by over twice as much in the time that a request has.
 const MAX_GROWTH_BYTES: u64 = 48_000_000;
+/// The same while it reads heads that do not end.
+const MAX_HEADS_GROWTH_BYTES: u64 = 2_000_000;
 /// The same while it reads reports that do not end.
 const MAX_REPORTS_GROWTH_BYTES: u64 = 5_000_000;
 /// The number of requests sent at once.
@@ -45,10 +49,15 @@
         .collect()
 }
 
+/// Checks that the first entry's memory has stayed small and that its log names the limit.
 fn check_growth(site: &Site, before: u64, max_growth: u64) {
     let growth = site.peak_memory_bytes() - before;
     println!("the entry's memory grew by {growth} bytes");
     assert!(growth < max_growth, "grew by {growth} bytes");
+    let child = site.entries[0].process.child.as_ref();
+    let log = child.expect("the process was started").log();
+    let line = "http: answer too long, connection closed { address=";
+    assert!(log.contains(line), "no limit was reached");
 }
 
 /// Requests that may run once are answered with a failure that does not call them not run.
@@ -86,16 +95,42 @@
     check_growth(&site, before, max_growth);
 }
 
+/// Plays a fault at the store and all endpoints for longer than several calls to the store take.
+async fn check_store(kind: FaultKind, max_growth: u64) {
+    let site = Site::start(1).await;
+    let before = site.peak_memory_bytes();
+    let rule = FaultRule {
+        from: None,
+        to: None,
+        kind,
+    };
+    site.set_proxy_faults(&[rule]).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    check_growth(&site, before, max_growth);
+    site.set_proxy_faults(&[]).await;
+    site.await_service().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operation_whose_answer_has_no_end_fails_and_is_not_called_not_run() {
     check_operations(FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operation_whose_answer_has_a_head_without_end_fails_and_is_not_called_not_run() {
+    check_operations(FaultKind::EndlessHead, MAX_HEADS_GROWTH_BYTES).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lookup_whose_answer_has_no_end_is_answered_by_another_endpoint() {
     check_repeatable("/lookup/a", FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_whose_answer_has_a_head_without_end_is_answered_by_another_endpoint() {
+    check_repeatable("/lookup/a", FaultKind::EndlessHead, MAX_HEADS_GROWTH_BYTES).await;
+}
+
 /// A stream is sent to another endpoint if a failure without end is its first answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_failure_has_no_end_is_sent_to_another_endpoint() {
@@ -124,3 +159,16 @@
     }
     check_growth(&site, before, MAX_REPORTS_GROWTH_BYTES);
 }
+
+/// Heads without end from the store do not fill the memory of the entry, which serves again
+/// when they have ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_without_end_from_the_store_are_not_kept() {
+    check_store(FaultKind::EndlessHead, MAX_HEADS_GROWTH_BYTES).await;
+}
+
+/// The same with bodies.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_without_end_from_the_store_are_not_kept() {
+    check_store(FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
+}
