Limit the size of one event of a stream

Cause: the event splitter buffered without a limit, and data that brings no event keeps a read from timing out. Change: when more than 1 MB (MAX_EVENT_BYTES) are buffered after all complete events were taken, the connection is closed, the line `http: answer too long, connection closed` is logged with `part=event`, and the stream resumes after its last complete event along a path without that endpoint, or ends as broken if it may not be repeated. The request is not blamed for a crash.

--- a/src/error.rs
+++ b/src/error.rs
@@ -57,6 +57,8 @@
 pub(crate) enum AnswerPart {
     /// The whole body.
     Body,
+    /// One event of a stream.
+    Event,
     /// The status line and the headers.
     Head,
 }
@@ -66,6 +68,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Body => "body",
+            Self::Event => "event",
             Self::Head => "head",
         }
     }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -280,6 +280,10 @@
                     self.record.end_answered(200);
                     return Ok(None);
                 }
+                ReadResult::TooLong(first, why) => {
+                    self.avoided.push(first);
+                    (None, why)
+                }
                 ReadResult::Lost(at_fault, why) => (at_fault, why),
             };
             self.path_run = None;
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -14,8 +14,8 @@
 
 pub(super) use self::repair::RepairResult;
 use super::PauseAction;
-use crate::client::read_whole;
-use crate::error::CallError;
+use crate::client::{read_whole, too_long};
+use crate::error::{AnswerPart, CallError};
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
@@ -26,6 +26,9 @@
 /// memory. The margin allows for the lag of this entry's load data.
 const NOT_FULL_SHARE: f64 = 0.6;
 
+/// The maximum size of one event, in bytes; an event holds the text of a few tokens.
+const MAX_EVENT_BYTES: usize = 1_000_000;
+
 /// Says how sending a request along a path ended.
 pub(super) enum OpenResult {
     /// A stream started, whose events follow.
@@ -48,6 +51,9 @@
     Data,
     /// The answer is complete.
     End,
+    /// An event is longer than its limit, so the path is left; holds the first endpoint and the
+    /// reason.
+    TooLong(EndpointId, String),
     /// The path is lost; holds the endpoint at fault, if one is known, and the reason.
     Lost(Option<EndpointId>, String),
 }
@@ -241,11 +247,16 @@
         );
     }
 
-    /// Reads the next data into the splitter.
+    /// Reads the next data into the splitter, from which all complete events were taken.
     pub(super) async fn read(&mut self, splitter: &mut EventSplitter) -> ReadResult {
         let Some((body, ..)) = &mut self.answer else {
             return ReadResult::Lost(None, "there is no answer to read".to_owned());
         };
+        let first = &self.path.stages[0];
+        if splitter.buffered_bytes() > MAX_EVENT_BYTES {
+            let e = too_long(first.address, AnswerPart::Event, MAX_EVENT_BYTES);
+            return ReadResult::TooLong(first.endpoint.clone(), e.to_string());
+        }
         match body.frame().await {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
--- a/tests/site/endless.rs
+++ b/tests/site/endless.rs
@@ -131,6 +131,12 @@
     check_repeatable("/lookup/a", FaultKind::EndlessHead, MAX_HEADS_GROWTH_BYTES).await;
 }
 
+/// A stream whose event has no end goes on at another endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_event_has_no_end_goes_on_at_another_endpoint() {
+    check_repeatable("/feed/a", FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
+}
+
 /// A stream is sent to another endpoint if a failure without end is its first answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_failure_has_no_end_is_sent_to_another_endpoint() {
