End a stream's request at its deadline when a failure stalls

Seen: an endpoint that sent the head of a failure and then nothing held a stream's request until its caller left. Cause: the body of a failure was read outside the wait for the head, which the deadline ends. Change: the deadline ends the read too; the caller is told that no endpoint answered in time and that the request may have run. The fault proxy plays it with the fault `silent_failure`.

--- a/crates/pistachioyard_standins/src/proxy/endless.rs
+++ b/crates/pistachioyard_standins/src/proxy/endless.rs
@@ -1,4 +1,4 @@
-//! Sends bytes that do not end.
+//! Sends answers that do not end.
 
 use std::io;
 use std::time::Duration;
@@ -20,6 +20,8 @@
     Body,
     Failure,
     Head,
+    /// The wait for a body that does not come.
+    Silence,
 }
 
 impl Endless {
@@ -29,7 +31,7 @@
     fn start(self) -> &'static [u8] {
         match self {
             Self::Body => b"HTTP/1.1 200 OK\r\nx-response-signature: stand-in\r\n\r\n",
-            Self::Failure => {
+            Self::Failure | Self::Silence => {
                 b"HTTP/1.1 500 Internal Server Error\r\nx-response-signature: stand-in\r\n\r\n"
             }
             Self::Head => b"HTTP/1.1 200 OK\r\nx-filler: ",
@@ -37,7 +39,7 @@
     }
 }
 
-/// Writes bytes until the receiver closes the connection or the rule is removed.
+/// Sends an answer until the receiver closes the connection or the rule is removed.
 pub(crate) async fn send_endless(
     to: &mut WriteHalf<'_>,
     kind: Endless,
@@ -46,6 +48,10 @@
     to.write_all(kind.start()).await?;
     let chunk = vec![b'x'; CHUNK_BYTES];
     while rules.active_faults().endless == Some(kind) {
+        if kind == Endless::Silence {
+            rules.changed().await;
+            continue;
+        }
         to.write_all(&chunk).await?;
         tokio::time::sleep(PAUSE).await;
     }
--- a/crates/pistachioyard_standins/tests/standins/proxy.rs
+++ b/crates/pistachioyard_standins/tests/standins/proxy.rs
@@ -207,6 +207,23 @@
     }
 }
 
+/// The head of a silent failure is followed by nothing until the rule is removed.
+#[tokio::test]
+async fn a_silent_failure_has_a_head_and_no_body() {
+    let proxy = ProxyHarness::start().await;
+    let (mut client, mut server) = proxy.open().await.unwrap();
+    proxy.set_faults(&[FaultKind::SilentFailure]).await;
+    server.write_all(b"b").await.unwrap();
+    let head = "HTTP/1.1 500 Internal Server Error\r\nx-response-signature: stand-in\r\n\r\n";
+    let mut seen = vec![0; head.len()];
+    client.read_exact(&mut seen).await.unwrap();
+    assert_eq!(String::from_utf8_lossy(&seen), head);
+    assert!(timeout(SETTLE_TIME, client.read_u8()).await.is_err());
+    proxy.set_faults(&[]).await;
+    let ended = timeout(TIMEOUT, client.read_u8()).await.unwrap();
+    ended.expect_err("the connection is reset");
+}
+
 #[tokio::test]
 async fn a_route_can_be_added() {
     let proxy = ProxyHarness::start().await;
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -186,8 +186,11 @@
         if let Some(endpoint) = head.at_fault.and_then(|at| self.endpoint_at(at)) {
             self.router.suspect(&endpoint, SuspectReason::RequestsStall);
         }
-        let first = self.path.stages[0].address;
-        match read_whole(first, body, MAX_ANSWER_BYTES).await {
+        let to = self.path.stages[0].address;
+        let reading = read_whole(to, body, MAX_ANSWER_BYTES);
+        let time_left = call.time_left().unwrap_or_default();
+        let read = tokio::time::timeout(time_left, reading).await;
+        match read.unwrap_or(Err(CallError::Timeout { to })) {
             Ok(body) if head.is_signed => OpenResult::Complete(parts.status, parts.headers, body),
             Ok(_) => OpenResult::Lost(format!("the endpoint answered with status {}", head.status)),
             Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
--- a/tests/site/endless.rs
+++ b/tests/site/endless.rs
@@ -1,6 +1,6 @@
 //! Endpoints whose answers do not end.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use pistachioyard_standins::{FaultKind, FaultRule};
@@ -143,6 +143,25 @@
     check_repeatable("/feed/a", FaultKind::EndlessFailure, MAX_GROWTH_BYTES).await;
 }
 
+/// A stream whose failure stalls after its head is answered at its deadline, not after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_failure_stalls_is_answered_at_its_deadline() {
+    let site = Site::start(1).await;
+    let faulty = plain_endpoints(&site);
+    let rules = rules(&site, &faulty, FaultKind::SilentFailure);
+    site.set_proxy_faults(&rules).await;
+    let to = site.entries[0].caller_address();
+    let started_at = Instant::now();
+    let outcome = site.check_plain(to, "/feed/a").await;
+    let took = started_at.elapsed();
+    assert!(
+        matches!(&outcome.result, Err(Failure::Unknown(why)) if why.starts_with("status")),
+        "{:?}",
+        outcome.result
+    );
+    assert!(took < Duration::from_secs(6), "{took:?}");
+}
+
 /// Reports and answers to orders that have no end do not fill the memory of the entry.
 #[tokio::test(flavor = "multi_thread")]
 async fn reports_without_end_are_not_kept() {
