--- a/crates/pistachioyard_standins/src/proxy/control.rs
+++ b/crates/pistachioyard_standins/src/proxy/control.rs
@@ -79,6 +79,14 @@
         /// The number of bytes that are still forwarded.
         bytes: u64,
     },
+    /// Replaces the target's next bytes with an answer whose head does not end.
+    EndlessHead,
+    /// Replaces the target's next bytes with a success whose body does not end.
+    EndlessBody,
+    /// Replaces the target's next bytes with a failure whose body does not end.
+    EndlessFailure,
+    /// Replaces the target's next bytes with the head of a failure whose body does not come.
+    SilentFailure,
     /// Keeps connections open but forwards no bytes until the rule is removed.
     Stall,
 }
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -5,8 +5,10 @@
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
 //! ends the process, and so does one whose prompt has the part [`crash::CRASHING_PART`], once its
-//! answer has begun. `GET /control/runs` lists the ids of the requests started, and
-//! `GET /control/fence` returns the highest fencing token of an order.
+//! answer has begun. `GET /control/runs` lists the ids of the requests started,
+//! `GET /control/fence` returns the highest fencing token of an order, and `GET /control/paths`
+//! the addresses of the stages of each running stream. After `PUT /control/crash`, the next running
+//! stream that passes through the worker ends the process.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
 //! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-End` selects how its
 //! answer ends.
@@ -35,7 +37,7 @@
 
 use self::answer::{Ending, padded, padded_len, signed};
 use self::events::Events;
-use self::stages::{Stages, check_path, parse_path, parse_range};
+use self::stages::{HOLDS_PATH, PASS_PATH, Stages, check_path, holds, parse_path};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
 use crate::http::{HttpClient, HttpClientConfig};
 
@@ -102,6 +104,8 @@
     paths: BTreeMap<String, Stages>,
     /// The stalled requests by id, with the address of the stage that blocks each.
     stalled: BTreeMap<String, SocketAddr>,
+    /// Whether the process ends when the next running stream passes through it.
+    crashes_in_stream: bool,
 }
 
 /// Serves a worker until the process ends.
@@ -200,11 +204,32 @@
             tokio::spawn(silence::fall_silent(worker.args.listen, duration));
             status_only(StatusCode::ACCEPTED)
         }
-        "/holds" => holds(&worker, req.uri().query().unwrap_or_default()),
+        "/control/paths" => json_response(StatusCode::OK, &running_paths(&worker)),
+        "/control/crash" => {
+            worker.state.lock().crashes_in_stream = true;
+            status_only(StatusCode::OK)
+        }
+        HOLDS_PATH => holds(&worker, req.uri().query().unwrap_or_default()),
+        PASS_PATH => {
+            if worker.state.lock().crashes_in_stream {
+                std::process::exit(1);
+            }
+            holds(&worker, req.uri().query().unwrap_or_default())
+        }
         _ => run(worker, req).await,
     }
 }
 
+/// Returns the addresses of the stages of each running stream, by request id.
+fn running_paths(worker: &Worker) -> Value {
+    let state = worker.state.lock();
+    let paths = state.paths.iter().map(|(id, stages)| {
+        let addresses: Vec<SocketAddr> = stages.iter().map(|(at, ..)| *at).collect();
+        (id.clone(), json!(addresses))
+    });
+    Value::Object(paths.collect())
+}
+
 fn order(worker: &Arc<Worker>, order: &Value) -> Response<Body> {
     let (Some(from), Some(to)) = (order["from"].as_u64(), order["to"].as_u64()) else {
         return status_only(StatusCode::BAD_REQUEST);
@@ -250,7 +275,7 @@
         Some(first) if path.first() != Some(&first) => return status_only(StatusCode::BAD_REQUEST),
         Some(_) => {}
     }
-    if let Err(missing) = check_path(worker, &path).await {
+    if let Err(missing) = check_path(worker, &path, HOLDS_PATH).await {
         let at = missing.map(|(_, at)| at);
         return json_response(StatusCode::CONFLICT, &json!({ "address": at }));
     }
@@ -258,16 +283,6 @@
     status_only(StatusCode::ACCEPTED)
 }
 
-/// Answers whether the worker holds the layer range given as `FROM-TO`.
-fn holds(worker: &Worker, range: &str) -> Response<Body> {
-    let is_held = parse_range(range).is_some_and(|range| worker.holds(range));
-    status_only(if is_held {
-        StatusCode::OK
-    } else {
-        StatusCode::MISDIRECTED_REQUEST
-    })
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -316,7 +331,7 @@
         return signed(&id, body, ending);
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
-    if let Err(missing) = check_path(&worker, &path).await {
+    if let Err(missing) = check_path(&worker, &path, HOLDS_PATH).await {
         return match missing {
             Some((status, at)) => not_run(status, at),
             None => status_only(StatusCode::IM_A_TEAPOT),
--- a/crates/pistachioyard_standins/src/site/worker/events.rs
+++ b/crates/pistachioyard_standins/src/site/worker/events.rs
@@ -6,7 +6,7 @@
 use hyper::body::Bytes;
 
 use super::answer::{Ending, padded};
-use super::stages::check_path;
+use super::stages::{PASS_PATH, check_path};
 use super::{Worker, answer_line};
 
 /// The maximum time that a request stalls before it fails.
@@ -76,7 +76,8 @@
         let since = Instant::now();
         while since.elapsed() < STALL_LIMIT {
             let path = self.worker.state.lock().paths.get(&self.id).cloned();
-            let checked = check_path(&self.worker, &path.unwrap_or_default()).await;
+            let path = path.unwrap_or_default();
+            let checked = check_path(&self.worker, &path, PASS_PATH).await;
             match checked {
                 Ok(()) => {
                     self.worker.state.lock().stalled.remove(&self.id);
--- a/crates/pistachioyard_standins/src/site/worker/stages.rs
+++ b/crates/pistachioyard_standins/src/site/worker/stages.rs
@@ -1,11 +1,17 @@
-//! The stages of a request's path.
+//! The stages of a request's path, and the calls by which a worker checks them.
 
 use std::net::SocketAddr;
 
-use ::http::{Method, StatusCode};
+use ::http::{Method, Response, StatusCode};
 use hyper::body::Bytes;
 
 use super::Worker;
+use crate::site::http::{Body, status_only};
+
+/// The path at which a worker is asked, before a stream starts, whether it holds layers.
+pub(super) const HOLDS_PATH: &str = "/holds";
+/// The path at which a worker is asked the same by a stream that runs.
+pub(super) const PASS_PATH: &str = "/pass";
 
 /// The stages of a path: the address, first layer and end layer (exclusive) of each.
 pub(super) type Stages = Vec<(SocketAddr, u64, u64)>;
@@ -19,12 +25,23 @@
     stages.collect()
 }
 
-/// Checks that each stage holds its layers.
+/// Answers whether the worker holds the layer range given as `FROM-TO`.
+pub(super) fn holds(worker: &Worker, range: &str) -> Response<Body> {
+    let is_held = parse_range(range).is_some_and(|range| worker.holds(range));
+    status_only(if is_held {
+        StatusCode::OK
+    } else {
+        StatusCode::MISDIRECTED_REQUEST
+    })
+}
+
+/// Checks that each stage holds its layers, by calls to `call`.
 ///
 /// The error names the first stage that does not, or is `None` if the layers are not in order.
 pub(super) async fn check_path(
     worker: &Worker,
     path: &[(SocketAddr, u64, u64)],
+    call: &str,
 ) -> Result<(), Option<(StatusCode, SocketAddr)>> {
     let mut next = 0;
     for (at, from, to) in path {
@@ -35,7 +52,7 @@
         if *at == worker.address() && worker.holds((*from, *to)) {
             continue;
         }
-        let target = format!("/holds?{from}-{to}");
+        let target = format!("{call}?{from}-{to}");
         let sent = worker
             .client
             .send(Method::GET, *at, &target, &[], Bytes::new());
@@ -48,7 +65,7 @@
     Ok(())
 }
 
-pub(super) fn parse_range(range: &str) -> Option<(u64, u64)> {
+fn parse_range(range: &str) -> Option<(u64, u64)> {
     let (from, to) = range.split_once('-')?;
     Some((from.parse().ok()?, to.parse().ok()?))
 }
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -128,7 +128,9 @@
         match asked.await {
             Ok(Ok(report)) => return started.is_some() && report.started_unix_ms != started,
             // An endpoint of a plain service has no report, but it answers.
-            Ok(Err(CallError::Malformed { .. } | CallError::Status { .. })) => return false,
+            Ok(Err(
+                CallError::Malformed { .. } | CallError::Status { .. } | CallError::TooLong { .. },
+            )) => return false,
             Ok(Err(CallError::NotSent { .. } | CallError::Refused { .. })) => return true,
             Ok(Err(CallError::AnswerLost { .. } | CallError::Timeout { .. })) | Err(_) => {}
         }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -21,13 +21,11 @@
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::answer::StreamAborted;
-use path_run::{OpenResult, PathRun, ReadResult, RepairResult};
+use path_run::{OpenResult, PathRun, ReadResult};
 
 /// The number of refusals by endpoints after which the caller is refused; each refusal
 /// ejects the endpoint at fault.
 const MAX_REFUSALS: u32 = 4;
-/// The maximum number of path repairs of one stream; each one sends an order, which has a cost.
-const MAX_REPAIRS: u32 = 4;
 /// The retry delay for a caller when the endpoints are full, in ms; the time of a few dozen
 /// tokens, in which other requests end.
 const RETRY_AFTER_MS: u64 = 500;
@@ -57,6 +55,8 @@
     repairs: u32,
     /// The first endpoints of the paths on which the request may have begun to run.
     first_endpoints: Vec<EndpointId>,
+    /// The first endpoints whose answers to this request were too long, which are not tried again.
+    avoided: Vec<EndpointId>,
     record: Record,
     _in_flight: InFlight,
 }
@@ -108,6 +108,7 @@
             stall_detector,
             repairs: 0,
             first_endpoints: Vec::new(),
+            avoided: Vec::new(),
             _in_flight: in_flight,
         }
     }
@@ -126,6 +127,7 @@
             spec: self.spec.as_deref(),
             size: self.size,
             first,
+            without: &self.avoided,
         }
     }
 
@@ -168,9 +170,9 @@
                     why = "not_reached";
                     continue;
                 }
-                OpenResult::Lost(detail) | OpenResult::Silent(_, detail) => {
-                    AttemptFailure::MayHaveRun(detail)
-                }
+                OpenResult::Lost(detail)
+                | OpenResult::Silent(_, detail)
+                | OpenResult::TooLong(detail) => AttemptFailure::MayHaveRun(detail),
             };
             if self.call.time_left().is_none() {
                 return Err(self.timeout_problem());
@@ -269,6 +271,11 @@
                 self.stall_detector.begin(Instant::now());
                 self.record.log_attempt_failed(first, detail);
             }
+            OpenResult::TooLong(detail) => {
+                self.note_may_run_at(first);
+                self.avoided.push(first.clone());
+                self.record.log_attempt_failed(first, detail);
+            }
         }
     }
 
@@ -294,6 +301,10 @@
                     self.record.end_answered(200);
                     return Ok(None);
                 }
+                ReadResult::TooLong(first, why) => {
+                    self.avoided.push(first);
+                    (None, why)
+                }
                 ReadResult::Lost(at_fault, why) => (at_fault, why),
             };
             self.path_run = None;
@@ -359,29 +370,6 @@
         }
     }
 
-    /// Replaces a lost endpoint of the path; returns whether the stream continues on the new path.
-    async fn repair(&mut self, lost: &EndpointId, why: &str) -> bool {
-        let Some(path_run) = &mut self.path_run else {
-            return false;
-        };
-        if self.repairs >= MAX_REPAIRS {
-            return false;
-        }
-        self.repairs += 1;
-        let repaired = path_run.repair(&self.call, &self.service, lost).await;
-        self.stall_detector.begin(Instant::now());
-        match repaired {
-            RepairResult::Repaired(path) => {
-                self.record.log_path_repaired(&path, why);
-                true
-            }
-            RepairResult::Failed(refusal) => {
-                self.record.log_repair_failed(lost, why, &refusal);
-                false
-            }
-        }
-    }
-
     fn give_up(&mut self, why: &str) -> Result<(), StreamAborted> {
         self.record.end_aborted(why);
         Err(StreamAborted)
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -16,10 +16,11 @@
 
 pub(super) use self::repair::RepairResult;
 use super::PauseAction;
-use crate::error::CallError;
+use crate::client::{read_whole, too_long};
+use crate::error::{AnswerPart, CallError};
 use crate::prelude::*;
 use crate::router::Router;
-use crate::router::endpoint_client::{Connection, Reuse};
+use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
 use crate::router::filter::part_trial::{Framing, PartTrial};
 use crate::router::filter::plain::endpoint_request;
@@ -28,6 +29,9 @@
 /// memory. The margin allows for the lag of this entry's load data.
 const NOT_FULL_SHARE: f64 = 0.6;
 
+/// The maximum size of one event, in bytes; an event holds the text of a few tokens.
+const MAX_EVENT_BYTES: usize = 1_000_000;
+
 /// Says how sending a request along a path ended.
 pub(super) enum OpenResult {
     /// A stream started, whose events follow.
@@ -43,6 +47,8 @@
     /// The path is silent and may still answer; holds the endpoint at fault, if one is known,
     /// and the reason.
     Silent(Option<EndpointId>, String),
+    /// The request may have run, but a part of its answer is longer than its limit.
+    TooLong(String),
 }
 
 /// Says what the next read of a stream returned.
@@ -51,6 +57,9 @@
     Data,
     /// The answer is complete.
     End,
+    /// An event is longer than its limit, so the path is left; holds the first endpoint and the
+    /// reason.
+    TooLong(EndpointId, String),
     /// The path is lost; holds the endpoint at fault, if one is known, and the reason.
     Lost(Option<EndpointId>, String),
 }
@@ -199,6 +208,7 @@
                 self.router.suspect(first, SuspectReason::NoAnswer);
                 OpenResult::NotReached
             }
+            Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
             Err(e) => {
                 self.suspect_first_endpoint();
                 OpenResult::Lost(e.to_string())
@@ -233,12 +243,15 @@
         if let Some(endpoint) = head.at_fault.and_then(|at| self.endpoint_at(at)) {
             self.router.suspect(&endpoint, SuspectReason::RequestsStall);
         }
-        match body.collect().await {
-            Ok(body) if head.is_signed => {
-                OpenResult::Complete(parts.status, parts.headers, body.to_bytes())
-            }
+        let to = self.path.stages[0].address;
+        let reading = read_whole(to, body, MAX_ANSWER_BYTES);
+        let time_left = call.time_left().unwrap_or_default();
+        let read = tokio::time::timeout(time_left, reading).await;
+        match read.unwrap_or(Err(CallError::Timeout { to })) {
+            Ok(body) if head.is_signed => OpenResult::Complete(parts.status, parts.headers, body),
             Ok(_) => OpenResult::Lost(format!("the endpoint answered with status {}", head.status)),
-            Err(_) => OpenResult::Lost("the connection broke inside the answer".to_owned()),
+            Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
+            Err(e) => OpenResult::Lost(e.to_string()),
         }
     }
 
@@ -297,13 +310,15 @@
         }
     }
 
-    /// Reads the next data into the splitter, after the head of the answer if it is still due.
+    /// Reads the next data into the splitter, from which all complete events were taken, after the
+    /// head of the answer if it is still due.
     pub(super) async fn read(&mut self, call: &Call, splitter: &mut EventSplitter) -> ReadResult {
         if self.sending.is_some() {
             let sent = self.answered().await;
             return match self.classify_sent(call, sent).await {
                 OpenResult::Stream(..) => ReadResult::Data,
                 OpenResult::Lost(why) => ReadResult::Lost(Some(self.first_endpoint().clone()), why),
+                OpenResult::TooLong(why) => ReadResult::TooLong(self.first_endpoint().clone(), why),
                 OpenResult::Complete(status, ..) => {
                     ReadResult::Lost(None, format!("the endpoint answered with status {status}"))
                 }
@@ -315,6 +330,11 @@
         let Some((body, ..)) = &mut self.answer else {
             return ReadResult::Lost(None, "there is no answer to read".to_owned());
         };
+        let first = &self.path.stages[0];
+        if splitter.buffered_bytes() > MAX_EVENT_BYTES {
+            let e = too_long(first.address, AnswerPart::Event, MAX_EVENT_BYTES);
+            return ReadResult::TooLong(first.endpoint.clone(), e.to_string());
+        }
         match body.frame().await {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -1,14 +1,16 @@
-//! Resumes a stream on another path.
+//! Repairs the path of a stream, or resumes the stream on another path.
 
 use pistachioyard_policy::QuarantineVerdict;
 
 use super::Relay;
-use super::path_run::OpenResult;
+use super::path_run::{OpenResult, RepairResult};
 use crate::prelude::*;
 use crate::router::answer::StreamAborted;
 use crate::router::filter::path::{find_path, wait_for_capacity};
 use crate::router::filter::result_lost;
 
+/// The maximum number of path repairs of one stream; each one sends an order, which has a cost.
+const MAX_REPAIRS: u32 = 4;
 /// How long a stream that lost its path looks for another one; callers give up on a silent
 /// stream after two seconds.
 pub(super) const RECOVERY_LIMIT: Duration = Duration::from_millis(1_800);
@@ -48,6 +50,29 @@
         matches!(verdict, QuarantineVerdict::Quarantined { .. })
     }
 
+    /// Replaces a lost endpoint of the path; returns whether the stream continues on the new path.
+    pub(super) async fn repair(&mut self, lost: &EndpointId, why: &str) -> bool {
+        let Some(path_run) = &mut self.path_run else {
+            return false;
+        };
+        if self.repairs >= MAX_REPAIRS {
+            return false;
+        }
+        self.repairs += 1;
+        let repaired = path_run.repair(&self.call, &self.service, lost).await;
+        self.stall_detector.begin(Instant::now());
+        match repaired {
+            RepairResult::Repaired(path) => {
+                self.record.log_path_repaired(&path, why);
+                true
+            }
+            RepairResult::Failed(refusal) => {
+                self.record.log_repair_failed(lost, why, &refusal);
+                false
+            }
+        }
+    }
+
     /// Resumes the stream on another path, or aborts it.
     pub(super) async fn recover(&mut self, why: &str) -> Result<(), StreamAborted> {
         if self.call.time_left().is_none() || !self.may_repeat() {
@@ -80,6 +105,12 @@
             let same_first = (!self.may_start_again())
                 .then(|| self.first_endpoints.last().cloned())
                 .flatten();
+            if same_first
+                .as_ref()
+                .is_some_and(|first| self.avoided.contains(first))
+            {
+                return Err("the only endpoint that may run it sends answers that are too long");
+            }
             let Ok(found) = find_path(&self.router, &self.path_request(same_first.as_ref())) else {
                 wait_for_capacity(&self.router).await;
                 continue;
--- a/src/router/filter/relay/silence.rs
+++ b/src/router/filter/relay/silence.rs
@@ -59,7 +59,10 @@
                         let first = silent.first_endpoint();
                         self.first_endpoints.retain(|endpoint| endpoint != first);
                     }
-                    OpenResult::Complete(..) | OpenResult::Lost(_) | OpenResult::Silent(..) => {}
+                    OpenResult::Complete(..)
+                    | OpenResult::Lost(_)
+                    | OpenResult::Silent(..)
+                    | OpenResult::TooLong(_) => {}
                 }
                 opened
             }
@@ -104,7 +107,7 @@
             }
         };
         match answered {
-            Answered::Silent(lost @ ReadResult::Lost(..)) => lost,
+            Answered::Silent(lost @ (ReadResult::Lost(..) | ReadResult::TooLong(..))) => lost,
             Answered::Silent(read) => {
                 self.splitter = splitter;
                 self.keep(silent, why, silent_at);
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -6,6 +6,8 @@
 mod caller;
 mod calm;
 mod deployment;
+mod endless;
+mod endpoints;
 mod faults;
 mod layout;
 mod logs;
