Log why the frames of an engine were lost

Seen: an engine whose line had no end, or that sent no frame at all, was left without a line that said why. Cause: the relay of frames dropped the error, and a line beyond its limit (64 KiB, as before) was reported as malformed. Change: a line beyond the limit is logged as `http: answer too long, connection closed` with `part=event`, like those of the other endpoints, and the relay logs the error at debug level. Two tests of the fault matrix let the connection from the entry to the head send a body and a head without end. The two new tests were not run without this change; the limits that they reach were there before, and they do not check the log.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -13,8 +13,8 @@
     CacheEventPage, EndpointReport, Order, OrderRefusal, StreamFrame, StreamProgress, StreamRequest,
 };
 
-use crate::client::{Call, HttpClient};
-use crate::error::CallError;
+use crate::client::{Call, HttpClient, too_long};
+use crate::error::{AnswerPart, CallError};
 use crate::prelude::*;
 
 /// The timeout of the first stage's response to a new attempt, in milliseconds.
@@ -188,7 +188,7 @@
                 return self.parse(&line).map(Some);
             }
             if self.buf.len() > MAX_LINE_BYTES {
-                return Err(self.malformed("the line is too long"));
+                return Err(too_long(self.to, AnswerPart::Event, MAX_LINE_BYTES));
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
@@ -203,13 +203,9 @@
     }
 
     fn parse(&self, line: &[u8]) -> Result<StreamFrame, CallError> {
-        serde_json::from_slice(line).map_err(|e| self.malformed(&e.to_string()))
-    }
-
-    fn malformed(&self, why: &str) -> CallError {
-        CallError::Malformed {
+        serde_json::from_slice(line).map_err(|e| CallError::Malformed {
             to: self.to,
-            why: why.to_owned(),
-        }
+            why: e.to_string(),
+        })
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -57,7 +57,7 @@
 pub(crate) enum AnswerPart {
     /// The whole body.
     Body,
-    /// One event of a stream.
+    /// One event or line of a stream.
     Event,
     /// The status line and the headers.
     Head,
--- a/src/filter/follow.rs
+++ b/src/filter/follow.rs
@@ -70,8 +70,13 @@
             }
         };
         let head = &generation.grant.stages()[0].endpoint;
-        let Ok(Some(frame)) = frame else {
-            return FollowOutcome::Ended(AttemptEnd::Lost(head.clone()));
+        let frame = match frame {
+            Ok(Some(frame)) => frame,
+            Ok(None) => return FollowOutcome::Ended(AttemptEnd::Lost(head.clone())),
+            Err(e) => {
+                spdlog::debug!("deliver: the frames from {head} were lost: {e}");
+                return FollowOutcome::Ended(AttemptEnd::Lost(head.clone()));
+            }
         };
         match generation.guard.accept(&frame) {
             GuardVerdict::Pass { index, token } => {
--- a/tests/matrix/link_faults.rs
+++ b/tests/matrix/link_faults.rs
@@ -143,3 +143,15 @@
 async fn head_connection_breaks_inside_a_frame() {
     check_under_fault(Connection::Head, FaultKind::DropAfter { bytes: 45 }).await;
 }
+
+/// Bytes that are no answer, in a body without end, replace what the head sends to the entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn head_connection_sends_a_body_without_end() {
+    check_under_fault(Connection::Head, FaultKind::EndlessBody).await;
+}
+
+/// The same in a head of an answer without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn head_connection_sends_a_head_without_end() {
+    check_under_fault(Connection::Head, FaultKind::EndlessHead).await;
+}
