Bound the head of a last request on a connection that is to be closed

Cause: the limit of the HTTP library for heads went when the idle limit began to follow the configuration in force. A graceful close waits for a head that has begun to arrive.

Change: the connection notes when bytes arrive. Bytes that came after the last answer and make no whole head within 500 ms of the close end the connection. An answer that is still being written is not affected.

--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -1,6 +1,7 @@
 //! The HTTP servers for callers, the directory, readiness, peers and metrics.
 
 mod activity;
+mod tracked_stream;
 
 use std::convert::Infallible;
 use std::error::Error;
@@ -19,6 +20,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use self::activity::{ActiveBody, ConnectionActivity, idle_limit};
+use self::tracked_stream::TrackedStream;
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
 use crate::router::controller::{STATE_PATH, encode_state};
@@ -32,6 +34,9 @@
 const DIRECTORY_TTL_S: u64 = 1;
 /// The smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
+/// How long the head of a request that has begun to arrive may take on a connection that is about
+/// to be closed.
+const LAST_HEAD_LIMIT: Duration = Duration::from_millis(500);
 /// The delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -87,6 +92,7 @@
     let _open = is_caller.then(|| router.lifecycle.open_connection());
     let activity = ConnectionActivity::new(Instant::now());
     let (state, counted) = (router.clone(), activity.clone());
+    let stream = TrackedStream::new(stream, activity.clone());
     let handler = service_fn(move |req| {
         let request = counted.begin();
         let router = state.clone();
@@ -101,21 +107,28 @@
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let ended = tokio::select! {
-        ended = &mut connection => ended,
-        () = activity.idle_limit_passed(&router) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-        () = router.lifecycle.stopped() => {
+        ended = &mut connection => Some(ended),
+        () = activity.idle_limit_passed(&router) => None,
+        () = router.lifecycle.stopped() => None,
+    };
+    let ended = match ended {
+        Some(ended) => Some(ended),
+        None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = &mut connection => Some(ended),
+                () = activity.head_limit_passed(LAST_HEAD_LIMIT) => None,
+            }
         }
     };
-    if let Err(e) = ended
-        && is_caller
-    {
+    let why = match ended {
+        Some(Ok(())) => return,
+        Some(Err(e)) => error_text(&e),
+        None => "the head of a request did not arrive in time".to_owned(),
+    };
+    if is_caller {
         spdlog::info!("http: caller's connection broke", kv: {
-            why = error_text(&e).as_str(), requests = activity.requests(),
+            why = why.as_str(), requests = activity.requests(),
             idle_limit_ms = ms(idle_limit(&router))
         });
     }
--- a/src/router/http_server/activity.rs
+++ b/src/router/http_server/activity.rs
@@ -25,6 +25,7 @@
     requests: u64,
     in_progress: u32,
     idle_since: Instant,
+    last_read_at: Instant,
 }
 
 impl ConnectionActivity {
@@ -35,6 +36,7 @@
                 requests: 0,
                 in_progress: 0,
                 idle_since: now,
+                last_read_at: now,
             }),
         })
     }
@@ -59,17 +61,36 @@
     pub(super) async fn idle_limit_passed(&self, router: &Router) {
         loop {
             let limit = idle_limit(router);
-            let idle = {
-                let state = self.state.lock();
-                (state.in_progress == 0).then(|| state.idle_since.elapsed())
-            };
-            match idle {
+            match self.idle_time() {
                 Some(idle) if idle >= limit => return,
                 Some(idle) => tokio::time::sleep(limit - idle).await,
                 None => tokio::time::sleep(limit).await,
             }
         }
     }
+
+    /// Records that bytes of the caller arrived.
+    pub(super) fn note_read(&self, now: Instant) {
+        self.state.lock().last_read_at = now;
+    }
+
+    /// Waits until part of a request's head has been waiting for the rest for `limit`, counted
+    /// from now on. An answer that is still being written is not affected.
+    pub(super) async fn head_limit_passed(&self, limit: Duration) {
+        loop {
+            tokio::time::sleep(limit).await;
+            let state = self.state.lock();
+            if state.in_progress == 0 && state.last_read_at > state.idle_since {
+                return;
+            }
+        }
+    }
+
+    /// Returns how long the connection has been idle; `None` while a request is in progress.
+    fn idle_time(&self) -> Option<Duration> {
+        let state = self.state.lock();
+        (state.in_progress == 0).then(|| state.idle_since.elapsed())
+    }
 }
 
 /// Returns how long a connection may be idle, or take to send the head of a request.
