Ask the retry budget again while a plain endpoint stays silent

What callers saw: a look-up at an endpoint that had died without a reset was held to its deadline, although another endpoint could have taken it soon after.

Cause: the budget was asked once, and a retry was also taken where no other endpoint was to be had.

Change: a silent attempt looks for another endpoint and a retry again after each further silence limit, and takes the retry only if there is an endpoint.

--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -143,8 +143,9 @@
                 }
                 Ok(None) => return Err(no_endpoint_left(self.started)),
                 Err(_) => {
-                    silent_at = None;
-                    if self.may_start_another() && router.try_retry() {
+                    silent_at = self.silence_limit().map(|limit| Instant::now() + limit);
+                    let other = find_endpoint(router, service, &self.tried, Instant::now());
+                    if self.may_start_another() && other.is_some() && router.try_retry() {
                         next = Some("silent");
                     }
                 }
