Bound what a stream tries beside its silent path

Cause: the search for a replacement ignored complete answers, did not count refusals, recorded an endpoint only after its attempt, and kept a silent replacement where nobody read it.

Change: an endpoint counts as one that may have run the request before it is sent there. Beside a silent path only endpoints without a run of the request are tried, within max_attempts and four refusals. A complete answer of a replacement is returned if the caller has no head yet. A silent replacement is waited for together with the first path, and alone until the deadline if that one breaks. The retry budget is asked before a path is looked for, so that waiting streams do not use up the crossings between data centres. Only a broken connection is held against a request as a crash, not a silence or a passed deadline.

--- a/crates/pistachioyard_policy/src/retry_budget.rs
+++ b/crates/pistachioyard_policy/src/retry_budget.rs
@@ -49,6 +49,11 @@
         self.units = (self.units + self.units_per_first_try).min(self.max_units);
     }
 
+    /// Returns whether the bucket holds a retry.
+    pub fn has_retry(&self) -> bool {
+        self.units >= UNITS_PER_RETRY
+    }
+
     /// Takes one retry from the bucket; returns whether there was one.
     pub fn try_retry(&mut self) -> bool {
         match self.units.checked_sub(UNITS_PER_RETRY) {
@@ -116,6 +121,11 @@
         self.bucket.on_first_try();
     }
 
+    /// Returns whether this entry's part holds a retry.
+    pub fn has_retry(&self) -> bool {
+        self.bucket.has_retry()
+    }
+
     /// Takes one retry from this entry's part; returns whether there was one.
     pub fn try_retry(&mut self) -> bool {
         self.bucket.try_retry()
--- a/src/router.rs
+++ b/src/router.rs
@@ -186,6 +186,11 @@
         self.retries.lock().rebalance(entries, now);
     }
 
+    /// Returns whether this entry's share of the retry budget has a retry left.
+    pub(crate) fn has_retry(&self) -> bool {
+        self.retries.lock().has_retry()
+    }
+
     /// Takes one retry from this entry's share of the budget; returns whether one was left.
     pub(crate) fn try_retry(&self) -> bool {
         let allowed = self.retries.lock().try_retry();
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -121,13 +121,17 @@
         std::mem::swap(&mut self.record, record);
     }
 
-    fn path_request<'a>(&'a self, first: Option<&'a EndpointId>) -> PathRequest<'a> {
+    fn path_request<'a>(
+        &'a self,
+        first: Option<&'a EndpointId>,
+        without: &'a [EndpointId],
+    ) -> PathRequest<'a> {
         PathRequest {
             service: &self.service,
             spec: self.spec.as_deref(),
             size: self.size,
             first,
-            without: &self.avoided,
+            without,
         }
     }
 
@@ -140,7 +144,8 @@
         let mut refusals = 0;
         let mut why = "first";
         loop {
-            let found = match admit(&self.router, &self.call, &self.path_request(None)).await {
+            let request = self.path_request(None, &self.avoided);
+            let found = match admit(&self.router, &self.call, &request).await {
                 Ok(found) => found,
                 Err(_) if self.may_have_run() => {
                     return Err(result_lost("an attempt's answer was lost"));
@@ -149,9 +154,7 @@
             };
             self.check_parts()?;
             let opened = match self.open(found, why).await {
-                OpenResult::Silent(at_fault, detail) => {
-                    self.outlast_silent_start(at_fault, &detail).await
-                }
+                OpenResult::Silent(detail) => self.outlast_silent_start(&detail).await,
                 opened => opened,
             };
             let failure = match opened {
@@ -171,7 +174,7 @@
                     continue;
                 }
                 OpenResult::Lost(detail)
-                | OpenResult::Silent(_, detail)
+                | OpenResult::Silent(detail)
                 | OpenResult::TooLong(detail) => AttemptFailure::MayHaveRun(detail),
             };
             if self.call.time_left().is_none() {
@@ -243,46 +246,50 @@
             self.size,
         );
         let call = self.call.clone();
+        // Recorded before the request is sent, since this wait may be cancelled after it.
+        let first = path_run.first_endpoint().clone();
+        let is_new = !self.first_endpoints.contains(&first);
+        if is_new {
+            self.first_endpoints.push(first);
+        }
+        path_run.is_only_run_at_first = is_new;
         let opened = path_run.open(&call, self.last_id).await;
-        self.record_opened(&opened, path_run.first_endpoint());
+        self.record_opened(&opened, &path_run);
         if matches!(opened, OpenResult::Stream(..) | OpenResult::Silent(..)) {
             self.path_run = Some(path_run);
         }
         opened
     }
 
-    /// Records how the attempt on a path with this first endpoint began.
-    fn record_opened(&mut self, opened: &OpenResult, first: &EndpointId) {
-        match opened {
+    /// Records how the attempt on a path began.
+    fn record_opened(&mut self, opened: &OpenResult, path_run: &PathRun) {
+        let first = path_run.first_endpoint();
+        let failure = match opened {
             OpenResult::Stream(..) => {
-                self.note_may_run_at(first);
                 self.stall_detector.begin(Instant::now());
+                return;
             }
-            OpenResult::Complete(..) => {}
-            OpenResult::NotRun => self.record.log_attempt_failed(first, "not run"),
-            OpenResult::NotReached => self.record.log_attempt_failed(first, "no connection"),
-            OpenResult::Lost(detail) => {
-                self.router.note_crash(self.call.digest, first);
-                self.note_may_run_at(first);
-                self.record.log_attempt_failed(first, detail);
+            OpenResult::Complete(..) => return,
+            OpenResult::NotRun | OpenResult::NotReached => {
+                if path_run.is_only_run_at_first {
+                    self.first_endpoints.retain(|endpoint| endpoint != first);
+                }
+                match opened {
+                    OpenResult::NotRun => "not run",
+                    _ => "no connection",
+                }
             }
-            OpenResult::Silent(_, detail) => {
-                self.note_may_run_at(first);
+            OpenResult::Lost(detail) => detail,
+            OpenResult::Silent(detail) => {
                 self.stall_detector.begin(Instant::now());
-                self.record.log_attempt_failed(first, detail);
+                detail
             }
             OpenResult::TooLong(detail) => {
-                self.note_may_run_at(first);
                 self.avoided.push(first.clone());
-                self.record.log_attempt_failed(first, detail);
+                detail
             }
-        }
-    }
-
-    fn note_may_run_at(&mut self, first: &EndpointId) {
-        if !self.first_endpoints.contains(first) {
-            self.first_endpoints.push(first.clone());
-        }
+        };
+        self.record.log_attempt_failed(first, failure);
     }
 
     /// Returns the next events, or `None` at the end of the stream.
@@ -365,7 +372,7 @@
                 }
                 // A stream that may not restart gains nothing by leaving its path.
                 PauseAction::Leave(..) if !self.may_repeat() => ReadResult::Data,
-                PauseAction::Leave(at_fault, why) => self.outlast_silence(at_fault, &why).await,
+                PauseAction::Leave(_, why) => self.outlast_silence(&why).await,
             },
         }
     }
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -44,9 +44,8 @@
     NotReached,
     /// The request may have run, but its answer was lost.
     Lost(String),
-    /// The path is silent and may still answer; holds the endpoint at fault, if one is known,
-    /// and the reason.
-    Silent(Option<EndpointId>, String),
+    /// The path is silent and may still answer; holds the reason.
+    Silent(String),
     /// The request may have run, but a part of its answer is longer than its limit.
     TooLong(String),
 }
@@ -75,6 +74,8 @@
     spec: Option<Arc<PipelineSpec>>,
     path: Path,
     size: RequestSize,
+    /// Whether the request was sent to the first endpoint on no other path before.
+    pub(super) is_only_run_at_first: bool,
     /// The request until the head of its answer arrives.
     sending: Option<Sending>,
     answer: Option<(Incoming, Option<Connection>, Option<Duration>)>,
@@ -103,6 +104,7 @@
             spec,
             path,
             size,
+            is_only_run_at_first: true,
             sending: None,
             answer: None,
             framing: Framing::UntilClose,
@@ -146,7 +148,7 @@
                 Err(_) if !may_repeat => return deadline_passed(),
                 Err(_) => match self.check_pause(call, &mut stall_detector).await {
                     PauseAction::Wait => {}
-                    PauseAction::Leave(at_fault, why) => return OpenResult::Silent(at_fault, why),
+                    PauseAction::Leave(_, why) => return OpenResult::Silent(why),
                 },
             }
         }
@@ -211,6 +213,7 @@
             Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
             Err(e) => {
                 self.suspect_first_endpoint();
+                self.router.note_crash(call.digest, self.first_endpoint());
                 OpenResult::Lost(e.to_string())
             }
         }
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -1,19 +1,21 @@
 //! Repairs the path of a stream, or resumes the stream on another path.
 
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use pistachioyard_policy::QuarantineVerdict;
 
-use super::Relay;
 use super::path_run::{OpenResult, RepairResult};
+use super::{MAX_REFUSALS, Relay};
 use crate::prelude::*;
 use crate::router::answer::StreamAborted;
-use crate::router::filter::path::{find_path, wait_for_capacity};
+use crate::router::filter::path::{FoundPath, find_path, wait_for_capacity};
 use crate::router::filter::result_lost;
 
 /// The maximum number of path repairs of one stream; each one sends an order, which has a cost.
 const MAX_REPAIRS: u32 = 4;
 /// How long a stream that lost its path looks for another one; callers give up on a silent
 /// stream after two seconds.
-pub(super) const RECOVERY_LIMIT: Duration = Duration::from_millis(1_800);
+const RECOVERY_LIMIT: Duration = Duration::from_millis(1_800);
 /// How often a stream with a silent path asks an empty retry budget for a retry.
 const BUDGET_RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -78,7 +80,11 @@
         if self.call.time_left().is_none() || !self.may_repeat() {
             return self.give_up(why);
         }
-        match self.replace(why, PathLeft::None).await {
+        let progress = ReplacementProgress::default();
+        match self.replace(why, PathLeft::None, &progress).await {
+            Ok(OpenResult::Complete(status, ..)) => {
+                self.give_up(&format!("{why}; an endpoint answered with status {status}"))
+            }
             Ok(_) => Ok(()),
             Err(reason) => self.give_up(&format!("{why}; {reason}")),
         }
@@ -87,48 +93,115 @@
     /// Sends the request along another path until a stream starts.
     ///
     /// A stream that has no path left also keeps a new path that is silent, since that one may
-    /// still answer.
+    /// still answer. Beside a silent path, one other endpoint after another is tried within the
+    /// attempts of the route; `progress` says whether one of them has the request.
     pub(super) async fn replace(
         &mut self,
         why: &str,
         left: PathLeft,
+        progress: &ReplacementProgress,
     ) -> Result<OpenResult, &'static str> {
         let limit = match left {
             PathLeft::None => RECOVERY_LIMIT,
             PathLeft::Silent => Duration::MAX,
         };
         let lost_at = Instant::now();
+        let mut refusals = 0;
         while self.call.time_left().is_some() && lost_at.elapsed() < limit {
             if self.is_quarantined() {
                 return Err("the request is quarantined");
             }
-            let same_first = (!self.may_start_again())
-                .then(|| self.first_endpoints.last().cloned())
-                .flatten();
-            if same_first
-                .as_ref()
-                .is_some_and(|first| self.avoided.contains(first))
-            {
-                return Err("the only endpoint that may run it sends answers that are too long");
+            if left == PathLeft::Silent && !self.may_start_again() {
+                return Err("no attempt is left");
             }
-            let Ok(found) = find_path(&self.router, &self.path_request(same_first.as_ref())) else {
+            if !self.router.has_retry() {
+                match left {
+                    PathLeft::None => return Err("the retry budget is exhausted"),
+                    PathLeft::Silent => tokio::time::sleep(BUDGET_RECHECK_INTERVAL).await,
+                }
+                continue;
+            }
+            let Some(found) = self.find_other_path(left)? else {
                 wait_for_capacity(&self.router).await;
                 continue;
             };
-            match (self.router.try_retry(), left) {
-                (true, _) => {}
-                (false, PathLeft::None) => return Err("the retry budget is exhausted"),
-                (false, PathLeft::Silent) => {
-                    tokio::time::sleep(BUDGET_RECHECK_INTERVAL).await;
-                    continue;
-                }
+            if !self.router.try_retry() {
+                continue;
             }
-            match (self.open(found, why).await, left) {
-                (opened @ OpenResult::Stream(..), _)
-                | (opened @ OpenResult::Silent(..), PathLeft::None) => return Ok(opened),
-                _ => {}
+            progress.set(true);
+            let opened = match (self.open(found, why).await, left) {
+                (OpenResult::Silent(..), PathLeft::Silent) => self.outwait_replacement().await,
+                (opened, _) => opened,
+            };
+            progress.set(false);
+            match opened {
+                OpenResult::Stream(..) | OpenResult::Complete(..) | OpenResult::Silent(..) => {
+                    return Ok(opened);
+                }
+                OpenResult::NotRun | OpenResult::NotReached => {
+                    refusals += 1;
+                    if refusals >= MAX_REFUSALS {
+                        return Err("the endpoints have no free capacity");
+                    }
+                }
+                OpenResult::Lost(_) | OpenResult::TooLong(_) => {}
             }
         }
         Err("no other path was found in time")
     }
+
+    /// Chooses another path; `None` if there is none now.
+    fn find_other_path(&self, left: PathLeft) -> Result<Option<FoundPath>, &'static str> {
+        let mut without = self.avoided.clone();
+        let mut same_first = None;
+        match left {
+            // The request still runs there.
+            PathLeft::Silent => without.extend(self.first_endpoints.iter().cloned()),
+            PathLeft::None if !self.may_start_again() => {
+                same_first = self.first_endpoints.last();
+                if same_first.is_some_and(|first| self.avoided.contains(first)) {
+                    return Err("the only endpoint that may run it sends too long answers");
+                }
+            }
+            PathLeft::None => {}
+        }
+        Ok(find_path(&self.router, &self.path_request(same_first, &without)).ok())
+    }
+
+    /// Waits for the head of the answer on a replacement that is silent too.
+    async fn outwait_replacement(&mut self) -> OpenResult {
+        let Some(mut path_run) = self.path_run.take() else {
+            return OpenResult::Lost("there is no path".to_owned());
+        };
+        let call = self.call.clone();
+        let opened = path_run.outwait(&call).await;
+        self.record_opened(&opened, &path_run);
+        if matches!(opened, OpenResult::Stream(..)) {
+            self.path_run = Some(path_run);
+        }
+        opened
+    }
+}
+
+/// Says whether an endpoint has the request that replaces one on a silent path.
+#[derive(Debug, Default)]
+pub(super) struct ReplacementProgress(AtomicBool);
+
+impl ReplacementProgress {
+    fn set(&self, is_sent: bool) {
+        self.0.store(is_sent, Ordering::Relaxed);
+    }
+
+    /// Waits for the replacement after the path that it replaces was lost: until the deadline
+    /// while an endpoint has the request, and for the recovery limit otherwise.
+    pub(super) async fn wait_for<T>(
+        &self,
+        mut replacing: impl Future<Output = Result<T, &'static str>> + Unpin,
+    ) -> Option<T> {
+        match tokio::time::timeout(RECOVERY_LIMIT, &mut replacing).await {
+            Ok(replaced) => replaced.ok(),
+            Err(_) if self.0.load(Ordering::Relaxed) => replacing.await.ok(),
+            Err(_) => None,
+        }
+    }
 }
--- a/src/router/filter/relay/silence.rs
+++ b/src/router/filter/relay/silence.rs
@@ -8,7 +8,7 @@
 use futures_util::future::{Either, select};
 
 use super::path_run::{OpenResult, ReadResult};
-use super::recover::{PathLeft, RECOVERY_LIMIT};
+use super::recover::{PathLeft, ReplacementProgress};
 use super::{PathRun, Relay};
 use crate::prelude::*;
 
@@ -16,75 +16,56 @@
 enum Answered<T> {
     /// The silent path, with this result.
     Silent(T),
-    /// The path that replaces it, with the endpoint at fault, if one is known.
-    Replacement(OpenResult, Option<EndpointId>),
+    /// The path that replaces it.
+    Replacement(OpenResult),
 }
 
 impl Relay {
     /// Waits for the head of the answer on the silent path, and meanwhile sends the request
     /// along another one.
-    pub(super) async fn outlast_silent_start(
-        &mut self,
-        at_fault: Option<EndpointId>,
-        why: &str,
-    ) -> OpenResult {
+    pub(super) async fn outlast_silent_start(&mut self, why: &str) -> OpenResult {
         let Some(mut silent) = self.path_run.take() else {
             return OpenResult::Lost("there is no path".to_owned());
         };
         let call = self.call.clone();
         let silent_at = Instant::now();
+        let progress = ReplacementProgress::default();
         let answered = {
             let waiting = pin!(silent.outwait(&call));
-            let replacing = pin!(self.replace(why, PathLeft::Silent));
+            let replacing = pin!(self.replace(why, PathLeft::Silent, &progress));
             match select(waiting, replacing).await {
                 Either::Left((opened @ (OpenResult::Stream(..) | OpenResult::Complete(..)), _)) => {
                     Answered::Silent(opened)
                 }
-                Either::Left((failed, replacing)) => {
-                    match tokio::time::timeout(RECOVERY_LIMIT, replacing).await {
-                        Ok(Ok(opened)) => Answered::Replacement(opened, None),
-                        Ok(Err(_)) | Err(_) => Answered::Silent(failed),
-                    }
-                }
-                Either::Right((Ok(opened), _)) => Answered::Replacement(opened, at_fault),
+                Either::Left((failed, replacing)) => match progress.wait_for(replacing).await {
+                    Some(opened) => Answered::Replacement(opened),
+                    None => Answered::Silent(failed),
+                },
+                Either::Right((Ok(opened), _)) => Answered::Replacement(opened),
                 Either::Right((Err(_), waiting)) => Answered::Silent(waiting.await),
             }
         };
         match answered {
             Answered::Silent(opened) => {
-                self.record_opened(&opened, silent.first_endpoint());
-                match opened {
-                    OpenResult::Stream(..) => self.keep(silent, why, silent_at),
-                    OpenResult::NotRun | OpenResult::NotReached => {
-                        let first = silent.first_endpoint();
-                        self.first_endpoints.retain(|endpoint| endpoint != first);
-                    }
-                    OpenResult::Complete(..)
-                    | OpenResult::Lost(_)
-                    | OpenResult::Silent(..)
-                    | OpenResult::TooLong(_) => {}
+                self.record_opened(&opened, &silent);
+                if matches!(opened, OpenResult::Stream(..)) {
+                    self.keep(silent, why, silent_at);
                 }
                 opened
             }
-            Answered::Replacement(opened, at_fault) => {
-                self.note_replaced(at_fault.as_ref());
-                opened
-            }
+            Answered::Replacement(opened) => opened,
         }
     }
 
     /// Waits for the silent path to go on, and meanwhile sends the request along another one.
-    pub(super) async fn outlast_silence(
-        &mut self,
-        at_fault: Option<EndpointId>,
-        why: &str,
-    ) -> ReadResult {
+    pub(super) async fn outlast_silence(&mut self, why: &str) -> ReadResult {
         let Some(mut silent) = self.path_run.take() else {
             return ReadResult::Lost(None, "there is no path".to_owned());
         };
         let mut splitter = std::mem::take(&mut self.splitter);
         let call = self.call.clone();
         let silent_at = Instant::now();
+        let progress = ReplacementProgress::default();
         let answered = {
             let waiting = pin!(async {
                 let left = call.time_left().unwrap_or_default();
@@ -93,16 +74,22 @@
                     ReadResult::Lost(None, "the deadline has passed".to_owned())
                 })
             });
-            let replacing = pin!(self.replace(why, PathLeft::Silent));
+            let replacing = pin!(async {
+                // The caller has the head of a stream, so it can be passed no other answer.
+                match self.replace(why, PathLeft::Silent, &progress).await {
+                    Ok(OpenResult::Complete(..)) => Err("an endpoint answered with a failure"),
+                    replaced => replaced,
+                }
+            });
             match select(waiting, replacing).await {
-                Either::Left((ReadResult::Lost(at_fault, lost), replacing)) => {
-                    match tokio::time::timeout(RECOVERY_LIMIT, replacing).await {
-                        Ok(Ok(opened)) => Answered::Replacement(opened, at_fault),
-                        Ok(Err(_)) | Err(_) => Answered::Silent(ReadResult::Lost(at_fault, lost)),
+                Either::Left((lost @ (ReadResult::Lost(..) | ReadResult::TooLong(..)), other)) => {
+                    match progress.wait_for(other).await {
+                        Some(opened) => Answered::Replacement(opened),
+                        None => Answered::Silent(lost),
                     }
                 }
                 Either::Left((read, _)) => Answered::Silent(read),
-                Either::Right((Ok(opened), _)) => Answered::Replacement(opened, at_fault),
+                Either::Right((Ok(opened), _)) => Answered::Replacement(opened),
                 Either::Right((Err(_), waiting)) => Answered::Silent(waiting.await),
             }
         };
@@ -113,10 +100,7 @@
                 self.keep(silent, why, silent_at);
                 read
             }
-            Answered::Replacement(_, at_fault) => {
-                self.note_replaced(at_fault.as_ref());
-                ReadResult::Data
-            }
+            Answered::Replacement(_) => ReadResult::Data,
         }
     }
 
@@ -126,11 +110,4 @@
         self.stall_detector.begin(Instant::now());
         self.record.log_silence_over(why, silent_at.elapsed());
     }
-
-    /// Records that another path has answered before the silent one.
-    fn note_replaced(&self, at_fault: Option<&EndpointId>) {
-        if let Some(endpoint) = at_fault {
-            self.router.note_crash(self.call.digest, endpoint);
-        }
-    }
 }
