--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -10,8 +10,8 @@
 //! the addresses of the stages of each running stream. After `PUT /control/crash`, the next running
 //! stream that passes through the worker ends the process.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
-//! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-End` selects how its
-//! answer ends.
+//! one with `X-Run-Ms` runs for that time on a plain service, and `X-Answer-Status` selects the
+//! status there; `X-Answer-End` selects how its answer ends.
 //!
 //! `PUT /control/silence` with a number of milliseconds makes it fall silent for that time: it
 //! accepts no connection and answers nothing, keeps its connections and then goes on.
@@ -35,7 +35,7 @@
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::answer::{Ending, padded, padded_len, signed};
+use self::answer::{Ending, padded, padded_len, set_status, signed};
 use self::events::Events;
 use self::stages::{HOLDS_PATH, PASS_PATH, Stages, check_path, holds, parse_path};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
@@ -328,7 +328,9 @@
         tokio::time::sleep(asked.map_or(PLAIN_REQUEST_TIME, Duration::from_millis)).await;
         let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
         let body = full_body(format!("{line}\n\n"));
-        return signed(&id, body, ending);
+        let mut answer = signed(&id, body, ending);
+        set_status(&parts.headers, &mut answer);
+        return answer;
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
     if let Err(missing) = check_path(&worker, &path, HOLDS_PATH).await {
--- a/crates/pistachioyard_standins/src/site/worker/answer.rs
+++ b/crates/pistachioyard_standins/src/site/worker/answer.rs
@@ -1,6 +1,6 @@
 //! The form of a worker's answers, which a request may select.
 
-use ::http::{HeaderMap, HeaderValue, Response, Version, header::CONNECTION};
+use ::http::{HeaderMap, HeaderValue, Response, StatusCode, Version, header::CONNECTION};
 use http_body_util::BodyExt;
 
 use super::header;
@@ -53,6 +53,14 @@
     answer
 }
 
+/// Gives an answer the status that a request selects with `X-Answer-Status`.
+pub(super) fn set_status(requested: &HeaderMap, answer: &mut Response<Body>) {
+    let status = header(requested, "x-answer-status").and_then(|status| status.parse().ok());
+    if let Some(status) = status.and_then(|status| StatusCode::from_u16(status).ok()) {
+        *answer.status_mut() = status;
+    }
+}
+
 fn without_length(body: Body) -> Body {
     let frames = body.into_data_stream();
     let frames = futures_util::StreamExt::map(frames, |data| data.map(hyper::body::Frame::data));
--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -7,6 +7,7 @@
 mod endings;
 mod kept;
 mod plain;
+mod replacement;
 mod stop;
 mod versions;
 
--- a/tests/site/lost/kept.rs
+++ b/tests/site/lost/kept.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use pistachioyard_standins::wait_until;
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -167,3 +168,28 @@
     let lost: Vec<_> = cut.filter(|(id, _)| runs.contains_key(id)).collect();
     assert!(lost.is_empty(), "ran and had no answer: {lost:?}");
 }
+
+/// Half a head keeps its connection open for ever, and each stop until the end of the grace
+/// period.
+#[tokio::test(flavor = "multi_thread")]
+async fn half_a_head_holds_neither_its_connection_nor_a_stop() {
+    let mut site = start_site(ONE_PATH).await;
+    let to = site.entries[0].caller_address();
+    set_idle_limit(&site, SHORT_LIMIT).await;
+    let mut connection = RawConnection::open(to).await;
+    assert!(connection.write_half_head().await);
+    let ended = tokio::time::timeout(SHORT_LIMIT * 3, connection.read()).await;
+    assert!(matches!(ended, Ok(Exchange::Cut(_))), "{ended:?}");
+
+    set_idle_limit(&site, LONG_LIMIT * 10).await;
+    let mut connection = RawConnection::open(to).await;
+    assert!(connection.write_half_head().await);
+    let entry = &mut site.entries[0].process;
+    entry.signal(nix::sys::signal::Signal::SIGTERM);
+    // New requests are accepted for 2.5 s; the grace period is 4 s.
+    let stopped = wait_until(Duration::from_millis(3_400), "the entry to exit", || {
+        let is_running = entry.is_running();
+        async move { !is_running }
+    });
+    stopped.await.expect("half a head does not hold the stop");
+}
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -79,6 +79,12 @@
         self.stream.write_all(head.as_bytes()).await.is_ok()
     }
 
+    /// Writes the beginning of a request's head.
+    pub(crate) async fn write_half_head(&mut self) -> bool {
+        let head = b"POST /record/a HTTP/1.1\r\nHost: ";
+        self.stream.write_all(head).await.is_ok()
+    }
+
     /// Reads an answer as fast as it comes.
     pub(crate) async fn read(&mut self) -> Exchange {
         self.read_slowly(u64::MAX).await
