Give no new requests to endpoints whose answers say that they leave

Seen by callers: an endpoint whose answers said that it leaves went on getting requests until its record in the store said so too; while the store was down, until it was gone. Cause: the header was not read; only the record counted. Change: the heads of all answers (requests, refusals, streams, orders, reports) are read for it. What a run said is kept by run, so that a record that says otherwise or lapses and returns does not take it back and a restart clears it. Such a run gets no new requests, placement does not count on its layers, and gossip passes it on in a list that older entries ignore. Running streams stay, and callers get the header unchanged. The answers' part of the registry moves to a module of its own.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -5,6 +5,8 @@
 //! would do more harm than good: each layer has few replicas, so some layers would be left
 //! without a usable endpoint. See `docs/design/operators-platform.md`.
 
+mod answers;
+mod notices;
 mod record;
 mod tracked;
 
@@ -15,6 +17,8 @@
 use pistachioyard_wire::{EndpointId, LayerRange, ServiceName};
 
 use crate::pipeline::{CardState, LoadTracker, PipelineSpec, StageOffer};
+pub use notices::EndpointRun;
+use notices::RunNotices;
 pub use record::{EndpointChange, EndpointRecord, EndpointReport, GossipReport};
 pub use tracked::SuspectReason;
 use tracked::{PROBE_INTERVAL, TrackedEndpoint};
@@ -37,6 +41,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointRegistry {
     by_id: BTreeMap<EndpointId, TrackedEndpoint>,
+    notices: RunNotices,
 }
 
 impl EndpointRegistry {
@@ -190,23 +195,6 @@
         }
     }
 
-    /// Ejects an endpoint for a backoff period after it refused a request.
-    ///
-    /// `has_memory` says whether, as far as is known, it had memory for the request.
-    pub fn note_refusal(&mut self, endpoint: &EndpointId, has_memory: bool, now: Instant) {
-        if let Some(tracked) = self.by_id.get_mut(endpoint) {
-            tracked.note_refusal(has_memory, now);
-        }
-    }
-
-    /// Ejects an endpoint until it restarts, after it said that it is leaving or that it is
-    /// not the endpoint that was addressed.
-    pub fn mark_unavailable(&mut self, endpoint: &EndpointId) {
-        if let Some(tracked) = self.by_id.get_mut(endpoint) {
-            tracked.is_unavailable = true;
-        }
-    }
-
     /// Records an order that an endpoint has begun and is expected to complete by `until`.
     pub fn note_order(
         &mut self,
@@ -295,13 +283,17 @@
     pub fn is_usable(&self, endpoint: &EndpointId, now: Instant) -> bool {
         self.by_id
             .get(endpoint)
-            .is_some_and(|tracked| tracked.is_usable(now))
+            .is_some_and(|tracked| self.takes_requests(tracked, now))
+    }
+
+    fn takes_requests(&self, tracked: &TrackedEndpoint, now: Instant) -> bool {
+        tracked.is_usable(now) && !self.notices.is_leaving(&tracked.record.run())
     }
 
     /// Returns the endpoints of a service that may get new requests.
     pub fn usable(&self, service: &ServiceName, now: Instant) -> Vec<&EndpointRecord> {
         let of_service = self.by_id.values().filter(|t| t.record.service == *service);
-        let usable = of_service.filter(|tracked| tracked.is_usable(now));
+        let usable = of_service.filter(|tracked| self.takes_requests(tracked, now));
         usable.map(|tracked| &tracked.record).collect()
     }
 
@@ -341,6 +333,7 @@
         let cards = of_service.filter_map(|tracked| {
             let record = &tracked.record;
             let is_lost = record.is_leaving
+                || self.notices.is_leaving(&record.run())
                 || tracked.is_unavailable
                 || tracked.seems_leaving(now)
                 || record.state.slowdown > REPLACE_SLOWDOWN
@@ -384,7 +377,8 @@
 
     /// Returns the number of known endpoints and the number of usable ones.
     pub fn counts(&self, now: Instant) -> (usize, usize) {
-        let usable = self.by_id.values().filter(|tracked| tracked.is_usable(now));
+        let tracked = self.by_id.values();
+        let usable = tracked.filter(|tracked| self.takes_requests(tracked, now));
         (self.by_id.len(), usable.count())
     }
 }
--- a/crates/pistachioyard_policy/src/endpoint_registry/record.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/record.rs
@@ -8,6 +8,8 @@
 use pistachioyard_wire::{DataCentre, EndpointId, LayerRange, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use super::notices::EndpointRun;
+
 /// Holds an endpoint's record in the store.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EndpointRecord {
@@ -27,6 +29,16 @@
     pub state: EndpointReport,
 }
 
+impl EndpointRecord {
+    /// Returns the run of the endpoint that the record describes.
+    pub fn run(&self) -> EndpointRun {
+        EndpointRun {
+            endpoint: self.endpoint.clone(),
+            started_unix_ms: self.state.started_unix_ms,
+        }
+    }
+}
+
 /// Holds an endpoint's report of its layers and its load.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EndpointReport {
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -40,7 +40,8 @@
 };
 pub use crossing_limiter::{CrossingLimiter, crossing_ms};
 pub use endpoint_registry::{
-    EndpointChange, EndpointRecord, EndpointRegistry, EndpointReport, GossipReport, SuspectReason,
+    EndpointChange, EndpointRecord, EndpointRegistry, EndpointReport, EndpointRun, GossipReport,
+    SuspectReason,
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
--- a/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
@@ -202,3 +202,52 @@
     assert!(registry.is_starting_up(&service, 1_900 * MS, now + 2_500 * MS));
     assert!(!registry.is_starting_up(&service, 1_900 * MS, now + 3_500 * MS));
 }
+
+/// Guards against trusting a record over the endpoint: while the store was down, and after a
+/// lapsed record came back, a leaving endpoint still counted as ready.
+#[test]
+fn a_run_that_said_it_leaves_is_not_used_again_whatever_its_record_says() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let run = registry.run_of(&id("one"));
+    assert!(registry.note_leaving(&run, now));
+    assert!(!registry.note_leaving(&run, now), "it is new only once");
+    assert!(!registry.is_usable(&id("one"), now));
+    let service = "model".try_into().expect("the name is valid");
+    assert!(registry.usable(&service, now).is_empty());
+    assert!(registry.cards(&service, &spec(), now).is_empty());
+    assert_eq!(registry.counts(now), (1, 0));
+    registry.apply(record("one", 1, Some(range(0, 8))), now + 100 * MS);
+    assert!(!registry.is_usable(&id("one"), now + 100 * MS));
+    registry.remove(&id("one"), None);
+    assert_eq!(registry.leaving_runs().count(), 0);
+    registry.apply(record("one", 1, Some(range(0, 8))), now + 900 * MS);
+    assert!(!registry.is_usable(&id("one"), now + Duration::from_secs(3_600)));
+    assert_eq!(registry.leaving_runs().collect::<Vec<_>>(), [&run]);
+}
+
+/// Guards against ejecting the next run of an endpoint for what the last one said, and against
+/// forgetting what a run said before its record arrived.
+#[test]
+fn that_a_run_leaves_says_nothing_of_the_next_run() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let first = registry.run_of(&id("one"));
+    registry.note_leaving(&first, now);
+    let mut restarted = record("one", 1, Some(range(0, 8)));
+    restarted.state.started_unix_ms = Some(2);
+    assert_eq!(
+        registry.apply(restarted.clone(), now + 100 * MS),
+        EndpointChange::Restarted
+    );
+    assert!(registry.is_usable(&id("one"), now + 100 * MS));
+    registry.note_leaving(&first, now + 200 * MS);
+    assert!(
+        registry.is_usable(&id("one"), now + 200 * MS),
+        "an answer of the first run arrived late"
+    );
+    restarted.state.started_unix_ms = Some(3);
+    registry.note_leaving(&restarted.run(), now + 300 * MS);
+    registry.apply(restarted, now + 400 * MS);
+    assert!(!registry.is_usable(&id("one"), now + 400 * MS));
+}
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -4,7 +4,11 @@
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! [`STALL_LIMIT`]. Without `--card` it is a plain service. A request whose body is
-//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started.
+//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started;
+//! `PUT /control/leaving` makes all later answers say that the worker leaves, while its object
+//! in the store stays `ready`.
+
+mod control;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -90,6 +94,8 @@
     paths: BTreeMap<String, Stages>,
     /// The stalled requests by id, with the address of the stage that blocks each.
     stalled: BTreeMap<String, SocketAddr>,
+    /// Whether all answers say that the worker leaves.
+    is_leaving: bool,
 }
 
 /// Serves a worker until the process ends.
@@ -163,7 +169,16 @@
 
 async fn handle(worker: Arc<Worker>, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
-    match path.as_str() {
+    if let Some(command) = path.strip_prefix("/control/") {
+        return control::handle(&worker, command);
+    }
+    let mut answer = answer(&worker, &path, req).await;
+    control::mark_leaving(&worker, answer.headers_mut());
+    answer
+}
+
+async fn answer(worker: &Arc<Worker>, path: &str, req: Request<Incoming>) -> Response<Body> {
+    match path {
         "/report" => {
             let orders = worker.state.lock().orders;
             json_response(StatusCode::OK, &worker.status_report(orders))
@@ -171,13 +186,12 @@
         "/order" => {
             let body = read_json(req.into_body()).await;
             match body["op"].as_str() {
-                Some("repath") => repath(&worker, &body).await,
-                _ => order(&worker, &body),
+                Some("repath") => repath(worker, &body).await,
+                _ => order(worker, &body),
             }
         }
-        "/control/runs" => json_response(StatusCode::OK, &json!(worker.state.lock().runs)),
-        "/holds" => holds(&worker, req.uri().query().unwrap_or_default()),
-        _ => run(worker, req).await,
+        "/holds" => holds(worker, req.uri().query().unwrap_or_default()),
+        _ => run(worker.clone(), req).await,
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod controller;
+mod endpoint_answer;
 mod endpoint_client;
 mod endpoint_order;
 mod filter;
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
-use pistachioyard_policy::GossipReport;
+use pistachioyard_policy::{EndpointRun, GossipReport};
 use pistachioyard_wire::{EntryState, LayerRange, MemberRecord, QuarantineMark};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
@@ -29,7 +29,7 @@
 const FANOUT: usize = 8;
 /// The number of other entries' records that are relayed in one datagram.
 const RELAYED_RECORDS: usize = 2;
-/// The maximum number of layer reports, and of quarantine marks, in one datagram, which keeps
+/// The maximum number of layer reports, of leaving runs and of quarantine marks in one datagram, which keeps
 /// it small.
 const MAX_ITEMS_PER_LIST: usize = 16;
 /// How long an endpoint's layer report is relayed; several gossip periods, since datagrams
@@ -54,6 +54,9 @@
     load: Vec<(u32, u32, f32)>,
     /// The layer reports that the sender has recently received from endpoints.
     heard: Vec<LayerReport>,
+    /// The runs of endpoints that are leaving: short key, Unix time of the start in ms.
+    #[serde(default)]
+    leaving: Vec<(u32, Option<u64>)>,
     /// The requests that crashed endpoints.
     quarantine: Vec<QuarantineMark>,
 }
@@ -162,6 +165,16 @@
         }
     }
     router.load.lock().set_peer(sender.entry.clone(), load);
+    drop(endpoints);
+    for (key, started_unix_ms) in gossip.leaving {
+        if let Some(endpoint) = by_key.get(&key).cloned() {
+            let run = EndpointRun {
+                endpoint,
+                started_unix_ms,
+            };
+            router.note_leaving(&run, sender.entry.as_str());
+        }
+    }
 }
 
 /// Triggers a new read of the endpoints when a peer has known of a change for longer than
@@ -253,6 +266,10 @@
             age_ms: ms(age),
         })
         .collect();
+    let leaving = endpoints
+        .leaving_runs()
+        .map(|run| (short_key(&run.endpoint), run.started_unix_ms))
+        .choose_multiple(&mut rand::rng(), MAX_ITEMS_PER_LIST);
     drop(endpoints);
     let load = router.load.lock();
     let load = load.own().map(|(endpoint, requests, token_layers)| {
@@ -266,6 +283,7 @@
         endpoints_revision: router.endpoints_revision.load(Ordering::Relaxed),
         load: load.collect(),
         heard,
+        leaving,
         quarantine,
     };
     let mut datagram = Vec::new();
--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -73,7 +73,14 @@
         orders_begun: record.state.orders_begun,
     };
     let order_body = load_order.encode();
-    let answered = post_order(&router.client, record.address, &order_body, ORDER_TIMEOUT).await;
+    let answered = post_order(
+        router,
+        &record.endpoint,
+        record.address,
+        &order_body,
+        ORDER_TIMEOUT,
+    )
+    .await;
     let answer = answered.map(|(answer, _)| answer);
     let held = record
         .state
@@ -113,7 +120,8 @@
         Err(CallError::NotSent { .. }) => router.suspect(&order.endpoint, SuspectReason::NoAnswer),
         // The endpoint may still execute the order, so the next round plans with its new state.
         Ok(_) | Err(_) => {
-            let report = crate::router::filter::fetch_report(&router.client, record.address).await;
+            let report =
+                crate::router::filter::fetch_report(router, &record.endpoint, record.address).await;
             if let Ok(report) = report {
                 let mut endpoints = router.endpoints.lock();
                 endpoints.apply_report(&order.endpoint, report, now);
@@ -132,7 +140,7 @@
         let Some(record) = record.filter(|record| record.state.is_moving) else {
             return;
         };
-        let asked = crate::router::filter::fetch_report(&router.client, record.address);
+        let asked = crate::router::filter::fetch_report(&router, &record.endpoint, record.address);
         if let Ok(Ok(report)) = tokio::time::timeout(ORDER_TIMEOUT, asked).await {
             let mut endpoints = router.endpoints.lock();
             endpoints.apply_report(&endpoint, report, Instant::now());
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -41,7 +41,7 @@
 }
 
 async fn probe(router: &Router, record: &EndpointRecord) {
-    let asked = filter::fetch_report(&router.client, record.address);
+    let asked = filter::fetch_report(router, &record.endpoint, record.address);
     let report = match tokio::time::timeout(PROBE_TIMEOUT, asked).await {
         Ok(Ok(report)) => Some(report),
         Ok(Err(_)) | Err(_) => None,
--- a/src/router/endpoint_order.rs
+++ b/src/router/endpoint_order.rs
@@ -5,27 +5,29 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
-use pistachioyard_platform::{LoadOrder, OrderAnswer, decode_order_answer};
+use pistachioyard_platform::{LoadOrder, OrderAnswer, decode_answer_head, decode_order_answer};
 
 use crate::error::CallError;
 use crate::prelude::*;
-use crate::router::endpoint_client::{EndpointClient, Reuse};
-use crate::router::metric;
+use crate::router::endpoint_client::Reuse;
+use crate::router::{Router, metric};
 
 /// Posts an order and returns the endpoint's answer with the response body.
 pub(crate) async fn post_order(
-    client: &EndpointClient,
+    router: &Router,
+    endpoint: &EndpointId,
     to: SocketAddr,
     order: &serde_json::Value,
     timeout: Duration,
 ) -> Result<(OrderAnswer, Bytes), CallError> {
     metric::count_order();
-    let answered = tokio::time::timeout(timeout, exchange(client, to, order));
+    let answered = tokio::time::timeout(timeout, exchange(router, endpoint, to, order));
     answered.await.unwrap_or(Err(CallError::Timeout { to }))
 }
 
 async fn exchange(
-    client: &EndpointClient,
+    router: &Router,
+    endpoint: &EndpointId,
     to: SocketAddr,
     order: &serde_json::Value,
 ) -> Result<(OrderAnswer, Bytes), CallError> {
@@ -40,10 +42,13 @@
     if let Ok(host) = http::HeaderValue::from_str(&to.to_string()) {
         headers.insert(http::header::HOST, host);
     }
-    let (response, connection) = client.send(to, req, Reuse::Allowed).await?;
-    let answer = decode_order_answer(response.status());
+    let run = router.endpoints.lock().run_of(endpoint);
+    let (response, connection) = router.client.send(to, req, Reuse::Allowed).await?;
+    let head = decode_answer_head(response.status(), response.headers());
+    router.note_answer(&run, &head);
+    let answer = decode_order_answer(head.status);
     let body = response.into_body().collect().await;
     let body = body.map_err(|_| CallError::AnswerLost { to })?.to_bytes();
-    client.keep(connection, None);
+    router.client.keep(connection, None);
     Ok((answer, body))
 }
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -352,6 +352,7 @@
     if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
         return AttemptResult::Lost("the answer belongs to another request".to_owned());
     }
+    router.note_answer(&target.run(), &head);
     let Ok(body) = body.collect().await else {
         return AttemptResult::Lost("the connection broke inside the answer".to_owned());
     };
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -9,7 +9,8 @@
 use hyper::body::Incoming;
 use pistachioyard_platform::{AnswerHead, EventSplitter, OutboundRequest, decode_answer_head};
 use pistachioyard_policy::{
-    EndpointRegistry, Path, PipelineSpec, Repeatability, RequestSize, StallDetector, SuspectReason,
+    EndpointRegistry, EndpointRun, Path, PipelineSpec, Repeatability, RequestSize, StallDetector,
+    SuspectReason,
 };
 
 pub(super) use self::repair::RepairResult;
@@ -55,6 +56,8 @@
     router: Arc<Router>,
     spec: Option<Arc<PipelineSpec>>,
     path: Path,
+    /// The run of the first endpoint when the path was chosen.
+    first_run: EndpointRun,
     size: RequestSize,
     answer: Option<(Incoming, Option<Connection>, Option<Duration>)>,
 }
@@ -74,10 +77,12 @@
         size: RequestSize,
     ) -> Self {
         router.load.lock().begin(&path.stages, size);
+        let first_run = router.endpoints.lock().run_of(&path.stages[0].endpoint);
         Self {
             router,
             spec,
             path,
+            first_run,
             size,
             answer: None,
         }
@@ -161,6 +166,7 @@
         if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
             return OpenResult::Lost("the answer belongs to another request".to_owned());
         }
+        self.router.note_answer(&self.first_run, &head);
         if head.is_not_run {
             self.note_refusal(&head);
             return OpenResult::NotRun;
--- a/src/router/filter/relay/path_run/pause_check.rs
+++ b/src/router/filter/relay/path_run/pause_check.rs
@@ -67,7 +67,7 @@
         let report = self
             .router
             .reports
-            .get(&self.router.client, first.address)
+            .get(&self.router, &first.endpoint, first.address)
             .await;
         let Some(report) = report else {
             self.router
--- a/src/router/filter/relay/path_run/repair.rs
+++ b/src/router/filter/relay/path_run/repair.rs
@@ -94,11 +94,18 @@
             request_id: &call.head.request_id,
             path: &path.stages,
         };
-        let first = path.stages[0].address;
+        let first = path.stages[0].clone();
         let order = order.encode();
         // Counted before the answer arrives, so that other requests see the new load at once.
         let mut reservation = Reservation::new(self.router.clone(), path, self.size);
-        let answer = post_order(&self.router.client, first, &order, REPAIR_TIMEOUT).await;
+        let answer = post_order(
+            &self.router,
+            &first.endpoint,
+            first.address,
+            &order,
+            REPAIR_TIMEOUT,
+        )
+        .await;
         match answer {
             Ok((OrderAnswer::Begun | OrderAnswer::Holds, _)) => {
                 // The reservation now holds the old path and releases it when it is dropped.
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -11,8 +11,8 @@
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use parking_lot::Mutex;
-use pistachioyard_platform::{LoadOrder, decode_report};
-use pistachioyard_policy::{EndpointRecord, EndpointReport};
+use pistachioyard_platform::{LoadOrder, decode_answer_head, decode_report};
+use pistachioyard_policy::{EndpointRecord, EndpointReport, EndpointRun};
 
 use crate::error::CallError;
 use crate::prelude::*;
@@ -74,11 +74,12 @@
     /// Returns a recent report of an endpoint, or `None` if it does not answer in time.
     pub(crate) async fn get(
         &self,
-        client: &EndpointClient,
+        router: &Router,
+        endpoint: &EndpointId,
         to: SocketAddr,
     ) -> Option<Arc<EndpointReport>> {
         let asked = async {
-            let report = tokio::time::timeout(REPORT_TIMEOUT, fetch(client, to)).await;
+            let report = tokio::time::timeout(REPORT_TIMEOUT, fetch(router, endpoint, to)).await;
             report.ok().and_then(Result::ok).map(Arc::new)
         };
         self.reports.get(to, asked).await
@@ -96,7 +97,8 @@
 
 /// Requests the report of an endpoint.
 pub(crate) async fn fetch(
-    client: &EndpointClient,
+    router: &Router,
+    endpoint: &EndpointId,
     to: SocketAddr,
 ) -> Result<EndpointReport, CallError> {
     let mut req = Request::new(Full::new(Bytes::new()));
@@ -104,20 +106,35 @@
     if let Ok(host) = http::HeaderValue::from_str(&to.to_string()) {
         req.headers_mut().insert(http::header::HOST, host);
     }
-    let (response, connection) = client.send(to, req, Reuse::Allowed).await?;
+    let run = router.endpoints.lock().run_of(endpoint);
+    let (response, connection) = router.client.send(to, req, Reuse::Allowed).await?;
+    let head = decode_answer_head(response.status(), response.headers());
+    router.note_answer(&run, &head);
     let body = response.into_body().collect().await;
     let body = body.map_err(|_| CallError::AnswerLost { to })?.to_bytes();
-    client.keep(connection, None);
-    decode_report(&body).map_err(|e| CallError::Malformed {
+    router.client.keep(connection, None);
+    let report = decode_report(&body).map_err(|e| CallError::Malformed {
         to,
         why: e.to_string(),
-    })
+    })?;
+    if report.started_unix_ms != run.started_unix_ms {
+        // The endpoint has restarted since its record was read.
+        let run = EndpointRun {
+            started_unix_ms: report.started_unix_ms,
+            ..run
+        };
+        router.note_answer(&run, &head);
+    }
+    Ok(report)
 }
 
 /// Requests the reports of endpoints and applies them to the registry.
 pub(crate) async fn survey(router: Arc<Router>, endpoints: Vec<EndpointRecord>) {
     let asked = endpoints.iter().map(|record| async {
-        let report = router.reports.get(&router.client, record.address).await?;
+        let report = router
+            .reports
+            .get(&router, &record.endpoint, record.address)
+            .await?;
         let before = record.state.slowdown;
         if (report.slowdown - before).abs() > MIN_LOGGED_SLOWDOWN_CHANGE {
             spdlog::info!("endpoints: speed changed", kv: {
--- /dev/null
+++ b/tests/site/leaving.rs
@@ -0,0 +1,148 @@
+//! Endpoints that say in their answers that they want no new requests.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use http::Method;
+use pistachioyard_standins::{HttpAnswer, wait_until};
+use serde_json::Value;
+
+use super::caller::new_request_id;
+use super::support::{KEY, Site};
+
+/// The header with which an endpoint says that it is leaving.
+const LEAVING: &str = "server-leaving";
+/// The number of requests sent at once.
+const BATCH: usize = 40;
+/// The time in which a peer's gossip arrives; several gossip periods.
+const GOSSIP_TIME: Duration = Duration::from_millis(1_500);
+
+impl Site {
+    async fn send_plain(&self, to: SocketAddr) -> HttpAnswer {
+        let (id, key) = (new_request_id(), format!("Bearer {KEY}"));
+        let headers = [
+            ("x-attempt-id", id.as_str()),
+            ("x-deadline-ms", "5000"),
+            ("authorization", key.as_str()),
+        ];
+        let sent = self
+            .client
+            .send(Method::POST, to, "/record/a", &headers, "body".into());
+        sent.await.expect("the request is answered")
+    }
+
+    /// Sends enough requests at once for every endpoint of the service to get some, and returns
+    /// their answers, which must be successes.
+    async fn send_plain_batch(&self, to: SocketAddr) -> Vec<HttpAnswer> {
+        let answers = join_all((0..BATCH).map(|_| self.send_plain(to))).await;
+        for answer in &answers {
+            assert_eq!(answer.status, 200);
+        }
+        answers
+    }
+
+    /// Returns the index of the first entry's nearest endpoint that holds no layers.
+    fn plain_endpoint(&self) -> usize {
+        let found = self.endpoints.iter().position(|endpoint| endpoint.is_plain);
+        found.expect("the site has an endpoint without layers")
+    }
+
+    /// Returns the index of the endpoint that is the first of most paths from an entry.
+    async fn usual_first_endpoint(&self, to: SocketAddr) -> usize {
+        let before = self.count_all_runs().await;
+        for stream in join_all((0..8).map(|_| self.check_stream(to))).await {
+            stream.expect("every stream is complete");
+        }
+        let after = self.count_all_runs().await;
+        let began = before
+            .iter()
+            .zip(after)
+            .map(|(before, after)| after - before);
+        let most = began.enumerate().max_by_key(|(_, began)| *began);
+        most.expect("the site has endpoints").0
+    }
+
+    async fn count_all_runs(&self) -> Vec<usize> {
+        join_all((0..self.endpoints.len()).map(|index| self.count_endpoint_runs(index))).await
+    }
+
+    async fn control(&self, endpoint: usize, command: &str, body: Value) {
+        let to = self.endpoints[endpoint].address;
+        let path = format!("/control/{command}");
+        let status = self.call(to, Method::PUT, &path, body).await;
+        assert_eq!(status, Some(200), "{command}");
+    }
+
+    async fn count_endpoint_runs(&self, endpoint: usize) -> usize {
+        self.fetch_runs(&self.endpoints[endpoint]).await.len()
+    }
+}
+
+/// Guards against requests to an endpoint whose own answers said that it leaves, while the store
+/// is down and its last record says that it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_said_it_leaves_gets_no_new_request_until_it_restarts() {
+    let mut site = Site::start(2).await;
+    let leaving = site.plain_endpoint();
+    let (first, second) = (
+        site.entries[0].caller_address(),
+        site.entries[1].caller_address(),
+    );
+    site.set_store_fault(503).await;
+    site.control(leaving, "leaving", Value::Null).await;
+    let answers = site.send_plain_batch(first).await;
+    let has_said_so = answers
+        .iter()
+        .any(|answer| answer.headers.contains_key(LEAVING));
+    assert!(has_said_so, "the caller sees the header of the endpoint");
+    let runs = site.count_endpoint_runs(leaving).await;
+    site.send_plain_batch(first).await;
+    assert_eq!(site.count_endpoint_runs(leaving).await, runs);
+    tokio::time::sleep(GOSSIP_TIME).await;
+    site.send_plain_batch(second).await;
+    assert_eq!(
+        site.count_endpoint_runs(leaving).await,
+        runs,
+        "the peer learns it by gossip"
+    );
+    site.set_store_fault(0).await;
+    let launcher = site.launcher.clone();
+    site.endpoints[leaving].process.start(&launcher);
+    wait_until(Duration::from_secs(6), "the restarted endpoint", || async {
+        site.send_plain_batch(first).await;
+        site.count_endpoint_runs(leaving).await > 0
+    })
+    .await
+    .expect("the restarted endpoint gets requests");
+}
+
+/// Guards against streams that start at a leaving engine, and against ending those that run
+/// there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_finishes_its_streams_and_starts_none() {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let leaving = site.usual_first_endpoint(to).await;
+    site.control(leaving, "leaving", Value::Null).await;
+    let before = site.count_endpoint_runs(leaving).await;
+    let ids: Vec<String> = (0..8).map(|_| new_request_id()).collect();
+    for stream in join_all(ids.iter().map(|id| site.check_stream_with_id(to, id))).await {
+        stream.expect("every stream is complete");
+    }
+    let runs = site.count_endpoint_runs(leaving).await;
+    assert!(runs > before, "some streams ran at the leaving endpoint");
+    let counts = site.count_runs().await;
+    for id in &ids {
+        assert_eq!(counts.get(id), Some(&1), "{id} was sent once");
+    }
+    wait_until(Duration::from_secs(6), "a stream", || async {
+        site.check_stream(to).await.is_ok()
+    })
+    .await
+    .expect("the other endpoints hold all layers");
+    for stream in join_all((0..16).map(|_| site.check_stream(to))).await {
+        stream.expect("every stream is complete");
+    }
+    assert_eq!(site.count_endpoint_runs(leaving).await, runs);
+}
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -7,6 +7,7 @@
 mod calm;
 mod deployment;
 mod faults;
+mod leaving;
 mod logs;
 mod soak;
 mod support;
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -354,7 +354,7 @@
     }
 
     /// Returns the request ids that an endpoint began to run; none if it does not answer.
-    async fn fetch_runs(&self, endpoint: &Endpoint) -> Vec<String> {
+    pub(crate) async fn fetch_runs(&self, endpoint: &Endpoint) -> Vec<String> {
         let request = self.client.send(
             Method::GET,
             endpoint.address,
