--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -9,6 +9,7 @@
 //! in the store stays `ready`.
 
 mod control;
+mod path;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -23,6 +24,7 @@
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::path::{Stages, check_path, holds, parse_path};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
 use crate::http::{HttpClient, HttpClientConfig};
 
@@ -73,9 +75,6 @@
 /// The body of a poison request, which crashes every worker that starts to run it.
 const POISON: &[u8] = b"poison";
 
-/// The stages of a path: the address, first layer and end layer (exclusive) of each.
-type Stages = Vec<(SocketAddr, u64, u64)>;
-
 struct Worker {
     args: SiteWorkerArgs,
     started_at_ms: u64,
@@ -243,26 +242,6 @@
     status_only(StatusCode::ACCEPTED)
 }
 
-/// Answers whether the worker holds the layer range given as `FROM-TO`.
-fn holds(worker: &Worker, range: &str) -> Response<Body> {
-    let held = worker.state.lock().layers;
-    let requested = parse_range(range);
-    let is_held = match (held, requested) {
-        (Some((from, to)), Some((first, end))) => from <= first && end <= to,
-        _ => false,
-    };
-    status_only(if is_held {
-        StatusCode::OK
-    } else {
-        StatusCode::MISDIRECTED_REQUEST
-    })
-}
-
-fn parse_range(range: &str) -> Option<(u64, u64)> {
-    let (from, to) = range.split_once('-')?;
-    Some((from.parse().ok()?, to.parse().ok()?))
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -349,41 +328,6 @@
     format!("{:016x}", xxh3_64(format!("{id}/{n}").as_bytes()))
 }
 
-fn parse_path(path: &str) -> Stages {
-    let stages = path.split(',').filter_map(|stage| {
-        let (address, range) = stage.split_once('=')?;
-        let (from, to) = parse_range(range)?;
-        Some((address.parse().ok()?, from, to))
-    });
-    stages.collect()
-}
-
-/// Checks that each stage holds its layers.
-///
-/// The error names the first stage that does not, or is `None` if the layers are not in order.
-async fn check_path(
-    worker: &Worker,
-    path: &[(SocketAddr, u64, u64)],
-) -> Result<(), Option<(StatusCode, SocketAddr)>> {
-    let mut next = 0;
-    for (at, from, to) in path {
-        if *from != next {
-            return Err(None);
-        }
-        next = *to;
-        let target = format!("/holds?{from}-{to}");
-        let sent = worker
-            .client
-            .send(Method::GET, *at, &target, &[], Bytes::new());
-        match sent.await {
-            Ok(answer) if answer.status == StatusCode::OK => {}
-            Ok(answer) => return Err(Some((answer.status, *at))),
-            Err(_) => return Err(Some((StatusCode::SERVICE_UNAVAILABLE, *at))),
-        }
-    }
-    Ok(())
-}
-
 struct Events {
     worker: Arc<Worker>,
     id: String,
