Leave endpoints alone for the pause that they ask for in a refusal

Seen by callers: an endpoint that refused with `Retry-After` was asked again after a backoff of 150 ms; with all endpoints of a plain service so, callers waited for the whole latency target and were told to return after 200 ms. Cause: the header of refusals was not read. Change: a 503 of an endpoint with `Retry-After` gives its run no request until then. Where a refusal blames another endpoint of the path, the time applies to neither. The longest pause counts, at most ten minutes, and replaces the backoff. While every endpoint of a service that is not leaving or lost has one, requests that have not run are refused at once with the time until the first pause ends; a plain service counts endpoints that refused the request already, too.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -287,7 +287,10 @@
     }
 
     fn takes_requests(&self, tracked: &TrackedEndpoint, now: Instant) -> bool {
-        tracked.is_usable(now) && !self.notices.is_leaving(&tracked.record.run())
+        let run = tracked.record.run();
+        tracked.is_usable(now)
+            && !self.notices.is_leaving(&run)
+            && !self.notices.is_paused(&run, now)
     }
 
     /// Returns the endpoints of a service that may get new requests.
--- a/crates/pistachioyard_policy/src/endpoint_registry/answers.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/answers.rs
@@ -1,10 +1,11 @@
-//! Applies what an endpoint's answer says of the endpoint: that it refuses, is unavailable or
-//! is leaving.
+//! Applies what an endpoint's answer says of the endpoint: that it refuses, wants a pause, is
+//! unavailable or is leaving.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
-use pistachioyard_wire::EndpointId;
+use pistachioyard_wire::{EndpointId, ServiceName};
 
 use super::EndpointRegistry;
 use super::notices::EndpointRun;
@@ -13,8 +14,12 @@
 impl EndpointRegistry {
     /// Ejects an endpoint for a backoff period after it refused a request.
     ///
-    /// `has_memory` says whether, as far as is known, it had memory for the request.
+    /// `has_memory` says whether, as far as is known, it had memory for the request. An endpoint
+    /// that asked for a pause has given its own period, which replaces the backoff.
     pub fn note_refusal(&mut self, endpoint: &EndpointId, has_memory: bool, now: Instant) {
+        if self.is_paused(endpoint, now) {
+            return;
+        }
         if let Some(tracked) = self.by_id.get_mut(endpoint) {
             tracked.note_refusal(has_memory, now);
         }
@@ -41,18 +46,81 @@
     /// Ejects a run of an endpoint for good after it said that it is leaving, whatever its
     /// record says; returns whether this is new.
     pub fn note_leaving(&mut self, run: &EndpointRun, now: Instant) -> bool {
-        let by_id = &self.by_id;
-        let is_known = |run: &EndpointRun| is_current(by_id, run);
-        self.notices.expire(is_known, now);
+        self.expire_notices(now);
         self.notices.note_leaving(run, now)
     }
 
+    /// Gives a run of an endpoint no requests for the pause that it asked for in a refusal;
+    /// returns whether it had no pause yet.
+    ///
+    /// `at_fault` is the address that the refusal blames. If it is that of another endpoint, the
+    /// refusal is about that one, and the run itself may get other requests.
+    pub fn note_pause(
+        &mut self,
+        run: &EndpointRun,
+        at_fault: Option<SocketAddr>,
+        pause: Duration,
+        now: Instant,
+    ) -> bool {
+        let blamed = at_fault.and_then(|address| self.by_address(address));
+        if blamed.is_some_and(|record| record.endpoint != run.endpoint) {
+            return false;
+        }
+        self.expire_notices(now);
+        self.notices.note_pause(run, pause, now)
+    }
+
+    /// Returns whether an endpoint asked for a pause that has not ended.
+    pub fn is_paused(&self, endpoint: &EndpointId, now: Instant) -> bool {
+        self.notices.is_paused(&self.run_of(endpoint), now)
+    }
+
+    /// Returns the time until the first endpoint of a service ends its pause, if all have one
+    /// but those that are leaving or lost; until then no request can be served.
+    ///
+    /// Endpoints of `except` need no pause, since the request cannot go there.
+    pub fn all_paused_for(
+        &self,
+        service: &ServiceName,
+        except: &[EndpointId],
+        now: Instant,
+    ) -> Option<Duration> {
+        let mut first_end: Option<Instant> = None;
+        for tracked in self.by_id.values() {
+            let record = &tracked.record;
+            if record.service != *service {
+                continue;
+            }
+            let run = record.run();
+            let is_gone = record.is_leaving
+                || tracked.is_unavailable
+                || tracked.is_lost()
+                || self.notices.is_leaving(&run);
+            if is_gone {
+                continue;
+            }
+            match self.notices.paused_until(&run, now) {
+                Some(until) => {
+                    first_end = Some(first_end.map_or(until, |first| first.min(until)));
+                }
+                None if except.contains(&record.endpoint) => {}
+                None => return None,
+            }
+        }
+        first_end.map(|end| end.saturating_duration_since(now))
+    }
+
     /// Returns the current runs of known endpoints that have said that they are leaving, so that
     /// peers learn it.
     pub fn leaving_runs(&self) -> impl Iterator<Item = &EndpointRun> {
         let leaving = self.notices.leaving();
         leaving.filter(|run| is_current(&self.by_id, run))
     }
+
+    fn expire_notices(&mut self, now: Instant) {
+        let by_id = &self.by_id;
+        self.notices.expire(|run| is_current(by_id, run), now);
+    }
 }
 
 fn is_current(by_id: &BTreeMap<EndpointId, TrackedEndpoint>, run: &EndpointRun) -> bool {
--- a/crates/pistachioyard_policy/src/endpoint_registry/notices.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/notices.rs
@@ -12,6 +12,9 @@
 /// for seconds.
 const NOTICE_RETENTION: Duration = Duration::from_secs(600);
 
+/// The longest pause that an endpoint can ask for; a longer one cannot be meant.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
+
 /// Identifies one run of an endpoint, between two starts of its process.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct EndpointRun {
@@ -26,6 +29,7 @@
 struct Notice {
     noted_at: Instant,
     is_leaving: bool,
+    paused_until: Option<Instant>,
 }
 
 /// Holds the notices of all runs.
@@ -43,6 +47,28 @@
         is_new
     }
 
+    /// Records that a run wants no requests for `pause`; returns whether it had no pause yet.
+    ///
+    /// A later answer with a shorter pause does not shorten the first one.
+    pub(super) fn note_pause(&mut self, run: &EndpointRun, pause: Duration, now: Instant) -> bool {
+        let is_new = !self.is_paused(run, now);
+        let until = Some(now + pause.min(MAX_PAUSE));
+        let notice = self.notice(run, now);
+        notice.paused_until = notice.paused_until.max(until);
+        is_new
+    }
+
+    /// Returns when the pause of a run ends; none if it has none now.
+    pub(super) fn paused_until(&self, run: &EndpointRun, now: Instant) -> Option<Instant> {
+        let until = self.by_run.get(run)?.paused_until;
+        until.filter(|until| now < *until)
+    }
+
+    /// Returns whether a run wants no requests now.
+    pub(super) fn is_paused(&self, run: &EndpointRun, now: Instant) -> bool {
+        self.paused_until(run, now).is_some()
+    }
+
     /// Returns whether a run has said that it is leaving.
     pub(super) fn is_leaving(&self, run: &EndpointRun) -> bool {
         self.by_run.get(run).is_some_and(|notice| notice.is_leaving)
@@ -66,6 +92,7 @@
         let notice = self.by_run.entry(run.clone()).or_insert(Notice {
             noted_at: now,
             is_leaving: false,
+            paused_until: None,
         });
         notice.noted_at = now;
         notice
--- a/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
@@ -251,3 +251,101 @@
     registry.apply(restarted, now + 400 * MS);
     assert!(!registry.is_usable(&id("one"), now + 400 * MS));
 }
+
+/// Guards against requests during the pause that an endpoint asked for, also after its record
+/// lapsed, and against placing its layers elsewhere for so short a time.
+#[test]
+fn an_endpoint_that_asked_for_a_pause_is_unused_until_the_last_one_ends() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let run = registry.run_of(&id("one"));
+    assert!(registry.note_pause(&run, None, 2_000 * MS, now));
+    assert!(
+        !registry.note_pause(&run, None, 500 * MS, now + 100 * MS),
+        "a shorter pause does not end the first one"
+    );
+    registry.note_refusal(&id("one"), true, now + 1_900 * MS);
+    assert!(!registry.is_usable(&id("one"), now + 1_999 * MS));
+    assert!(
+        registry.is_usable(&id("one"), now + 2_000 * MS),
+        "the pause replaces the backoff of a refusal"
+    );
+    let service = "model".try_into().expect("the name is valid");
+    assert_eq!(registry.cards(&service, &spec(), now + 1_000 * MS).len(), 1);
+    registry.remove(&id("one"), None);
+    registry.apply(record("one", 1, Some(range(0, 8))), now + 1_000 * MS);
+    assert!(!registry.is_usable(&id("one"), now + 1_999 * MS));
+    let mut restarted = record("one", 1, Some(range(0, 8)));
+    restarted.state.started_unix_ms = Some(2);
+    registry.apply(restarted, now + 1_100 * MS);
+    assert!(
+        registry.is_usable(&id("one"), now + 1_100 * MS),
+        "the next run asked for nothing"
+    );
+}
+
+/// Guards against an endpoint that is never used again, and against a panic, for an absurd value.
+#[test]
+fn an_absurdly_long_pause_is_cut() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let run = registry.run_of(&id("one"));
+    registry.note_pause(&run, None, Duration::MAX, now);
+    assert!(!registry.is_usable(&id("one"), now + Duration::from_secs(599)));
+    assert!(registry.is_usable(&id("one"), now + Duration::from_secs(600)));
+}
+
+/// Guards against pausing an endpoint whose answer blames another one on the path.
+#[test]
+fn a_pause_applies_only_if_the_refusal_does_not_blame_another_endpoint() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    registry.apply(record("two", 2, Some(range(0, 8))), now);
+    let run = registry.run_of(&id("one"));
+    let address = |name: &str| registry.get(&id(name)).map(|record| record.address);
+    let (own, other) = (address("one"), address("two"));
+    assert!(!registry.note_pause(&run, other, 2_000 * MS, now));
+    assert!(registry.is_usable(&id("one"), now) && registry.is_usable(&id("two"), now));
+    assert!(registry.note_pause(&run, own, 2_000 * MS, now));
+    assert!(!registry.is_usable(&id("one"), now));
+}
+
+/// Guards against holding requests that no endpoint wants, and against refusing those that an
+/// endpoint may soon take.
+#[test]
+fn a_service_is_paused_only_while_no_endpoint_may_become_usable() {
+    let now = Instant::now();
+    let service = "model".try_into().expect("the name is valid");
+    let mut registry = EndpointRegistry::default();
+    assert_eq!(registry.all_paused_for(&service, &[], now), None);
+    for (port, name) in ["one", "two", "three"].into_iter().enumerate() {
+        registry.apply(record(name, port as u16 + 1, Some(range(0, 8))), now);
+    }
+    registry.note_pause(&registry.run_of(&id("one")), None, 2_000 * MS, now);
+    registry.note_pause(&registry.run_of(&id("two")), None, 1_000 * MS, now);
+    registry.note_refusal(&id("three"), false, now);
+    assert_eq!(
+        registry.all_paused_for(&service, &[], now),
+        None,
+        "an endpoint that refused without a pause is soon asked again"
+    );
+    assert_eq!(
+        registry.all_paused_for(&service, &[id("three")], now),
+        Some(1_000 * MS)
+    );
+    let tried = [id("one"), id("two"), id("three")];
+    assert_eq!(
+        registry.all_paused_for(&service, &tried, now),
+        Some(1_000 * MS),
+        "the request itself was turned away with these pauses"
+    );
+    registry.note_leaving(&registry.run_of(&id("three")), now);
+    assert_eq!(
+        registry.all_paused_for(&service, &[], now + 400 * MS),
+        Some(600 * MS)
+    );
+    assert_eq!(
+        registry.all_paused_for(&service, &[], now + 1_000 * MS),
+        None
+    );
+}
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -6,7 +6,9 @@
 //! [`STALL_LIMIT`]. Without `--card` it is a plain service. A request whose body is
 //! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started;
 //! `PUT /control/leaving` makes all later answers say that the worker leaves, while its object
-//! in the store stays `ready`.
+//! in the store stays `ready`; `PUT /control/pause` with a number of seconds makes it turn all
+//! requests away with that `Retry-After`, until it gets 0; `GET /control/turned_away` lists the
+//! ids of these requests.
 
 mod control;
 mod path;
@@ -95,6 +97,10 @@
     stalled: BTreeMap<String, SocketAddr>,
     /// Whether all answers say that the worker leaves.
     is_leaving: bool,
+    /// The `Retry-After` with which requests are turned away, in seconds; 0 if they are not.
+    pause_s: f64,
+    /// The ids of the requests that were turned away.
+    turned_away: Vec<String>,
 }
 
 /// Serves a worker until the process ends.
@@ -169,7 +175,9 @@
 async fn handle(worker: Arc<Worker>, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
     if let Some(command) = path.strip_prefix("/control/") {
-        return control::handle(&worker, command);
+        let command = command.to_owned();
+        let body = read_json(req.into_body()).await;
+        return control::handle(&worker, &command, &body);
     }
     let mut answer = answer(&worker, &path, req).await;
     control::mark_leaving(&worker, answer.headers_mut());
@@ -266,6 +274,9 @@
     if !is_expected {
         return not_run(StatusCode::MISDIRECTED_REQUEST, worker.address());
     }
+    if let Some(refusal) = control::turn_away(&worker, &id) {
+        return refusal;
+    }
     if parts.headers.contains_key("authorization") || !parts.headers.contains_key("x-tenant") {
         return status_only(StatusCode::IM_A_TEAPOT); // the router drops API keys, sets x-tenant
     }
--- a/src/router/endpoint_answer.rs
+++ b/src/router/endpoint_answer.rs
@@ -2,9 +2,11 @@
 
 use pistachioyard_platform::AnswerHead;
 use pistachioyard_policy::EndpointRun;
+use pistachioyard_wire::ServiceName;
 
 use crate::prelude::*;
 use crate::router::Router;
+use crate::router::log::ms;
 
 impl Router {
     /// Applies the head of an answer to a request, an order or a call for the report.
@@ -14,6 +16,37 @@
         if head.is_leaving && !head.is_other_endpoint {
             self.note_leaving(run, "answer");
         }
+        if let Some(pause) = head.pause {
+            self.note_pause(run, head, pause);
+        }
+    }
+
+    fn note_pause(&self, run: &EndpointRun, head: &AnswerHead, pause: Duration) {
+        let now = Instant::now();
+        let is_new = {
+            let mut endpoints = self.endpoints.lock();
+            endpoints.note_pause(run, head.at_fault, pause, now)
+        };
+        if is_new {
+            spdlog::info!("endpoints: asked for a pause", kv: {
+                endpoint = run.endpoint.as_str(), pause_ms = ms(pause)
+            });
+        }
+    }
+
+    /// Returns the time after which a caller may ask a service again, in ms: the end of the first
+    /// pause if all endpoints asked for one, and `otherwise` if not.
+    pub(crate) fn retry_after_ms(&self, service: &ServiceName, otherwise: u64) -> u64 {
+        self.pause_left_ms(service).unwrap_or(otherwise)
+    }
+
+    /// Returns the time until the first endpoint of a service ends its pause, in ms, if all
+    /// asked for one.
+    pub(crate) fn pause_left_ms(&self, service: &ServiceName) -> Option<u64> {
+        let endpoints = self.endpoints.lock();
+        let left = endpoints.all_paused_for(service, &[], Instant::now())?;
+        // Rounded up, since a caller must not return before the end.
+        Some(ms(left) + 1)
     }
 
     /// Gives no new requests to a run of an endpoint that is leaving; `from` says who told.
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -175,7 +175,8 @@
     limiter.has_room().then(|| crossing_ms(spec))
 }
 
-/// Finds a path for a new request, and refuses the request if there is none soon.
+/// Finds a path for a new request, and refuses the request if there is none soon; at once if
+/// all endpoints asked for a pause.
 pub(crate) async fn admit(
     router: &Router,
     call: &Call,
@@ -189,7 +190,13 @@
             Err(no_path) if Instant::now() >= give_up_at => {
                 return Err(refusal(request.spec, no_path));
             }
-            Err(_) => wait_for_capacity(router).await,
+            Err(_) => {
+                if let Some(retry_after_ms) = router.pause_left_ms(request.service) {
+                    let detail = "all endpoints asked for a pause; the request was not run";
+                    return Err(no_capacity(detail, retry_after_ms));
+                }
+                wait_for_capacity(router).await;
+            }
         }
     }
 }
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -64,13 +64,14 @@
     let mut attempts = Attempts {
         router,
         call,
+        service,
         may_repeat: call.route.repeatability != Repeatability::AtMostOnce,
         tried: Vec::new(),
         runs: 0,
         refusals: 0,
         failed_answer: None,
     };
-    let ended = attempts.run(service, record).await;
+    let ended = attempts.run(record).await;
     match (ended, attempts.failed_answer) {
         (Ok(response), _) => Ok(response),
         // An endpoint's error response tells the caller more than the router's problem.
@@ -86,6 +87,7 @@
 struct Attempts<'a> {
     router: &'a Arc<Router>,
     call: &'a Call,
+    service: &'a ServiceName,
     may_repeat: bool,
     tried: Vec<EndpointId>,
     /// The number of attempts that may have run.
@@ -98,15 +100,13 @@
 
 impl Attempts<'_> {
     /// Sends the request to one endpoint after another until one answers.
-    async fn run(
-        &mut self,
-        service: &ServiceName,
-        record: &mut Record,
-    ) -> Result<Response<AnswerBody>, Problem> {
+    async fn run(&mut self, record: &mut Record) -> Result<Response<AnswerBody>, Problem> {
         let mut why = "first";
         while self.call.time_left().is_some() {
-            let chosen = choose_endpoint(self.router, self.call, service, &self.tried).await;
-            let target = chosen.ok_or_else(|| no_endpoint_left(self.runs))?;
+            let (tried, has_run) = (&self.tried, self.runs > 0);
+            let chosen =
+                choose_endpoint(self.router, self.call, self.service, tried, has_run).await;
+            let target = chosen.ok_or_else(|| self.no_endpoint_left())?;
             let (load, age) = load_and_age(self.router, &target);
             record.log_send(&target.endpoint, load, age, why);
             let attempt = attempt(self.router, self.call, &target, self.attempt_timeout()).await;
@@ -126,6 +126,19 @@
         Err(deadline_passed(detail))
     }
 
+    fn no_endpoint_left(&self) -> Problem {
+        if self.runs == 0 {
+            let detail = "the service has no usable endpoint; retry later";
+            no_capacity(detail, self.retry_after_ms())
+        } else {
+            result_lost("the endpoints that may have run the request returned no answer")
+        }
+    }
+
+    fn retry_after_ms(&self) -> u64 {
+        self.router.retry_after_ms(self.service, RETRY_AFTER_MS)
+    }
+
     fn is_last_attempt(&self) -> bool {
         self.runs + 1 >= self.call.route.max_attempts
     }
@@ -153,7 +166,7 @@
                 self.refusals += 1;
                 if self.refusals >= MAX_REFUSALS || !self.router.try_retry() {
                     let detail = "the service has no free capacity; retry later";
-                    return NextStep::Refuse(no_capacity(detail, RETRY_AFTER_MS));
+                    return NextStep::Refuse(no_capacity(detail, self.retry_after_ms()));
                 }
                 NextStep::TryAnother("not_run")
             }
@@ -226,17 +239,6 @@
     }
 }
 
-fn no_endpoint_left(runs: u32) -> Problem {
-    if runs == 0 {
-        no_capacity(
-            "the service has no usable endpoint; retry later",
-            RETRY_AFTER_MS,
-        )
-    } else {
-        result_lost("the endpoints that may have run the request returned no answer")
-    }
-}
-
 fn note_not_run(router: &Router, endpoint: &EndpointId, is_full: bool) {
     let mut endpoints = router.endpoints.lock();
     if is_full {
@@ -256,25 +258,31 @@
 }
 
 /// Chooses an endpoint that was not tried yet, and waits up to the latency target for one.
+///
+/// A request that has not run does not wait for endpoints that asked for a pause.
 async fn choose_endpoint(
     router: &Router,
     call: &Call,
     service: &ServiceName,
     tried: &[EndpointId],
+    has_run: bool,
 ) -> Option<EndpointRecord> {
     let give_up_at = (call.arrived_at + call.route.latency_target).min(call.deadline);
     loop {
         let now = Instant::now();
-        let chosen = {
+        let (chosen, is_hopeless) = {
             let endpoints = router.endpoints.lock();
             let mut usable = endpoints.usable(service, now);
             usable.retain(|record| !tried.contains(&record.endpoint));
             let latency = router.plain_latency.lock();
             let load = router.load.lock();
             let home = &router.settings.data_centre;
-            choose_plain_endpoint(&usable, &latency, &load, home, now, &mut rand::rng()).cloned()
+            let rng = &mut rand::rng();
+            let chosen = choose_plain_endpoint(&usable, &latency, &load, home, now, rng).cloned();
+            let all_paused = endpoints.all_paused_for(service, tried, now).is_some();
+            (chosen, all_paused && !has_run)
         };
-        if chosen.is_some() || now >= give_up_at {
+        if chosen.is_some() || is_hopeless || now >= give_up_at {
             return chosen;
         }
         tokio::time::sleep(RECHECK_INTERVAL).await;
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -203,7 +203,7 @@
         } else {
             no_capacity(
                 "the endpoints have no free capacity; retry later",
-                RETRY_AFTER_MS,
+                self.router.retry_after_ms(&self.service, RETRY_AFTER_MS),
             )
         }
     }
--- a/tests/site/leaving.rs
+++ b/tests/site/leaving.rs
@@ -1,12 +1,12 @@
-//! Endpoints that say in their answers that they want no new requests.
+//! Endpoints that say in their answers that they want no new requests, for good or for a while.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use http::Method;
 use pistachioyard_standins::{HttpAnswer, wait_until};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::caller::new_request_id;
 use super::support::{KEY, Site};
@@ -15,11 +15,21 @@
 const LEAVING: &str = "server-leaving";
 /// The number of requests sent at once.
 const BATCH: usize = 40;
+/// The pause that endpoints ask for when they turn requests away, in seconds.
+const PAUSE_S: f64 = 2.5;
+/// How long requests may still arrive at an endpoint that asked for a pause.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+/// How long the refusal of a request that no endpoint can take may take.
+const REFUSAL_TIME: Duration = Duration::from_millis(400);
 /// The time in which a peer's gossip arrives; several gossip periods.
 const GOSSIP_TIME: Duration = Duration::from_millis(1_500);
 
 impl Site {
     async fn send_plain(&self, to: SocketAddr) -> HttpAnswer {
+        self.send_to_path(to, "/record/a").await
+    }
+
+    async fn send_to_path(&self, to: SocketAddr, path: &str) -> HttpAnswer {
         let (id, key) = (new_request_id(), format!("Bearer {KEY}"));
         let headers = [
             ("x-attempt-id", id.as_str()),
@@ -28,7 +38,7 @@
         ];
         let sent = self
             .client
-            .send(Method::POST, to, "/record/a", &headers, "body".into());
+            .send(Method::POST, to, path, &headers, "body".into());
         sent.await.expect("the request is answered")
     }
 
@@ -74,6 +84,14 @@
         assert_eq!(status, Some(200), "{command}");
     }
 
+    async fn count_turned_away(&self, endpoint: usize) -> usize {
+        let to = self.endpoints[endpoint].address;
+        let ids = self
+            .client
+            .get_json::<Vec<String>>(to, "/control/turned_away");
+        ids.await.expect("the endpoint answers").len()
+    }
+
     async fn count_endpoint_runs(&self, endpoint: usize) -> usize {
         self.fetch_runs(&self.endpoints[endpoint]).await.len()
     }
@@ -146,3 +164,74 @@
     }
     assert_eq!(site.count_endpoint_runs(leaving).await, runs);
 }
+
+/// Guards against requests to an endpoint that turned one away and asked for a pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_asked_for_a_pause_gets_no_request_until_it_ends() {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let paused = site.plain_endpoint();
+    site.control(paused, "pause", json!(PAUSE_S)).await;
+    site.send_plain_batch(to).await;
+    let asked_at = Instant::now();
+    let turned_away = site.count_turned_away(paused).await;
+    assert!(turned_away > 0, "some requests were turned away");
+    tokio::time::sleep(PAUSE_SLACK).await;
+    while asked_at.elapsed() < Duration::from_secs_f64(PAUSE_S) - PAUSE_SLACK {
+        site.send_plain_batch(to).await;
+    }
+    assert_eq!(site.count_turned_away(paused).await, turned_away);
+    site.control(paused, "pause", json!(0)).await;
+    let before = site.count_endpoint_runs(paused).await;
+    wait_until(Duration::from_secs(6), "the endpoint", || async {
+        site.send_plain_batch(to).await;
+        site.count_endpoint_runs(paused).await > before
+    })
+    .await
+    .expect("the endpoint gets requests after its pause");
+}
+
+/// Guards against holding callers until a time limit while no endpoint wants requests, and
+/// against telling them to return too early.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_refused_at_once_while_all_endpoints_asked_for_a_pause() {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let plain: Vec<usize> = (0..site.endpoints.len())
+        .filter(|index| site.endpoints[*index].is_plain)
+        .collect();
+    for endpoint in &plain {
+        site.control(*endpoint, "pause", json!(PAUSE_S)).await;
+    }
+    let asked_at = Instant::now();
+    let mut told = Duration::ZERO;
+    // `/feed/` is a stream of a service whose endpoints hold no layers.
+    for path in ["/record/a", "/lookup/a", "/feed/a"] {
+        let sent_at = Instant::now();
+        let answer = site.send_to_path(to, path).await;
+        assert!(
+            sent_at.elapsed() < REFUSAL_TIME,
+            "{path} took {:?}",
+            sent_at.elapsed()
+        );
+        assert_eq!(answer.status, 503, "{path}");
+        let retry_after = answer.headers.get("retry-after").expect("it has a time");
+        let seconds: f64 = retry_after
+            .to_str()
+            .expect("the time is text")
+            .parse()
+            .expect("the time is a number");
+        let left = PAUSE_S - asked_at.elapsed().as_secs_f64();
+        assert!(
+            left < seconds && seconds <= PAUSE_S,
+            "{path}: {seconds} s, with {left} s left"
+        );
+        told = Duration::from_secs_f64(seconds);
+    }
+    for endpoint in &plain {
+        assert_eq!(site.count_turned_away(*endpoint).await, 1);
+        site.control(*endpoint, "pause", json!(0)).await;
+    }
+    tokio::time::sleep(told).await;
+    site.send_plain_batch(to).await;
+}
