Test that orders and reports tell that an endpoint leaves

Cause: the tests of leaving covered answers to requests only. Change: the stand-in site worker can say from its start that it leaves; one test lets an empty engine say so in the answer to an order, one a restarted endpoint in its report while the store is down.

--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -67,6 +67,9 @@
     /// The number of events in each stream.
     #[arg(long, default_value_t = 20)]
     pub events: u64,
+    /// Whether all answers say from the start that the worker leaves.
+    #[arg(long)]
+    pub leaving: bool,
 }
 
 /// The maximum time that a request stalls before it fails.
@@ -115,11 +118,15 @@
         request_timeout: Duration::from_millis(500),
         ..HttpClientConfig::default()
     });
+    let state = State {
+        is_leaving: args.leaving,
+        ..State::default()
+    };
     let worker = Arc::new(Worker {
         args,
         started_at_ms: started_at.map_or(0, |since| since.as_millis() as u64),
         client,
-        state: Mutex::default(),
+        state: Mutex::new(state),
     });
     tokio::spawn(register(worker.clone()));
     serve(listen, move |req| handle(worker.clone(), req)).await
--- a/tests/site/leaving.rs
+++ b/tests/site/leaving.rs
@@ -77,6 +77,27 @@
         join_all((0..self.endpoints.len()).map(|index| self.count_endpoint_runs(index))).await
     }
 
+    /// Starts an endpoint again, so that all its answers say from the start that it leaves.
+    fn restart_leaving(&mut self, endpoint: usize) {
+        let launcher = self.launcher.clone();
+        let process = &mut self.endpoints[endpoint].process;
+        process.args.push("--leaving".to_owned());
+        process.start(&launcher);
+    }
+
+    /// Waits until the first entry has logged a line that contains `line` and an endpoint's name.
+    async fn await_logged(&mut self, line: &str, endpoint: usize) {
+        let named = format!("endpoint={} ", self.endpoints[endpoint].process.name);
+        let entry = self.entries[0].process.running_child();
+        wait_until(Duration::from_secs(6), line, || {
+            let log = entry.log();
+            let is_logged = log.lines().any(|l| l.contains(line) && l.contains(&named));
+            async move { is_logged }
+        })
+        .await
+        .expect("the line is logged");
+    }
+
     async fn control(&self, endpoint: usize, command: &str, body: Value) {
         let to = self.endpoints[endpoint].address;
         let path = format!("/control/{command}");
@@ -235,3 +256,38 @@
     tokio::time::sleep(told).await;
     site.send_plain_batch(to).await;
 }
+
+/// Guards against reading only answers to requests: an empty engine gets orders and no requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_says_it_leaves_in_answer_to_an_order_gets_no_request() {
+    let mut site = Site::start(1).await;
+    let leaving = site.redundant_endpoint().await;
+    site.restart_leaving(leaving);
+    site.await_logged("endpoints: announced that it is leaving", leaving)
+        .await;
+    let to = site.entries[0].caller_address();
+    for stream in join_all((0..16).map(|_| site.check_stream(to))).await {
+        stream.expect("every stream is complete");
+    }
+    assert_eq!(site.count_endpoint_runs(leaving).await, 0);
+}
+
+/// Guards against reading only answers to requests: a report is the first that a failed endpoint
+/// answers, here after a restart that the store does not show yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_says_it_leaves_in_its_report_gets_no_request() {
+    let mut site = Site::start(1).await;
+    let leaving = site.plain_endpoint();
+    let to = site.entries[0].caller_address();
+    site.set_store_fault(503).await;
+    site.endpoints[leaving].process.kill();
+    // Some of these streams find the endpoint dead, which makes the entry probe it.
+    join_all((0..BATCH).map(|_| site.send_to_path(to, "/feed/a"))).await;
+    site.await_logged("endpoints: ejected after a failure", leaving)
+        .await;
+    site.restart_leaving(leaving);
+    site.await_logged("endpoints: announced that it is leaving", leaving)
+        .await;
+    site.send_plain_batch(to).await;
+    assert_eq!(site.count_endpoint_runs(leaving).await, 0);
+}
