--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -29,8 +29,8 @@
 const FANOUT: usize = 8;
 /// The number of other entries' records that are relayed in one datagram.
 const RELAYED_RECORDS: usize = 2;
-/// The maximum number of layer reports, of leaving runs and of quarantine marks in one datagram, which keeps
-/// it small.
+/// The maximum number of layer reports, of leaving runs and of quarantine marks in one datagram,
+/// which keeps it small.
 const MAX_ITEMS_PER_LIST: usize = 16;
 /// How long an endpoint's layer report is relayed; several gossip periods, since datagrams
 /// may be lost.
