--- a/crates/pistachioyard_policy/src/endpoint_registry/answers.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/answers.rs
@@ -94,7 +94,7 @@
             let run = record.run();
             let is_gone = record.is_leaving
                 || tracked.is_unavailable
-                || tracked.is_lost()
+                || tracked.is_lost(now)
                 || self.notices.is_leaving(&run);
             if is_gone {
                 continue;
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod lease;
 mod ledger;
 mod membership;
+mod part_quarantine;
 mod pipeline;
 mod placement;
 mod plain_choice;
@@ -24,6 +25,7 @@
 mod retry_budget;
 mod routing;
 mod stall_detector;
+mod store_position;
 mod stream_guard;
 
 pub use activity_tracker::ActivityTracker;
@@ -41,16 +43,20 @@
 pub use crossing_limiter::{CrossingLimiter, crossing_ms};
 pub use endpoint_registry::{
     EndpointChange, EndpointRecord, EndpointRegistry, EndpointReport, EndpointRun, GossipReport,
-    SuspectReason,
+    ProbeResult, SuspectReason,
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
-pub use lease::{HeldLease, LeaseAction, LeaseRecord, decide_lease};
+pub use lease::{EraLease, HeldLease, LeaseAction, LeaseRecord, decide_lease, raise_fence};
 pub use ledger::{
     ChangeAnswer, Claim, ClaimState, KeyAgeError, LedgerChange, LedgerLayout, LedgerPage,
     LedgerPageError,
 };
 pub use membership::Membership;
+pub use part_quarantine::{
+    LossCheck, PROOF_WRITING_TIME, PartConviction, PartFindings, PartQuarantine, PartVerdict,
+    WritingTime,
+};
 pub use pipeline::{
     Card, CardState, LayerMove, LoadTracker, NoPath, Path, PathQuery, PathStage, PipelineSpec,
     RequestSize, StageOffer, choose_path, loads_to_start, plan_moves, repair_path,
@@ -65,4 +71,5 @@
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
+pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -158,17 +158,21 @@
         self.quarantine_culprits();
     }
 
-    /// Returns the marks to gossip to peers.
+    /// Returns the marks to gossip to peers: those of quarantined requests first, and then the
+    /// newest, since a message may have no room for all of them.
     pub fn marks(&self, now: Instant) -> Vec<QuarantineMark> {
         let open = self.records.iter().filter(|(_, r)| !r.crashed.is_empty());
-        open.map(|(digest, record)| QuarantineMark {
-            digest: *digest,
-            crashed: record.crashed.iter().copied().collect(),
-            convicted: record.quarantined,
-            age_ms: age_ms(now, record.since),
-        })
-        .filter(|mark| Duration::from_millis(mark.age_ms) < self.hold_time)
-        .collect()
+        let marks = open
+            .map(|(digest, record)| QuarantineMark {
+                digest: *digest,
+                crashed: record.crashed.iter().copied().collect(),
+                convicted: record.quarantined,
+                age_ms: age_ms(now, record.since),
+            })
+            .filter(|mark| Duration::from_millis(mark.age_ms) < self.hold_time);
+        let mut marks: Vec<QuarantineMark> = marks.collect();
+        marks.sort_by_key(|mark| (!mark.convicted, mark.age_ms));
+        marks
     }
 
     /// Merges the marks of a peer.
@@ -231,7 +235,7 @@
 }
 
 /// Returns the age in ms, rounded up so that a mark cannot get younger by being passed around.
-fn age_ms(now: Instant, since: Instant) -> u64 {
+pub(crate) fn age_ms(now: Instant, since: Instant) -> u64 {
     let age = now.saturating_duration_since(since);
     u64::try_from(age.as_nanos().div_ceil(1_000_000)).unwrap_or(u64::MAX)
 }
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -3,37 +3,41 @@
 //! With `--card` it is an engine: it holds layers of a model and streams events. Before each
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
-//! [`STALL_LIMIT`]. Without `--card` it is a plain service. A request whose body is
-//! [`POISON`] ends the process. `GET /control/runs` lists the ids of the requests started;
-//! `PUT /control/leaving` makes all later answers say that the worker leaves, while its object
-//! in the store stays `ready`; `PUT /control/pause` with a number of seconds makes it turn all
-//! requests away with that `Retry-After`, until it gets 0; `GET /control/turned_away` lists the
-//! ids of these requests.
+//! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
+//! ends the process, and so does one whose prompt has the part [`crash::CRASHING_PART`], once its
+//! answer has begun.
+//! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
+//! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-End` selects how its
+//! answer ends. Tests observe and change a worker under `/control/`, see [`control`].
 
+mod answer;
 mod control;
-mod path;
+mod crash;
+mod events;
+mod silence;
+mod stages;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ::http::{HeaderMap, Method, Request, Response, StatusCode};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Bytes, Frame, Incoming};
+use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::path::{Stages, check_path, holds, parse_path};
+use self::answer::{Ending, padded, padded_len, signed};
+use self::events::Events;
+use self::stages::{Stages, check_path, parse_path, parse_range};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
 use crate::http::{HttpClient, HttpClientConfig};
 
 /// The interval at which a worker renews its object in the store.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// The interval between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 /// The time to load one layer.
 const LAYER_LOAD_TIME: Duration = Duration::from_millis(5);
 /// The run time of a request to a plain service.
@@ -70,13 +74,11 @@
     /// Whether all answers say from the start that the worker leaves.
     #[arg(long)]
     pub leaving: bool,
+    /// The interval between two events of a stream, in milliseconds.
+    #[arg(long, default_value_t = 15)]
+    pub event_interval_ms: u64,
 }
 
-/// The maximum time that a request stalls before it fails.
-const STALL_LIMIT: Duration = Duration::from_millis(2_500);
-/// The interval at which a stalled request checks its path again.
-const STALL_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The body of a poison request, which crashes every worker that starts to run it.
 const POISON: &[u8] = b"poison";
 
@@ -92,6 +94,8 @@
     layers: Option<(u64, u64)>,
     busy: bool,
     orders: u64,
+    /// The highest fencing token of an order; orders with a lower one are refused.
+    fence: u64,
     heartbeats: u64,
     runs: Vec<String>,
     /// The paths of the running requests, by request id.
@@ -141,6 +145,11 @@
         self.args.advertise.unwrap_or(self.args.listen)
     }
 
+    fn holds(&self, (first, end): (u64, u64)) -> bool {
+        let held = self.state.lock().layers;
+        held.is_some_and(|(from, to)| from <= first && end <= to)
+    }
+
     /// Returns the worker's status; `sequence` counts heartbeats in the store, orders in reports.
     fn status_report(&self, sequence: u64) -> Value {
         let state = self.state.lock();
@@ -213,7 +222,12 @@
     let (Some(from), Some(to)) = (order["from"].as_u64(), order["to"].as_u64()) else {
         return status_only(StatusCode::BAD_REQUEST);
     };
+    let fence = order["fence"].as_u64().unwrap_or_default();
     let mut state = worker.state.lock();
+    if fence < state.fence {
+        return status_only(StatusCode::PRECONDITION_FAILED);
+    }
+    state.fence = fence;
     if state.layers == Some((from, to)) {
         return status_only(StatusCode::OK);
     }
@@ -257,6 +271,16 @@
     status_only(StatusCode::ACCEPTED)
 }
 
+/// Answers whether the worker holds the layer range given as `FROM-TO`.
+fn holds(worker: &Worker, range: &str) -> Response<Body> {
+    let is_held = parse_range(range).is_some_and(|range| worker.holds(range));
+    status_only(if is_held {
+        StatusCode::OK
+    } else {
+        StatusCode::MISDIRECTED_REQUEST
+    })
+}
+
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -294,10 +318,18 @@
         // Simulates a worker that crashes when it starts to run the request.
         std::process::exit(1);
     }
+    let ending = Ending::of(&parts.headers);
+    let crashes = crash::has_crashing_part(&parts.headers);
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
-        tokio::time::sleep(PLAIN_REQUEST_TIME).await;
-        return with_signature(&id, full_body(format!("{}\n\n", answer_line(&id, 0))));
+        if crashes {
+            tokio::spawn(crash::crash_soon());
+        }
+        let asked = header(&parts.headers, "x-run-ms").and_then(|ms| ms.parse().ok());
+        tokio::time::sleep(asked.map_or(PLAIN_REQUEST_TIME, Duration::from_millis)).await;
+        let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
+        let body = full_body(format!("{line}\n\n"));
+        return signed(&id, body, ending);
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
     if let Err(missing) = check_path(&worker, &path).await {
@@ -311,12 +343,12 @@
         state.runs.push(id.clone());
         state.paths.insert(id.clone(), path);
     }
+    if crashes {
+        tokio::spawn(crash::crash_soon());
+    }
     let last = header(&parts.headers, "last-event-id").and_then(|id| id.parse().ok());
-    let events = Events {
-        next: last.map_or(0, |last: u64| last + 1),
-        worker,
-        id: id.clone(),
-    };
+    let padded_len = padded_len(&parts.headers);
+    let events = Events::new(worker, &id, last, padded_len, ending);
     let body = StreamBody::new(stream::unfold(Some(events), |events| async {
         let mut events = events?;
         match events.next().await {
@@ -325,74 +357,10 @@
             Err(e) => Some((Err(e), None)),
         }
     }));
-    with_signature(&id, body.boxed_unsync())
-}
-
-fn with_signature(id: &str, body: Body) -> Response<Body> {
-    let mut answer = Response::new(body);
-    let headers = answer.headers_mut();
-    if let Ok(id) = ::http::HeaderValue::from_str(id) {
-        headers.insert("x-attempt-id", id);
-    }
-    headers.insert(
-        "x-response-signature",
-        ::http::HeaderValue::from_static("stand-in"),
-    );
-    answer
+    signed(&id, body.boxed_unsync(), ending)
 }
 
 /// Returns the data of event `n` of a request, which is the same on every worker.
 fn answer_line(id: &str, n: u64) -> String {
     format!("{:016x}", xxh3_64(format!("{id}/{n}").as_bytes()))
 }
-
-struct Events {
-    worker: Arc<Worker>,
-    id: String,
-    next: u64,
-}
-
-impl Drop for Events {
-    fn drop(&mut self) {
-        let mut state = self.worker.state.lock();
-        state.paths.remove(&self.id);
-        state.stalled.remove(&self.id);
-    }
-}
-
-impl Events {
-    /// Returns the next event once every stage of the path holds its layers.
-    async fn next(&mut self) -> std::io::Result<Option<Bytes>> {
-        if self.next >= self.worker.args.events {
-            return Ok(None);
-        }
-        tokio::time::sleep(EVENT_INTERVAL).await;
-        self.wait_for_path().await?;
-        let n = self.next;
-        self.next += 1;
-        Ok(Some(
-            format!("id: {n}\ndata: {}\n\n", answer_line(&self.id, n)).into(),
-        ))
-    }
-
-    async fn wait_for_path(&self) -> std::io::Result<()> {
-        let since = Instant::now();
-        while since.elapsed() < STALL_LIMIT {
-            let path = self.worker.state.lock().paths.get(&self.id).cloned();
-            let checked = check_path(&self.worker, &path.unwrap_or_default()).await;
-            match checked {
-                Ok(()) => {
-                    self.worker.state.lock().stalled.remove(&self.id);
-                    return Ok(());
-                }
-                Err(Some((_, at))) => {
-                    let stalled = &mut self.worker.state.lock().stalled;
-                    stalled.insert(self.id.clone(), at);
-                }
-                Err(None) => break,
-            }
-            tokio::time::sleep(STALL_POLL_INTERVAL).await;
-        }
-        Err(std::io::ErrorKind::ConnectionAborted.into())
-    }
-}
--- a/crates/pistachioyard_standins/src/site/worker/control.rs
+++ b/crates/pistachioyard_standins/src/site/worker/control.rs
@@ -1,16 +1,32 @@
 //! Lets tests observe a worker and change how it answers.
+//!
+//! `GET /control/runs` lists the ids of the requests started, `GET /control/turned_away` those of
+//! the requests turned away, and `GET /control/fence` returns the highest fencing token of an
+//! order. `PUT /control/leaving` makes all later answers say that the worker leaves, while its
+//! object in the store stays `ready`; `PUT /control/pause` with a number of seconds makes it turn
+//! all requests away with that `Retry-After`, until it gets 0. `PUT /control/silence` with a
+//! number of milliseconds makes it fall silent for that time: it accepts no connection and
+//! answers nothing, keeps its connections and then goes on.
+
+use std::time::Duration;
 
 use ::http::{HeaderMap, HeaderValue, Response, StatusCode};
 use serde_json::{Value, json};
 
-use super::{Worker, not_run};
+use super::{Worker, not_run, silence};
 use crate::site::http::{Body, json_response, status_only};
 
 /// Carries out a command of a test.
 pub(super) fn handle(worker: &Worker, command: &str, body: &Value) -> Response<Body> {
     let mut state = worker.state.lock();
     match command {
+        "fence" => json_response(StatusCode::OK, &json!(state.fence)),
         "runs" => json_response(StatusCode::OK, &json!(state.runs)),
+        "silence" => {
+            let duration = Duration::from_millis(body.as_u64().unwrap_or_default());
+            tokio::spawn(silence::fall_silent(worker.args.listen, duration));
+            status_only(StatusCode::ACCEPTED)
+        }
         "leaving" => {
             state.is_leaving = true;
             status_only(StatusCode::OK)
--- a/crates/pistachioyard_standins/src/site/worker/path.rs
+++ b/crates/pistachioyard_standins/src/site/worker/stages.rs
@@ -1,36 +1,15 @@
-//! The paths of requests and the layers that a worker holds for them.
+//! The stages of a request's path.
 
 use std::net::SocketAddr;
 
-use ::http::{Method, Response, StatusCode};
+use ::http::{Method, StatusCode};
 use hyper::body::Bytes;
 
 use super::Worker;
-use crate::site::http::{Body, status_only};
 
 /// The stages of a path: the address, first layer and end layer (exclusive) of each.
 pub(super) type Stages = Vec<(SocketAddr, u64, u64)>;
 
-/// Answers whether the worker holds the layer range given as `FROM-TO`.
-pub(super) fn holds(worker: &Worker, range: &str) -> Response<Body> {
-    let held = worker.state.lock().layers;
-    let requested = parse_range(range);
-    let is_held = match (held, requested) {
-        (Some((from, to)), Some((first, end))) => from <= first && end <= to,
-        _ => false,
-    };
-    status_only(if is_held {
-        StatusCode::OK
-    } else {
-        StatusCode::MISDIRECTED_REQUEST
-    })
-}
-
-fn parse_range(range: &str) -> Option<(u64, u64)> {
-    let (from, to) = range.split_once('-')?;
-    Some((from.parse().ok()?, to.parse().ok()?))
-}
-
 pub(super) fn parse_path(path: &str) -> Stages {
     let stages = path.split(',').filter_map(|stage| {
         let (address, range) = stage.split_once('=')?;
@@ -53,6 +32,9 @@
             return Err(None);
         }
         next = *to;
+        if *at == worker.address() && worker.holds((*from, *to)) {
+            continue;
+        }
         let target = format!("/holds?{from}-{to}");
         let sent = worker
             .client
@@ -65,3 +47,8 @@
     }
     Ok(())
 }
+
+pub(super) fn parse_range(range: &str) -> Option<(u64, u64)> {
+    let (from, to) = range.split_once('-')?;
+    Some((from.parse().ok()?, to.parse().ok()?))
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -14,19 +14,20 @@
 mod http_server;
 mod log;
 mod metric;
+mod parts;
 mod run;
 mod store_client;
 
 use std::collections::BTreeSet;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
     ActivityTracker, CrossingLimiter, EndpointRegistry, LatencyEstimates, LoadTracker, Membership,
-    Quarantine, RouteTable, SharedRetryBudget, SuspectReason,
+    PartQuarantine, Quarantine, RouteTable, SharedRetryBudget, SuspectReason, WatchLag,
 };
-use pistachioyard_wire::{EntryState, MemberRecord, RequestDigest};
+use pistachioyard_wire::{EntryState, Fence, MemberRecord, RequestDigest};
 pub(crate) use run::run_router;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_128;
@@ -66,6 +67,7 @@
     pub(crate) peers_without_store: Mutex<BTreeSet<EntryId>>,
     pub(crate) retries: Mutex<SharedRetryBudget>,
     pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) parts: Mutex<PartQuarantine>,
     pub(crate) plain_latency: Mutex<LatencyEstimates>,
     pub(crate) cross_centre_budget: Mutex<CrossingLimiter>,
     /// Wakes requests that wait for free memory on endpoints.
@@ -78,10 +80,10 @@
     pub(crate) config_outdated: Notify,
     /// Wakes the endpoint controller when this entry has missed a change that a peer has seen.
     pub(crate) endpoints_outdated: Notify,
-    /// The store revision of the newest endpoint change that this entry has seen.
-    pub(crate) endpoints_revision: AtomicU64,
-    /// Since when a peer has known of an endpoint change that this entry has not seen.
-    pub(crate) endpoints_outdated_since: Mutex<Option<Instant>>,
+    /// How far this entry has seen the changes of the endpoints.
+    pub(crate) endpoints_lag: Mutex<WatchLag>,
+    /// The highest fencing token of the placement lease that this entry knows of.
+    newest_fence: AtomicU64,
     pub(crate) client: EndpointClient,
     pub(crate) store: StoreClient,
     pub(crate) reports: filter::ReportCache,
@@ -120,6 +122,7 @@
             peers_without_store: Mutex::default(),
             retries: Mutex::new(retries),
             quarantine: Mutex::new(Quarantine::without_isolation(QUARANTINE_HOLD)),
+            parts: Mutex::default(),
             plain_latency: Mutex::default(),
             cross_centre_budget: Mutex::new(CrossingLimiter::new(now)),
             capacity_changed: Notify::new(),
@@ -127,8 +130,8 @@
             suspects_due: Notify::new(),
             config_outdated: Notify::new(),
             endpoints_outdated: Notify::new(),
-            endpoints_revision: AtomicU64::new(0),
-            endpoints_outdated_since: Mutex::default(),
+            endpoints_lag: Mutex::default(),
+            newest_fence: AtomicU64::new(0),
             client: EndpointClient::default(),
             store: StoreClient::new(settings.store.address),
             reports: filter::ReportCache::default(),
@@ -147,6 +150,16 @@
         config.as_ref().map_or(0, |active| active.table.version)
     }
 
+    /// Returns the highest fencing token of the placement lease that this entry knows of.
+    pub(crate) fn newest_fence(&self) -> Fence {
+        Fence(self.newest_fence.load(Ordering::Relaxed))
+    }
+
+    /// Records a fencing token that was read, written or named by a peer.
+    pub(crate) fn note_fence(&self, fence: Fence) {
+        self.newest_fence.fetch_max(fence.0, Ordering::Relaxed);
+    }
+
     /// Returns whether this entry is ready to serve callers.
     pub(crate) fn is_ready(&self) -> bool {
         !self.lifecycle.is_draining()
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -1,43 +1,42 @@
 //! Keeps the list of endpoints in sync with their records in the store.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::Ordering;
 
 use pistachioyard_platform::{ENDPOINT_KIND, Object, StoreAnswerError, decode_endpoint};
-use pistachioyard_policy::{EndpointChange, EndpointRecord};
+use pistachioyard_policy::{EndpointChange, EndpointRecord, StoreEra, StorePosition, is_later_era};
 
 use super::jittered;
 use super::watch_pace::{self, WatchPace};
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::log::ms;
-use crate::router::store_client::StoreError;
+use crate::router::store_client::{InEra, StoreError};
 
 /// The pause after a failed call, because even a refused call has a cost. Peers supply the
 /// endpoints in the meantime.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// The grace period for missing records after a store outage. The platform specifies that
-/// endpoints register again within about two seconds.
+/// The grace period for missing records after a store outage or the store's return from an
+/// older copy. The platform specifies that endpoints register again within about two seconds.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_200);
 
 /// Reads all records, then watches them for changes.
 pub(super) async fn run(router: Arc<Router>) {
-    let mut revision = None;
+    let mut position = None;
     let mut pace = WatchPace::default();
     loop {
-        let step = match revision {
+        let step = match position {
             None => read(&router).await,
             Some(after) => watch(&router, after).await,
         };
         match step {
             Ok(seen) => {
-                revision = Some(seen);
+                position = Some(seen);
                 pace.throttle().await;
             }
             Err(e) => {
                 if matches!(e, StoreError::Fault(StoreAnswerError::HistoryGone)) {
                     spdlog::warn!("endpoints: watch history expired, listing all records again");
-                    revision = None;
+                    position = None;
                 }
                 tokio::time::sleep(jittered(RETRY_PAUSE)).await;
             }
@@ -45,47 +44,55 @@
     }
 }
 
-async fn read(router: &Arc<Router>) -> Result<u64, StoreError> {
-    let page = router.store.list(ENDPOINT_KIND, false).await?;
+async fn read(router: &Arc<Router>) -> Result<StorePosition, StoreError> {
+    let InEra { value: page, era } = router.store.list(ENDPOINT_KIND, false).await?;
+    note_position(router, era, 0);
     let mut listed = BTreeSet::new();
     for object in &page.objects {
         listed.insert(object.name.clone());
-        apply(router, object);
+        apply(router, object, era);
     }
     let known: Vec<EndpointId> = router.endpoints.lock().ids().cloned().collect();
     for endpoint in known.iter().filter(|e| !listed.contains(e.as_str())) {
         remove(router, endpoint, retain_until(router));
     }
-    Ok(page.revision)
+    let revision = page.revision;
+    Ok(StorePosition { era, revision })
 }
 
-async fn watch(router: &Arc<Router>, after: u64) -> Result<u64, StoreError> {
+/// Waits for changes after a position; if the store has come back from an older copy since, the
+/// changes after that revision are not all, so all records are read again.
+async fn watch(router: &Arc<Router>, after: StorePosition) -> Result<StorePosition, StoreError> {
     let wait = watch_pace::wait_time(router, router.settings.drain_limit);
-    let page = tokio::select! {
-        page = router.store.watch(ENDPOINT_KIND, after, wait) => page?,
+    let InEra { value: page, era } = tokio::select! {
+        page = router.store.watch(ENDPOINT_KIND, after.revision, wait) => page?,
         // A peer has seen a newer change, so this watch may be on a dead connection.
         () = router.endpoints_outdated.notified() => return read(router).await,
+        () = router.store.wait_for_later_era(after.era) => return read(router).await,
     };
+    if is_later_era(era, after.era) {
+        return read(router).await;
+    }
     for change in &page.changes {
         if !change.deleted {
-            apply(router, &change.object);
+            apply(router, &change.object, era);
         } else if let Ok(endpoint) = EndpointId::try_from(change.object.name.as_str()) {
             remove(router, &endpoint, retain_until(router));
-            note_revision(router, change.object.revision);
+            note_position(router, era, change.object.revision);
         }
     }
-    Ok(page.revision)
+    let revision = page.revision;
+    Ok(StorePosition { era, revision })
 }
 
-/// Records the revision of the newest change, for comparison with the peers.
-fn note_revision(router: &Router, revision: u64) {
-    router
-        .endpoints_revision
-        .fetch_max(revision, Ordering::Relaxed);
+/// Records the position of a change, for comparison with the peers.
+fn note_position(router: &Router, era: Option<StoreEra>, revision: u64) {
+    let seen = StorePosition { era, revision };
+    router.endpoints_lag.lock().note(seen);
 }
 
-fn apply(router: &Router, object: &Object) {
-    note_revision(router, object.revision);
+fn apply(router: &Router, object: &Object, era: Option<StoreEra>) {
+    note_position(router, era, object.revision);
     let record = match decode_endpoint(&object.name, &object.spec) {
         Ok(record) => record,
         Err(e) => {
@@ -96,9 +103,29 @@
             return;
         }
     };
+    if is_just_returned(router) && is_outdated(router, &record) {
+        spdlog::info!("endpoints: ignoring a record from an older copy", kv: {
+            endpoint = record.endpoint.as_str(), revision = object.revision
+        });
+        return;
+    }
     apply_record(router, record, "store");
 }
 
+/// Returns whether the store came back from an older copy so recently that endpoints may not
+/// have written again.
+fn is_just_returned(router: &Router) -> bool {
+    let since = router.store.last_return();
+    since.is_some_and(|since| since.elapsed() < REREGISTRATION_GRACE)
+}
+
+fn is_outdated(router: &Router, record: &EndpointRecord) -> bool {
+    let endpoints = router.endpoints.lock();
+    endpoints
+        .records()
+        .any(|known| record.is_outdated_by(known))
+}
+
 /// Applies an endpoint's record from the store, or a copy of it from a peer.
 pub(super) fn apply_record(router: &Router, record: EndpointRecord, from: &'static str) {
     let endpoint = record.endpoint.clone();
@@ -118,15 +145,19 @@
     router.endpoints_changed.notify_one();
 }
 
-/// Returns the end of the grace period after a store outage, or `None` if there was no
-/// recent outage.
+/// Returns the end of the grace period after a store outage or its return from an older copy,
+/// or `None` if there was neither recently.
 fn retain_until(router: &Router) -> Option<Instant> {
-    let until = router.store.last_failure()? + REREGISTRATION_GRACE;
+    let since = router
+        .store
+        .last_failure()
+        .max(router.store.last_return())?;
+    let until = since + REREGISTRATION_GRACE;
     (until > Instant::now()).then_some(until)
 }
 
-/// Removes an endpoint whose record was deleted. Right after a store outage the endpoint is
-/// kept until the end of the grace period, so that it can register again.
+/// Removes an endpoint whose record was deleted. Right after a store outage or return the
+/// endpoint is kept until the end of the grace period, so that it can register again.
 pub(super) fn remove(router: &Arc<Router>, endpoint: &EndpointId, retain_until: Option<Instant>) {
     let is_removed = router.endpoints.lock().remove(endpoint, retain_until);
     let kept_ms = retain_until.map_or(0, |until| {
--- a/tests/site/deployment.rs
+++ b/tests/site/deployment.rs
@@ -5,7 +5,8 @@
 
 use serde_json::{Value, json};
 
-use super::support::{DATA_CENTRES, ENTRY_PORTS, EVENTS, Entry, KEY, Process};
+use super::process::Process;
+use super::support::{DATA_CENTRES, ENTRY_PORTS, Entry, KEY};
 
 /// Returns the path of the stand-ins' binary.
 pub(crate) fn standins_binary() -> PathBuf {
@@ -14,52 +15,43 @@
     router.with_file_name("pistachioyard_standins")
 }
 
-/// Returns the process of an endpoint, not yet started.
-///
-/// It listens on `address` and registers `advertised`, which leads through the fault proxy.
+/// Returns the process of an endpoint, not yet started and without the arguments of its layout.
 pub(crate) fn endpoint_process(
     standins: &Path,
+    name: String,
     data_centre: &str,
-    index: usize,
-    is_plain: bool,
-    address: SocketAddr,
-    advertised: SocketAddr,
     store: SocketAddr,
 ) -> Process {
-    let service = if is_plain { "records" } else { "model" };
-    let name = format!("{service}-{data_centre}-{index}");
-    let mut args: Vec<String> = [
+    let args = [
         "--exit-with-stdin",
         "site-worker",
         "--id",
         &name,
         "--zone",
         data_centre,
-    ]
-    .map(str::to_owned)
-    .to_vec();
-    args.extend(["--service".to_owned(), service.to_owned()]);
-    args.extend(["--listen".to_owned(), address.to_string()]);
-    args.extend(["--advertise".to_owned(), advertised.to_string()]);
-    args.extend(["--store".to_owned(), store.to_string()]);
-    args.extend(["--events".to_owned(), EVENTS.to_string()]);
-    if !is_plain {
-        args.extend(["--card".to_owned(), "small".to_owned()]);
-    }
+        "--store",
+        &store.to_string(),
+    ];
     Process {
+        args: args.map(str::to_owned).to_vec(),
         name,
         program: standins.to_owned(),
-        args,
         child: None,
     }
 }
 
 /// Writes an entry's settings file and returns the entry, not yet started.
-pub(crate) fn entry(files: &Path, index: usize, ip: std::net::IpAddr, store: SocketAddr) -> Entry {
+pub(crate) fn entry(
+    files: &Path,
+    index: usize,
+    ip: std::net::IpAddr,
+    store: SocketAddr,
+    retry_slack: u32,
+) -> Entry {
     let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
     let name = format!("entry-{index}");
     let file = files.join(format!("{name}.toml"));
-    std::fs::write(&file, settings(&name, data_centre, ip, store))
+    std::fs::write(&file, settings(&name, data_centre, ip, store, retry_slack))
         .expect("the settings file can be written");
     let args = [
         "route",
@@ -75,7 +67,13 @@
     Entry { process, ip }
 }
 
-fn settings(name: &str, data_centre: &str, ip: std::net::IpAddr, store: SocketAddr) -> String {
+fn settings(
+    name: &str,
+    data_centre: &str,
+    ip: std::net::IpAddr,
+    store: SocketAddr,
+    retry_slack: u32,
+) -> String {
     let [callers, ready, directory, peers, _] = ENTRY_PORTS;
     format!(
         r#"
@@ -96,7 +94,7 @@
 config_ms = 2000
 grace_s = 4
 retry_budget_ratio = 0.2
-budget_slack = 200
+budget_slack = {retry_slack}
 budget_window_s = 10
 stall_ms = 2500
 ttl_max_s = 5
