Pause the endpoint that answered, even if it blames another one

An endpoint that refused with Retry-After and blamed another one on the path got requests within the time that it had asked for. The time now applies to the endpoint that answered, whatever At-Server says, since the platform counts requests for the one that answered.

--- a/crates/pistachioyard_policy/src/endpoint_registry/answers.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/answers.rs
@@ -2,7 +2,6 @@
 //! unavailable or is leaving.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use pistachioyard_wire::{EndpointId, ServiceName};
@@ -53,19 +52,8 @@
     /// Gives a run of an endpoint no requests for the pause that it asked for in a refusal;
     /// returns whether it had no pause yet.
     ///
-    /// `at_fault` is the address that the refusal blames. If it is that of another endpoint, the
-    /// refusal is about that one, and the run itself may get other requests.
-    pub fn note_pause(
-        &mut self,
-        run: &EndpointRun,
-        at_fault: Option<SocketAddr>,
-        pause: Duration,
-        now: Instant,
-    ) -> bool {
-        let blamed = at_fault.and_then(|address| self.by_address(address));
-        if blamed.is_some_and(|record| record.endpoint != run.endpoint) {
-            return false;
-        }
+    /// The pause is that of the run that answered, even if the refusal blames another endpoint.
+    pub fn note_pause(&mut self, run: &EndpointRun, pause: Duration, now: Instant) -> bool {
         self.expire_notices(now);
         self.notices.note_pause(run, pause, now)
     }
--- a/src/router/endpoint_answer.rs
+++ b/src/router/endpoint_answer.rs
@@ -17,16 +17,13 @@
             self.note_leaving(run, "answer");
         }
         if let Some(pause) = head.pause {
-            self.note_pause(run, head, pause);
+            self.note_pause(run, pause);
         }
     }
 
-    fn note_pause(&self, run: &EndpointRun, head: &AnswerHead, pause: Duration) {
+    fn note_pause(&self, run: &EndpointRun, pause: Duration) {
         let now = Instant::now();
-        let is_new = {
-            let mut endpoints = self.endpoints.lock();
-            endpoints.note_pause(run, head.at_fault, pause, now)
-        };
+        let is_new = self.endpoints.lock().note_pause(run, pause, now);
         if is_new {
             spdlog::info!("endpoints: asked for a pause", kv: {
                 endpoint = run.endpoint.as_str(), pause_ms = ms(pause)
