--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -106,6 +106,8 @@
     is_leaving: bool,
     /// The `Retry-After` with which requests are turned away, in seconds; 0 if they are not.
     pause_s: f64,
+    /// The address that is named as at fault when requests are turned away, if not its own.
+    blamed: Option<SocketAddr>,
     /// The ids of the requests that were turned away.
     turned_away: Vec<String>,
 }
--- a/crates/pistachioyard_standins/src/site/worker/control.rs
+++ b/crates/pistachioyard_standins/src/site/worker/control.rs
@@ -4,9 +4,10 @@
 //! the requests turned away, and `GET /control/fence` returns the highest fencing token of an
 //! order. `PUT /control/leaving` makes all later answers say that the worker leaves, while its
 //! object in the store stays `ready`; `PUT /control/pause` with a number of seconds makes it turn
-//! all requests away with that `Retry-After`, until it gets 0. `PUT /control/silence` with a
-//! number of milliseconds makes it fall silent for that time: it accepts no connection and
-//! answers nothing, keeps its connections and then goes on.
+//! all requests away with that `Retry-After`, until it gets 0; `PUT /control/blame` with an
+//! address makes these refusals blame that one. `PUT /control/silence` with a number of
+//! milliseconds makes it fall silent for that time: it accepts no connection and answers nothing,
+//! keeps its connections and then goes on.
 
 use std::time::Duration;
 
@@ -35,6 +36,10 @@
             state.pause_s = body.as_f64().unwrap_or_default();
             status_only(StatusCode::OK)
         }
+        "blame" => {
+            state.blamed = body.as_str().and_then(|address| address.parse().ok());
+            status_only(StatusCode::OK)
+        }
         "turned_away" => json_response(StatusCode::OK, &json!(state.turned_away)),
         _ => status_only(StatusCode::NOT_FOUND),
     }
@@ -47,7 +52,8 @@
         return None;
     }
     state.turned_away.push(id.to_owned());
-    let mut refusal = not_run(StatusCode::SERVICE_UNAVAILABLE, worker.address());
+    let at_fault = state.blamed.unwrap_or_else(|| worker.address());
+    let mut refusal = not_run(StatusCode::SERVICE_UNAVAILABLE, at_fault);
     let retry_after = HeaderValue::from_str(&state.pause_s.to_string());
     refusal
         .headers_mut()
--- a/tests/site/leaving.rs
+++ b/tests/site/leaving.rs
@@ -113,6 +113,20 @@
         ids.await.expect("the endpoint answers").len()
     }
 
+    /// Makes a plain endpoint ask for a pause, and checks that it gets no request until the end.
+    async fn check_pause(&self, to: SocketAddr, paused: usize) {
+        self.control(paused, "pause", json!(PAUSE_S)).await;
+        self.send_plain_batch(to).await;
+        let asked_at = Instant::now();
+        let turned_away = self.count_turned_away(paused).await;
+        assert!(turned_away > 0, "some requests were turned away");
+        tokio::time::sleep(PAUSE_SLACK).await;
+        while asked_at.elapsed() < Duration::from_secs_f64(PAUSE_S) - PAUSE_SLACK {
+            self.send_plain_batch(to).await;
+        }
+        assert_eq!(self.count_turned_away(paused).await, turned_away);
+    }
+
     async fn count_endpoint_runs(&self, endpoint: usize) -> usize {
         self.fetch_runs(&self.endpoints[endpoint]).await.len()
     }
@@ -192,16 +206,7 @@
     let site = Site::start(1).await;
     let to = site.entries[0].caller_address();
     let paused = site.plain_endpoint();
-    site.control(paused, "pause", json!(PAUSE_S)).await;
-    site.send_plain_batch(to).await;
-    let asked_at = Instant::now();
-    let turned_away = site.count_turned_away(paused).await;
-    assert!(turned_away > 0, "some requests were turned away");
-    tokio::time::sleep(PAUSE_SLACK).await;
-    while asked_at.elapsed() < Duration::from_secs_f64(PAUSE_S) - PAUSE_SLACK {
-        site.send_plain_batch(to).await;
-    }
-    assert_eq!(site.count_turned_away(paused).await, turned_away);
+    site.check_pause(to, paused).await;
     site.control(paused, "pause", json!(0)).await;
     let before = site.count_endpoint_runs(paused).await;
     wait_until(Duration::from_secs(6), "the endpoint", || async {
@@ -212,6 +217,30 @@
     .expect("the endpoint gets requests after its pause");
 }
 
+/// Guards against requests within the pause of an endpoint that blamed another one when it
+/// turned a request away, and against pausing the one it blamed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_that_blames_another_one_gets_the_pause_that_it_asked_for() {
+    let mut site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let paused = site.plain_endpoint();
+    let blamed = site.endpoints.iter().rposition(|e| e.is_plain);
+    let blamed = blamed.expect("the site has endpoints without layers");
+    assert_ne!(blamed, paused);
+    let report = site
+        .client
+        .get_json::<Value>(site.endpoints[blamed].address, "/report");
+    let report = report.await.expect("the endpoint reports");
+    site.control(paused, "blame", report["address"].clone())
+        .await;
+    let before = site.count_endpoint_runs(blamed).await;
+    site.check_pause(to, paused).await;
+    // The backoff after many refusals may last as long as the pause.
+    site.await_logged("endpoints: asked for a pause", paused)
+        .await;
+    assert!(site.count_endpoint_runs(blamed).await > before);
+}
+
 /// Guards against holding callers until a time limit while no endpoint wants requests, and
 /// against telling them to return too early.
 #[tokio::test(flavor = "multi_thread")]
