--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -5,18 +5,14 @@
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
 //! ends the process, and so does one whose prompt has the part [`crash::CRASHING_PART`], once its
-//! answer has begun. `GET /control/runs` lists the ids of the requests started,
-//! `GET /control/fence` returns the highest fencing token of an order, and `GET /control/paths`
-//! the addresses of the stages of each running stream. After `PUT /control/crash`, the next running
-//! stream that passes through the worker ends the process.
+//! answer has begun.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
 //! one with `X-Run-Ms` runs for that time on a plain service, and `X-Answer-Status` selects the
-//! status there; `X-Answer-End` selects how its answer ends.
-//!
-//! `PUT /control/silence` with a number of milliseconds makes it fall silent for that time: it
-//! accepts no connection and answers nothing, keeps its connections and then goes on.
+//! status there; `X-Answer-End` selects how its answer ends. Tests observe and change a worker
+//! under `/control/`, see [`control`].
 
 mod answer;
+mod control;
 mod crash;
 mod events;
 mod silence;
@@ -76,6 +72,9 @@
     /// The number of events in each stream.
     #[arg(long, default_value_t = 20)]
     pub events: u64,
+    /// Whether all answers say from the start that the worker leaves.
+    #[arg(long)]
+    pub leaving: bool,
     /// The interval between two events of a stream, in milliseconds.
     #[arg(long, default_value_t = 15)]
     pub event_interval_ms: u64,
@@ -106,6 +105,14 @@
     stalled: BTreeMap<String, SocketAddr>,
     /// Whether the process ends when the next running stream passes through it.
     crashes_in_stream: bool,
+    /// Whether all answers say that the worker leaves.
+    is_leaving: bool,
+    /// The `Retry-After` with which requests are turned away, in seconds; 0 if they are not.
+    pause_s: f64,
+    /// The address that is named as at fault when requests are turned away, if not its own.
+    blamed: Option<SocketAddr>,
+    /// The ids of the requests that were turned away.
+    turned_away: Vec<String>,
 }
 
 /// Serves a worker until the process ends.
@@ -120,11 +127,15 @@
         request_timeout: Duration::from_millis(500),
         ..HttpClientConfig::default()
     });
+    let state = State {
+        is_leaving: args.leaving,
+        ..State::default()
+    };
     let worker = Arc::new(Worker {
         args,
         started_at_ms: started_at.map_or(0, |since| since.as_millis() as u64),
         client,
-        state: Mutex::default(),
+        state: Mutex::new(state),
     });
     tokio::spawn(register(worker.clone()));
     serve(listen, move |req| handle(worker.clone(), req)).await
@@ -184,7 +195,18 @@
 
 async fn handle(worker: Arc<Worker>, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
-    match path.as_str() {
+    if let Some(command) = path.strip_prefix("/control/") {
+        let command = command.to_owned();
+        let body = read_json(req.into_body()).await;
+        return control::handle(&worker, &command, &body);
+    }
+    let mut answer = answer(&worker, &path, req).await;
+    control::mark_leaving(&worker, answer.headers_mut());
+    answer
+}
+
+async fn answer(worker: &Arc<Worker>, path: &str, req: Request<Incoming>) -> Response<Body> {
+    match path {
         "/report" => {
             let orders = worker.state.lock().orders;
             json_response(StatusCode::OK, &worker.status_report(orders))
@@ -192,44 +214,21 @@
         "/order" => {
             let body = read_json(req.into_body()).await;
             match body["op"].as_str() {
-                Some("repath") => repath(&worker, &body).await,
-                _ => order(&worker, &body),
+                Some("repath") => repath(worker, &body).await,
+                _ => order(worker, &body),
             }
         }
-        "/control/fence" => json_response(StatusCode::OK, &json!(worker.state.lock().fence)),
-        "/control/runs" => json_response(StatusCode::OK, &json!(worker.state.lock().runs)),
-        "/control/silence" => {
-            let body = read_json(req.into_body()).await;
-            let duration = Duration::from_millis(body.as_u64().unwrap_or_default());
-            tokio::spawn(silence::fall_silent(worker.args.listen, duration));
-            status_only(StatusCode::ACCEPTED)
-        }
-        "/control/paths" => json_response(StatusCode::OK, &running_paths(&worker)),
-        "/control/crash" => {
-            worker.state.lock().crashes_in_stream = true;
-            status_only(StatusCode::OK)
-        }
-        HOLDS_PATH => holds(&worker, req.uri().query().unwrap_or_default()),
+        HOLDS_PATH => holds(worker, req.uri().query().unwrap_or_default()),
         PASS_PATH => {
             if worker.state.lock().crashes_in_stream {
                 std::process::exit(1);
             }
-            holds(&worker, req.uri().query().unwrap_or_default())
+            holds(worker, req.uri().query().unwrap_or_default())
         }
-        _ => run(worker, req).await,
+        _ => run(worker.clone(), req).await,
     }
 }
 
-/// Returns the addresses of the stages of each running stream, by request id.
-fn running_paths(worker: &Worker) -> Value {
-    let state = worker.state.lock();
-    let paths = state.paths.iter().map(|(id, stages)| {
-        let addresses: Vec<SocketAddr> = stages.iter().map(|(at, ..)| *at).collect();
-        (id.clone(), json!(addresses))
-    });
-    Value::Object(paths.collect())
-}
-
 fn order(worker: &Arc<Worker>, order: &Value) -> Response<Body> {
     let (Some(from), Some(to)) = (order["from"].as_u64(), order["to"].as_u64()) else {
         return status_only(StatusCode::BAD_REQUEST);
@@ -307,6 +306,9 @@
     if !is_expected {
         return not_run(StatusCode::MISDIRECTED_REQUEST, worker.address());
     }
+    if let Some(refusal) = control::turn_away(&worker, &id) {
+        return refusal;
+    }
     if parts.headers.contains_key("authorization") || !parts.headers.contains_key("x-tenant") {
         return status_only(StatusCode::IM_A_TEAPOT); // the router drops API keys, sets x-tenant
     }
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -42,7 +42,7 @@
 }
 
 async fn probe(router: &Router, record: &EndpointRecord) {
-    let asked = filter::fetch_report(&router.client, record.address);
+    let asked = filter::fetch_report(router, &record.endpoint, record.address);
     let (report, result) = match tokio::time::timeout(PROBE_TIMEOUT, asked).await {
         Ok(Ok(report)) => (Some(report), ProbeResult::Answered),
         Ok(Err(CallError::Refused { .. })) => (None, ProbeResult::Refused),
--- /dev/null
+++ b/src/router/endpoint_answer.rs
@@ -0,0 +1,60 @@
+//! Applies what the heads of endpoints' answers say of the endpoints themselves.
+
+use pistachioyard_platform::AnswerHead;
+use pistachioyard_policy::EndpointRun;
+use pistachioyard_wire::ServiceName;
+
+use crate::prelude::*;
+use crate::router::Router;
+use crate::router::log::ms;
+
+impl Router {
+    /// Applies the head of an answer to a request, an order or a call for the report.
+    ///
+    /// `run` is the run to which the call was sent.
+    pub(crate) fn note_answer(&self, run: &EndpointRun, head: &AnswerHead) {
+        if head.is_leaving && !head.is_other_endpoint {
+            self.note_leaving(run, "answer");
+        }
+        if let Some(pause) = head.pause {
+            self.note_pause(run, pause);
+        }
+    }
+
+    fn note_pause(&self, run: &EndpointRun, pause: Duration) {
+        let now = Instant::now();
+        let is_new = self.endpoints.lock().note_pause(run, pause, now);
+        if is_new {
+            spdlog::info!("endpoints: asked for a pause", kv: {
+                endpoint = run.endpoint.as_str(), pause_ms = ms(pause)
+            });
+        }
+    }
+
+    /// Returns the time after which a caller may ask a service again, in ms: the end of the first
+    /// pause if all endpoints asked for one, and `otherwise` if not.
+    pub(crate) fn retry_after_ms(&self, service: &ServiceName, otherwise: u64) -> u64 {
+        self.pause_left_ms(service).unwrap_or(otherwise)
+    }
+
+    /// Returns the time until the first endpoint of a service ends its pause, in ms, if all
+    /// asked for one.
+    pub(crate) fn pause_left_ms(&self, service: &ServiceName) -> Option<u64> {
+        let endpoints = self.endpoints.lock();
+        let left = endpoints.all_paused_for(service, &[], Instant::now())?;
+        // Rounded up, since a caller must not return before the end.
+        Some(ms(left) + 1)
+    }
+
+    /// Gives no new requests to a run of an endpoint that is leaving; `from` says who told.
+    pub(crate) fn note_leaving(&self, run: &EndpointRun, from: &str) {
+        let is_new = self.endpoints.lock().note_leaving(run, Instant::now());
+        if is_new {
+            spdlog::info!("endpoints: announced that it is leaving", kv: {
+                endpoint = run.endpoint.as_str(),
+                started_unix_ms = run.started_unix_ms.unwrap_or_default(), from
+            });
+            self.endpoints_changed.notify_one();
+        }
+    }
+}
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -107,7 +107,7 @@
                 let (address, started) = (self.address, self.started_unix_ms);
                 let endpoint = self.endpoint.clone();
                 tokio::spawn(async move {
-                    if has_crashed(&router, address, started).await {
+                    if has_crashed(&router, &endpoint, address, started).await {
                         router.note_part_crash(&endpoint, run).await;
                     } else {
                         router.parts.lock().dismiss_loss(run);
@@ -119,12 +119,17 @@
 }
 
 /// Returns whether the endpoint run that started at this time no longer answers.
-async fn has_crashed(router: &Router, address: SocketAddr, started: Option<u64>) -> bool {
+async fn has_crashed(
+    router: &Router,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+    started: Option<u64>,
+) -> bool {
     for attempt in 0..CRASH_PROBES {
         if attempt > 0 {
             tokio::time::sleep(PROBE_INTERVAL).await;
         }
-        let asked = tokio::time::timeout(REPORT_TIMEOUT, fetch(&router.client, address));
+        let asked = tokio::time::timeout(REPORT_TIMEOUT, fetch(router, endpoint, address));
         match asked.await {
             Ok(Ok(report)) => return started.is_some() && report.started_unix_ms != started,
             // An endpoint of a plain service has no report, but it answers.
--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -110,6 +110,7 @@
     if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
         return AttemptResult::Lost("the answer belongs to another request".to_owned());
     }
+    router.note_answer(&target.run(), &head);
     let body = match read_whole(target.address, body, MAX_ANSWER_BYTES).await {
         Ok(body) => body,
         Err(e) => {
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -10,6 +10,7 @@
 mod endpoints;
 mod faults;
 mod layout;
+mod leaving;
 mod logs;
 mod lost;
 mod poison_part;
