--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -25,6 +25,7 @@
 mod retry_budget;
 mod routing;
 mod stall_detector;
+mod store_position;
 mod stream_guard;
 
 pub use activity_tracker::ActivityTracker;
@@ -41,11 +42,12 @@
 };
 pub use crossing_limiter::{CrossingLimiter, crossing_ms};
 pub use endpoint_registry::{
-    EndpointChange, EndpointRecord, EndpointRegistry, EndpointReport, GossipReport, SuspectReason,
+    EndpointChange, EndpointRecord, EndpointRegistry, EndpointReport, GossipReport, ProbeResult,
+    SuspectReason,
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
-pub use lease::{HeldLease, LeaseAction, LeaseRecord, decide_lease};
+pub use lease::{EraLease, HeldLease, LeaseAction, LeaseRecord, decide_lease, raise_fence};
 pub use ledger::{
     ChangeAnswer, Claim, ClaimState, KeyAgeError, LedgerChange, LedgerLayout, LedgerPage,
     LedgerPageError,
@@ -69,4 +71,5 @@
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
+pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -4,12 +4,18 @@
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
-//! ends the process, and so does one whose prompt has the part [`CRASHING_PART`], once its answer
-//! has begun. `GET /control/runs` lists the ids of the requests started.
+//! ends the process, and so does one whose prompt has the part [`crash::CRASHING_PART`], once
+//! its answer has begun. `GET /control/runs` lists the ids of the requests started, and
+//! `GET /control/fence` returns the highest fencing token of an order.
+//! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
+//! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-End` selects how its
+//! answer ends.
 //!
 //! `PUT /control/silence` with a number of milliseconds makes it fall silent for that time: it
 //! accepts no connection and answers nothing, keeps its connections and then goes on.
 
+mod answer;
+mod crash;
 mod events;
 mod silence;
 mod stages;
@@ -27,6 +33,7 @@
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::answer::{Ending, padded, padded_len, signed};
 use self::events::Events;
 use self::stages::{Stages, check_path, parse_path, parse_range};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
@@ -75,11 +82,6 @@
 /// The body of a poison request, which crashes every worker that starts to run it.
 const POISON: &[u8] = b"poison";
 
-/// The id of a prompt part that crashes every worker that begins to write an answer on it.
-const CRASHING_PART: &str = "bad0bad0";
-/// The time from the head of such an answer until the crash; a few events are sent meanwhile.
-const CRASH_DELAY: Duration = Duration::from_millis(40);
-
 struct Worker {
     args: SiteWorkerArgs,
     started_at_ms: u64,
@@ -92,6 +94,8 @@
     layers: Option<(u64, u64)>,
     busy: bool,
     orders: u64,
+    /// The highest fencing token of an order; orders with a lower one are refused.
+    fence: u64,
     heartbeats: u64,
     runs: Vec<String>,
     /// The paths of the running requests, by request id.
@@ -188,6 +192,7 @@
                 _ => order(&worker, &body),
             }
         }
+        "/control/fence" => json_response(StatusCode::OK, &json!(worker.state.lock().fence)),
         "/control/runs" => json_response(StatusCode::OK, &json!(worker.state.lock().runs)),
         "/control/silence" => {
             let body = read_json(req.into_body()).await;
@@ -204,7 +209,12 @@
     let (Some(from), Some(to)) = (order["from"].as_u64(), order["to"].as_u64()) else {
         return status_only(StatusCode::BAD_REQUEST);
     };
+    let fence = order["fence"].as_u64().unwrap_or_default();
     let mut state = worker.state.lock();
+    if fence < state.fence {
+        return status_only(StatusCode::PRECONDITION_FAILED);
+    }
+    state.fence = fence;
     if state.layers == Some((from, to)) {
         return status_only(StatusCode::OK);
     }
@@ -292,14 +302,18 @@
         // Simulates a worker that crashes when it starts to run the request.
         std::process::exit(1);
     }
-    let crashes = has_crashing_part(&parts.headers);
+    let crashes = crash::has_crashing_part(header(&parts.headers, "x-prompt-prefix"));
+    let ending = Ending::of(&parts.headers);
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
         if crashes {
-            tokio::spawn(crash_soon());
+            tokio::spawn(crash::crash_soon());
         }
-        tokio::time::sleep(PLAIN_REQUEST_TIME).await;
-        return with_signature(&id, full_body(format!("{}\n\n", answer_line(&id, 0))));
+        let asked = header(&parts.headers, "x-run-ms").and_then(|ms| ms.parse().ok());
+        tokio::time::sleep(asked.map_or(PLAIN_REQUEST_TIME, Duration::from_millis)).await;
+        let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
+        let body = full_body(format!("{line}\n\n"));
+        return signed(&id, body, ending);
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
     if let Err(missing) = check_path(&worker, &path).await {
@@ -314,10 +328,11 @@
         state.paths.insert(id.clone(), path);
     }
     if crashes {
-        tokio::spawn(crash_soon());
+        tokio::spawn(crash::crash_soon());
     }
     let last = header(&parts.headers, "last-event-id").and_then(|id| id.parse().ok());
-    let events = Events::new(worker, &id, last);
+    let padded_len = padded_len(&parts.headers);
+    let events = Events::new(worker, &id, last, padded_len, ending);
     let body = StreamBody::new(stream::unfold(Some(events), |events| async {
         let mut events = events?;
         match events.next().await {
@@ -326,35 +341,7 @@
             Err(e) => Some((Err(e), None)),
         }
     }));
-    with_signature(&id, body.boxed_unsync())
-}
-
-/// Returns whether a part of the prompt, other than the last, is [`CRASHING_PART`].
-fn has_crashing_part(headers: &HeaderMap) -> bool {
-    let parts = header(headers, "x-prompt-prefix").unwrap_or_default();
-    let shared = parts.rsplit(',').skip(1);
-    shared.map(str::trim).any(|part| {
-        let id = part.split(':').next();
-        id == Some(CRASHING_PART)
-    })
-}
-
-async fn crash_soon() {
-    tokio::time::sleep(CRASH_DELAY).await;
-    std::process::exit(1);
-}
-
-fn with_signature(id: &str, body: Body) -> Response<Body> {
-    let mut answer = Response::new(body);
-    let headers = answer.headers_mut();
-    if let Ok(id) = ::http::HeaderValue::from_str(id) {
-        headers.insert("x-attempt-id", id);
-    }
-    headers.insert(
-        "x-response-signature",
-        ::http::HeaderValue::from_static("stand-in"),
-    );
-    answer
+    signed(&id, body.boxed_unsync(), ending)
 }
 
 /// Returns the data of event `n` of a request, which is the same on every worker.
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -14,8 +14,8 @@
 /// How long an endpoint may take to report after it has lost an answer; a healthy one answers
 /// within a few ms.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-/// The number of reports that a crashed endpoint leaves unanswered. A single connection may
-/// also be reset while its endpoint lives.
+/// The number of reports that a crashed endpoint leaves unanswered, unless it refuses the
+/// connection. A single connection may also be reset while its endpoint lives.
 const CRASH_PROBES: u32 = 2;
 /// The interval between two such probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
@@ -129,8 +129,13 @@
             Ok(Ok(report)) => return started.is_some() && report.started_unix_ms != started,
             // An endpoint of a plain service has no report, but it answers.
             Ok(Err(CallError::Malformed { .. } | CallError::Status { .. })) => return false,
-            Ok(Err(CallError::NotSent { .. })) => return true,
-            Ok(Err(CallError::AnswerLost { .. } | CallError::Timeout { .. })) | Err(_) => {}
+            Ok(Err(CallError::Refused { .. })) => return true,
+            Ok(Err(
+                CallError::NotSent { .. }
+                | CallError::AnswerLost { .. }
+                | CallError::Timeout { .. },
+            ))
+            | Err(_) => {}
         }
     }
     true
--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -95,7 +95,9 @@
     };
     let (response, connection) = match router.client.send(target.address, req, reuse).await {
         Ok(answer) => answer,
-        Err(CallError::NotSent { .. }) => return AttemptResult::NotReached,
+        Err(CallError::NotSent { .. } | CallError::Refused { .. }) => {
+            return AttemptResult::NotReached;
+        }
         Err(e) => {
             record_loss();
             return AttemptResult::Lost(e.to_string());
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -14,5 +14,6 @@
 mod process;
 mod raw;
 mod soak;
+mod store_era;
 mod supervisor;
 mod support;
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -68,7 +68,7 @@
     _pool: AddressPool,
     _files: TempDir,
     _store_and_proxy: Vec<Child>,
-    store: SocketAddr,
+    pub(crate) store: SocketAddr,
     proxy: SocketAddr,
     pub(crate) entries: Vec<Entry>,
     pub(crate) endpoints: Vec<Endpoint>,
@@ -150,7 +150,15 @@
         );
         let files = tempfile::tempdir().expect("a directory can be created");
         let entries = (0..layout.entries)
-            .map(|index| entry(files.path(), index, next().ip(), proxied_store))
+            .map(|index| {
+                entry(
+                    files.path(),
+                    index,
+                    next().ip(),
+                    proxied_store,
+                    layout.retry_slack,
+                )
+            })
             .collect();
         let mut site = Self {
             launcher,
