--- a/crates/pistachioyard_policy/src/endpoint_registry/record.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/record.rs
@@ -8,6 +8,8 @@
 use pistachioyard_wire::{DataCentre, EndpointId, LayerRange, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use super::notices::EndpointRun;
+
 /// Holds an endpoint's record in the store.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EndpointRecord {
@@ -28,6 +30,14 @@
 }
 
 impl EndpointRecord {
+    /// Returns the run of the endpoint that the record describes.
+    pub fn run(&self) -> EndpointRun {
+        EndpointRun {
+            endpoint: self.endpoint.clone(),
+            started_unix_ms: self.state.started_unix_ms,
+        }
+    }
+
     /// Returns whether a known record shows that this one is from an older copy of the store:
     /// its endpoint or address belongs to a later run, or the endpoint is leaving by now.
     pub fn is_outdated_by(&self, known: &Self) -> bool {
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -5,16 +5,14 @@
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
 //! ends the process, and so does one whose prompt has the part [`crash::CRASHING_PART`], once its
-//! answer has begun. `GET /control/runs` lists the ids of the requests started, and
-//! `GET /control/fence` returns the highest fencing token of an order.
+//! answer has begun.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
-//! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-End` selects how its
-//! answer ends.
-//!
-//! `PUT /control/silence` with a number of milliseconds makes it fall silent for that time: it
-//! accepts no connection and answers nothing, keeps its connections and then goes on.
+//! one with `X-Run-Ms` runs for that time on a plain service, and `X-Answer-Status` selects the
+//! status there; `X-Answer-End` selects how its answer ends. Tests observe and change a worker
+//! under `/control/`, see [`control`].
 
 mod answer;
+mod control;
 mod crash;
 mod events;
 mod silence;
@@ -33,9 +31,9 @@
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::answer::{Ending, padded, padded_len, signed};
+use self::answer::{Ending, padded, padded_len, set_status, signed};
 use self::events::Events;
-use self::stages::{Stages, check_path, parse_path, parse_range};
+use self::stages::{HOLDS_PATH, PASS_PATH, Stages, check_path, holds, parse_path};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
 use crate::http::{HttpClient, HttpClientConfig};
 
@@ -74,6 +72,9 @@
     /// The number of events in each stream.
     #[arg(long, default_value_t = 20)]
     pub events: u64,
+    /// Whether all answers say from the start that the worker leaves.
+    #[arg(long)]
+    pub leaving: bool,
     /// The interval between two events of a stream, in milliseconds.
     #[arg(long, default_value_t = 15)]
     pub event_interval_ms: u64,
@@ -102,6 +103,16 @@
     paths: BTreeMap<String, Stages>,
     /// The stalled requests by id, with the address of the stage that blocks each.
     stalled: BTreeMap<String, SocketAddr>,
+    /// Whether the process ends when the next running stream passes through it.
+    crashes_in_stream: bool,
+    /// Whether all answers say that the worker leaves.
+    is_leaving: bool,
+    /// The `Retry-After` with which requests are turned away, in seconds; 0 if they are not.
+    pause_s: f64,
+    /// The address that is named as at fault when requests are turned away, if not its own.
+    blamed: Option<SocketAddr>,
+    /// The ids of the requests that were turned away.
+    turned_away: Vec<String>,
 }
 
 /// Serves a worker until the process ends.
@@ -116,11 +127,15 @@
         request_timeout: Duration::from_millis(500),
         ..HttpClientConfig::default()
     });
+    let state = State {
+        is_leaving: args.leaving,
+        ..State::default()
+    };
     let worker = Arc::new(Worker {
         args,
         started_at_ms: started_at.map_or(0, |since| since.as_millis() as u64),
         client,
-        state: Mutex::default(),
+        state: Mutex::new(state),
     });
     tokio::spawn(register(worker.clone()));
     serve(listen, move |req| handle(worker.clone(), req)).await
@@ -180,7 +195,18 @@
 
 async fn handle(worker: Arc<Worker>, req: Request<Incoming>) -> Response<Body> {
     let path = req.uri().path().to_owned();
-    match path.as_str() {
+    if let Some(command) = path.strip_prefix("/control/") {
+        let command = command.to_owned();
+        let body = read_json(req.into_body()).await;
+        return control::handle(&worker, &command, &body);
+    }
+    let mut answer = answer(&worker, &path, req).await;
+    control::mark_leaving(&worker, answer.headers_mut());
+    answer
+}
+
+async fn answer(worker: &Arc<Worker>, path: &str, req: Request<Incoming>) -> Response<Body> {
+    match path {
         "/report" => {
             let orders = worker.state.lock().orders;
             json_response(StatusCode::OK, &worker.status_report(orders))
@@ -188,20 +214,18 @@
         "/order" => {
             let body = read_json(req.into_body()).await;
             match body["op"].as_str() {
-                Some("repath") => repath(&worker, &body).await,
-                _ => order(&worker, &body),
+                Some("repath") => repath(worker, &body).await,
+                _ => order(worker, &body),
             }
         }
-        "/control/fence" => json_response(StatusCode::OK, &json!(worker.state.lock().fence)),
-        "/control/runs" => json_response(StatusCode::OK, &json!(worker.state.lock().runs)),
-        "/control/silence" => {
-            let body = read_json(req.into_body()).await;
-            let duration = Duration::from_millis(body.as_u64().unwrap_or_default());
-            tokio::spawn(silence::fall_silent(worker.args.listen, duration));
-            status_only(StatusCode::ACCEPTED)
+        HOLDS_PATH => holds(worker, req.uri().query().unwrap_or_default()),
+        PASS_PATH => {
+            if worker.state.lock().crashes_in_stream {
+                std::process::exit(1);
+            }
+            holds(worker, req.uri().query().unwrap_or_default())
         }
-        "/holds" => holds(&worker, req.uri().query().unwrap_or_default()),
-        _ => run(worker, req).await,
+        _ => run(worker.clone(), req).await,
     }
 }
 
@@ -250,7 +274,7 @@
         Some(first) if path.first() != Some(&first) => return status_only(StatusCode::BAD_REQUEST),
         Some(_) => {}
     }
-    if let Err(missing) = check_path(worker, &path).await {
+    if let Err(missing) = check_path(worker, &path, HOLDS_PATH).await {
         let at = missing.map(|(_, at)| at);
         return json_response(StatusCode::CONFLICT, &json!({ "address": at }));
     }
@@ -258,16 +282,6 @@
     status_only(StatusCode::ACCEPTED)
 }
 
-/// Answers whether the worker holds the layer range given as `FROM-TO`.
-fn holds(worker: &Worker, range: &str) -> Response<Body> {
-    let is_held = parse_range(range).is_some_and(|range| worker.holds(range));
-    status_only(if is_held {
-        StatusCode::OK
-    } else {
-        StatusCode::MISDIRECTED_REQUEST
-    })
-}
-
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -292,6 +306,9 @@
     if !is_expected {
         return not_run(StatusCode::MISDIRECTED_REQUEST, worker.address());
     }
+    if let Some(refusal) = control::turn_away(&worker, &id) {
+        return refusal;
+    }
     if parts.headers.contains_key("authorization") || !parts.headers.contains_key("x-tenant") {
         return status_only(StatusCode::IM_A_TEAPOT); // the router drops API keys, sets x-tenant
     }
@@ -313,10 +330,12 @@
         tokio::time::sleep(asked.map_or(PLAIN_REQUEST_TIME, Duration::from_millis)).await;
         let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
         let body = full_body(format!("{line}\n\n"));
-        return signed(&id, body, ending);
+        let mut answer = signed(&id, body, ending);
+        set_status(&parts.headers, &mut answer);
+        return answer;
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
-    if let Err(missing) = check_path(&worker, &path).await {
+    if let Err(missing) = check_path(&worker, &path, HOLDS_PATH).await {
         return match missing {
             Some((status, at)) => not_run(status, at),
             None => status_only(StatusCode::IM_A_TEAPOT),
--- /dev/null
+++ b/crates/pistachioyard_standins/src/site/worker/control.rs
@@ -0,0 +1,86 @@
+//! Lets tests observe a worker and change how it answers.
+//!
+//! `GET /control/runs` lists the ids of the requests started, `GET /control/turned_away` those of
+//! the requests turned away, and `GET /control/fence` returns the highest fencing token of an
+//! order. `PUT /control/leaving` makes all later answers say that the worker leaves, while its
+//! object in the store stays `ready`; `PUT /control/pause` with a number of seconds makes it turn
+//! all requests away with that `Retry-After`, until it gets 0; `PUT /control/blame` with an
+//! address makes these refusals blame that one. `PUT /control/silence` with a number of
+//! milliseconds makes it fall silent for that time: it accepts no connection and answers nothing,
+//! keeps its connections and then goes on. `GET /control/paths` lists the addresses of the stages
+//! of each running stream; after `PUT /control/crash`, the next running stream that passes through
+//! the worker ends the process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ::http::{HeaderMap, HeaderValue, Response, StatusCode};
+use serde_json::{Value, json};
+
+use super::{State, Worker, not_run, silence};
+use crate::site::http::{Body, json_response, status_only};
+
+/// Carries out a command of a test.
+pub(super) fn handle(worker: &Worker, command: &str, body: &Value) -> Response<Body> {
+    let mut state = worker.state.lock();
+    match command {
+        "fence" => json_response(StatusCode::OK, &json!(state.fence)),
+        "runs" => json_response(StatusCode::OK, &json!(state.runs)),
+        "silence" => {
+            let duration = Duration::from_millis(body.as_u64().unwrap_or_default());
+            tokio::spawn(silence::fall_silent(worker.args.listen, duration));
+            status_only(StatusCode::ACCEPTED)
+        }
+        "paths" => json_response(StatusCode::OK, &running_paths(&state)),
+        "crash" => {
+            state.crashes_in_stream = true;
+            status_only(StatusCode::OK)
+        }
+        "leaving" => {
+            state.is_leaving = true;
+            status_only(StatusCode::OK)
+        }
+        "pause" => {
+            state.pause_s = body.as_f64().unwrap_or_default();
+            status_only(StatusCode::OK)
+        }
+        "blame" => {
+            state.blamed = body.as_str().and_then(|address| address.parse().ok());
+            status_only(StatusCode::OK)
+        }
+        "turned_away" => json_response(StatusCode::OK, &json!(state.turned_away)),
+        _ => status_only(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Returns the refusal of a request if the worker turns requests away.
+pub(super) fn turn_away(worker: &Worker, id: &str) -> Option<Response<Body>> {
+    let mut state = worker.state.lock();
+    if state.pause_s <= 0.0 {
+        return None;
+    }
+    state.turned_away.push(id.to_owned());
+    let at_fault = state.blamed.unwrap_or_else(|| worker.address());
+    let mut refusal = not_run(StatusCode::SERVICE_UNAVAILABLE, at_fault);
+    let retry_after = HeaderValue::from_str(&state.pause_s.to_string());
+    refusal
+        .headers_mut()
+        .insert("retry-after", retry_after.ok()?);
+    Some(refusal)
+}
+
+/// Adds the header that says that the worker leaves, if it does.
+pub(super) fn mark_leaving(worker: &Worker, headers: &mut HeaderMap) {
+    if worker.state.lock().is_leaving {
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
+    }
+}
+
+/// Returns the addresses of the stages of each running stream, by request id.
+fn running_paths(state: &State) -> Value {
+    let paths = state.paths.iter().map(|(id, stages)| {
+        let addresses: Vec<SocketAddr> = stages.iter().map(|(at, ..)| *at).collect();
+        (id.clone(), json!(addresses))
+    });
+    Value::Object(paths.collect())
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod controller;
+mod endpoint_answer;
 mod endpoint_client;
 mod endpoint_order;
 mod filter;
@@ -186,6 +187,11 @@
         self.retries.lock().rebalance(entries, now);
     }
 
+    /// Returns whether this entry's share of the retry budget has a retry left.
+    pub(crate) fn has_retry(&self) -> bool {
+        self.retries.lock().has_retry()
+    }
+
     /// Takes one retry from this entry's share of the budget; returns whether one was left.
     pub(crate) fn try_retry(&self) -> bool {
         let allowed = self.retries.lock().try_retry();
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -16,6 +16,7 @@
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
+use crate::client::{MAX_HEAD_BYTES, head_lost};
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::metric;
@@ -28,6 +29,12 @@
 /// The share of the endpoint's idle limit within which a connection is reused, so that a
 /// request does not race with the endpoint closing the connection.
 const IDLE_REUSE_SHARE: f64 = 0.6;
+/// The maximum size of an answer to a caller that is held in memory until it is complete, in
+/// bytes; a faulty endpoint may send bytes without end.
+pub(crate) const MAX_ANSWER_BYTES: usize = 4_000_000;
+/// The maximum size of a report or of the answer to an order, in bytes. A report has about a
+/// hundred bytes for each request that stalls.
+pub(crate) const MAX_REPORT_BYTES: usize = 1_000_000;
 /// The maximum number of idle connections per endpoint.
 const MAX_IDLE: usize = 64;
 
@@ -75,7 +82,7 @@
                 Err(mut e) => match e.take_message() {
                     // Nothing was written: the idle connection had been closed.
                     Some(unsent) => req = unsent,
-                    None => return Err(CallError::AnswerLost { to }),
+                    None => return Err(head_lost(to, e.error())),
                 },
             }
         }
@@ -84,7 +91,7 @@
             Ok(response) => Ok((response, Connection { to, sender })),
             Err(mut e) => Err(match e.take_message() {
                 Some(_) => CallError::NotSent { to },
-                None => CallError::AnswerLost { to },
+                None => head_lost(to, e.error()),
             }),
         }
     }
@@ -155,7 +162,9 @@
     if stream.set_nodelay(true).is_err() {
         return Err(not_sent);
     }
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+    let handshake = http1::Builder::new()
+        .max_header_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream));
     let Ok((mut sender, connection)) = handshake.await else {
         return Err(not_sent);
     };
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -14,8 +14,8 @@
 /// How long an endpoint may take to report after it has lost an answer; a healthy one answers
 /// within a few ms.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-/// The number of reports that a crashed endpoint leaves unanswered. A single connection may
-/// also be reset while its endpoint lives.
+/// The number of reports that a crashed endpoint leaves unanswered, unless it refuses the
+/// connection. A single connection may also be reset while its endpoint lives.
 const CRASH_PROBES: u32 = 2;
 /// The interval between two such probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
@@ -107,7 +107,7 @@
                 let (address, started) = (self.address, self.started_unix_ms);
                 let endpoint = self.endpoint.clone();
                 tokio::spawn(async move {
-                    if has_crashed(&router, address, started).await {
+                    if has_crashed(&router, &endpoint, address, started).await {
                         router.note_part_crash(&endpoint, run).await;
                     } else {
                         router.parts.lock().dismiss_loss(run);
@@ -119,18 +119,30 @@
 }
 
 /// Returns whether the endpoint run that started at this time no longer answers.
-async fn has_crashed(router: &Router, address: SocketAddr, started: Option<u64>) -> bool {
+async fn has_crashed(
+    router: &Router,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+    started: Option<u64>,
+) -> bool {
     for attempt in 0..CRASH_PROBES {
         if attempt > 0 {
             tokio::time::sleep(PROBE_INTERVAL).await;
         }
-        let asked = tokio::time::timeout(REPORT_TIMEOUT, fetch(&router.client, address));
+        let asked = tokio::time::timeout(REPORT_TIMEOUT, fetch(router, endpoint, address));
         match asked.await {
             Ok(Ok(report)) => return started.is_some() && report.started_unix_ms != started,
             // An endpoint of a plain service has no report, but it answers.
-            Ok(Err(CallError::Malformed { .. } | CallError::Status { .. })) => return false,
-            Ok(Err(CallError::NotSent { .. } | CallError::Refused { .. })) => return true,
-            Ok(Err(CallError::AnswerLost { .. } | CallError::Timeout { .. })) | Err(_) => {}
+            Ok(Err(
+                CallError::Malformed { .. } | CallError::Status { .. } | CallError::TooLong { .. },
+            )) => return false,
+            Ok(Err(CallError::Refused { .. })) => return true,
+            Ok(Err(
+                CallError::NotSent { .. }
+                | CallError::AnswerLost { .. }
+                | CallError::Timeout { .. },
+            ))
+            | Err(_) => {}
         }
     }
     true
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -30,6 +30,8 @@
     pub(crate) size: RequestSize,
     /// The endpoint that must be the first of the path, if any.
     pub(crate) first: Option<&'a EndpointId>,
+    /// The endpoints that must not be on the path.
+    pub(crate) without: &'a [EndpointId],
 }
 
 /// Holds a path and the age of the oldest endpoint record that it was chosen by.
@@ -66,6 +68,7 @@
     let endpoints = router.endpoints.lock();
     let mut usable = endpoints.usable(request.service, now);
     usable.retain(|record| request.first.is_none_or(|first| *first == record.endpoint));
+    usable.retain(|record| !request.without.contains(&record.endpoint));
     let latency = router.plain_latency.lock();
     let load = router.load.lock();
     let home = &router.settings.data_centre;
@@ -88,7 +91,8 @@
     spec: &PipelineSpec,
     now: Instant,
 ) -> Result<Path, NoPath> {
-    let offers = offers(router, request.service, spec, now);
+    let mut offers = offers(router, request.service, spec, now);
+    offers.retain(|offer| !request.without.contains(&offer.endpoint));
     let query = query(router, request, spec, now);
     let path = choose_path(spec, &offers, &query, &mut rand::rng())?;
     charge_crossings(router, request, &path);
@@ -175,7 +179,8 @@
     limiter.has_room().then(|| crossing_ms(spec))
 }
 
-/// Finds a path for a new request, and refuses the request if there is none soon.
+/// Finds a path for a new request, and refuses the request if there is none soon; at once if
+/// all endpoints asked for a pause.
 pub(crate) async fn admit(
     router: &Router,
     call: &Call,
@@ -189,7 +194,13 @@
             Err(no_path) if Instant::now() >= give_up_at => {
                 return Err(refusal(request.spec, no_path));
             }
-            Err(_) => wait_for_capacity(router).await,
+            Err(_) => {
+                if let Some(retry_after_ms) = router.pause_left_ms(request.service) {
+                    let detail = "all endpoints asked for a pause; the request was not run";
+                    return Err(no_capacity(detail, retry_after_ms));
+                }
+                wait_for_capacity(router).await;
+            }
         }
     }
 }
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -53,13 +53,14 @@
     let mut attempts = Attempts {
         router,
         call,
+        service,
         may_repeat: call.route.repeatability != Repeatability::AtMostOnce,
         tried: Vec::new(),
         started: 0,
         refusals: 0,
         failed_answer: None,
     };
-    let ended = attempts.run(service, record).await;
+    let ended = attempts.run(record).await;
     match (ended, attempts.failed_answer) {
         (Ok(response), _) => Ok(response),
         // An endpoint's error response tells the caller more than the router's problem.
@@ -75,6 +76,7 @@
 struct Attempts<'a> {
     router: &'a Arc<Router>,
     call: &'a Call,
+    service: &'a ServiceName,
     may_repeat: bool,
     tried: Vec<EndpointId>,
     /// The number of attempts that are running or may have run.
@@ -90,12 +92,8 @@
     ///
     /// An endpoint that is silent keeps the request while another one is tried, since it may
     /// still answer.
-    async fn run(
-        &mut self,
-        service: &ServiceName,
-        record: &mut Record,
-    ) -> Result<Response<AnswerBody>, Problem> {
-        let (router, call) = (self.router, self.call);
+    async fn run(&mut self, record: &mut Record) -> Result<Response<AnswerBody>, Problem> {
+        let (router, call, service) = (self.router, self.call, self.service);
         let mut running = FuturesUnordered::new();
         let mut next = Some("first");
         let mut silent_at = None;
@@ -104,12 +102,14 @@
                 if let Some(problem) = router.check_parts(&call.head.prompt_parts) {
                     match (self.started, running.is_empty()) {
                         (0, _) => return Err(problem),
-                        (_, true) => return Err(no_endpoint_left(self.started)),
+                        (_, true) => return Err(self.no_endpoint_left()),
                         (_, false) => continue,
                     }
                 }
                 let chosen = match running.is_empty() {
-                    true => choose_endpoint(router, call, service, &self.tried).await,
+                    true => {
+                        choose_endpoint(router, call, service, &self.tried, self.started > 0).await
+                    }
                     false => find_endpoint(router, service, &self.tried, Instant::now()),
                 };
                 match chosen {
@@ -124,7 +124,7 @@
                             (target.endpoint, attempt)
                         });
                     }
-                    None if running.is_empty() => return Err(no_endpoint_left(self.started)),
+                    None if running.is_empty() => return Err(self.no_endpoint_left()),
                     None => {}
                 }
                 continue;
@@ -141,10 +141,11 @@
                         NextStep::Refuse(_) | NextStep::Wait => {}
                     }
                 }
-                Ok(None) => return Err(no_endpoint_left(self.started)),
+                Ok(None) => return Err(self.no_endpoint_left()),
                 Err(_) => {
-                    silent_at = None;
-                    if self.may_start_another() && router.try_retry() {
+                    silent_at = self.silence_limit().map(|limit| Instant::now() + limit);
+                    let other = find_endpoint(router, service, &self.tried, Instant::now());
+                    if self.may_start_another() && other.is_some() && router.try_retry() {
                         next = Some("silent");
                     }
                 }
@@ -158,6 +159,19 @@
         Err(deadline_passed(detail))
     }
 
+    fn no_endpoint_left(&self) -> Problem {
+        if self.started == 0 {
+            let detail = "the service has no usable endpoint; retry later";
+            no_capacity(detail, self.retry_after_ms())
+        } else {
+            result_lost("the endpoints that may have run the request returned no answer")
+        }
+    }
+
+    fn retry_after_ms(&self) -> u64 {
+        self.router.retry_after_ms(self.service, RETRY_AFTER_MS)
+    }
+
     /// Returns whether another attempt may be started while the earlier ones may have run.
     fn may_start_another(&self) -> bool {
         self.may_repeat && self.started < self.call.route.max_attempts
@@ -219,7 +233,7 @@
             return result_lost("an attempt's answer was lost; later ones were refused");
         }
         let detail = "the service has no free capacity; retry later";
-        no_capacity(detail, RETRY_AFTER_MS)
+        no_capacity(detail, self.retry_after_ms())
     }
 
     /// Probes an endpoint whose answer was lost, and records a crash if it is unreachable.
@@ -268,17 +282,6 @@
     }
 }
 
-fn no_endpoint_left(started: u32) -> Problem {
-    if started == 0 {
-        no_capacity(
-            "the service has no usable endpoint; retry later",
-            RETRY_AFTER_MS,
-        )
-    } else {
-        result_lost("the endpoints that may have run the request returned no answer")
-    }
-}
-
 fn note_not_run(router: &Router, endpoint: &EndpointId, is_full: bool) {
     let mut endpoints = router.endpoints.lock();
     if is_full {
@@ -298,17 +301,24 @@
 }
 
 /// Chooses an endpoint that was not tried yet, and waits up to the latency target for one.
+///
+/// A request that has not run does not wait for endpoints that asked for a pause.
 async fn choose_endpoint(
     router: &Router,
     call: &Call,
     service: &ServiceName,
     tried: &[EndpointId],
+    has_run: bool,
 ) -> Option<EndpointRecord> {
     let give_up_at = (call.arrived_at + call.route.latency_target).min(call.deadline);
     loop {
         let now = Instant::now();
         let chosen = find_endpoint(router, service, tried, now);
-        if chosen.is_some() || now >= give_up_at {
+        let are_all_paused = || {
+            let endpoints = router.endpoints.lock();
+            endpoints.all_paused_for(service, tried, now).is_some()
+        };
+        if chosen.is_some() || now >= give_up_at || !has_run && are_all_paused() {
             return chosen;
         }
         tokio::time::sleep(RECHECK_INTERVAL).await;
--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -2,15 +2,15 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
-use http_body_util::BodyExt;
 use pistachioyard_platform::{AnswerHead, OutboundRequest, decode_answer_head};
 use pistachioyard_policy::{EndpointRecord, Repeatability};
 
 use super::endpoint_request;
+use crate::client::read_whole;
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::Router;
-use crate::router::endpoint_client::Reuse;
+use crate::router::endpoint_client::{MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
 use crate::router::filter::part_trial::{Framing, PartTrial};
 
@@ -99,7 +99,9 @@
             return AttemptResult::NotReached;
         }
         Err(e) => {
-            record_loss();
+            if !matches!(e, CallError::TooLong { .. }) {
+                record_loss();
+            }
             return AttemptResult::Lost(e.to_string());
         }
     };
@@ -108,9 +110,15 @@
     if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
         return AttemptResult::Lost("the answer belongs to another request".to_owned());
     }
-    let Ok(body) = body.collect().await else {
-        record_loss();
-        return AttemptResult::Lost("the connection broke inside the answer".to_owned());
+    router.note_answer(&target.run(), &head);
+    let body = match read_whole(target.address, body, MAX_ANSWER_BYTES).await {
+        Ok(body) => body,
+        Err(e) => {
+            if !matches!(e, CallError::TooLong { .. }) {
+                record_loss();
+            }
+            return AttemptResult::Lost(e.to_string());
+        }
     };
     if !head.closes {
         router.client.keep(connection, head.idle_limit);
@@ -126,5 +134,5 @@
     if let (Some(trial), true) = (&trial, head.status.is_success()) {
         trial.record_end(Framing::of(&parts.headers));
     }
-    AttemptResult::Answered(head, parts.headers, body.to_bytes())
+    AttemptResult::Answered(head, parts.headers, body)
 }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -21,13 +21,11 @@
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::answer::StreamAborted;
-use path_run::{OpenResult, PathRun, ReadResult, RepairResult};
+use path_run::{OpenResult, PathRun, ReadResult};
 
 /// The number of refusals by endpoints after which the caller is refused; each refusal
 /// ejects the endpoint at fault.
 const MAX_REFUSALS: u32 = 4;
-/// The maximum number of path repairs of one stream; each one sends an order, which has a cost.
-const MAX_REPAIRS: u32 = 4;
 /// The retry delay for a caller when the endpoints are full, in ms; the time of a few dozen
 /// tokens, in which other requests end.
 const RETRY_AFTER_MS: u64 = 500;
@@ -57,6 +55,8 @@
     repairs: u32,
     /// The first endpoints of the paths on which the request may have begun to run.
     first_endpoints: Vec<EndpointId>,
+    /// The first endpoints whose answers to this request were too long, which are not tried again.
+    avoided: Vec<EndpointId>,
     record: Record,
     _in_flight: InFlight,
 }
@@ -108,6 +108,7 @@
             stall_detector,
             repairs: 0,
             first_endpoints: Vec::new(),
+            avoided: Vec::new(),
             _in_flight: in_flight,
         }
     }
@@ -120,12 +121,17 @@
         std::mem::swap(&mut self.record, record);
     }
 
-    fn path_request<'a>(&'a self, first: Option<&'a EndpointId>) -> PathRequest<'a> {
+    fn path_request<'a>(
+        &'a self,
+        first: Option<&'a EndpointId>,
+        without: &'a [EndpointId],
+    ) -> PathRequest<'a> {
         PathRequest {
             service: &self.service,
             spec: self.spec.as_deref(),
             size: self.size,
             first,
+            without,
         }
     }
 
@@ -138,7 +144,8 @@
         let mut refusals = 0;
         let mut why = "first";
         loop {
-            let found = match admit(&self.router, &self.call, &self.path_request(None)).await {
+            let request = self.path_request(None, &self.avoided);
+            let found = match admit(&self.router, &self.call, &request).await {
                 Ok(found) => found,
                 Err(_) if self.may_have_run() => {
                     return Err(result_lost("an attempt's answer was lost"));
@@ -147,9 +154,7 @@
             };
             self.check_parts()?;
             let opened = match self.open(found, why).await {
-                OpenResult::Silent(at_fault, detail) => {
-                    self.outlast_silent_start(at_fault, &detail).await
-                }
+                OpenResult::Silent(detail) => self.outlast_silent_start(&detail).await,
                 opened => opened,
             };
             let failure = match opened {
@@ -168,9 +173,9 @@
                     why = "not_reached";
                     continue;
                 }
-                OpenResult::Lost(detail) | OpenResult::Silent(_, detail) => {
-                    AttemptFailure::MayHaveRun(detail)
-                }
+                OpenResult::Lost(detail)
+                | OpenResult::Silent(detail)
+                | OpenResult::TooLong(detail) => AttemptFailure::MayHaveRun(detail),
             };
             if self.call.time_left().is_none() {
                 return Err(self.timeout_problem());
@@ -217,7 +222,7 @@
         } else {
             no_capacity(
                 "the endpoints have no free capacity; retry later",
-                RETRY_AFTER_MS,
+                self.router.retry_after_ms(&self.service, RETRY_AFTER_MS),
             )
         }
     }
@@ -241,41 +246,50 @@
             self.size,
         );
         let call = self.call.clone();
+        // Recorded before the request is sent, since this wait may be cancelled after it.
+        let first = path_run.first_endpoint().clone();
+        let is_new = !self.first_endpoints.contains(&first);
+        if is_new {
+            self.first_endpoints.push(first);
+        }
+        path_run.is_only_run_at_first = is_new;
         let opened = path_run.open(&call, self.last_id).await;
-        self.record_opened(&opened, path_run.first_endpoint());
+        self.record_opened(&opened, &path_run);
         if matches!(opened, OpenResult::Stream(..) | OpenResult::Silent(..)) {
             self.path_run = Some(path_run);
         }
         opened
     }
 
-    /// Records how the attempt on a path with this first endpoint began.
-    fn record_opened(&mut self, opened: &OpenResult, first: &EndpointId) {
-        match opened {
+    /// Records how the attempt on a path began.
+    fn record_opened(&mut self, opened: &OpenResult, path_run: &PathRun) {
+        let first = path_run.first_endpoint();
+        let failure = match opened {
             OpenResult::Stream(..) => {
-                self.note_may_run_at(first);
                 self.stall_detector.begin(Instant::now());
+                return;
             }
-            OpenResult::Complete(..) => {}
-            OpenResult::NotRun => self.record.log_attempt_failed(first, "not run"),
-            OpenResult::NotReached => self.record.log_attempt_failed(first, "no connection"),
-            OpenResult::Lost(detail) => {
-                self.router.note_crash(self.call.digest, first);
-                self.note_may_run_at(first);
-                self.record.log_attempt_failed(first, detail);
+            OpenResult::Complete(..) => return,
+            OpenResult::NotRun | OpenResult::NotReached => {
+                if path_run.is_only_run_at_first {
+                    self.first_endpoints.retain(|endpoint| endpoint != first);
+                }
+                match opened {
+                    OpenResult::NotRun => "not run",
+                    _ => "no connection",
+                }
             }
-            OpenResult::Silent(_, detail) => {
-                self.note_may_run_at(first);
+            OpenResult::Lost(detail) => detail,
+            OpenResult::Silent(detail) => {
                 self.stall_detector.begin(Instant::now());
-                self.record.log_attempt_failed(first, detail);
+                detail
             }
-        }
-    }
-
-    fn note_may_run_at(&mut self, first: &EndpointId) {
-        if !self.first_endpoints.contains(first) {
-            self.first_endpoints.push(first.clone());
-        }
+            OpenResult::TooLong(detail) => {
+                self.avoided.push(first.clone());
+                detail
+            }
+        };
+        self.record.log_attempt_failed(first, failure);
     }
 
     /// Returns the next events, or `None` at the end of the stream.
@@ -294,6 +308,10 @@
                     self.record.end_answered(200);
                     return Ok(None);
                 }
+                ReadResult::TooLong(first, why) => {
+                    self.avoided.push(first);
+                    (None, why)
+                }
                 ReadResult::Lost(at_fault, why) => (at_fault, why),
             };
             self.path_run = None;
@@ -354,34 +372,11 @@
                 }
                 // A stream that may not restart gains nothing by leaving its path.
                 PauseAction::Leave(..) if !self.may_repeat() => ReadResult::Data,
-                PauseAction::Leave(at_fault, why) => self.outlast_silence(at_fault, &why).await,
+                PauseAction::Leave(_, why) => self.outlast_silence(&why).await,
             },
         }
     }
 
-    /// Replaces a lost endpoint of the path; returns whether the stream continues on the new path.
-    async fn repair(&mut self, lost: &EndpointId, why: &str) -> bool {
-        let Some(path_run) = &mut self.path_run else {
-            return false;
-        };
-        if self.repairs >= MAX_REPAIRS {
-            return false;
-        }
-        self.repairs += 1;
-        let repaired = path_run.repair(&self.call, &self.service, lost).await;
-        self.stall_detector.begin(Instant::now());
-        match repaired {
-            RepairResult::Repaired(path) => {
-                self.record.log_path_repaired(&path, why);
-                true
-            }
-            RepairResult::Failed(refusal) => {
-                self.record.log_repair_failed(lost, why, &refusal);
-                false
-            }
-        }
-    }
-
     fn give_up(&mut self, why: &str) -> Result<(), StreamAborted> {
         self.record.end_aborted(why);
         Err(StreamAborted)
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -11,15 +11,17 @@
 use hyper::body::Incoming;
 use pistachioyard_platform::{AnswerHead, EventSplitter, OutboundRequest, decode_answer_head};
 use pistachioyard_policy::{
-    EndpointRegistry, Path, PipelineSpec, Repeatability, RequestSize, StallDetector, SuspectReason,
+    EndpointRegistry, EndpointRun, Path, PipelineSpec, Repeatability, RequestSize, StallDetector,
+    SuspectReason,
 };
 
 pub(super) use self::repair::RepairResult;
 use super::PauseAction;
-use crate::error::CallError;
+use crate::client::{read_whole, too_long};
+use crate::error::{AnswerPart, CallError};
 use crate::prelude::*;
 use crate::router::Router;
-use crate::router::endpoint_client::{Connection, Reuse};
+use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
 use crate::router::filter::part_trial::{Framing, PartTrial};
 use crate::router::filter::plain::endpoint_request;
@@ -28,6 +30,9 @@
 /// memory. The margin allows for the lag of this entry's load data.
 const NOT_FULL_SHARE: f64 = 0.6;
 
+/// The maximum size of one event, in bytes; an event holds the text of a few tokens.
+const MAX_EVENT_BYTES: usize = 1_000_000;
+
 /// Says how sending a request along a path ended.
 pub(super) enum OpenResult {
     /// A stream started, whose events follow.
@@ -40,9 +45,10 @@
     NotReached,
     /// The request may have run, but its answer was lost.
     Lost(String),
-    /// The path is silent and may still answer; holds the endpoint at fault, if one is known,
-    /// and the reason.
-    Silent(Option<EndpointId>, String),
+    /// The path is silent and may still answer; holds the reason.
+    Silent(String),
+    /// The request may have run, but a part of its answer is longer than its limit.
+    TooLong(String),
 }
 
 /// Says what the next read of a stream returned.
@@ -51,6 +57,9 @@
     Data,
     /// The answer is complete.
     End,
+    /// An event is longer than its limit, so the path is left; holds the first endpoint and the
+    /// reason.
+    TooLong(EndpointId, String),
     /// The path is lost; holds the endpoint at fault, if one is known, and the reason.
     Lost(Option<EndpointId>, String),
 }
@@ -65,7 +74,11 @@
     router: Arc<Router>,
     spec: Option<Arc<PipelineSpec>>,
     path: Path,
+    /// The run of the first endpoint when the path was chosen.
+    first_run: EndpointRun,
     size: RequestSize,
+    /// Whether the request was sent to the first endpoint on no other path before.
+    pub(super) is_only_run_at_first: bool,
     /// The request until the head of its answer arrives.
     sending: Option<Sending>,
     answer: Option<(Incoming, Option<Connection>, Option<Duration>)>,
@@ -89,11 +102,14 @@
         size: RequestSize,
     ) -> Self {
         router.load.lock().begin(&path.stages, size);
+        let first_run = router.endpoints.lock().run_of(&path.stages[0].endpoint);
         Self {
             router,
             spec,
             path,
+            first_run,
             size,
+            is_only_run_at_first: true,
             sending: None,
             answer: None,
             framing: Framing::UntilClose,
@@ -137,7 +153,7 @@
                 Err(_) if !may_repeat => return deadline_passed(),
                 Err(_) => match self.check_pause(call, &mut stall_detector).await {
                     PauseAction::Wait => {}
-                    PauseAction::Leave(at_fault, why) => return OpenResult::Silent(at_fault, why),
+                    PauseAction::Leave(_, why) => return OpenResult::Silent(why),
                 },
             }
         }
@@ -199,8 +215,10 @@
                 self.router.suspect(first, SuspectReason::NoAnswer);
                 OpenResult::NotReached
             }
+            Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
             Err(e) => {
                 self.suspect_first_endpoint();
+                self.router.note_crash(call.digest, self.first_endpoint());
                 OpenResult::Lost(e.to_string())
             }
         }
@@ -217,6 +235,7 @@
         if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
             return OpenResult::Lost("the answer belongs to another request".to_owned());
         }
+        self.router.note_answer(&self.first_run, &head);
         if head.is_not_run {
             self.note_refusal(&head);
             return OpenResult::NotRun;
@@ -233,12 +252,15 @@
         if let Some(endpoint) = head.at_fault.and_then(|at| self.endpoint_at(at)) {
             self.router.suspect(&endpoint, SuspectReason::RequestsStall);
         }
-        match body.collect().await {
-            Ok(body) if head.is_signed => {
-                OpenResult::Complete(parts.status, parts.headers, body.to_bytes())
-            }
+        let to = self.path.stages[0].address;
+        let reading = read_whole(to, body, MAX_ANSWER_BYTES);
+        let time_left = call.time_left().unwrap_or_default();
+        let read = tokio::time::timeout(time_left, reading).await;
+        match read.unwrap_or(Err(CallError::Timeout { to })) {
+            Ok(body) if head.is_signed => OpenResult::Complete(parts.status, parts.headers, body),
             Ok(_) => OpenResult::Lost(format!("the endpoint answered with status {}", head.status)),
-            Err(_) => OpenResult::Lost("the connection broke inside the answer".to_owned()),
+            Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
+            Err(e) => OpenResult::Lost(e.to_string()),
         }
     }
 
@@ -297,13 +319,15 @@
         }
     }
 
-    /// Reads the next data into the splitter, after the head of the answer if it is still due.
+    /// Reads the next data into the splitter, from which all complete events were taken, after the
+    /// head of the answer if it is still due.
     pub(super) async fn read(&mut self, call: &Call, splitter: &mut EventSplitter) -> ReadResult {
         if self.sending.is_some() {
             let sent = self.answered().await;
             return match self.classify_sent(call, sent).await {
                 OpenResult::Stream(..) => ReadResult::Data,
                 OpenResult::Lost(why) => ReadResult::Lost(Some(self.first_endpoint().clone()), why),
+                OpenResult::TooLong(why) => ReadResult::TooLong(self.first_endpoint().clone(), why),
                 OpenResult::Complete(status, ..) => {
                     ReadResult::Lost(None, format!("the endpoint answered with status {status}"))
                 }
@@ -315,6 +339,11 @@
         let Some((body, ..)) = &mut self.answer else {
             return ReadResult::Lost(None, "there is no answer to read".to_owned());
         };
+        let first = &self.path.stages[0];
+        if splitter.buffered_bytes() > MAX_EVENT_BYTES {
+            let e = too_long(first.address, AnswerPart::Event, MAX_EVENT_BYTES);
+            return ReadResult::TooLong(first.endpoint.clone(), e.to_string());
+        }
         match body.frame().await {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
--- /dev/null
+++ b/tests/site/endless.rs
@@ -0,0 +1,199 @@
+//! Endpoints whose answers do not end.
+
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use pistachioyard_standins::{FaultKind, FaultRule};
+
+use super::caller::{Failure, new_request_id};
+use super::support::Site;
+
+/// The most by which the entry's memory may grow while it reads answers that do not end, in
+/// bytes. Without a limit it grows by over twice as much in the time that a request has.
+const MAX_GROWTH_BYTES: u64 = 48_000_000;
+/// The same while it reads heads that do not end.
+const MAX_HEADS_GROWTH_BYTES: u64 = 2_000_000;
+/// The same while it reads reports that do not end.
+const MAX_REPORTS_GROWTH_BYTES: u64 = 5_000_000;
+/// The number of requests sent at once.
+const REQUESTS: usize = 8;
+
+impl Site {
+    /// Returns the most memory that the first entry has held since its start, in bytes.
+    pub(crate) fn peak_memory_bytes(&self) -> u64 {
+        let child = self.entries[0].process.child.as_ref();
+        let pid = child.expect("the process was started").id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
+        let status = status.expect("the state of a child can be read");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|peak| peak.trim().strip_suffix("kB"));
+        let peak = peak.expect("the state has a peak in kB").trim();
+        peak.parse::<u64>().expect("the peak is a number") * 1_024
+    }
+}
+
+/// Returns the rules that play a fault at some of a site's endpoints.
+fn rules(site: &Site, endpoints: &[usize], kind: FaultKind) -> Vec<FaultRule> {
+    let rule = |index: &usize| FaultRule {
+        from: None,
+        to: Some(site.endpoints[*index].advertised),
+        kind,
+    };
+    endpoints.iter().map(rule).collect()
+}
+
+/// Returns the endpoints of the service without a pipeline.
+fn plain_endpoints(site: &Site) -> Vec<usize> {
+    let all = 0..site.endpoints.len();
+    all.filter(|index| site.endpoints[*index].is_plain)
+        .collect()
+}
+
+/// Checks that the first entry's memory has stayed small and that its log names the limit.
+fn check_growth(site: &Site, before: u64, max_growth: u64) {
+    let growth = site.peak_memory_bytes() - before;
+    println!("the entry's memory grew by {growth} bytes");
+    assert!(growth < max_growth, "grew by {growth} bytes");
+    let child = site.entries[0].process.child.as_ref();
+    let log = child.expect("the process was started").log();
+    let line = "http: answer too long, connection closed { address=";
+    assert!(log.contains(line), "no limit was reached");
+}
+
+/// Requests that may run once are answered with a failure that does not call them not run.
+async fn check_operations(kind: FaultKind, max_growth: u64) {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let before = site.peak_memory_bytes();
+    let faulty = plain_endpoints(&site);
+    site.set_proxy_faults(&rules(&site, &faulty, kind)).await;
+    let outcomes = join_all((0..REQUESTS).map(|_| site.check_plain(to, "/record/a"))).await;
+    let runs = site.count_runs().await;
+    for outcome in outcomes {
+        assert!(
+            matches!(outcome.result, Err(Failure::Unknown(_))),
+            "{:?}",
+            outcome.result
+        );
+        assert_eq!(runs.get(&outcome.id), Some(&1), "it ran once");
+    }
+    check_growth(&site, before, max_growth);
+}
+
+/// Requests that may be repeated are answered by an endpoint without the fault.
+async fn check_repeatable(path: &str, kind: FaultKind, max_growth: u64) {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let before = site.peak_memory_bytes();
+    for faulty in plain_endpoints(&site) {
+        site.set_proxy_faults(&rules(&site, &[faulty], kind)).await;
+        let outcomes = join_all((0..REQUESTS).map(|_| site.check_plain(to, path))).await;
+        for outcome in outcomes {
+            assert_eq!(outcome.result, Ok(()));
+        }
+    }
+    check_growth(&site, before, max_growth);
+}
+
+/// Plays a fault at the store and all endpoints for longer than several calls to the store take.
+async fn check_store(kind: FaultKind, max_growth: u64) {
+    let site = Site::start(1).await;
+    let before = site.peak_memory_bytes();
+    let rule = FaultRule {
+        from: None,
+        to: None,
+        kind,
+    };
+    site.set_proxy_faults(&[rule]).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    check_growth(&site, before, max_growth);
+    site.set_proxy_faults(&[]).await;
+    site.await_service().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operation_whose_answer_has_no_end_fails_and_is_not_called_not_run() {
+    check_operations(FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operation_whose_answer_has_a_head_without_end_fails_and_is_not_called_not_run() {
+    check_operations(FaultKind::EndlessHead, MAX_HEADS_GROWTH_BYTES).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_whose_answer_has_no_end_is_answered_by_another_endpoint() {
+    check_repeatable("/lookup/a", FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_whose_answer_has_a_head_without_end_is_answered_by_another_endpoint() {
+    check_repeatable("/lookup/a", FaultKind::EndlessHead, MAX_HEADS_GROWTH_BYTES).await;
+}
+
+/// A stream whose event has no end goes on at another endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_event_has_no_end_goes_on_at_another_endpoint() {
+    check_repeatable("/feed/a", FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
+}
+
+/// A stream is sent to another endpoint if a failure without end is its first answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_failure_has_no_end_is_sent_to_another_endpoint() {
+    check_repeatable("/feed/a", FaultKind::EndlessFailure, MAX_GROWTH_BYTES).await;
+}
+
+/// A stream whose failure stalls after its head is answered at its deadline, not after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_failure_stalls_is_answered_at_its_deadline() {
+    let site = Site::start(1).await;
+    let faulty = plain_endpoints(&site);
+    let rules = rules(&site, &faulty, FaultKind::SilentFailure);
+    site.set_proxy_faults(&rules).await;
+    let to = site.entries[0].caller_address();
+    let started_at = Instant::now();
+    let outcome = site.check_plain(to, "/feed/a").await;
+    let took = started_at.elapsed();
+    assert!(
+        matches!(&outcome.result, Err(Failure::Unknown(why)) if why.starts_with("status")),
+        "{:?}",
+        outcome.result
+    );
+    assert!(took < Duration::from_secs(6), "{took:?}");
+}
+
+/// Reports and answers to orders that have no end do not fill the memory of the entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn reports_without_end_are_not_kept() {
+    let site = Site::start(1).await;
+    let before = site.peak_memory_bytes();
+    let engines: Vec<usize> = (0..site.endpoints.len())
+        .filter(|index| !site.endpoints[*index].is_plain)
+        .collect();
+    let rules = rules(&site, &engines, FaultKind::EndlessBody);
+    site.set_proxy_faults(&rules).await;
+    let to = site.entries[0].caller_address();
+    let ids: Vec<String> = (0..REQUESTS).map(|_| new_request_id()).collect();
+    let streams = join_all(ids.iter().map(|id| site.check_stream_with_id(to, id))).await;
+    let runs = site.count_runs().await;
+    for (id, stream) in ids.iter().zip(streams) {
+        match stream.expect_err("no endpoint can answer") {
+            Failure::NotRun(_) => assert_eq!(runs.get(id), None, "{id} did not run"),
+            Failure::Unknown(_) => {}
+        }
+    }
+    check_growth(&site, before, MAX_REPORTS_GROWTH_BYTES);
+}
+
+/// Heads without end from the store do not fill the memory of the entry, which serves again
+/// when they have ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_without_end_from_the_store_are_not_kept() {
+    check_store(FaultKind::EndlessHead, MAX_HEADS_GROWTH_BYTES).await;
+}
+
+/// The same with bodies.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_without_end_from_the_store_are_not_kept() {
+    check_store(FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
+}
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -6,8 +6,11 @@
 mod caller;
 mod calm;
 mod deployment;
+mod endless;
+mod endpoints;
 mod faults;
 mod layout;
+mod leaving;
 mod logs;
 mod lost;
 mod poison_part;
--- a/tests/site/process.rs
+++ b/tests/site/process.rs
@@ -46,6 +46,12 @@
         self.child.as_ref().map(Child::log).unwrap_or_default()
     }
 
+    /// Returns whether the process was started and has not ended.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_some_and(|child| child.is_running().expect("its state can be read"))
+    }
+
     /// Returns the child process, which must have been started.
     pub(crate) fn running_child(&mut self) -> &mut Child {
         self.child.as_mut().expect("the process was started")
