--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -7,8 +7,8 @@
 //! ends the process, and so does one whose prompt has the part [`crash::CRASHING_PART`], once its
 //! answer has begun.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
-//! one with `X-Run-Ms` runs for that time on a plain service, and `X-Answer-Status` selects the
-//! status there; `X-Answer-End` selects how its answer ends. Tests observe and change a worker
+//! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-Status` selects the status
+//! of an answer without events, and `X-Answer-End` how an answer ends. Tests observe and change a worker
 //! under `/control/`, see [`control`].
 
 mod answer;
@@ -341,11 +341,13 @@
             None => status_only(StatusCode::IM_A_TEAPOT),
         };
     }
-    {
-        let mut state = worker.state.lock();
-        state.runs.push(id.clone());
-        state.paths.insert(id.clone(), path);
+    worker.state.lock().runs.push(id.clone());
+    if parts.headers.contains_key("x-answer-status") {
+        let mut answer = signed(&id, full_body(answer_line(&id, 0)), ending);
+        set_status(&parts.headers, &mut answer);
+        return answer;
     }
+    worker.state.lock().paths.insert(id.clone(), path);
     if crashes {
         tokio::spawn(crash::crash_soon());
     }
--- a/tests/site/lost/replacement.rs
+++ b/tests/site/lost/replacement.rs
@@ -5,10 +5,10 @@
 use futures_util::future::join_all;
 use http::Method;
 
-use super::{Silence, apply_config, silence};
+use super::{ONE_PATH, Silence, apply_config, engines_with_first_layer, silence, start_site};
 use crate::caller::new_request_id;
 use crate::layout::Layout;
-use crate::support::Site;
+use crate::support::DATA_CENTRES;
 
 /// The number of streams, which are sent one after the other.
 const STREAMS: u32 = 40;
@@ -23,24 +23,29 @@
 /// failure.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_failure_beside_a_silent_endpoint_is_passed_on_after_two_attempts() {
-    let site = &Site::start_with(Layout {
-        entries: 1,
-        data_centres: &["east"],
-        engines: 2,
-        plain_endpoints: 3,
-        is_proxied: false,
-        ..Layout::default()
+    let site = &start_site(Layout {
+        data_centres: &DATA_CENTRES,
+        engines: 3,
+        ..ONE_PATH
     })
     .await;
-    let plain = site.endpoints.iter().position(|endpoint| endpoint.is_plain);
-    let silent = [plain.expect("there is a plain endpoint")];
+    let first = engines_with_first_layer(site, true).await;
+    let is_local = |index: &usize| {
+        let process = &site.endpoints[*index].process;
+        process.name.contains(DATA_CENTRES[0])
+    };
+    let silent: Vec<usize> = first.into_iter().filter(is_local).collect();
     let to = site.entries[0].caller_address();
-    let headers = [("x-answer-status", "400"), ("x-deadline-ms", "6000")];
+    let headers = [
+        ("x-answer-status", "400"),
+        ("x-deadline-ms", "6000"),
+        ("x-token-usage", "100,20"),
+    ];
     let streams = join_all((0..STREAMS).map(|n| async move {
         tokio::time::sleep(LAG + STREAM_INTERVAL * n).await;
         let id = new_request_id();
         let answer = site
-            .send_request(to, Method::POST, "/feed/a", &id, &headers)
+            .send_request(to, Method::POST, "/draft/a", &id, &headers)
             .await;
         (id, answer)
     }));
