Name why a stream goes on along no other path by a type

Change: the enum NotReplaced holds the reasons with their texts; a group of crashes is a burst. No logic changes; the texts of the log lines are the same but for "no attempt is left", "the only endpoint that may run it sends too long answers" and the status of a failure beside a silent path.

--- a/crates/pistachioyard_policy/src/part_quarantine/explanation.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine/explanation.rs
@@ -8,8 +8,9 @@
 
 use super::PartConviction;
 
-/// The incidents that a part must explain to be convicted.
-const INCIDENTS_TO_CONVICT: usize = 3;
+/// The bursts of crashes that a part must explain to be convicted. Endpoints that are lost
+/// together are one burst, since something else may have ended them.
+const BURSTS_TO_CONVICT: usize = 3;
 /// The crashes after which parts that explain equally many are convicted together.
 const CRASHES_TO_CONVICT_EQUALS: usize = 5;
 /// How long a conviction is put off where other parts are in several crashes too. Meanwhile
@@ -17,9 +18,9 @@
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
 /// The most crashes that another part may be in without casting doubt.
 const CRASHES_WITHOUT_DOUBT: usize = 1;
-/// The span within which crashes belong to one incident.
-const INCIDENT_SPAN: Duration = Duration::from_millis(250);
-/// The share of the crashes, and of the incidents, that one part must explain, in percent. If
+/// The time from the first crash of a burst within which others belong to it.
+const BURST_SPAN: Duration = Duration::from_millis(250);
+/// The share of the crashes, and of the bursts, that one part must explain, in percent. If
 /// none does, two parts that explain them together are looked for.
 const MIN_SHARE_OF_ONE: usize = 75;
 /// The number of parts, those in the most crashes, that are considered in pairs.
@@ -42,7 +43,7 @@
 
 /// Holds the crashes to explain, the oldest first.
 struct Evidence {
-    /// The incident and the time of each crash.
+    /// The number of the burst and the time of each crash.
     crashes: Vec<(u32, Instant)>,
     now: Instant,
     by_part: BTreeMap<PromptPart, Suspicion>,
@@ -52,15 +53,15 @@
     fn collect(unexplained: Vec<Unexplained>, now: Instant) -> Self {
         let mut by_part = BTreeMap::<PromptPart, Suspicion>::new();
         let mut crashes = Vec::with_capacity(unexplained.len());
-        let mut incident = 0;
+        let mut burst = 0;
         let mut began_at = None;
         for (index, crash) in unexplained.into_iter().enumerate() {
-            let is_same = began_at.is_some_and(|began_at| crash.at < began_at + INCIDENT_SPAN);
+            let is_same = began_at.is_some_and(|began_at| crash.at < began_at + BURST_SPAN);
             if !is_same {
                 began_at = Some(crash.at);
-                incident += 1;
+                burst += 1;
             }
-            crashes.push((incident, crash.at));
+            crashes.push((burst, crash.at));
             for part in crash.suspects {
                 let suspicion = by_part.entry(part).or_default();
                 suspicion.crashes |= 1 << index;
@@ -74,7 +75,7 @@
         }
     }
 
-    /// Returns the incident and the time of each of these crashes, the oldest first.
+    /// Returns the burst and the time of each of these crashes, the oldest first.
     fn select(&self, crashes: u64) -> impl Iterator<Item = (u32, Instant)> {
         let listed = self.crashes.iter().enumerate();
         let listed = listed.filter(move |(index, _)| crashes & (1 << index) != 0);
@@ -88,17 +89,17 @@
         nth.is_some_and(|(_, at)| self.now >= at + DOUBT_TIME)
     }
 
-    /// Counts the incidents that these crashes belong to.
-    fn count_incidents(&self, crashes: u64) -> usize {
-        let incidents: BTreeSet<u32> = self.select(crashes).map(|(incident, _)| incident).collect();
-        incidents.len()
+    /// Counts the bursts that these crashes belong to.
+    fn count_bursts(&self, crashes: u64) -> usize {
+        let bursts: BTreeSet<u32> = self.select(crashes).map(|(burst, _)| burst).collect();
+        bursts.len()
     }
 
-    /// Returns whether crashes are most of those to explain, and belong to most incidents.
+    /// Returns whether crashes are most of those to explain, and belong to most bursts.
     fn are_most(&self, crashes: u64) -> bool {
-        let incidents = self.count_incidents(u64::MAX);
+        let bursts = self.count_bursts(u64::MAX);
         crashes.count_ones() as usize * 100 >= self.crashes.len() * MIN_SHARE_OF_ONE
-            && self.count_incidents(crashes) * 100 >= incidents * MIN_SHARE_OF_ONE
+            && self.count_bursts(crashes) * 100 >= bursts * MIN_SHARE_OF_ONE
     }
 }
 
@@ -125,8 +126,8 @@
 /// Parts that explain equally many are returned together in the end.
 fn find_one(evidence: &Evidence) -> Option<Vec<PromptPart>> {
     let rank = |suspicion: &Suspicion| {
-        let incidents = evidence.count_incidents(suspicion.crashes);
-        (incidents, suspicion.runs.len())
+        let bursts = evidence.count_bursts(suspicion.crashes);
+        (bursts, suspicion.runs.len())
     };
     let suspicions = evidence.by_part.iter();
     let ranked: Vec<_> = suspicions
@@ -140,9 +141,9 @@
     {
         return None;
     }
-    let (incidents, _) = most;
+    let (bursts, _) = most;
     let enough = match top.len() {
-        1 => INCIDENTS_TO_CONVICT,
+        1 => BURSTS_TO_CONVICT,
         _ => CRASHES_TO_CONVICT_EQUALS,
     };
     let doubtful = ranked
@@ -152,7 +153,7 @@
     let is_settled = top
         .iter()
         .all(|(_, _, crashes)| evidence.is_settled(*crashes, enough));
-    if incidents < INCIDENTS_TO_CONVICT || !(is_clear || is_settled) {
+    if bursts < BURSTS_TO_CONVICT || !(is_clear || is_settled) {
         return Some(Vec::new());
     }
     Some(top.into_iter().map(|(_, part, _)| *part).collect())
@@ -182,8 +183,8 @@
             }
             let needed = [(one, by_one & !by_other), (other, by_other & !by_one)];
             let needed = needed.into_iter().filter_map(|(part, alone)| {
-                let is_enough = evidence.count_incidents(alone) >= INCIDENTS_TO_CONVICT
-                    && evidence.is_settled(alone, INCIDENTS_TO_CONVICT);
+                let is_enough = evidence.count_bursts(alone) >= BURSTS_TO_CONVICT
+                    && evidence.is_settled(alone, BURSTS_TO_CONVICT);
                 is_enough.then_some(*part)
             });
             let needed: BTreeSet<PromptPart> = needed.collect();
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use http::StatusCode;
 use pistachioyard_policy::QuarantineVerdict;
 
 use super::path_run::{OpenResult, RepairResult};
@@ -28,6 +29,32 @@
     Silent,
 }
 
+/// Says why a stream goes on along no other path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub(super) enum NotReplaced {
+    /// The request, or a part of its prompt, has crashed endpoints.
+    #[error("the request is quarantined")]
+    Quarantined,
+    /// The route allows no attempt at another endpoint.
+    #[error("the attempts of the route are used up")]
+    NoAttemptLeft,
+    /// This entry's share of the retry budget is empty.
+    #[error("the retry budget is exhausted")]
+    BudgetExhausted,
+    /// Several endpoints refused the request.
+    #[error("the endpoints have no free capacity")]
+    Refused,
+    /// The only endpoint that the attempts allow sends answers beyond the limits.
+    #[error("the only endpoint that may run it sends answers that are too long")]
+    OnlyTooLong,
+    /// An endpoint answered with a failure, which a stream that has begun cannot pass on.
+    #[error("an endpoint answered with status {0}")]
+    Failure(StatusCode),
+    /// No path was found before the limit.
+    #[error("no other path was found in time")]
+    NoPath,
+}
+
 impl Relay {
     /// Refuses the request if a part of its prompt was convicted while it waited.
     pub(super) fn check_parts(&self) -> Result<(), Problem> {
@@ -83,10 +110,10 @@
         let progress = ReplacementProgress::default();
         match self.replace(why, PathLeft::None, &progress).await {
             Ok(OpenResult::Complete(status, ..)) => {
-                self.give_up(&format!("{why}; an endpoint answered with status {status}"))
+                self.give_up(&format!("{why}; {}", NotReplaced::Failure(status)))
             }
             Ok(_) => Ok(()),
-            Err(reason) => self.give_up(&format!("{why}; {reason}")),
+            Err(e) => self.give_up(&format!("{why}; {e}")),
         }
     }
 
@@ -100,7 +127,7 @@
         why: &str,
         left: PathLeft,
         progress: &ReplacementProgress,
-    ) -> Result<OpenResult, &'static str> {
+    ) -> Result<OpenResult, NotReplaced> {
         let limit = match left {
             PathLeft::None => RECOVERY_LIMIT,
             PathLeft::Silent => Duration::MAX,
@@ -109,14 +136,14 @@
         let mut refusals = 0;
         while self.call.time_left().is_some() && lost_at.elapsed() < limit {
             if self.is_quarantined() {
-                return Err("the request is quarantined");
+                return Err(NotReplaced::Quarantined);
             }
             if left == PathLeft::Silent && !self.may_start_again() {
-                return Err("no attempt is left");
+                return Err(NotReplaced::NoAttemptLeft);
             }
             if !self.router.has_retry() {
                 match left {
-                    PathLeft::None => return Err("the retry budget is exhausted"),
+                    PathLeft::None => return Err(NotReplaced::BudgetExhausted),
                     PathLeft::Silent => tokio::time::sleep(BUDGET_RECHECK_INTERVAL).await,
                 }
                 continue;
@@ -141,17 +168,17 @@
                 OpenResult::NotRun | OpenResult::NotReached => {
                     refusals += 1;
                     if refusals >= MAX_REFUSALS {
-                        return Err("the endpoints have no free capacity");
+                        return Err(NotReplaced::Refused);
                     }
                 }
                 OpenResult::Lost(_) | OpenResult::TooLong(_) => {}
             }
         }
-        Err("no other path was found in time")
+        Err(NotReplaced::NoPath)
     }
 
     /// Chooses another path; `None` if there is none now.
-    fn find_other_path(&self, left: PathLeft) -> Result<Option<FoundPath>, &'static str> {
+    fn find_other_path(&self, left: PathLeft) -> Result<Option<FoundPath>, NotReplaced> {
         let mut without = self.avoided.clone();
         let mut same_first = None;
         match left {
@@ -160,7 +187,7 @@
             PathLeft::None if !self.may_start_again() => {
                 same_first = self.first_endpoints.last();
                 if same_first.is_some_and(|first| self.avoided.contains(first)) {
-                    return Err("the only endpoint that may run it sends too long answers");
+                    return Err(NotReplaced::OnlyTooLong);
                 }
             }
             PathLeft::None => {}
@@ -196,7 +223,7 @@
     /// while an endpoint has the request, and for the recovery limit otherwise.
     pub(super) async fn wait_for<T>(
         &self,
-        mut replacing: impl Future<Output = Result<T, &'static str>> + Unpin,
+        mut replacing: impl Future<Output = Result<T, NotReplaced>> + Unpin,
     ) -> Option<T> {
         match tokio::time::timeout(RECOVERY_LIMIT, &mut replacing).await {
             Ok(replaced) => replaced.ok(),
--- a/src/router/filter/relay/silence.rs
+++ b/src/router/filter/relay/silence.rs
@@ -8,7 +8,7 @@
 use futures_util::future::{Either, select};
 
 use super::path_run::{OpenResult, ReadResult};
-use super::recover::{PathLeft, ReplacementProgress};
+use super::recover::{NotReplaced, PathLeft, ReplacementProgress};
 use super::{PathRun, Relay};
 use crate::prelude::*;
 
@@ -77,7 +77,7 @@
             let replacing = pin!(async {
                 // The caller has the head of a stream, so it can be passed no other answer.
                 match self.replace(why, PathLeft::Silent, &progress).await {
-                    Ok(OpenResult::Complete(..)) => Err("an endpoint answered with a failure"),
+                    Ok(OpenResult::Complete(status, ..)) => Err(NotReplaced::Failure(status)),
                     replaced => replaced,
                 }
             });
