--- a/crates/pistachioyard_policy/tests/pipeline/fixture.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/fixture.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use pistachioyard_policy::{
-    Card, CardState, EndpointRecord, EndpointReport, LayerMove, PipelineSpec, RequestSize,
-    StageOffer, plan_moves,
+    Card, CardState, EndpointRecord, EndpointRegistry, EndpointReport, LayerMove, PipelineSpec,
+    RequestSize, StageOffer, plan_moves,
 };
 use pistachioyard_wire::{DataCentre, EndpointId, LayerRange};
 
@@ -156,3 +157,10 @@
     apply_moves(&mut cards, &moves);
     offers(&cards)
 }
+
+/// Returns a registry that knows the endpoint `one`, which holds the first eight layers.
+pub(crate) fn registry(now: Instant) -> EndpointRegistry {
+    let mut registry = EndpointRegistry::default();
+    registry.apply(record("one", 1, Some(range(0, 8))), now);
+    registry
+}
--- a/crates/pistachioyard_policy/tests/pipeline/main.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/main.rs
@@ -3,6 +3,7 @@
 
 mod endpoints;
 mod fixture;
+mod notices;
 mod paths;
 mod pauses;
 mod placement;
