Choose the leaving engine of a test once the entry knows its data centre's layers

The engine that it marked as leaving (model-west-0) was first on the paths of the eight streams before, since the entry learned of the layers of model-east-0, in its own data centre, 20 ms after it had sent them. The next streams then began there and not at the marked engine.

Change: streams are sent until most begin at an engine of the entry's data centre, for 10 s at most; that one is marked. All assertions stay.

--- a/tests/site/leaving.rs
+++ b/tests/site/leaving.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use super::caller::new_request_id;
-use super::support::{KEY, Site};
+use super::support::{DATA_CENTRES, KEY, Site};
 
 /// The header with which an endpoint says that it is leaving.
 const LEAVING: &str = "server-leaving";
@@ -21,6 +21,8 @@
 const PAUSE_SLACK: Duration = Duration::from_millis(500);
 /// How long the refusal of a request that no endpoint can take may take.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
+/// How long an entry may take to know the layers of the endpoints in its data centre.
+const LAYERS_TIMEOUT: Duration = Duration::from_secs(10);
 /// The time in which a peer's gossip arrives; several gossip periods.
 const GOSSIP_TIME: Duration = Duration::from_millis(1_500);
 
@@ -58,8 +60,23 @@
         found.expect("the site has an endpoint without layers")
     }
 
-    /// Returns the index of the endpoint that is the first of most paths from an entry.
+    /// Returns the index of the endpoint that is the first of most paths from the first entry,
+    /// once that is one in its data centre. Until the entry knows the layers of those, its paths
+    /// begin elsewhere.
     async fn usual_first_endpoint(&self, to: SocketAddr) -> usize {
+        let give_up_at = Instant::now() + LAYERS_TIMEOUT;
+        loop {
+            let usual = self.first_endpoint_of_most(to).await;
+            let name = &self.endpoints[usual].process.name;
+            if name.contains(DATA_CENTRES[0]) {
+                return usual;
+            }
+            assert!(Instant::now() < give_up_at, "paths still begin at {name}");
+        }
+    }
+
+    /// Sends some streams and returns the index of the endpoint at which most of them began.
+    async fn first_endpoint_of_most(&self, to: SocketAddr) -> usize {
         let before = self.count_all_runs().await;
         for stream in join_all((0..8).map(|_| self.check_stream(to))).await {
             stream.expect("every stream is complete");
