--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -113,8 +113,13 @@
     /// Records the crash of an endpoint's run.
     ///
     /// `running` holds all requests of this entry that had a stage there. The same run may be
-    /// reported more than once.
-    pub fn record_crash(&mut self, running: &[RequestDigest], boot: BootId, now: Instant) {
+    /// reported more than once. Returns the requests that are quarantined by it.
+    pub fn record_crash(
+        &mut self,
+        running: &[RequestDigest],
+        boot: BootId,
+        now: Instant,
+    ) -> Vec<RequestDigest> {
         self.expire(now);
         for digest in running {
             let record = self
@@ -126,7 +131,13 @@
                 record.since = record.since.max(now);
             }
         }
-        self.quarantine_culprits();
+        self.quarantine_culprits()
+    }
+
+    /// Returns the number of crashes that a request was in.
+    pub fn count_crashes(&self, digest: RequestDigest) -> usize {
+        let record = self.records.get(&digest);
+        record.map_or(0, |record| record.crashed.len())
     }
 
     /// Returns how to treat a request at `now`.
@@ -178,17 +189,22 @@
     /// Merges the marks of a peer.
     ///
     /// A mark carries its age, so that passing it around does not extend its lifetime. Crashes
-    /// that were cleared here are not added again.
-    pub fn merge(&mut self, marks: &[QuarantineMark], now: Instant) {
+    /// that were cleared here are not added again. Returns the requests that are quarantined by
+    /// them.
+    pub fn merge(&mut self, marks: &[QuarantineMark], now: Instant) -> Vec<RequestDigest> {
         self.expire(now);
+        let mut quarantined = Vec::new();
         for mark in marks {
             let age = Duration::from_millis(mark.age_ms);
             if age < self.hold_time {
                 let since = now.checked_sub(age).unwrap_or(now);
-                self.merge_mark(mark, since);
+                if self.merge_mark(mark, since) {
+                    quarantined.push(mark.digest);
+                }
             }
         }
-        self.quarantine_culprits();
+        quarantined.extend(self.quarantine_culprits());
+        quarantined
     }
 
     /// Removes the records that are older than the hold time.
@@ -198,13 +214,14 @@
             .retain(|_, record| now.saturating_duration_since(record.since) < hold_time);
     }
 
-    fn merge_mark(&mut self, mark: &QuarantineMark, since: Instant) {
+    /// Merges one mark; returns whether it quarantines its request.
+    fn merge_mark(&mut self, mark: &QuarantineMark, since: Instant) -> bool {
         let known = self.records.get(&mark.digest);
         let counts = |boot: &BootId| known.is_none_or(|record| !record.cleared.contains(boot));
         let listed = mark.crashed.iter().take(MAX_CRASHES_PER_MARK);
         let crashed: Vec<BootId> = listed.copied().filter(counts).collect();
         if crashed.is_empty() || known.is_none() && self.records.len() >= MAX_RECORDS {
-            return;
+            return false;
         }
         let record = self
             .records
@@ -217,20 +234,28 @@
         if is_newly_quarantined || record.crashed.len() > before {
             record.since = record.since.max(since);
         }
+        is_newly_quarantined
     }
 
-    fn quarantine_culprits(&mut self) {
+    /// Quarantines the requests that were in enough crashes, and returns them.
+    fn quarantine_culprits(&mut self) -> Vec<RequestDigest> {
         let mut repeaters: BTreeMap<BootId, usize> = BTreeMap::new();
         for record in self.records.values().filter(|r| r.is_repeater()) {
             for boot in &record.crashed {
                 *repeaters.entry(*boot).or_default() += 1;
             }
         }
-        for record in self.records.values_mut().filter(|r| r.is_repeater()) {
+        let mut quarantined = Vec::new();
+        for (digest, record) in self.records.iter_mut().filter(|(_, r)| r.is_repeater()) {
             let is_sole_repeater = record.crashed.iter().any(|boot| repeaters[boot] == 1);
-            let is_enough = is_sole_repeater && self.isolates_suspects;
-            record.quarantined |= is_enough || record.crashed.len() >= CRASHES_TO_QUARANTINE;
+            let is_enough = is_sole_repeater && self.isolates_suspects
+                || record.crashed.len() >= CRASHES_TO_QUARANTINE;
+            if is_enough && !record.quarantined {
+                record.quarantined = true;
+                quarantined.push(*digest);
+            }
         }
+        quarantined
     }
 }
 
--- a/crates/pistachioyard_wire/src/ids.rs
+++ b/crates/pistachioyard_wire/src/ids.rs
@@ -187,6 +187,12 @@
     }
 }
 
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// The digest of the id of a prompt part that requests share, such as a system prompt.
 #[derive(
     Clone, Copy, Debug, Deserialize, Eq, Hash, JsonSchema, Ord, PartialEq, PartialOrd, Serialize,
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,6 +15,7 @@
 mod log;
 mod metric;
 mod parts;
+mod quarantine;
 mod run;
 mod store_client;
 
@@ -27,10 +28,9 @@
     ActivityTracker, CrossingLimiter, EndpointRegistry, LatencyEstimates, LoadTracker, Membership,
     PartQuarantine, Quarantine, RouteTable, SharedRetryBudget, SuspectReason, WatchLag,
 };
-use pistachioyard_wire::{EntryState, Fence, MemberRecord, RequestDigest};
+use pistachioyard_wire::{EntryState, Fence, MemberRecord};
 pub(crate) use run::run_router;
 use tokio::sync::Notify;
-use xxhash_rust::xxh3::xxh3_128;
 
 use crate::lifecycle::Lifecycle;
 use crate::prelude::*;
@@ -218,25 +218,6 @@
         }
     }
 
-    /// Records that an endpoint was lost while it ran a request.
-    ///
-    /// A request is refused once three endpoints were lost while they ran it. A request that
-    /// has completed is not blamed for the losses.
-    pub(crate) fn note_crash(&self, digest: RequestDigest, endpoint: &EndpointId) {
-        let started = {
-            let endpoints = self.endpoints.lock();
-            let record = endpoints.get(endpoint);
-            record
-                .and_then(|record| record.state.started_unix_ms)
-                .unwrap_or_default()
-        };
-        let run = xxh3_128(format!("{endpoint}/{started}").as_bytes());
-        let run = BootId(uuid::Uuid::from_u128(run));
-        self.quarantine
-            .lock()
-            .record_crash(&[digest], run, Instant::now());
-    }
-
     /// Returns the addresses of the ready entries for callers, with this entry's first.
     pub(crate) fn caller_addresses(&self, now: Instant) -> Vec<std::net::SocketAddr> {
         let members = self.members.lock();
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -19,8 +19,8 @@
 
 use super::jittered;
 use crate::prelude::*;
-use crate::router::Router;
 use crate::router::log::ms;
+use crate::router::{Router, metric};
 
 /// How often an entry sends its state to peers.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(250);
@@ -136,11 +136,19 @@
         era: gossip.endpoints_era,
         revision: gossip.endpoints_revision,
     };
-    if router.endpoints_lag.lock().check(seen, now, MAX_WATCH_LAG) {
+    let (is_overtaken, own) = {
+        let mut lag = router.endpoints_lag.lock();
+        (lag.check(seen, now, MAX_WATCH_LAG), lag.newest())
+    };
+    if is_overtaken {
+        metric::count_overtaken_watch();
+        spdlog::warn!("endpoints: a peer has seen a newer change, listing all records again", kv: {
+            from = sender.entry.as_str(), revision = seen.revision, own_revision = own.revision
+        });
         router.endpoints_outdated.notify_one();
     }
     router.note_fence(gossip.newest_fence);
-    router.quarantine.lock().merge(&gossip.quarantine, now);
+    router.merge_quarantine(&gossip.quarantine, &sender.entry, now);
     router.merge_parts(&gossip.parts, &sender.entry, now);
     let mut endpoints = router.endpoints.lock();
     let by_key: HashMap<u32, EndpointId> = endpoints
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -57,6 +57,16 @@
     counter!("router_suspects_total").increment(1);
 }
 
+/// Counts a request that is refused from now on, since it crashed endpoints.
+pub(crate) fn count_quarantined_request() {
+    counter!("router_requests_quarantined_total").increment(1);
+}
+
+/// Counts a list of all endpoints that was read because a peer had seen a newer change.
+pub(crate) fn count_overtaken_watch() {
+    counter!("router_watches_overtaken_total").increment(1);
+}
+
 /// Counts a request that was refused because of a part of its prompt.
 pub(crate) fn count_part_refusal() {
     counter!("router_part_refusals_total").increment(1);
--- a/src/router/parts.rs
+++ b/src/router/parts.rs
@@ -13,8 +13,13 @@
 impl Router {
     /// Returns the id of an endpoint's run, the same on all entries.
     pub(crate) fn endpoint_run(record: &EndpointRecord) -> BootId {
-        let started = record.state.started_unix_ms.unwrap_or_default();
-        let run = xxh3_128(format!("{}/{started}", record.endpoint).as_bytes());
+        Self::run_id(&record.endpoint, record.state.started_unix_ms)
+    }
+
+    /// Returns the id of the run of an endpoint that started at this time.
+    pub(super) fn run_id(endpoint: &EndpointId, started_unix_ms: Option<u64>) -> BootId {
+        let started = started_unix_ms.unwrap_or_default();
+        let run = xxh3_128(format!("{endpoint}/{started}").as_bytes());
         BootId(uuid::Uuid::from_u128(run))
     }
 
