--- a/crates/pistachioyard_policy/tests/store_position.rs
+++ b/crates/pistachioyard_policy/tests/store_position.rs
@@ -38,6 +38,23 @@
     assert!(!lag.check(at(Some(1), 11), later, MAX_LAG));
 }
 
+/// Peers whose watches are stuck as well would hide the one whose watch delivers.
+#[test]
+fn a_peer_that_is_ahead_is_noticed_beside_others_that_are_behind() {
+    let start = Instant::now();
+    let mut lag = WatchLag::default();
+    lag.note(at(Some(1), 10));
+    let mut is_due = false;
+    for ms in (0..2_000).step_by(250) {
+        let now = start + Duration::from_millis(ms);
+        is_due |= lag.check(at(Some(1), 11), now, MAX_LAG);
+        for behind in [9, 10] {
+            is_due |= lag.check(at(Some(1), behind), now, MAX_LAG);
+        }
+    }
+    assert!(is_due);
+}
+
 /// A peer that has only seen the earlier era would be taken to be ahead, by its revision.
 #[test]
 fn a_higher_revision_of_an_earlier_era_causes_no_list() {
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod logs;
 mod lost;
+mod poison_again;
 mod poison_part;
 mod process;
 mod raw;
