Notice a peer that is ahead beside peers that are behind

Three of four entries had begun a watch while the store was silent and it hung for 6.9 s. The fourth knew of the change, but each datagram of a peer that was itself behind cleared the timer that leads to a new list. The newest change known to any peer is now kept until the own watch has delivered it. a_peer_that_is_ahead_is_noticed_beside_others_that_are_behind failed before and passes now, with all other tests of store_position.

--- a/crates/pistachioyard_policy/src/store_position.rs
+++ b/crates/pistachioyard_policy/src/store_position.rs
@@ -49,8 +49,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct WatchLag {
     newest: StorePosition,
-    /// Since when a peer has known of a newer change.
-    behind_since: Option<Instant>,
+    /// A newer change that a peer knows of, and since when that is known here. Other peers that
+    /// do not know of it say nothing about it.
+    ahead: Option<(StorePosition, Instant)>,
 }
 
 impl WatchLag {
@@ -70,15 +71,18 @@
     /// Returns whether to list again, because a peer has known of a newer change for longer
     /// than `max_lag`, or of a later era.
     pub fn check(&mut self, peer: StorePosition, now: Instant, max_lag: Duration) -> bool {
+        // What the own watch has delivered by now is no longer ahead.
+        self.ahead = self
+            .ahead
+            .filter(|(position, _)| self.newest.is_before(*position));
         if !self.newest.is_before(peer) {
-            self.behind_since = None;
             return false;
         }
-        let since = *self.behind_since.get_or_insert(now);
+        let (_, since) = *self.ahead.get_or_insert((peer, now));
         let is_due = is_later_era(peer.era, self.newest.era)
             || now.saturating_duration_since(since) > max_lag;
         if is_due {
-            self.behind_since = None;
+            self.ahead = None;
         }
         is_due
     }
