Release a request from quarantine by one trial, not by the clock

Now the end of the hold releases nothing: one entry at a time, by turns, runs one request as a trial. If it completes, all entries are told which crashes no longer count; if it crashes an endpoint, the request is refused for ten minutes.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -52,7 +52,7 @@
     ChangeAnswer, Claim, ClaimState, KeyAgeError, LedgerChange, LedgerLayout, LedgerPage,
     LedgerPageError,
 };
-pub use membership::Membership;
+pub use membership::{Membership, responsible_entry};
 pub use part_quarantine::{
     LossCheck, PROOF_WRITING_TIME, PartConviction, PartFindings, PartQuarantine, PartVerdict,
     WritingTime,
@@ -67,7 +67,7 @@
 };
 pub use plain_choice::{LatencyEstimates, choose_plain_endpoint};
 pub use prefix_index::PrefixIndex;
-pub use quarantine::{Quarantine, QuarantineVerdict, SuspectReservations};
+pub use quarantine::{Quarantine, QuarantineVerdict, RELAPSE_HOLD, SuspectReservations};
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+pub use choose::responsible_entry;
 use pistachioyard_wire::{BootId, EntryId, EntryState, MemberRecord, Revision};
 use rand::Rng;
 use rand::seq::IteratorRandom;
--- a/crates/pistachioyard_policy/src/membership/choose.rs
+++ b/crates/pistachioyard_policy/src/membership/choose.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// Returns the entry that is responsible for a key: nearly the same one on all entries, and
+/// another one only if entries join or leave.
+pub fn responsible_entry<'a>(
+    key: u64,
+    entries: impl IntoIterator<Item = &'a EntryId>,
+) -> Option<&'a EntryId> {
+    entries
+        .into_iter()
+        .max_by_key(|entry| (xxh3_64_with_seed(entry.as_str().as_bytes(), key), *entry))
+}
+
 /// Selects `fanout` members, mostly local ones, with one from another data centre.
 fn local_with_one_remote<'a>(
     local: Vec<&'a Member>,
--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -17,14 +17,20 @@
 //! because that other request may be quarantined wrongly. This happens to a suspect whose
 //! second endpoint dies of another cause: it cannot be told from a poison request without
 //! losing a third endpoint, so it is refused for the hold time.
+//!
+//! Where suspects are not isolated, the end of a hold releases no request. One trial at a time
+//! finds out whether the request is still poison: its completion releases the request, and
+//! another crash refuses it for [`RELAPSE_HOLD`].
 
+mod record;
 mod reservations;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use pistachioyard_wire::{BootId, QuarantineMark, RequestDigest};
 
+use record::CrashRecord;
 pub use reservations::SuspectReservations;
 
 /// The crashes after which a request is quarantined if it was the only repeater in one of them.
@@ -33,6 +39,13 @@
 /// The crashes after which a request is quarantined in any case.
 const CRASHES_TO_QUARANTINE: usize = 3;
 
+/// How long a request is refused that crashed an endpoint again after its hold.
+pub const RELAPSE_HOLD: Duration = Duration::from_secs(600);
+/// How long a quarantine is remembered after the newest crash, so that a single crash renews it.
+const QUARANTINE_TTL: Duration = Duration::from_secs(3_600);
+/// How long a trial may take; longer than the deadlines of requests.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The number of crash records at which an entry adds no more of them from its peers.
 const MAX_RECORDS: usize = 4_096;
 /// The maximum number of crashes that are accepted from one mark of a peer.
@@ -53,32 +66,11 @@
         /// The time until it is accepted again.
         retry_after: Duration,
     },
-}
-
-#[derive(Clone, Debug)]
-struct CrashRecord {
-    /// The endpoint runs that crashed while they ran the request.
-    crashed: BTreeSet<BootId>,
-    /// The crashes that no longer count, because the request has completed since then.
-    cleared: BTreeSet<BootId>,
-    quarantined: bool,
-    /// The time of the newest crash.
-    since: Instant,
-}
-
-impl CrashRecord {
-    fn new(since: Instant) -> Self {
-        Self {
-            crashed: BTreeSet::new(),
-            cleared: BTreeSet::new(),
-            quarantined: false,
-            since,
-        }
-    }
-
-    fn is_repeater(&self) -> bool {
-        self.crashed.len() >= CRASHES_TO_QUARANTINE_SOLE_REPEATER
-    }
+    /// Its hold has ended; it may run once at a time, after [`Quarantine::begin_trial`].
+    OnTrial {
+        /// The time since the end of the hold.
+        lapsed: Duration,
+    },
 }
 
 /// Holds one entry's crash records of requests.
@@ -126,10 +118,7 @@
                 .records
                 .entry(*digest)
                 .or_insert_with(|| CrashRecord::new(now));
-            if record.crashed.insert(boot) {
-                record.cleared.remove(&boot);
-                record.since = record.since.max(now);
-            }
+            record.add_crash(boot, now, self.hold_time);
         }
         self.quarantine_culprits()
     }
@@ -146,43 +135,64 @@
             return QuarantineVerdict::Clear;
         };
         let age = now.saturating_duration_since(record.since);
-        let retry_after = self.hold_time.saturating_sub(age);
+        let hold = record.hold(self.hold_time);
+        let retry_after = hold.saturating_sub(age);
         match (
             retry_after.is_zero(),
             record.quarantined,
             record.crashed.len(),
         ) {
+            (true, true, _) if !self.isolates_suspects => QuarantineVerdict::OnTrial {
+                lapsed: age.saturating_sub(hold),
+            },
             (true, _, _) | (false, false, 0) => QuarantineVerdict::Clear,
             (false, true, _) => QuarantineVerdict::Quarantined { retry_after },
             (false, false, crashes) => QuarantineVerdict::Suspect { crashes },
         }
     }
 
+    /// Begins the trial of a request whose hold has ended; returns whether it may run now.
+    pub fn begin_trial(&mut self, digest: RequestDigest, now: Instant) -> bool {
+        let Some(record) = self.records.get_mut(&digest) else {
+            return true;
+        };
+        let is_free = record
+            .trial_since
+            .is_none_or(|since| now.saturating_duration_since(since) >= TRIAL_TIMEOUT);
+        if is_free {
+            record.trial_since = Some(now);
+        }
+        is_free
+    }
+
     /// Records that a request completed, which means that it did not cause its crashes.
-    pub fn record_completion(&mut self, digest: RequestDigest) {
+    pub fn record_completion(&mut self, digest: RequestDigest, now: Instant) {
         let Some(record) = self.records.get_mut(&digest) else {
             return;
         };
         let crashed = std::mem::take(&mut record.crashed);
-        record.cleared.extend(crashed);
-        record.quarantined = false;
+        record.clear(crashed, now);
         self.quarantine_culprits();
     }
 
-    /// Returns the marks to gossip to peers: those of quarantined requests first, and then the
-    /// newest, since a message may have no room for all of them.
+    /// Returns the marks to gossip to peers: those of quarantined requests first, then those
+    /// that clear a request, and then the newest, since a message may have no room for all.
     pub fn marks(&self, now: Instant) -> Vec<QuarantineMark> {
-        let open = self.records.iter().filter(|(_, r)| !r.crashed.is_empty());
-        let marks = open
+        let told = self.records.iter().filter(|(_, record)| {
+            !record.crashed.is_empty() || !self.isolates_suspects && !record.cleared.is_empty()
+        });
+        let marks = told
+            .filter(|(_, record)| !self.is_expired(record, now))
             .map(|(digest, record)| QuarantineMark {
                 digest: *digest,
                 crashed: record.crashed.iter().copied().collect(),
+                cleared: record.cleared.iter().copied().collect(),
                 convicted: record.quarantined,
+                has_relapsed: record.has_relapsed,
                 age_ms: age_ms(now, record.since),
-            })
-            .filter(|mark| Duration::from_millis(mark.age_ms) < self.hold_time);
+            });
         let mut marks: Vec<QuarantineMark> = marks.collect();
-        marks.sort_by_key(|mark| (!mark.convicted, mark.age_ms));
+        marks.sort_by_key(|mark| (!mark.convicted, mark.cleared.is_empty(), mark.age_ms));
         marks
     }
 
@@ -196,9 +206,9 @@
         let mut quarantined = Vec::new();
         for mark in marks {
             let age = Duration::from_millis(mark.age_ms);
-            if age < self.hold_time {
+            if age < self.ttl(mark.convicted || !mark.cleared.is_empty()) {
                 let since = now.checked_sub(age).unwrap_or(now);
-                if self.merge_mark(mark, since) {
+                if self.merge_mark(mark, since, now) {
                     quarantined.push(mark.digest);
                 }
             }
@@ -207,15 +217,39 @@
         quarantined
     }
 
-    /// Removes the records that are older than the hold time.
+    /// Removes the records that no longer count.
     pub fn expire(&mut self, now: Instant) {
-        let hold_time = self.hold_time;
-        self.records
-            .retain(|_, record| now.saturating_duration_since(record.since) < hold_time);
+        let mut records = std::mem::take(&mut self.records);
+        records.retain(|_, record| !self.is_expired(record, now));
+        self.records = records;
+    }
+
+    fn is_expired(&self, record: &CrashRecord, now: Instant) -> bool {
+        let changed_at = record.cleared_at.max(Some(record.since));
+        let age = changed_at.map(|at| now.saturating_duration_since(at));
+        age.unwrap_or_default() >= self.ttl(record.quarantined)
+    }
+
+    /// Returns how long a record is kept after its newest change.
+    fn ttl(&self, is_quarantined: bool) -> Duration {
+        match is_quarantined && !self.isolates_suspects {
+            true => QUARANTINE_TTL,
+            false => self.hold_time,
+        }
     }
 
     /// Merges one mark; returns whether it quarantines its request.
-    fn merge_mark(&mut self, mark: &QuarantineMark, since: Instant) -> bool {
+    fn merge_mark(&mut self, mark: &QuarantineMark, since: Instant, now: Instant) -> bool {
+        if let Some(record) = self.records.get_mut(&mark.digest) {
+            let listed = mark.cleared.iter().take(MAX_CRASHES_PER_MARK);
+            let cleared: Vec<BootId> = listed
+                .copied()
+                .filter(|boot| record.crashed.contains(boot))
+                .collect();
+            if !cleared.is_empty() {
+                record.clear(cleared, now);
+            }
+        }
         let known = self.records.get(&mark.digest);
         let counts = |boot: &BootId| known.is_none_or(|record| !record.cleared.contains(boot));
         let listed = mark.crashed.iter().take(MAX_CRASHES_PER_MARK);
@@ -231,6 +265,7 @@
         let before = record.crashed.len();
         record.crashed.extend(crashed);
         record.quarantined |= mark.convicted;
+        record.has_relapsed |= mark.convicted && mark.has_relapsed;
         if is_newly_quarantined || record.crashed.len() > before {
             record.since = record.since.max(since);
         }
--- /dev/null
+++ b/crates/pistachioyard_policy/src/quarantine/record.rs
@@ -0,0 +1,77 @@
+//! Holds the crashes that one request was in.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use pistachioyard_wire::BootId;
+
+use super::{CRASHES_TO_QUARANTINE_SOLE_REPEATER, RELAPSE_HOLD};
+
+/// Holds the crashes that a request was in, and whether it is quarantined for them.
+#[derive(Clone, Debug)]
+pub(super) struct CrashRecord {
+    /// The endpoint runs that crashed while they ran the request.
+    pub(super) crashed: BTreeSet<BootId>,
+    /// The crashes that no longer count, because the request has completed since then.
+    pub(super) cleared: BTreeSet<BootId>,
+    /// When it was last cleared of crashes.
+    pub(super) cleared_at: Option<Instant>,
+    pub(super) quarantined: bool,
+    /// Whether it crashed an endpoint again after its hold.
+    pub(super) has_relapsed: bool,
+    /// When the trial in progress began, if there is one.
+    pub(super) trial_since: Option<Instant>,
+    /// The time of the newest crash.
+    pub(super) since: Instant,
+}
+
+impl CrashRecord {
+    pub(super) fn new(since: Instant) -> Self {
+        Self {
+            crashed: BTreeSet::new(),
+            cleared: BTreeSet::new(),
+            cleared_at: None,
+            quarantined: false,
+            has_relapsed: false,
+            trial_since: None,
+            since,
+        }
+    }
+
+    /// Returns whether the request was in enough crashes to be told from a bystander.
+    pub(super) fn is_repeater(&self) -> bool {
+        self.crashed.len() >= CRASHES_TO_QUARANTINE_SOLE_REPEATER
+    }
+
+    /// Returns how long the request is refused after its newest crash.
+    pub(super) fn hold(&self, first_hold: Duration) -> Duration {
+        match self.has_relapsed {
+            true => first_hold.max(RELAPSE_HOLD),
+            false => first_hold,
+        }
+    }
+
+    /// Adds the crash of an endpoint run, unless it is known.
+    pub(super) fn add_crash(&mut self, run: BootId, now: Instant, first_hold: Duration) {
+        if !self.crashed.insert(run) {
+            return;
+        }
+        self.cleared.remove(&run);
+        let held_until = self.since + self.hold(first_hold);
+        self.has_relapsed |= self.quarantined && now >= held_until;
+        self.trial_since = None;
+        self.since = self.since.max(now);
+    }
+
+    /// Removes crashes that the request did not cause, and ends its quarantine.
+    pub(super) fn clear(&mut self, runs: impl IntoIterator<Item = BootId>, now: Instant) {
+        for run in runs {
+            self.crashed.remove(&run);
+            self.cleared.insert(run);
+        }
+        self.cleared_at = Some(now);
+        self.quarantined = false;
+        self.has_relapsed = false;
+        self.trial_since = None;
+    }
+}
--- a/crates/pistachioyard_policy/tests/quarantine.rs
+++ b/crates/pistachioyard_policy/tests/quarantine.rs
@@ -42,7 +42,7 @@
             QuarantineVerdict::Suspect { crashes: 1 }
         );
     }
-    quarantine.record_completion(BYSTANDERS[0]);
+    quarantine.record_completion(BYSTANDERS[0], now);
     assert_eq!(
         quarantine.verdict(BYSTANDERS[0], now),
         QuarantineVerdict::Clear
@@ -68,7 +68,7 @@
     let mut by_crash = shared.clone();
     by_crash.record_crash(&[POISON], boot(3), now);
     let mut by_completion = shared;
-    by_completion.record_completion(BYSTANDERS[0]);
+    by_completion.record_completion(BYSTANDERS[0], now);
     for quarantine in [by_crash, by_completion] {
         assert!(is_quarantined(&quarantine, POISON, now));
         assert!(!is_quarantined(&quarantine, BYSTANDERS[0], now));
@@ -88,7 +88,7 @@
         assert!(is_quarantined(entry, POISON, now));
         assert!(BYSTANDERS.iter().all(|b| !is_quarantined(entry, *b, now)));
     }
-    one.record_completion(BYSTANDERS[0]);
+    one.record_completion(BYSTANDERS[0], now);
     let later = now + HOLD / 2;
     one.merge(&two.marks(later), later);
     assert_eq!(one.verdict(BYSTANDERS[0], later), QuarantineVerdict::Clear);
@@ -133,7 +133,7 @@
         quarantine.verdict(request, now),
         QuarantineVerdict::Quarantined { .. }
     ));
-    quarantine.record_completion(request);
+    quarantine.record_completion(request, now);
     assert_eq!(quarantine.verdict(request, now), QuarantineVerdict::Clear);
 }
 
--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -108,8 +108,14 @@
     pub digest: RequestDigest,
     /// The distinct endpoint runs that crashed while they ran the request.
     pub crashed: Vec<BootId>,
+    /// The crashes that the request did not cause, since it has completed after them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub cleared: Vec<BootId>,
     /// Whether the request is quarantined, so that entries refuse it.
     pub convicted: bool,
+    /// Whether the request crashed an endpoint again after it had been refused for a while.
+    #[serde(default)]
+    pub has_relapsed: bool,
     /// The age of the mark when this message was sent, in milliseconds.
     pub age_ms: u64,
 }
--- a/src/filter/dispatch.rs
+++ b/src/filter/dispatch.rs
@@ -141,7 +141,7 @@
                     self.node
                         .quarantine
                         .lock()
-                        .record_completion(self.cx.call.digest);
+                        .record_completion(self.cx.call.digest, Instant::now());
                     return Ok(());
                 }
                 AttemptEnd::CallerGone => {
--- a/src/filter/follow.rs
+++ b/src/filter/follow.rs
@@ -133,7 +133,7 @@
             self.node
                 .quarantine
                 .lock()
-                .record_completion(self.cx.call.digest);
+                .record_completion(self.cx.call.digest, Instant::now());
             self.reservation = None;
         }
     }
--- a/src/filter/recover.rs
+++ b/src/filter/recover.rs
@@ -137,7 +137,7 @@
                 return give_up_quarantined(generation, retry_after);
             }
             QuarantineVerdict::Suspect { .. } => (reserve_chain(generation).await, SUSPECT_WAIT_MS),
-            QuarantineVerdict::Clear => (
+            QuarantineVerdict::Clear | QuarantineVerdict::OnTrial { .. } => (
                 choose_chain(generation, &BTreeSet::new()),
                 REPLACEMENT_WAIT_MS,
             ),
--- a/src/filter/suspect.rs
+++ b/src/filter/suspect.rs
@@ -23,7 +23,7 @@
 /// Refuses a new request if it is quarantined, or a suspect that is being retried.
 pub(crate) fn refuse_suspects(node: &Node, digest: RequestDigest) -> Result<(), Problem> {
     match node.quarantine.lock().verdict(digest, Instant::now()) {
-        QuarantineVerdict::Clear => Ok(()),
+        QuarantineVerdict::Clear | QuarantineVerdict::OnTrial { .. } => Ok(()),
         QuarantineVerdict::Suspect { .. } => Err(retried_elsewhere(Outcome::NotRun)),
         QuarantineVerdict::Quarantined { retry_after } => {
             Err(quarantined(Outcome::NotRun, retry_after))
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -17,7 +17,7 @@
 use http::{HeaderMap, Method, Request, Response};
 use hyper::body::Incoming;
 use pistachioyard_platform::CallerHead;
-use pistachioyard_policy::{QuarantineVerdict, Route, Workspace};
+use pistachioyard_policy::{Route, Workspace};
 use pistachioyard_wire::RequestDigest;
 pub(crate) use report_cache::{ReportCache, fetch as fetch_report, survey};
 
@@ -90,18 +90,12 @@
     if let Some(problem) = router.check_parts(&call.head.prompt_parts) {
         return Err(problem);
     }
-    match router
-        .quarantine
-        .lock()
-        .verdict(call.digest, Instant::now())
-    {
-        QuarantineVerdict::Clear | QuarantineVerdict::Suspect { .. } => Ok(()),
-        QuarantineVerdict::Quarantined { retry_after } => {
-            let detail = "the request has crashed the endpoints that ran it; it was not run again";
-            let problem = Problem::new(ProblemKind::Quarantined, Outcome::NotRun, detail);
-            Err(quarantined(problem, retry_after))
-        }
-    }
+    let Some(retry_after) = router.quarantine_hold(call.digest) else {
+        return Ok(());
+    };
+    let detail = "the request has crashed the endpoints that ran it; it was not run again";
+    let problem = Problem::new(ProblemKind::Quarantined, Outcome::NotRun, detail);
+    Err(quarantined(problem, retry_after))
 }
 
 /// Completes the problem for a request that is quarantined and was not run.
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -264,7 +264,7 @@
         self.router
             .quarantine
             .lock()
-            .record_completion(self.call.digest);
+            .record_completion(self.call.digest, Instant::now());
         let response = caller_response(head.status, headers, body);
         let is_failure = head.status.is_server_error();
         if is_failure && !is_only {
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -304,7 +304,7 @@
                     self.router
                         .quarantine
                         .lock()
-                        .record_completion(self.call.digest);
+                        .record_completion(self.call.digest, Instant::now());
                     self.record.end_answered(200);
                     return Ok(None);
                 }
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -76,7 +76,10 @@
         }
         let quarantine = self.router.quarantine.lock();
         let verdict = quarantine.verdict(self.call.digest, Instant::now());
-        matches!(verdict, QuarantineVerdict::Quarantined { .. })
+        matches!(
+            verdict,
+            QuarantineVerdict::Quarantined { .. } | QuarantineVerdict::OnTrial { .. }
+        )
     }
 
     /// Replaces a lost endpoint of the path; returns whether the stream continues on the new path.
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -1,11 +1,48 @@
 //! Applies findings about requests that crash endpoints.
 
+use pistachioyard_policy::{QuarantineVerdict, responsible_entry};
 use pistachioyard_wire::{QuarantineMark, RequestDigest};
 
 use super::{Router, metric};
 use crate::prelude::*;
 
+/// How long one entry is responsible for the trials of a request; longer than a trial takes.
+const TRIAL_TURN: Duration = Duration::from_secs(30);
+/// When a caller may ask again whose request waits for the end of another one's trial.
+const TRIAL_RETRY: Duration = Duration::from_secs(2);
+
 impl Router {
+    /// Returns how long a request is refused because it crashed endpoints; none if it may run.
+    ///
+    /// After a hold, one entry at a time runs one request as a trial. Entries take turns, since
+    /// the callers of a request may not reach all of them.
+    pub(crate) fn quarantine_hold(&self, digest: RequestDigest) -> Option<Duration> {
+        let now = Instant::now();
+        let verdict = self.quarantine.lock().verdict(digest, now);
+        match verdict {
+            QuarantineVerdict::Clear | QuarantineVerdict::Suspect { .. } => None,
+            QuarantineVerdict::Quarantined { retry_after } => Some(retry_after),
+            QuarantineVerdict::OnTrial { lapsed } => {
+                let turn = lapsed.as_secs() / TRIAL_TURN.as_secs();
+                if !self.is_responsible(digest.0.wrapping_add(turn), now) {
+                    return Some(TRIAL_RETRY);
+                }
+                let may_run = self.quarantine.lock().begin_trial(digest, now);
+                spdlog::info!("quarantine: hold is over", kv: {
+                    digest = digest.to_string().as_str(), may_run
+                });
+                (!may_run).then_some(TRIAL_RETRY)
+            }
+        }
+    }
+
+    /// Returns whether this entry is the responsible one of the live entries for a key.
+    fn is_responsible(&self, key: u64, now: Instant) -> bool {
+        let members = self.members.lock();
+        let live = members.live(now).into_iter().map(|record| &record.entry);
+        responsible_entry(key, live).is_none_or(|entry| *entry == self.settings.entry)
+    }
+
     /// Records that an endpoint was lost while it ran a request.
     ///
     /// A request is refused once three endpoints were lost while they ran it. A request that
--- a/tests/fuzz/peers.rs
+++ b/tests/fuzz/peers.rs
@@ -88,7 +88,9 @@
     QuarantineMark {
         digest: RequestDigest(number),
         crashed: vec![BootId::generate(); 3],
+        cleared: Vec::new(),
         convicted: true,
+        has_relapsed: false,
         age_ms,
     }
 }
