Keep convictions in the store

Entries that were all restarted at once had no peer that knew a quarantined request or a convicted prompt part, and each restart cost three endpoints or more. The first live entry now keeps an object for each conviction and removes it when the request is released or the part acquitted; all entries read them at their start and after the store's return from an older copy.

--- a/src/router.rs
+++ b/src/router.rs
@@ -80,6 +80,8 @@
     pub(crate) config_outdated: Notify,
     /// Wakes the endpoint controller when this entry has missed a change that a peer has seen.
     pub(crate) endpoints_outdated: Notify,
+    /// Wakes the controller that stores the convictions of requests and prompt parts.
+    pub(crate) convictions_changed: Notify,
     /// How far this entry has seen the changes of the endpoints.
     pub(crate) endpoints_lag: Mutex<WatchLag>,
     /// The highest fencing token of the placement lease that this entry knows of.
@@ -130,6 +132,7 @@
             suspects_due: Notify::new(),
             config_outdated: Notify::new(),
             endpoints_outdated: Notify::new(),
+            convictions_changed: Notify::new(),
             endpoints_lag: Mutex::default(),
             newest_fence: AtomicU64::new(0),
             client: EndpointClient::default(),
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -1,6 +1,7 @@
 //! Background tasks that keep the shared state up to date.
 
 mod config;
+mod convictions;
 mod endpoints;
 mod peer_fallback;
 mod peers;
@@ -21,6 +22,7 @@
 pub(crate) fn start(router: &Arc<Router>, peers: tokio::net::UdpSocket) {
     let peers = Arc::new(peers);
     tokio::spawn(config::run(router.clone()));
+    tokio::spawn(convictions::run(router.clone()));
     tokio::spawn(endpoints::run(router.clone()));
     tokio::spawn(peers::listen(router.clone(), peers.clone()));
     tokio::spawn(peers::gossip(router.clone(), peers));
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -148,8 +148,8 @@
         router.endpoints_outdated.notify_one();
     }
     router.note_fence(gossip.newest_fence);
-    router.merge_quarantine(&gossip.quarantine, &sender.entry, now);
-    router.merge_parts(&gossip.parts, &sender.entry, now);
+    router.merge_quarantine(&gossip.quarantine, sender.entry.as_str(), now);
+    router.merge_parts(&gossip.parts, sender.entry.as_str(), now);
     let mut endpoints = router.endpoints.lock();
     let by_key: HashMap<u32, EndpointId> = endpoints
         .ids()
--- a/src/router/parts.rs
+++ b/src/router/parts.rs
@@ -56,7 +56,7 @@
             endpoint = endpoint.as_str(), run = run.0.simple().to_string().as_str(),
             suspects = suspects.len(), parts = listed.join(",").as_str()
         });
-        log_convictions(&convictions, "");
+        self.log_convictions(&convictions, "");
         if !convictions.is_empty() {
             controller::announce(self).await;
         }
@@ -65,7 +65,7 @@
     /// Convicts the parts that explain the crashes by now.
     pub(crate) fn review_parts(&self) {
         let convictions = self.parts.lock().review(Instant::now());
-        log_convictions(&convictions, "");
+        self.log_convictions(&convictions, "");
     }
 
     /// Records that an endpoint has written an answer on these parts without crashing.
@@ -74,23 +74,26 @@
         log_acquittals(&acquitted, "");
     }
 
-    /// Merges the findings of a peer.
-    pub(crate) fn merge_parts(&self, report: &PartReport, from: &EntryId, now: Instant) {
+    /// Merges findings; `from` names the peer, or the store.
+    pub(crate) fn merge_parts(&self, report: &PartReport, from: &str, now: Instant) {
         let findings = self.parts.lock().merge(report, now);
-        log_convictions(&findings.convicted, from.as_str());
-        log_acquittals(&findings.acquitted, from.as_str());
+        self.log_convictions(&findings.convicted, from);
+        log_acquittals(&findings.acquitted, from);
     }
-}
 
-fn log_convictions(convictions: &[PartConviction], from: &str) {
-    for conviction in convictions {
-        metric::count_part_conviction();
-        let runs = conviction.crashed.iter().take(MAX_LOGGED);
-        let runs: Vec<String> = runs.map(|run| run.0.simple().to_string()).collect();
-        spdlog::warn!("quarantine: part refused", kv: {
-            part = conviction.part.to_string().as_str(), crashes = conviction.crashed.len(),
-            runs = runs.join(",").as_str(), from
-        });
+    fn log_convictions(&self, convictions: &[PartConviction], from: &str) {
+        if !convictions.is_empty() {
+            self.convictions_changed.notify_one();
+        }
+        for conviction in convictions {
+            metric::count_part_conviction();
+            let runs = conviction.crashed.iter().take(MAX_LOGGED);
+            let runs: Vec<String> = runs.map(|run| run.0.simple().to_string()).collect();
+            spdlog::warn!("quarantine: part refused", kv: {
+                part = conviction.part.to_string().as_str(), crashes = conviction.crashed.len(),
+                runs = runs.join(",").as_str(), from
+            });
+        }
     }
 }
 
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -65,13 +65,16 @@
         self.log_quarantined(&quarantined, "");
     }
 
-    /// Merges the marks of a peer.
-    pub(crate) fn merge_quarantine(&self, marks: &[QuarantineMark], from: &EntryId, now: Instant) {
+    /// Merges marks; `from` names the peer, or the store.
+    pub(crate) fn merge_quarantine(&self, marks: &[QuarantineMark], from: &str, now: Instant) {
         let quarantined = self.quarantine.lock().merge(marks, now);
-        self.log_quarantined(&quarantined, from.as_str());
+        self.log_quarantined(&quarantined, from);
     }
 
     fn log_quarantined(&self, quarantined: &[RequestDigest], from: &str) {
+        if !quarantined.is_empty() {
+            self.convictions_changed.notify_one();
+        }
         for digest in quarantined {
             metric::count_quarantined_request();
             let crashes = self.quarantine.lock().count_crashes(*digest);
--- a/tests/site/poison_part.rs
+++ b/tests/site/poison_part.rs
@@ -158,3 +158,33 @@
     let served = count(&sound, End::Served);
     assert!(2 * served > sound.len(), "{served} of {}", sound.len());
 }
+
+/// Entries that all start again have no peer that knows the part.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_crashed_endpoints_is_refused_after_restarts_of_all_entries() {
+    let mut site = Site::start(3).await;
+    let supervisor = site.supervise_endpoints();
+    let started_at = Instant::now();
+    let goes_on = || supervisor.crashes() < CRASHES_TO_KNOW && started_at.elapsed() < CRASH_TIMEOUT;
+    send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)).await;
+    let settled_at = Instant::now() + SETTLE_TIME;
+    let goes_on = || Instant::now() < settled_at;
+    send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)).await;
+    let settled = supervisor.crashes();
+    for _ in 0..2 {
+        let launcher = site.launcher.clone();
+        for entry in &mut site.entries {
+            entry.process.kill();
+        }
+        for entry in &mut site.entries {
+            entry.process.start(&launcher);
+        }
+        let end_at = Instant::now() + SETTLE_TIME;
+        let goes_on = || Instant::now() < end_at;
+        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)).await;
+    }
+    let crashes = supervisor.crashes() - settled;
+    site.endpoints = supervisor.stop().await;
+    println!("crashes: {settled} when settled, {crashes} after the restarts");
+    assert!(crashes <= MAX_RUNS_AFTERWARDS, "{crashes}");
+}
