--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -113,6 +113,10 @@
     blamed: Option<SocketAddr>,
     /// The ids of the requests that were turned away.
     turned_away: Vec<String>,
+    /// The values of the header `Server-Limit` that all answers carry.
+    limits: Vec<String>,
+    /// The Unix times at which requests arrived, in ms.
+    arrivals: Vec<u64>,
 }
 
 /// Serves a worker until the process ends.
@@ -122,7 +126,6 @@
 /// Fails when the address cannot be bound or a connection cannot be accepted.
 pub async fn run_site_worker(args: SiteWorkerArgs) -> std::io::Result<()> {
     let listen = args.listen;
-    let started_at = SystemTime::now().duration_since(UNIX_EPOCH);
     let client = HttpClient::new(HttpClientConfig {
         request_timeout: Duration::from_millis(500),
         ..HttpClientConfig::default()
@@ -133,7 +136,7 @@
     };
     let worker = Arc::new(Worker {
         args,
-        started_at_ms: started_at.map_or(0, |since| since.as_millis() as u64),
+        started_at_ms: unix_ms(),
         client,
         state: Mutex::new(state),
     });
@@ -141,6 +144,12 @@
     serve(listen, move |req| handle(worker.clone(), req)).await
 }
 
+/// Returns the time of day, in ms since the Unix epoch.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 impl Worker {
     fn is_engine(&self) -> bool {
         self.args.card.is_some()
@@ -202,6 +211,7 @@
     }
     let mut answer = answer(&worker, &path, req).await;
     control::mark_leaving(&worker, answer.headers_mut());
+    control::name_limits(&worker, answer.headers_mut());
     answer
 }
 
@@ -306,6 +316,7 @@
     if !is_expected {
         return not_run(StatusCode::MISDIRECTED_REQUEST, worker.address());
     }
+    worker.state.lock().arrivals.push(unix_ms());
     if let Some(refusal) = control::turn_away(&worker, &id) {
         return refusal;
     }
--- a/crates/pistachioyard_standins/src/site/worker/control.rs
+++ b/crates/pistachioyard_standins/src/site/worker/control.rs
@@ -8,7 +8,9 @@
 //! address makes these refusals blame that one. `PUT /control/silence` with a number of
 //! milliseconds makes it fall silent for that time: it accepts no connection and answers nothing,
 //! keeps its connections and then goes on. `GET /control/paths` lists the addresses of the stages
-//! of each running stream; after `PUT /control/crash`, the next running stream that passes through
+//! of each running stream. `PUT /control/limit` with a list of texts makes all later answers carry a
+//! header `Server-Limit` with each of them, and `GET /control/arrivals` lists the Unix times at
+//! which requests have arrived, in milliseconds; after `PUT /control/crash`, the next running stream that passes through
 //! the worker ends the process.
 
 use std::net::SocketAddr;
@@ -48,6 +50,13 @@
             state.blamed = body.as_str().and_then(|address| address.parse().ok());
             status_only(StatusCode::OK)
         }
+        "limit" => {
+            let named = body.as_array().into_iter().flatten();
+            let named = named.filter_map(|value| value.as_str().map(str::to_owned));
+            state.limits = named.collect();
+            status_only(StatusCode::OK)
+        }
+        "arrivals" => json_response(StatusCode::OK, &json!(state.arrivals)),
         "turned_away" => json_response(StatusCode::OK, &json!(state.turned_away)),
         _ => status_only(StatusCode::NOT_FOUND),
     }
@@ -76,6 +85,15 @@
     }
 }
 
+/// Adds the headers that name a limit of requests, if there are any.
+pub(super) fn name_limits(worker: &Worker, headers: &mut HeaderMap) {
+    for limit in &worker.state.lock().limits {
+        if let Ok(value) = HeaderValue::from_str(limit) {
+            headers.append("server-limit", value);
+        }
+    }
+}
+
 /// Returns the addresses of the stages of each running stream, by request id.
 fn running_paths(state: &State) -> Value {
     let paths = state.paths.iter().map(|(id, stages)| {
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod layout;
 mod leaving;
+mod limited;
 mod logs;
 mod lost;
 mod poison_again;
