Keep the requests of all entries within the limits that endpoints name

Endpoints that name how many requests a second they take got whatever came, since nothing read the header. One responsible entry for each such endpoint, found by rendezvous hashing, now hands out permits from a bucket; it gives out the share of the limit that belongs to the entries it hears, and waits a second after a change of responsibility. The soak limits endpoints and checks what they got.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -7,6 +7,7 @@
 
 mod answers;
 mod deletion;
+mod limits;
 mod notices;
 mod record;
 mod tracked;
@@ -18,6 +19,7 @@
 use pistachioyard_wire::{EndpointId, LayerRange, ServiceName};
 
 use crate::pipeline::{CardState, LoadTracker, PipelineSpec, StageOffer};
+use crate::request_limits::RequestLimits;
 use crate::store_position::StorePosition;
 pub use notices::EndpointRun;
 use notices::RunNotices;
@@ -46,6 +48,7 @@
     /// Where records were deleted, and when this was learned.
     deleted: BTreeMap<EndpointId, (StorePosition, Instant)>,
     notices: RunNotices,
+    limits: RequestLimits,
 }
 
 impl EndpointRegistry {
@@ -302,6 +305,7 @@
                 layers: state.layers?,
                 card: *spec.cards.get(state.card.as_ref()?)?,
                 slowdown: state.slowdown.max(1.0),
+                may_start: self.has_room(record, now),
                 requests: load.requests(&record.endpoint),
                 token_layers: load.token_layers(&record.endpoint),
             })
@@ -328,6 +332,7 @@
                 || tracked.is_lost(now);
             let card = *spec.cards.get(record.state.card.as_ref()?)?;
             let pending_order = tracked.pending_order.filter(|(_, until)| now < *until);
+            let is_limited = self.limits.limit_of(&record.run()).is_some();
             (!is_lost).then(|| CardState {
                 endpoint: record.endpoint.clone(),
                 data_centre: record.data_centre.clone(),
@@ -340,6 +345,7 @@
                     && !tracked.is_suspect(now)
                     && tracked.grace_until.is_none(),
                 is_loading: pending_order.is_some() || record.state.is_moving,
+                is_limited,
             })
         });
         cards.collect()
--- a/crates/pistachioyard_policy/src/endpoint_registry/answers.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/answers.rs
@@ -63,8 +63,9 @@
         self.notices.is_paused(&self.run_of(endpoint), now)
     }
 
-    /// Returns the time until the first endpoint of a service ends its pause, if all have one
-    /// but those that are leaving or lost; until then no request can be served.
+    /// Returns the time until the first endpoint of a service ends its pause or has room within
+    /// its limit again, if all but those that are leaving or lost have a pause or no room; until
+    /// then no request can be served.
     ///
     /// Endpoints of `except` need no pause, since the request cannot go there.
     pub fn all_paused_for(
@@ -87,7 +88,8 @@
             if is_gone {
                 continue;
             }
-            match self.notices.paused_until(&run, now) {
+            let paused_until = self.notices.paused_until(&run, now);
+            match paused_until.max(self.limits.no_room_until(&run, now)) {
                 Some(until) => {
                     first_end = Some(first_end.map_or(until, |first| first.min(until)));
                 }
@@ -111,7 +113,7 @@
     }
 }
 
-fn is_current(by_id: &BTreeMap<EndpointId, TrackedEndpoint>, run: &EndpointRun) -> bool {
+pub(super) fn is_current(by_id: &BTreeMap<EndpointId, TrackedEndpoint>, run: &EndpointRun) -> bool {
     let tracked = by_id.get(&run.endpoint);
     tracked.is_some_and(|tracked| tracked.record.run() == *run)
 }
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -22,6 +22,7 @@
 mod plain_choice;
 mod prefix_index;
 mod quarantine;
+mod request_limits;
 mod retry_budget;
 mod routing;
 mod stall_detector;
@@ -68,6 +69,9 @@
 pub use plain_choice::{LatencyEstimates, choose_plain_endpoint};
 pub use prefix_index::PrefixIndex;
 pub use quarantine::{Quarantine, QuarantineVerdict, RELAPSE_HOLD, SuspectReservations};
+pub use request_limits::{
+    BadRate, FleetPart, LimitChange, PermitAnswer, RequestLimits, RequestRate, ReturnSchedule,
+};
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -155,6 +155,24 @@
             .collect()
     }
 
+    /// Returns the records of the entries that were heard within a time, this one included.
+    pub fn heard_within(
+        &self,
+        time: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = &MemberRecord> {
+        let heard = self.members().filter(move |member| {
+            let is_own = member.record.entry == self.own.record.entry;
+            is_own || now.saturating_duration_since(member.heard_at) <= time
+        });
+        heard.map(|member| &member.record)
+    }
+
+    /// Returns the number of known entries, this one and the lost ones included.
+    pub fn count(&self) -> usize {
+        1 + self.others.len()
+    }
+
     /// Returns the records to pass on to peers: those of all entries that are not lost.
     pub fn gossip_records(&self, now: Instant) -> Vec<MemberRecord> {
         self.members()
--- a/crates/pistachioyard_policy/src/pipeline/card_placement.rs
+++ b/crates/pistachioyard_policy/src/pipeline/card_placement.rs
@@ -34,6 +34,9 @@
     pub takes_orders: bool,
     /// Whether it is loading layers.
     pub is_loading: bool,
+    /// Whether its endpoint takes only a limited number of requests a second, which counts where
+    /// requests start.
+    pub is_limited: bool,
 }
 
 /// Describes an order that is due: the layers that an endpoint has to load.
@@ -346,7 +349,8 @@
             let movable = card.takes_orders && card.held == self.held[*at];
             movable && self.held[*at].is_some_and(is_redundant)
         });
-        // Prefers the smallest card that closes the gap alone, else the largest one.
+        // Prefers the smallest card that closes the gap alone, else the largest one; for the first
+        // layers, a card without a limit.
         let chosen = redundant.min_by_key(|at| {
             let size = self.single_layers(*at);
             let is_too_small = size < gap.len();
@@ -355,7 +359,13 @@
             } else {
                 size
             };
-            (is_too_small, waste, std::cmp::Reverse(*at))
+            let is_limited_start = gap.first() == 0 && self.cards[*at].is_limited;
+            (
+                is_limited_start,
+                is_too_small,
+                waste,
+                std::cmp::Reverse(*at),
+            )
         });
         let Some(at) = chosen else {
             return false;
--- a/crates/pistachioyard_policy/src/pipeline/path_choice.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice.rs
@@ -54,6 +54,9 @@
     pub card: Card,
     /// The factor by which it runs slower than its card should; 1 if it is healthy.
     pub slowdown: f64,
+    /// Whether its limit leaves room for a request that starts there; later stages are not
+    /// limited.
+    pub may_start: bool,
     /// The number of requests in flight through it, from all entries.
     pub requests: u32,
     /// The number of token-layers in use, from all entries.
@@ -112,6 +115,13 @@
         /// The first layer without free memory.
         layer: u32,
     },
+    /// Some endpoints with memory left hold the first layer, but the limits that they have named
+    /// leave no room for a request.
+    #[error("the limits of the endpoints that hold layer {layer} leave no room for the request")]
+    NoStart {
+        /// The first layer.
+        layer: u32,
+    },
     /// A path would have to cross between data centres, and the links have no capacity left.
     #[error("no data centre can run all layers and the links between them have no capacity left")]
     NoCrossing,
@@ -138,6 +148,7 @@
 ) -> Result<Path, NoPath> {
     let span = Span {
         layers: 0..spec.layers,
+        is_start: true,
         from: None,
         to: None,
         jitter: JITTER,
@@ -148,6 +159,8 @@
 /// Describes the layers that a path or a part of one runs, and the stages next to it.
 pub(super) struct Span<'a> {
     pub(super) layers: Range<u32>,
+    /// Whether the span begins a path, and is not a part of a path in use.
+    pub(super) is_start: bool,
     /// The data centre of the previous stage; `None` at the beginning of a path.
     pub(super) from: Option<&'a DataCentre>,
     /// The data centre of the next stage; `None` at the end of a path.
@@ -165,6 +178,7 @@
     ) -> Self {
         Self {
             layers: layers.first()..layers.end(),
+            is_start: false,
             from,
             to,
             jitter: REPAIR_JITTER,
@@ -243,9 +257,16 @@
         if holders.peek().is_none() {
             return Err(NoPath::Gap { layer });
         }
-        if !holders.any(|offer| has_room(spec, offer, query.size)) {
+        let mut with_room = holders
+            .filter(|offer| has_room(spec, offer, query.size))
+            .peekable();
+        if with_room.peek().is_none() {
             return Err(NoPath::NoRoom { layer });
         }
+        let is_first = span.is_start && layer == span.layers.start;
+        if is_first && !with_room.any(|offer| offer.may_start) {
+            return Err(NoPath::NoStart { layer });
+        }
     }
     Ok(())
 }
--- a/crates/pistachioyard_policy/src/pipeline/path_choice/search.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice/search.rs
@@ -75,6 +75,9 @@
     span: &Span<'_>,
     at: usize,
 ) -> Option<PartialPath> {
+    if span.is_start && !candidate.offer.may_start {
+        return None;
+    }
     if query
         .first
         .is_some_and(|first| *first != candidate.offer.endpoint)
--- a/crates/pistachioyard_policy/tests/pipeline/fixture.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/fixture.rs
@@ -81,6 +81,7 @@
                     held: None,
                     takes_orders: true,
                     is_loading: false,
+                    is_limited: false,
                 });
             }
         }
@@ -117,6 +118,7 @@
             layers: card.held?,
             card: card.card,
             slowdown: 1.0,
+            may_start: true,
             requests: 0,
             token_layers: 0.0,
         })
--- a/crates/pistachioyard_policy/tests/pipeline/paths.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/paths.rs
@@ -148,3 +148,23 @@
         assert!(load.token_layers(&stage.endpoint).abs() < 1e-6);
     }
 }
+
+/// A limit counts where requests start; endpoints without room still run later layers.
+#[test]
+fn a_path_starts_only_at_endpoints_whose_limits_leave_room() {
+    let mut offers = placed_offers();
+    let starts = |offer: &StageOffer| offer.layers.first() == 0;
+    let all: Vec<usize> = (0..offers.len())
+        .filter(|at| starts(&offers[*at]))
+        .collect();
+    for offer in &mut offers {
+        offer.may_start = false;
+    }
+    assert_eq!(choose(&offers, true, 1), Err(NoPath::NoStart { layer: 0 }));
+    offers[all[1]].may_start = true;
+    for seed in 0..20 {
+        let path = choose(&offers, true, seed).expect("there is a path");
+        assert_valid(&path, &offers);
+        assert_eq!(path.stages[0].endpoint, offers[all[1]].endpoint);
+    }
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,6 +15,7 @@
 mod log;
 mod metric;
 mod parts;
+mod permits;
 mod quarantine;
 mod run;
 mod store_client;
@@ -35,6 +36,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::prelude::*;
 use crate::router::endpoint_client::EndpointClient;
+use crate::router::permits::Permits;
 use crate::router::store_client::StoreClient;
 
 /// How long a peer may be silent before it counts as lost; covers several gossip periods.
@@ -86,6 +88,7 @@
     pub(crate) endpoints_lag: Mutex<WatchLag>,
     /// The highest fencing token of the placement lease that this entry knows of.
     newest_fence: AtomicU64,
+    pub(crate) permits: Permits,
     pub(crate) client: EndpointClient,
     pub(crate) store: StoreClient,
     pub(crate) reports: filter::ReportCache,
@@ -135,6 +138,7 @@
             convictions_changed: Notify::new(),
             endpoints_lag: Mutex::default(),
             newest_fence: AtomicU64::new(0),
+            permits: Permits::default(),
             client: EndpointClient::default(),
             store: StoreClient::new(settings.store.address),
             reports: filter::ReportCache::default(),
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -21,6 +21,7 @@
 /// Starts all controllers; they run until the process ends.
 pub(crate) fn start(router: &Arc<Router>, peers: tokio::net::UdpSocket) {
     let peers = Arc::new(peers);
+    router.permits.set_socket(peers.clone());
     tokio::spawn(config::run(router.clone()));
     tokio::spawn(convictions::run(router.clone()));
     tokio::spawn(endpoints::run(router.clone()));
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use pistachioyard_policy::{EndpointRun, GossipReport, StoreEra, StorePosition};
+use pistachioyard_policy::{EndpointRun, GossipReport, RequestRate, StoreEra, StorePosition};
 use pistachioyard_wire::{EntryState, Fence, LayerRange, MemberRecord, PartReport, QuarantineMark};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
@@ -20,10 +20,13 @@
 use super::jittered;
 use crate::prelude::*;
 use crate::router::log::ms;
+use crate::router::permits::PermitMessage;
 use crate::router::{Router, metric};
 
 /// How often an entry sends its state to peers.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(250);
+/// How long after the last period the next one ends in a process that was not paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(750);
 /// The number of peers, chosen at random, that receive the state in each period.
 const FANOUT: usize = 8;
 /// The number of other entries' records that are relayed in one datagram.
@@ -63,6 +66,9 @@
     /// The runs of endpoints that are leaving: short key, Unix time of the start in ms.
     #[serde(default)]
     leaving: Vec<(u32, Option<u64>)>,
+    /// The limits that endpoints have named, and those that have ended lately.
+    #[serde(default)]
+    limits: Vec<LimitNotice>,
     /// The requests that crashed endpoints.
     quarantine: Vec<QuarantineMark>,
     /// The findings about prompt parts; empty from entries that have none.
@@ -83,6 +89,17 @@
     age_ms: u64,
 }
 
+/// Holds what an endpoint said of its limit.
+#[derive(Deserialize, Serialize)]
+struct LimitNotice {
+    /// The short key of the endpoint.
+    key: u32,
+    started_unix_ms: Option<u64>,
+    /// The requests a second that it takes from all entries; none if there is no limit any more.
+    per_second: Option<f64>,
+    age_ms: u64,
+}
+
 /// Returns a short hash of an endpoint's id. A collision mixes up the load and the layer
 /// reports of the two endpoints.
 fn short_key(endpoint: &EndpointId) -> u32 {
@@ -104,12 +121,17 @@
 }
 
 fn receive(router: &Router, datagram: &[u8], from: SocketAddr) {
+    if PermitMessage::is_one(datagram) {
+        match ciborium::from_reader(datagram) {
+            Ok(message) => router.receive_permit_message(message, from),
+            Err(e) => log_malformed(from, &e.to_string()),
+        }
+        return;
+    }
     let gossip: Gossip = match ciborium::from_reader(datagram) {
         Ok(gossip) => gossip,
         Err(e) => {
-            spdlog::warn!("peers: malformed datagram", kv: {
-                from = from.to_string().as_str(), why = e.to_string().as_str()
-            });
+            log_malformed(from, &e.to_string());
             return;
         }
     };
@@ -191,6 +213,11 @@
     }
     router.load.lock().set_peer(sender.entry.clone(), load);
     drop(endpoints);
+    for notice in gossip.limits {
+        if let Some(endpoint) = by_key.get(&notice.key) {
+            receive_limit(router, endpoint, &notice, &sender.entry, now);
+        }
+    }
     for (key, started_unix_ms) in gossip.leaving {
         if let Some(endpoint) = by_key.get(&key).cloned() {
             let run = EndpointRun {
@@ -202,11 +229,40 @@
     }
 }
 
+fn receive_limit(
+    router: &Router,
+    endpoint: &EndpointId,
+    notice: &LimitNotice,
+    from: &EntryId,
+    now: Instant,
+) {
+    let run = EndpointRun {
+        endpoint: endpoint.clone(),
+        started_unix_ms: notice.started_unix_ms,
+    };
+    let Some(said_at) = now.checked_sub(Duration::from_millis(notice.age_ms)) else {
+        return;
+    };
+    match notice.per_second.map(RequestRate::try_from).transpose() {
+        Ok(rate) => router.note_limit(&run, rate, said_at, from.as_str()),
+        Err(e) => spdlog::warn!("peers: ignoring an invalid limit", kv: {
+            endpoint = endpoint.as_str(), from = from.as_str(), why = e.to_string().as_str()
+        }),
+    }
+}
+
+fn log_malformed(from: SocketAddr, why: &str) {
+    spdlog::warn!("peers: malformed datagram", kv: { from = from.to_string().as_str(), why });
+}
+
 /// Sends this entry's state to peers periodically.
 pub(super) async fn gossip(router: Arc<Router>, socket: Arc<UdpSocket>) {
+    let mut last_at = Instant::now();
     loop {
         tokio::time::sleep(jittered(GOSSIP_PERIOD)).await;
         router.review_parts();
+        router.review_limits(last_at.elapsed() > PAUSE_LIMIT);
+        last_at = Instant::now();
         send_gossip(&router, &socket).await;
         forget_lost(&router);
     }
@@ -281,6 +337,15 @@
         .leaving_runs()
         .map(|run| (short_key(&run.endpoint), run.started_unix_ms))
         .choose_multiple(&mut rand::rng(), MAX_ITEMS_PER_LIST);
+    let limits = endpoints.limits().told(now);
+    let limits = limits.map(|(run, rate, said_at)| LimitNotice {
+        key: short_key(&run.endpoint),
+        started_unix_ms: run.started_unix_ms,
+        per_second: rate.map(RequestRate::per_second),
+        // Rounded up, so that a notice cannot get younger by being passed around.
+        age_ms: ms(now.saturating_duration_since(said_at)) + 1,
+    });
+    let limits = limits.choose_multiple(&mut rand::rng(), MAX_ITEMS_PER_LIST);
     drop(endpoints);
     let load = router.load.lock();
     let load = load.own().map(|(endpoint, requests, token_layers)| {
@@ -298,6 +363,7 @@
         load: load.collect(),
         heard,
         leaving,
+        limits,
         quarantine,
         parts: router.parts.lock().report(now),
     };
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -106,6 +106,7 @@
         }
     };
     let own = router.settings.entry.as_str();
+    router.permits.note_registered(page.objects.len());
     let is_listed = page.objects.iter().any(|object| object.name == own);
     let now = Instant::now();
     let mut silent = Vec::new();
--- a/src/router/endpoint_answer.rs
+++ b/src/router/endpoint_answer.rs
@@ -8,11 +8,23 @@
 use crate::router::Router;
 use crate::router::log::ms;
 
+/// Says what was answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum AnswerTo {
+    /// A request of a caller.
+    Request,
+    /// An order or a call for the report.
+    Control,
+}
+
 impl Router {
-    /// Applies the head of an answer to a request, an order or a call for the report.
+    /// Applies the head of an answer.
     ///
     /// `run` is the run to which the call was sent.
-    pub(crate) fn note_answer(&self, run: &EndpointRun, head: &AnswerHead) {
+    pub(crate) fn note_answer(&self, run: &EndpointRun, head: &AnswerHead, to: AnswerTo) {
+        if !head.is_other_endpoint {
+            self.note_limit_of_answer(run, head, to);
+        }
         if head.is_leaving && !head.is_other_endpoint {
             self.note_leaving(run, "answer");
         }
@@ -37,13 +49,15 @@
         self.pause_left_ms(service).unwrap_or(otherwise)
     }
 
-    /// Returns the time until the first endpoint of a service ends its pause, in ms, if all
-    /// asked for one.
+    /// Returns the time until an endpoint of a service ends its pause or has room within its limit,
+    /// in ms, if all have a pause or no room.
     pub(crate) fn pause_left_ms(&self, service: &ServiceName) -> Option<u64> {
-        let endpoints = self.endpoints.lock();
-        let left = endpoints.all_paused_for(service, &[], Instant::now())?;
+        let left = {
+            let endpoints = self.endpoints.lock();
+            endpoints.all_paused_for(service, &[], Instant::now())?
+        };
         // Rounded up, since a caller must not return before the end.
-        Some(ms(left) + 1)
+        Some(self.book_return_ms(service).unwrap_or(ms(left) + 1))
     }
 
     /// Gives no new requests to a run of an endpoint that is leaving; `from` says who told.
--- a/src/router/endpoint_order.rs
+++ b/src/router/endpoint_order.rs
@@ -10,6 +10,7 @@
 use crate::client::read_whole;
 use crate::error::CallError;
 use crate::prelude::*;
+use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{MAX_REPORT_BYTES, Reuse};
 use crate::router::{Router, metric};
 
@@ -46,7 +47,7 @@
     let run = router.endpoints.lock().run_of(endpoint);
     let (response, connection) = router.client.send(to, req, Reuse::Allowed).await?;
     let head = decode_answer_head(response.status(), response.headers());
-    router.note_answer(&run, &head);
+    router.note_answer(&run, &head, AnswerTo::Control);
     let answer = decode_order_answer(head.status);
     let body = read_whole(to, response.into_body(), MAX_REPORT_BYTES).await?;
     router.client.keep(connection, None);
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -1,8 +1,8 @@
 //! Finds paths for streams, and waits briefly while endpoints have no free memory.
 
 use pistachioyard_policy::{
-    NoPath, Path, PathQuery, PathStage, PipelineSpec, RequestSize, StageOffer, choose_path,
-    choose_plain_endpoint, crossing_ms, repair_path,
+    EndpointRun, NoPath, Path, PathQuery, PathStage, PipelineSpec, RequestSize, StageOffer,
+    choose_path, choose_plain_endpoint, crossing_ms, repair_path,
 };
 use pistachioyard_wire::{LayerRange, ServiceName};
 
@@ -18,6 +18,8 @@
 /// The retry delay for callers while a plain service has no usable endpoint, in ms; about one
 /// heartbeat period.
 const PLAIN_RETRY_MS: f64 = 1_000.0;
+/// The retry delay for callers if an endpoint has got room while the request was refused, in ms.
+const LIMIT_RETRY_MS: u64 = 100;
 /// The largest share by which a retry delay is raised at random, so that refused callers do
 /// not all return at once.
 const RETRY_JITTER: f64 = 0.5;
@@ -37,6 +39,8 @@
 /// Holds a path and the age of the oldest endpoint record that it was chosen by.
 pub(crate) struct FoundPath {
     pub(crate) path: Path,
+    /// The run of the first endpoint, to which the request is sent.
+    pub(crate) first_run: EndpointRun,
     pub(crate) oldest_entry_age: Duration,
 }
 
@@ -54,6 +58,7 @@
         .filter_map(|s| endpoints.age(&s.endpoint, now));
     let oldest_entry_age = ages.max().unwrap_or_default();
     Ok(FoundPath {
+        first_run: endpoints.run_of(&path.stages[0].endpoint),
         path,
         oldest_entry_age,
     })
@@ -66,7 +71,7 @@
     now: Instant,
 ) -> Result<Path, NoPath> {
     let endpoints = router.endpoints.lock();
-    let mut usable = endpoints.usable(request.service, now);
+    let mut usable = endpoints.with_room(request.service, now);
     usable.retain(|record| request.first.is_none_or(|first| *first == record.endpoint));
     usable.retain(|record| !request.without.contains(&record.endpoint));
     let latency = router.plain_latency.lock();
@@ -179,8 +184,9 @@
     limiter.has_room().then(|| crossing_ms(spec))
 }
 
-/// Finds a path for a new request, and refuses the request if there is none soon; at once if
-/// all endpoints asked for a pause.
+/// Finds a path for a new request, with a permit for its first endpoint, and refuses the request
+/// if there is none soon; at once if all endpoints asked for a pause or their limits leave no
+/// room.
 pub(crate) async fn admit(
     router: &Router,
     call: &Call,
@@ -190,7 +196,17 @@
     let give_up_at = wait_until.min(call.deadline);
     loop {
         match find_path(router, request) {
-            Ok(found) => return Ok(found),
+            Ok(found) if router.take_permit(&found.first_run).await => return Ok(found),
+            // The endpoint has no room, so another one is chosen.
+            Ok(_) if call.time_left().is_some() => {}
+            Ok(_) | Err(NoPath::NoStart { .. }) => {
+                let retry_after_ms = router.book_return_ms(request.service);
+                let detail = "the limits of the endpoints leave no room; the request was not run";
+                return Err(no_capacity(
+                    detail,
+                    retry_after_ms.unwrap_or(LIMIT_RETRY_MS),
+                ));
+            }
             Err(no_path) if Instant::now() >= give_up_at => {
                 return Err(refusal(request.spec, no_path));
             }
@@ -230,8 +246,9 @@
             spec.load_ms * mean / f64::from(spec.layers)
         }
         // Requests end continuously, so memory is freed within the time of one answer.
-        NoPath::NoRoom { .. } | NoPath::NotReplaceable | NoPath::TooComplex => {
-            spec.mean_answer_tokens * spec.step_ms * 4.0
-        }
+        NoPath::NoRoom { .. }
+        | NoPath::NoStart { .. }
+        | NoPath::NotReplaceable
+        | NoPath::TooComplex => spec.mean_answer_tokens * spec.step_ms * 4.0,
     }
 }
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -110,7 +110,7 @@
                     true => {
                         choose_endpoint(router, call, service, &self.tried, self.started > 0).await
                     }
-                    false => find_endpoint(router, service, &self.tried, Instant::now()),
+                    false => find_permitted(router, service, &self.tried).await,
                 };
                 match chosen {
                     Some(target) => {
@@ -302,7 +302,8 @@
 
 /// Chooses an endpoint that was not tried yet, and waits up to the latency target for one.
 ///
-/// A request that has not run does not wait for endpoints that asked for a pause.
+/// A request that has not run does not wait for endpoints that asked for a pause or whose limits
+/// leave no room.
 async fn choose_endpoint(
     router: &Router,
     call: &Call,
@@ -313,7 +314,7 @@
     let give_up_at = (call.arrived_at + call.route.latency_target).min(call.deadline);
     loop {
         let now = Instant::now();
-        let chosen = find_endpoint(router, service, tried, now);
+        let chosen = find_permitted(router, service, tried).await;
         let are_all_paused = || {
             let endpoints = router.endpoints.lock();
             endpoints.all_paused_for(service, tried, now).is_some()
@@ -325,7 +326,22 @@
     }
 }
 
-/// Chooses an endpoint that was not tried yet, without waiting.
+/// Chooses an endpoint that was not tried yet, and takes a permit if it is limited.
+async fn find_permitted(
+    router: &Router,
+    service: &ServiceName,
+    tried: &[EndpointId],
+) -> Option<EndpointRecord> {
+    loop {
+        let found = find_endpoint(router, service, tried, Instant::now())?;
+        // An endpoint that grants no permit has no room for a while.
+        if router.take_permit(&found.run()).await {
+            return Some(found);
+        }
+    }
+}
+
+/// Chooses an endpoint that was not tried yet and may have room, without waiting.
 fn find_endpoint(
     router: &Router,
     service: &ServiceName,
@@ -333,7 +349,7 @@
     now: Instant,
 ) -> Option<EndpointRecord> {
     let endpoints = router.endpoints.lock();
-    let mut usable = endpoints.usable(service, now);
+    let mut usable = endpoints.with_room(service, now);
     usable.retain(|record| !tried.contains(&record.endpoint));
     let latency = router.plain_latency.lock();
     let load = router.load.lock();
--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -10,6 +10,7 @@
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::Router;
+use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
 use crate::router::filter::part_trial::{Framing, PartTrial};
@@ -17,7 +18,7 @@
 /// Says how one attempt ended.
 pub(super) enum AttemptResult {
     /// An answer arrived that may be passed on.
-    Answered(AnswerHead, HeaderMap, Bytes),
+    Answered(Box<AnswerHead>, HeaderMap, Bytes),
     /// The endpoint refused the request without running it.
     NotRun { is_full: bool },
     /// No connection was made, so nothing was sent.
@@ -110,7 +111,7 @@
     if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
         return AttemptResult::Lost("the answer belongs to another request".to_owned());
     }
-    router.note_answer(&target.run(), &head);
+    router.note_answer(&target.run(), &head, AnswerTo::Request);
     let body = match read_whole(target.address, body, MAX_ANSWER_BYTES).await {
         Ok(body) => body,
         Err(e) => {
@@ -134,5 +135,5 @@
     if let (Some(trial), true) = (&trial, head.status.is_success()) {
         trial.record_end(Framing::of(&parts.headers));
     }
-    AttemptResult::Answered(head, parts.headers, body)
+    AttemptResult::Answered(Box::new(head), parts.headers, body)
 }
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -21,6 +21,7 @@
 use crate::error::{AnswerPart, CallError};
 use crate::prelude::*;
 use crate::router::Router;
+use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
 use crate::router::filter::part_trial::{Framing, PartTrial};
@@ -236,7 +237,8 @@
         if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
             return OpenResult::Lost("the answer belongs to another request".to_owned());
         }
-        self.router.note_answer(&self.first_run, &head);
+        self.router
+            .note_answer(&self.first_run, &head, AnswerTo::Request);
         if head.is_not_run {
             self.note_refusal(&head);
             return OpenResult::NotRun;
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -155,7 +155,7 @@
                 wait_for_capacity(&self.router).await;
                 continue;
             };
-            if !self.router.try_retry() {
+            if !self.router.take_permit(&found.first_run).await || !self.router.try_retry() {
                 continue;
             }
             progress.set(true);
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -18,6 +18,7 @@
 use crate::error::CallError;
 use crate::prelude::*;
 use crate::router::Router;
+use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{EndpointClient, MAX_REPORT_BYTES, Reuse};
 
 /// The maximum age of an answer that is shared.
@@ -110,7 +111,7 @@
     let run = router.endpoints.lock().run_of(endpoint);
     let (response, connection) = router.client.send(to, req, Reuse::Allowed).await?;
     let head = decode_answer_head(response.status(), response.headers());
-    router.note_answer(&run, &head);
+    router.note_answer(&run, &head, AnswerTo::Control);
     let body = read_whole(to, response.into_body(), MAX_REPORT_BYTES).await?;
     router.client.keep(connection, None);
     let report = decode_report(&body).map_err(|e| CallError::Malformed {
@@ -123,7 +124,7 @@
             started_unix_ms: report.started_unix_ms,
             ..run
         };
-        router.note_answer(&run, &head);
+        router.note_answer(&run, &head, AnswerTo::Control);
     }
     Ok(report)
 }
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -77,6 +77,17 @@
     counter!("router_parts_refused_total").increment(1);
 }
 
+/// Counts a permit for a request to a limited endpoint, by whether it was granted.
+pub(crate) fn count_permit(granted: bool) {
+    let granted = if granted { "yes" } else { "no" };
+    counter!("router_permits_total", "granted" => granted).increment(1);
+}
+
+/// Counts a request that was refused because the limits of the endpoints left no room.
+pub(crate) fn count_limit_refusal() {
+    counter!("router_limit_refusals_total").increment(1);
+}
+
 /// Counts a call to the store, by whether it was answered.
 pub(crate) fn count_store_call(answered: bool) {
     let answered = if answered { "yes" } else { "no" };
@@ -99,6 +110,8 @@
     let (known, usable) = router.endpoints.lock().counts(now);
     gauge!("router_endpoints_known").set(known as f64);
     gauge!("router_endpoints_usable").set(usable as f64);
+    let limited = router.endpoints.lock().limits().count();
+    gauge!("router_endpoints_limited").set(limited as f64);
     gauge!("router_entries_live").set(router.live_entries(now) as f64);
     gauge!("router_config_version").set(router.version() as f64);
     gauge!("router_requests_in_flight").set(router.lifecycle.in_flight() as f64);
--- a/tests/site/limited.rs
+++ b/tests/site/limited.rs
@@ -13,7 +13,7 @@
 use super::support::Site;
 
 /// How long entries may take to keep a limit that was named.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
+pub(super) const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// The span over which an endpoint's requests are counted.
 const WINDOW_MS: u64 = 4_000;
 /// What an endpoint may get in a window: this share of what its limit allows, and these requests.
@@ -48,7 +48,7 @@
 
 impl Site {
     /// Makes endpoints name a limit, with a header for each value, or stop naming one.
-    async fn set_limits(&self, endpoints: &[usize], values: &[&str]) {
+    pub(super) async fn set_limits(&self, endpoints: &[usize], values: &[&str]) {
         for index in endpoints {
             let to = self.endpoints[*index].address;
             let set = self
@@ -73,7 +73,7 @@
     }
 
     /// Checks that each endpoint got no more in any window after `from_ms` than `rate` allows.
-    async fn check_windows(&self, endpoints: &[usize], rate: f64, from_ms: u64) {
+    pub(super) async fn check_windows(&self, endpoints: &[usize], rate: f64, from_ms: u64) {
         let allowed = ALLOWED_SHARE * rate * WINDOW_MS as f64 / 1e3 + ALLOWED_EXTRA;
         for index in endpoints {
             let arrivals = self.arrivals(*index).await;
@@ -154,7 +154,7 @@
     }
 }
 
-fn now_ms() -> u64 {
+pub(super) fn now_ms() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     since.expect("the clock is set").as_millis() as u64
 }
--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -1,6 +1,7 @@
 //! A randomized soak test with overlapping faults under load.
 //!
-//! It checks that no request runs twice and that none runs that was refused as not run.
+//! It checks that no request runs twice, that none runs that was refused as not run, and that
+//! endpoints get no more than the limits that they name.
 //!
 //! `SOAK_SEEDS=50 SOAK_SECONDS=12 cargo test --test site soak -- --nocapture` runs more
 //! seeds; `SOAK_SEED=N` runs one. Seeds that have failed are kept in [`REGRESSION_SEEDS`].
@@ -15,6 +16,7 @@
 use tokio::time::Instant;
 
 use super::caller::{Failure, Outcome};
+use super::limited::{SETTLE_TIME, now_ms};
 use super::support::Site;
 
 /// Seeds that have failed, each with the cause.
@@ -60,20 +62,51 @@
     let end = Instant::now() + seconds;
     site.control_store("copy", json!({})).await;
     let mut outcomes: Vec<Outcome> = Vec::new();
+    let mut limited = limit_endpoints(&site, &mut rng).await;
     while Instant::now() < end {
         let faults = rng.random_range(1..=2);
         for _ in 0..faults {
-            inject_fault(&mut site, &mut rng).await;
+            inject_fault(&mut site, &mut limited, &mut rng).await;
         }
         outcomes.extend(send_requests(&site, &mut rng).await);
         clear_some_faults(&mut site, &mut rng).await;
     }
+    check_limits(&site, limited).await;
     recover(&mut site).await;
     check_runs(&site, &outcomes, seed).await;
 }
 
+/// Makes some endpoints name a limit from the start; returns it, and when they named it first.
+async fn limit_endpoints(site: &Site, rng: &mut ChaCha8Rng) -> Limited {
+    let rate = [0.5, 2.0, 5.0][rng.random_range(0..3)];
+    let count = rng.random_range(0..=site.endpoints.len());
+    let endpoints: Vec<usize> = (0..count).collect();
+    site.set_limits(&endpoints, &[&rate.to_string()]).await;
+    Limited {
+        endpoints,
+        rate,
+        since_ms: now_ms(),
+    }
+}
+
+/// Checks that the limited endpoints which have run all the time got no more than their limit, and
+/// ends the limits.
+async fn check_limits(site: &Site, limited: Limited) {
+    let from_ms = limited.since_ms + SETTLE_TIME.as_millis() as u64;
+    site.check_windows(&limited.endpoints, limited.rate, from_ms)
+        .await;
+    site.set_limits(&limited.endpoints, &[]).await;
+}
+
+/// Holds the endpoints that name a limit and have not been killed since.
+struct Limited {
+    endpoints: Vec<usize>,
+    rate: f64,
+    since_ms: u64,
+}
+
 /// Injects one random fault, or adds a route.
-async fn inject_fault(site: &mut Site, rng: &mut ChaCha8Rng) {
+async fn inject_fault(site: &mut Site, limited: &mut Limited, rng: &mut ChaCha8Rng) {
     let entry = rng.random_range(0..site.entries.len());
     let endpoint = rng.random_range(0..site.endpoints.len());
     match rng.random_range(0..10) {
@@ -92,6 +125,7 @@
             // The endpoint's runs are recorded first, since they are lost with the process.
             site.record_runs(endpoint).await;
             site.endpoints[endpoint].process.kill();
+            limited.endpoints.retain(|limited| *limited != endpoint);
         }
         4 => {
             let status = if rng.random() { 503 } else { 429 };
