Release no request by an answer that ends with its connection

An answer without a length ends as a crash does, and was taken for the completion of a request that had crashed endpoints: the request was released and ran again.

--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -4,8 +4,8 @@
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
-//! ends the process, and so does one whose prompt has the part [`crash::CRASHING_PART`], once its
-//! answer has begun.
+//! ends the process; so does one with [`LATE_POISON`], or whose prompt has the part
+//! [`crash::CRASHING_PART`], once its answer has begun.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
 //! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-Status` selects the status
 //! of an answer without events, and `X-Answer-End` how an answer ends. Tests observe and change a worker
@@ -82,6 +82,8 @@
 
 /// The body of a poison request, which crashes every worker that starts to run it.
 const POISON: &[u8] = b"poison";
+/// The body of a request that crashes every worker once its answer has begun.
+const LATE_POISON: &[u8] = b"late poison";
 
 struct Worker {
     args: SiteWorkerArgs,
@@ -326,12 +328,13 @@
     let Ok(body) = body.collect().await else {
         return not_run(StatusCode::SERVICE_UNAVAILABLE, worker.address());
     };
-    if body.to_bytes() == POISON {
+    let body = body.to_bytes();
+    if body == POISON {
         // Simulates a worker that crashes when it starts to run the request.
         std::process::exit(1);
     }
     let ending = Ending::of(&parts.headers);
-    let crashes = crash::has_crashing_part(&parts.headers);
+    let crashes = body == LATE_POISON || crash::has_crashing_part(&parts.headers);
     if !worker.is_engine() {
         worker.state.lock().runs.push(id.clone());
         if crashes {
--- /dev/null
+++ b/src/router/filter/crash_check.rs
@@ -0,0 +1,103 @@
+//! Finds out whether an endpoint has crashed at the end of an answer.
+
+use std::net::SocketAddr;
+
+use http::{HeaderMap, header};
+use pistachioyard_policy::EndpointRecord;
+use pistachioyard_wire::RequestDigest;
+
+use super::report_cache::fetch;
+use crate::error::CallError;
+use crate::prelude::*;
+use crate::router::Router;
+
+/// How long an endpoint may take to report after it has lost an answer; a healthy one answers
+/// within a few ms.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The number of reports that a crashed endpoint leaves unanswered, unless it refuses the
+/// connection. A single connection may also be reset while its endpoint lives.
+const CRASH_PROBES: u32 = 2;
+/// The interval between two such probes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Says how the end of an answer is marked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Framing {
+    /// By a length or by chunks.
+    Explicit,
+    /// By the end of the connection, which may also be a crash.
+    UntilClose,
+}
+
+impl Framing {
+    /// Returns how an answer with these headers is framed.
+    pub(super) fn of(headers: &HeaderMap) -> Self {
+        let is_explicit = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        match is_explicit {
+            true => Self::Explicit,
+            false => Self::UntilClose,
+        }
+    }
+}
+
+/// Records that a request was answered to the end by an endpoint; if the end may also be a crash,
+/// once the endpoint has answered a probe.
+pub(super) fn record_end(
+    router: &Arc<Router>,
+    digest: RequestDigest,
+    endpoint: &EndpointId,
+    framing: Framing,
+) {
+    let record = match framing {
+        Framing::Explicit => None,
+        Framing::UntilClose => router.endpoints.lock().get(endpoint).cloned(),
+    };
+    match record {
+        Some(record) => {
+            tokio::spawn(check_end(router.clone(), digest, record));
+        }
+        None if framing == Framing::Explicit => router.record_completion(digest),
+        // An endpoint that is gone by now may have crashed.
+        None => {}
+    }
+}
+
+async fn check_end(router: Arc<Router>, digest: RequestDigest, record: EndpointRecord) {
+    let started = record.state.started_unix_ms;
+    if has_crashed(&router, &record.endpoint, record.address, started).await {
+        router.note_crash(digest, &record.endpoint);
+    } else {
+        router.record_completion(digest);
+    }
+}
+
+/// Returns whether the endpoint run that started at this time no longer answers.
+pub(super) async fn has_crashed(
+    router: &Router,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+    started: Option<u64>,
+) -> bool {
+    for attempt in 0..CRASH_PROBES {
+        if attempt > 0 {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+        }
+        let asked = tokio::time::timeout(REPORT_TIMEOUT, fetch(router, endpoint, address));
+        match asked.await {
+            Ok(Ok(report)) => return started.is_some() && report.started_unix_ms != started,
+            // An endpoint of a plain service has no report, but it answers.
+            Ok(Err(
+                CallError::Malformed { .. } | CallError::Status { .. } | CallError::TooLong { .. },
+            )) => return false,
+            Ok(Err(CallError::Refused { .. })) => return true,
+            Ok(Err(
+                CallError::NotSent { .. }
+                | CallError::AnswerLost { .. }
+                | CallError::Timeout { .. },
+            ))
+            | Err(_) => {}
+        }
+    }
+    true
+}
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -2,45 +2,13 @@
 
 use std::net::SocketAddr;
 
-use http::{HeaderMap, header};
 use pistachioyard_policy::{LossCheck, WritingTime};
 use pistachioyard_wire::PromptPart;
 
-use super::report_cache::fetch;
-use crate::error::CallError;
+use super::crash_check::{Framing, has_crashed};
 use crate::prelude::*;
 use crate::router::Router;
 
-/// How long an endpoint may take to report after it has lost an answer; a healthy one answers
-/// within a few ms.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
-/// The number of reports that a crashed endpoint leaves unanswered, unless it refuses the
-/// connection. A single connection may also be reset while its endpoint lives.
-const CRASH_PROBES: u32 = 2;
-/// The interval between two such probes.
-const PROBE_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Says how the end of an answer is marked.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Framing {
-    /// By a length or by chunks.
-    Explicit,
-    /// By the end of the connection, which may also be a crash.
-    UntilClose,
-}
-
-impl Framing {
-    /// Returns how an answer with these headers is framed.
-    pub(super) fn of(headers: &HeaderMap) -> Self {
-        let is_explicit = headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING);
-        match is_explicit {
-            true => Self::Explicit,
-            false => Self::UntilClose,
-        }
-    }
-}
-
 /// Holds one attempt of a request with shared prompt parts at an endpoint.
 pub(super) struct PartTrial {
     router: Arc<Router>,
@@ -117,33 +85,3 @@
         }
     }
 }
-
-/// Returns whether the endpoint run that started at this time no longer answers.
-async fn has_crashed(
-    router: &Router,
-    endpoint: &EndpointId,
-    address: SocketAddr,
-    started: Option<u64>,
-) -> bool {
-    for attempt in 0..CRASH_PROBES {
-        if attempt > 0 {
-            tokio::time::sleep(PROBE_INTERVAL).await;
-        }
-        let asked = tokio::time::timeout(REPORT_TIMEOUT, fetch(router, endpoint, address));
-        match asked.await {
-            Ok(Ok(report)) => return started.is_some() && report.started_unix_ms != started,
-            // An endpoint of a plain service has no report, but it answers.
-            Ok(Err(
-                CallError::Malformed { .. } | CallError::Status { .. } | CallError::TooLong { .. },
-            )) => return false,
-            Ok(Err(CallError::Refused { .. })) => return true,
-            Ok(Err(
-                CallError::NotSent { .. }
-                | CallError::AnswerLost { .. }
-                | CallError::Timeout { .. },
-            ))
-            | Err(_) => {}
-        }
-    }
-    true
-}
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -14,6 +14,7 @@
 use pistachioyard_policy::{EndpointRecord, Repeatability, SuspectReason, choose_plain_endpoint};
 use pistachioyard_wire::ServiceName;
 
+use super::crash_check::{Framing, record_end};
 use super::record::Record;
 use super::{Call, deadline_passed, no_capacity, result_lost};
 use crate::prelude::*;
@@ -261,10 +262,8 @@
         is_only: bool,
         record: &mut Record,
     ) -> NextStep {
-        self.router
-            .quarantine
-            .lock()
-            .record_completion(self.call.digest, Instant::now());
+        let framing = Framing::of(headers);
+        record_end(self.router, self.call.digest, endpoint, framing);
         let response = caller_response(head.status, headers, body);
         let is_failure = head.status.is_server_error();
         if is_failure && !is_only {
--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -13,7 +13,8 @@
 use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
-use crate::router::filter::part_trial::{Framing, PartTrial};
+use crate::router::filter::crash_check::Framing;
+use crate::router::filter::part_trial::PartTrial;
 
 /// Says how one attempt ended.
 pub(super) enum AttemptResult {
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -14,6 +14,7 @@
 use pistachioyard_policy::{PipelineSpec, Repeatability, RequestSize, StallDetector};
 use pistachioyard_wire::ServiceName;
 
+use super::crash_check::record_end;
 use super::path::{FoundPath, PathRequest, admit};
 use super::record::Record;
 use super::{Call, deadline_passed, no_capacity, result_lost};
@@ -300,11 +301,11 @@
             }
             let (at_fault, why) = match self.wait().await {
                 ReadResult::Data => continue,
-                ReadResult::End => {
-                    self.router
-                        .quarantine
-                        .lock()
-                        .record_completion(self.call.digest, Instant::now());
+                ReadResult::End(framing) => {
+                    if let Some(path_run) = &self.path_run {
+                        let first = path_run.first_endpoint();
+                        record_end(&self.router, self.call.digest, first, framing);
+                    }
                     self.record.end_answered(200);
                     return Ok(None);
                 }
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -24,7 +24,8 @@
 use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
-use crate::router::filter::part_trial::{Framing, PartTrial};
+use crate::router::filter::crash_check::Framing;
+use crate::router::filter::part_trial::PartTrial;
 use crate::router::filter::plain::endpoint_request;
 
 /// The share of an endpoint's memory in use below which a refusal cannot be due to lack of
@@ -57,8 +58,8 @@
 pub(super) enum ReadResult {
     /// There may be new data, so the splitter is checked again.
     Data,
-    /// The answer is complete.
-    End,
+    /// The answer is complete, as its framing tells.
+    End(Framing),
     /// An event is longer than its limit, so the path is left; holds the first endpoint and the
     /// reason.
     TooLong(EndpointId, String),
@@ -373,7 +374,7 @@
                     trial.record_end(self.framing);
                 }
                 self.keep_connection();
-                ReadResult::End
+                ReadResult::End(self.framing)
             }
         }
     }
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -65,6 +65,13 @@
         self.log_quarantined(&quarantined, "");
     }
 
+    /// Records that a request was answered, so that it did not cause its crashes.
+    pub(crate) fn record_completion(&self, digest: RequestDigest) {
+        self.quarantine
+            .lock()
+            .record_completion(digest, Instant::now());
+    }
+
     /// Merges marks; `from` names the peer, or the store.
     pub(crate) fn merge_quarantine(&self, marks: &[QuarantineMark], from: &str, now: Instant) {
         let quarantined = self.quarantine.lock().merge(marks, now);
--- a/tests/site/poison_again.rs
+++ b/tests/site/poison_again.rs
@@ -18,8 +18,22 @@
 /// How long the endpoints may take to crash often enough.
 const CRASH_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Describes the request.
+#[derive(Clone, Copy, Debug)]
+struct Poison {
+    body: &'static str,
+    /// How the stand-in ends an answer to it.
+    answer_end: &'static str,
+}
+
+/// Crashes an endpoint before the head of its answer.
+const AT_ONCE: Poison = Poison {
+    body: "poison",
+    answer_end: "framed",
+};
+
 /// Sends the request to all entries at an interval while `goes_on`.
-async fn send_while(site: &Site, goes_on: impl Fn() -> bool) {
+async fn send_while(site: &Site, poison: Poison, goes_on: impl Fn() -> bool) {
     let mut ticks = tokio::time::interval(INTERVAL);
     while goes_on() {
         ticks.tick().await;
@@ -33,8 +47,9 @@
                     ("x-deadline-ms", "2000"),
                     ("authorization", key.as_str()),
                     ("x-token-usage", "100,20"),
+                    ("x-answer-end", poison.answer_end),
                 ];
-                let body = "poison".into();
+                let body = poison.body.into();
                 let path = "/draft/poison";
                 // Only the endpoints tell what became of it.
                 let _ = site
@@ -47,40 +62,64 @@
     }
 }
 
-async fn send_for(site: &Site, time: Duration) {
+async fn send_for(site: &Site, poison: Poison, time: Duration) {
     let end = Instant::now() + time;
-    send_while(site, || Instant::now() < end).await;
+    send_while(site, poison, || Instant::now() < end).await;
 }
 
 /// Sends the request until it has crashed enough endpoints, and for the time to settle.
-async fn make_known(site: &Site, supervisor: &Supervisor) {
+async fn make_known(site: &Site, supervisor: &Supervisor, poison: Poison) {
     let end = Instant::now() + CRASH_TIMEOUT;
     let goes_on = || supervisor.crashes() < CRASHES_TO_KNOW && Instant::now() < end;
-    send_while(site, goes_on).await;
-    send_for(site, SETTLE_TIME).await;
+    send_while(site, poison, goes_on).await;
+    send_for(site, poison, SETTLE_TIME).await;
     assert!(supervisor.crashes() >= CRASHES_TO_KNOW);
 }
 
-/// Each end of a hold would cost three endpoints more.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_request_that_crashed_three_endpoints_is_not_sent_again_after_each_hold() {
+/// Checks that the request reaches few endpoints after it is known, over two holds.
+async fn check_after_holds(poison: Poison) {
     let mut site = Site::start(3).await;
     let supervisor = site.supervise_endpoints();
-    make_known(&site, &supervisor).await;
+    make_known(&site, &supervisor, poison).await;
     let settled = supervisor.crashes();
-    send_for(&site, Duration::from_secs(34)).await;
+    send_for(&site, poison, Duration::from_secs(34)).await;
     let crashes = supervisor.crashes() - settled;
     site.endpoints = supervisor.stop().await;
     println!("crashes: {settled} when settled, {crashes} afterwards");
     assert!(crashes <= MAX_RUNS_AFTERWARDS, "{crashes}");
 }
 
+/// Each end of a hold would cost three endpoints more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashed_three_endpoints_is_not_sent_again_after_each_hold() {
+    check_after_holds(AT_ONCE).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashed_three_endpoints_in_their_answers_is_not_sent_again() {
+    check_after_holds(Poison {
+        body: "late poison",
+        ..AT_ONCE
+    })
+    .await;
+}
+
+/// The end of an answer without a length looks like a crash, so it must not release the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashed_three_endpoints_in_answers_without_length_is_not_sent_again() {
+    check_after_holds(Poison {
+        body: "late poison",
+        answer_end: "connection",
+    })
+    .await;
+}
+
 /// Entries that all start again have no peer that knows the request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashed_three_endpoints_is_not_sent_again_after_restarts_of_all_entries() {
     let mut site = Site::start(3).await;
     let supervisor = site.supervise_endpoints();
-    make_known(&site, &supervisor).await;
+    make_known(&site, &supervisor, AT_ONCE).await;
     let settled = supervisor.crashes();
     for _ in 0..2 {
         let launcher = site.launcher.clone();
@@ -90,7 +129,7 @@
         for entry in &mut site.entries {
             entry.process.start(&launcher);
         }
-        send_for(&site, SETTLE_TIME).await;
+        send_for(&site, AT_ONCE, SETTLE_TIME).await;
     }
     let crashes = supervisor.crashes() - settled;
     site.endpoints = supervisor.stop().await;
