Count a silent crash before its connection breaks

An endpoint that crashes under a request while its connections stay open was counted only when these broke, up to the deadline later, and the request ran on. A first endpoint whose stream is silent is now watched: once it has answered no probe for 1.5 s, is gone, or has started anew, it counts as lost under the request and its prompt parts.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -23,7 +23,7 @@
 use crate::store_position::StorePosition;
 pub use notices::EndpointRun;
 use notices::RunNotices;
-pub use record::{EndpointChange, EndpointRecord, EndpointReport, GossipReport};
+pub use record::{EndpointChange, EndpointRecord, EndpointReport, GossipReport, RunState};
 use tracked::{PROBE_INTERVAL, TrackedEndpoint};
 pub use tracked::{ProbeResult, SuspectReason};
 
@@ -162,6 +162,18 @@
         })
     }
 
+    /// Returns what is known of a run to which a request was sent that is not answered.
+    pub fn state_of_run(&self, run: &EndpointRun, now: Instant) -> RunState {
+        let tracked = self.by_id.get(&run.endpoint);
+        match tracked {
+            Some(tracked) if tracked.record.run() != *run => RunState::Ended,
+            Some(tracked) if tracked.is_lost(now) => RunState::Ended,
+            Some(tracked) if tracked.is_suspect(now) => RunState::Silent,
+            Some(_) => RunState::Sound,
+            None => RunState::Ended,
+        }
+    }
+
     /// Returns the suspect endpoints that are due for a probe.
     pub fn due_probes(&self, now: Instant) -> Vec<EndpointRecord> {
         let due = self.by_id.values().filter(|tracked| {
--- a/crates/pistachioyard_policy/src/endpoint_registry/record.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/record.rs
@@ -115,3 +115,14 @@
     /// The record is older than what is known, and was ignored.
     Outdated,
 }
+
+/// Says what is known of a run of an endpoint that does not answer a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunState {
+    /// It answers other calls.
+    Sound,
+    /// It has not answered a probe yet.
+    Silent,
+    /// It has been silent for too long to be sound, is gone, or has started anew.
+    Ended,
+}
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -44,7 +44,7 @@
 pub use crossing_limiter::{CrossingLimiter, crossing_ms};
 pub use endpoint_registry::{
     EndpointChange, EndpointRecord, EndpointRegistry, EndpointReport, EndpointRun, GossipReport,
-    ProbeResult, SuspectReason,
+    ProbeResult, RunState, SuspectReason,
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -4,7 +4,8 @@
 //! event, all stages of the request's path must confirm that they hold their layers.
 //! Otherwise the request stalls until an order moves it to another path, or fails after
 //! some seconds. Without `--card` it is a plain service. A request whose body is [`POISON`]
-//! ends the process; so does one with [`LATE_POISON`], or whose prompt has the part
+//! ends the process, one with [`DARK_POISON`] after some seconds of silence; so does one with
+//! [`LATE_POISON`], or whose prompt has the part
 //! [`crash::CRASHING_PART`], once its answer has begun.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
 //! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-Status` selects the status
@@ -84,6 +85,8 @@
 const POISON: &[u8] = b"poison";
 /// The body of a request that crashes every worker once its answer has begun.
 const LATE_POISON: &[u8] = b"late poison";
+/// The body of a request that crashes every worker so that its connections stay open for a while.
+const DARK_POISON: &[u8] = b"dark poison";
 
 struct Worker {
     args: SiteWorkerArgs,
@@ -333,6 +336,9 @@
         // Simulates a worker that crashes when it starts to run the request.
         std::process::exit(1);
     }
+    if body == DARK_POISON {
+        tokio::spawn(crash::crash_in_the_dark(worker.args.listen));
+    }
     let ending = Ending::of(&parts.headers);
     let crashes = body == LATE_POISON || crash::has_crashing_part(&parts.headers);
     if !worker.is_engine() {
--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use http::{HeaderMap, header};
-use pistachioyard_policy::EndpointRecord;
+use pistachioyard_policy::{EndpointRecord, EndpointRun, RunState};
 use pistachioyard_wire::RequestDigest;
 
+use super::part_trial::PartTrial;
 use super::report_cache::fetch;
 use crate::error::CallError;
 use crate::prelude::*;
@@ -19,6 +20,10 @@
 const CRASH_PROBES: u32 = 2;
 /// The interval between two such probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+/// How long a silent endpoint is watched; longer than it takes to find out that it is not sound.
+const SILENCE_WATCH: Duration = Duration::from_secs(4);
+/// How often the state of a silent endpoint is looked at.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Says how the end of an answer is marked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -72,6 +77,34 @@
     }
 }
 
+/// Counts the run of an endpoint that has fallen silent as lost under a request, if it turns out
+/// not to be sound. Its connection may stay open for much longer.
+pub(super) fn watch_silent(
+    router: &Arc<Router>,
+    digest: RequestDigest,
+    run: &EndpointRun,
+    trial: Option<PartTrial>,
+) {
+    let (router, run) = (router.clone(), run.clone());
+    tokio::spawn(async move {
+        let end = Instant::now() + SILENCE_WATCH;
+        while Instant::now() < end {
+            let state = router.endpoints.lock().state_of_run(&run, Instant::now());
+            match state {
+                RunState::Sound => return,
+                RunState::Silent => tokio::time::sleep(SILENCE_CHECK_INTERVAL).await,
+                RunState::Ended => {
+                    router.note_crash_of_run(digest, &run);
+                    if let Some(trial) = trial {
+                        trial.record_loss();
+                    }
+                    return;
+                }
+            }
+        }
+    });
+}
+
 /// Returns whether the endpoint run that started at this time no longer answers.
 pub(super) async fn has_crashed(
     router: &Router,
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -10,6 +10,7 @@
 use crate::router::Router;
 
 /// Holds one attempt of a request with shared prompt parts at an endpoint.
+#[derive(Clone)]
 pub(super) struct PartTrial {
     router: Arc<Router>,
     parts: Arc<[PromptPart]>,
--- a/src/router/filter/relay/path_run/pause_check.rs
+++ b/src/router/filter/relay/path_run/pause_check.rs
@@ -6,6 +6,7 @@
 use super::{PathRun, PauseAction};
 use crate::prelude::*;
 use crate::router::filter::Call;
+use crate::router::filter::crash_check::watch_silent;
 use crate::router::filter::report_cache::survey;
 
 /// The age of an endpoint's report after which a paused stream requests a new one; each
@@ -13,6 +14,12 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(900);
 
 impl PathRun {
+    /// Counts the first endpoint as lost under the request if it turns out to be silent for good.
+    pub(in crate::router::filter::relay) fn watch_silent(&self, call: &Call) {
+        let trial = self.trial.clone();
+        watch_silent(&self.router, call.digest, &self.first_run, trial);
+    }
+
     /// Checks why no event arrives, and returns what to do about it.
     ///
     /// The borrow is exclusive because a request that is being sent cannot be shared.
--- a/src/router/filter/relay/silence.rs
+++ b/src/router/filter/relay/silence.rs
@@ -28,6 +28,7 @@
             return OpenResult::Lost("there is no path".to_owned());
         };
         let call = self.call.clone();
+        silent.watch_silent(&call);
         let silent_at = Instant::now();
         let progress = ReplacementProgress::default();
         let answered = {
@@ -64,6 +65,7 @@
         };
         let mut splitter = std::mem::take(&mut self.splitter);
         let call = self.call.clone();
+        silent.watch_silent(&call);
         let silent_at = Instant::now();
         let progress = ReplacementProgress::default();
         let answered = {
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -1,6 +1,6 @@
 //! Applies findings about requests that crash endpoints.
 
-use pistachioyard_policy::{QuarantineVerdict, responsible_entry};
+use pistachioyard_policy::{EndpointRun, QuarantineVerdict, responsible_entry};
 use pistachioyard_wire::{QuarantineMark, RequestDigest};
 
 use super::{Router, metric};
@@ -48,11 +48,14 @@
     /// A request is refused once three endpoints were lost while they ran it. A request that
     /// has completed is not blamed for the losses.
     pub(crate) fn note_crash(&self, digest: RequestDigest, endpoint: &EndpointId) {
-        let run = {
-            let endpoints = self.endpoints.lock();
-            let started = endpoints.run_of(endpoint).started_unix_ms;
-            Self::run_id(endpoint, started)
-        };
+        let run = self.endpoints.lock().run_of(endpoint);
+        self.note_crash_of_run(digest, &run);
+    }
+
+    /// Does the same as [`Router::note_crash`] for a run that may not be the current one.
+    pub(crate) fn note_crash_of_run(&self, digest: RequestDigest, run: &EndpointRun) {
+        let endpoint = &run.endpoint;
+        let run = Self::run_id(endpoint, run.started_unix_ms);
         let (quarantined, crashes) = {
             let mut quarantine = self.quarantine.lock();
             let quarantined = quarantine.record_crash(&[digest], run, Instant::now());
--- a/tests/site/poison_again.rs
+++ b/tests/site/poison_again.rs
@@ -114,6 +114,32 @@
     .await;
 }
 
+/// A crash that keeps connections open would count only when they break at last.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_silenced_three_endpoints_for_good_is_not_sent_again() {
+    let poison = Poison {
+        body: "dark poison",
+        ..AT_ONCE
+    };
+    let mut site = Site::start(3).await;
+    let supervisor = site.supervise_endpoints();
+    let first_sent_at = Instant::now();
+    let goes_on = || supervisor.crashes() < CRASHES_TO_KNOW;
+    send_while(&site, poison, || {
+        goes_on() && first_sent_at.elapsed() < CRASH_TIMEOUT
+    })
+    .await;
+    // The first endpoints have been silent for seconds by now, and those that follow are known
+    // to be as well.
+    send_for(&site, poison, SETTLE_TIME).await;
+    let settled = supervisor.crashes();
+    send_for(&site, poison, Duration::from_secs(24)).await;
+    let crashes = supervisor.crashes() - settled;
+    site.endpoints = supervisor.stop().await;
+    println!("crashes: {settled} when settled, {crashes} afterwards");
+    assert!(crashes <= MAX_RUNS_AFTERWARDS, "{crashes}");
+}
+
 /// Entries that all start again have no peer that knows the request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashed_three_endpoints_is_not_sent_again_after_restarts_of_all_entries() {
