Take only a success for the completion of a request

An endpoint's error answer to a request of a plain service counted as its completion, so a request that had crashed endpoints was released by the next endpoint that failed it for another reason, and crashed three more.

--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -332,7 +332,7 @@
         return not_run(StatusCode::SERVICE_UNAVAILABLE, worker.address());
     };
     let body = body.to_bytes();
-    if body == POISON {
+    if body == POISON && !parts.headers.contains_key("x-answer-status") {
         // Simulates a worker that crashes when it starts to run the request.
         std::process::exit(1);
     }
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -262,8 +262,11 @@
         is_only: bool,
         record: &mut Record,
     ) -> NextStep {
-        let framing = Framing::of(headers);
-        record_end(self.router, self.call.digest, endpoint, framing);
+        // An endpoint that fails may have failed before it ran what crashes others.
+        if head.status.is_success() {
+            let framing = Framing::of(headers);
+            record_end(self.router, self.call.digest, endpoint, framing);
+        }
         let response = caller_response(head.status, headers, body);
         let is_failure = head.status.is_server_error();
         if is_failure && !is_only {
--- a/tests/site/poison_again.rs
+++ b/tests/site/poison_again.rs
@@ -22,39 +22,48 @@
 #[derive(Clone, Copy, Debug)]
 struct Poison {
     body: &'static str,
+    path: &'static str,
     /// How the stand-in ends an answer to it.
     answer_end: &'static str,
+    /// Whether each second request is answered with a failure instead.
+    fails_by_turns: bool,
 }
 
 /// Crashes an endpoint before the head of its answer.
 const AT_ONCE: Poison = Poison {
     body: "poison",
+    path: "/draft/poison",
     answer_end: "framed",
+    fails_by_turns: false,
 };
 
 /// Sends the request to all entries at an interval while `goes_on`.
 async fn send_while(site: &Site, poison: Poison, goes_on: impl Fn() -> bool) {
     let mut ticks = tokio::time::interval(INTERVAL);
+    let mut fails = false;
     while goes_on() {
         ticks.tick().await;
+        fails = poison.fails_by_turns && !fails;
         let sends = site.entries.iter().map(|entry| {
             let to = entry.caller_address();
             async move {
                 let id = new_request_id();
                 let key = format!("Bearer {}", super::support::KEY);
-                let headers = [
+                let mut headers = vec![
                     ("x-attempt-id", id.as_str()),
                     ("x-deadline-ms", "2000"),
                     ("authorization", key.as_str()),
                     ("x-token-usage", "100,20"),
                     ("x-answer-end", poison.answer_end),
                 ];
+                if fails {
+                    headers.push(("x-answer-status", "500"));
+                }
                 let body = poison.body.into();
-                let path = "/draft/poison";
                 // Only the endpoints tell what became of it.
                 let _ = site
                     .client
-                    .send(Method::POST, to, path, &headers, body)
+                    .send(Method::POST, to, poison.path, &headers, body)
                     .await;
             }
         });
@@ -110,6 +119,18 @@
     check_after_holds(Poison {
         body: "late poison",
         answer_end: "connection",
+        ..AT_ONCE
+    })
+    .await;
+}
+
+/// A failure is no completion, so it must not release the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashed_three_endpoints_and_fails_at_others_is_not_sent_again() {
+    check_after_holds(Poison {
+        path: "/lookup/poison",
+        fails_by_turns: true,
+        ..AT_ONCE
     })
     .await;
 }
