Probe an endpoint whose answer to a plain request was lost

A crash of an endpoint of a plain service was counted only if nothing accepted a connection at its address. One that starts anew within milliseconds, or that stands behind something which accepts for it, was never counted, and the request went on to crash the others.

--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -69,14 +69,45 @@
 }
 
 async fn check_end(router: Arc<Router>, digest: RequestDigest, record: EndpointRecord) {
-    let started = record.state.started_unix_ms;
+    let run = record.run();
+    let started = run.started_unix_ms;
     if has_crashed(&router, &record.endpoint, record.address, started).await {
-        router.note_crash(digest, &record.endpoint);
+        router.note_crash_of_run(digest, &run);
     } else {
         router.record_completion(digest);
     }
 }
 
+/// Probes an endpoint whose answer was lost, and records a crash if it does not answer or has
+/// started anew. That it accepts a connection says little, since a crash is over within seconds.
+///
+/// A lost answer alone is no crash. It must not count as one, since requests with the same
+/// content share a digest. A request that was in crashes before waits for the result, which
+/// decides whether it may run again.
+pub(super) async fn check_for_crash(
+    router: &Arc<Router>,
+    digest: RequestDigest,
+    endpoint: &EndpointId,
+) {
+    let Some(record) = router.endpoints.lock().get(endpoint).cloned() else {
+        return;
+    };
+    let is_suspect = router.quarantine.lock().count_crashes(digest) > 0;
+    let router = router.clone();
+    let check = tokio::spawn(async move {
+        let run = record.run();
+        let started = run.started_unix_ms;
+        if has_crashed(&router, &record.endpoint, record.address, started).await {
+            router.note_crash_of_run(digest, &run);
+        }
+    });
+    if is_suspect && let Err(e) = check.await {
+        spdlog::error!("quarantine: a check for a crash failed", kv: {
+            endpoint = endpoint.as_str(), why = e.to_string().as_str()
+        });
+    }
+}
+
 /// Counts the run of an endpoint that has fallen silent as lost under a request, if it turns out
 /// not to be sound. Its connection may stay open for much longer.
 pub(super) fn watch_silent(
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -14,7 +14,7 @@
 use pistachioyard_policy::{EndpointRecord, Repeatability, SuspectReason, choose_plain_endpoint};
 use pistachioyard_wire::ServiceName;
 
-use super::crash_check::{Framing, record_end};
+use super::crash_check::{Framing, check_for_crash, record_end};
 use super::record::Record;
 use super::{Call, deadline_passed, no_capacity, result_lost};
 use crate::prelude::*;
@@ -135,6 +135,9 @@
             let wait = until_silent.map_or(time_left, |until| until.min(time_left));
             match tokio::time::timeout(wait, running.next()).await {
                 Ok(Some((endpoint, attempt))) => {
+                    if matches!(attempt, AttemptResult::Lost(_)) {
+                        check_for_crash(router, call.digest, &endpoint).await;
+                    }
                     match self.handle_result(&endpoint, attempt, running.is_empty(), record) {
                         NextStep::Answer(response) => return Ok(response),
                         NextStep::Refuse(problem) if running.is_empty() => return Err(problem),
@@ -215,7 +218,6 @@
             }
             AttemptResult::Lost(detail) => {
                 record.log_attempt_failed(endpoint, &detail);
-                self.check_for_crash(endpoint);
                 if !self.may_start_another() || !self.router.try_retry() {
                     return NextStep::Refuse(result_lost(detail));
                 }
@@ -237,22 +239,6 @@
         no_capacity(detail, self.retry_after_ms())
     }
 
-    /// Probes an endpoint whose answer was lost, and records a crash if it is unreachable.
-    ///
-    /// A lost answer alone is no crash. It must not count as one, since requests with the same
-    /// content share a digest.
-    fn check_for_crash(&self, endpoint: &EndpointId) {
-        let (router, digest) = (self.router.clone(), self.call.digest);
-        let record = router.endpoints.lock().get(endpoint).cloned();
-        if let Some(record) = record {
-            tokio::spawn(async move {
-                if !router.client.is_reachable(record.address).await {
-                    router.note_crash(digest, &record.endpoint);
-                }
-            });
-        }
-    }
-
     fn handle_answer(
         &mut self,
         endpoint: &EndpointId,
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use http::StatusCode;
-use pistachioyard_policy::QuarantineVerdict;
 
 use super::path_run::{OpenResult, RepairResult};
 use super::{MAX_REFUSALS, Relay};
@@ -74,12 +73,7 @@
         if self.router.check_parts(parts).is_some() {
             return true;
         }
-        let quarantine = self.router.quarantine.lock();
-        let verdict = quarantine.verdict(self.call.digest, Instant::now());
-        matches!(
-            verdict,
-            QuarantineVerdict::Quarantined { .. } | QuarantineVerdict::OnTrial { .. }
-        )
+        self.router.is_quarantined(self.call.digest)
     }
 
     /// Replaces a lost endpoint of the path; returns whether the stream continues on the new path.
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -36,6 +36,16 @@
         }
     }
 
+    /// Returns whether a request that was sent before may not be sent again, since it crashed
+    /// endpoints; the trial of one whose hold has ended is a single attempt.
+    pub(crate) fn is_quarantined(&self, digest: RequestDigest) -> bool {
+        let verdict = self.quarantine.lock().verdict(digest, Instant::now());
+        matches!(
+            verdict,
+            QuarantineVerdict::Quarantined { .. } | QuarantineVerdict::OnTrial { .. }
+        )
+    }
+
     /// Returns whether this entry is the responsible one of the live entries for a key.
     fn is_responsible(&self, key: u64, now: Instant) -> bool {
         let members = self.members.lock();
