Make the trial of a plain request a single attempt

The attempts of a plain request asked the quarantine once, on arrival, so a trial whose endpoint crashed went on to a second one. poison_again::the_trial_of_a_request_to_a_plain_service...: 2 endpoints ended before, at most 1 now; all seven tests of poison_again pass together.

--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -100,6 +100,12 @@
         let mut silent_at = None;
         while let Some(time_left) = call.time_left() {
             if let Some(why) = next.take() {
+                if self.started > 0 && router.is_quarantined(call.digest) {
+                    match running.is_empty() {
+                        true => return Err(self.no_endpoint_left()),
+                        false => continue,
+                    }
+                }
                 if let Some(problem) = router.check_parts(&call.head.prompt_parts) {
                     match (self.started, running.is_empty()) {
                         (0, _) => return Err(problem),
--- a/tests/site/poison_again.rs
+++ b/tests/site/poison_again.rs
@@ -124,6 +124,23 @@
     .await;
 }
 
+/// A second attempt of the trial would cost another endpoint.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_trial_of_a_request_to_a_plain_service_is_a_single_attempt() {
+    let poison = Poison {
+        path: "/lookup/poison",
+        ..AT_ONCE
+    };
+    let mut site = Site::start(3).await;
+    let supervisor = site.supervise_endpoints();
+    make_known(&site, &supervisor, poison).await;
+    let settled = supervisor.crashes();
+    send_for(&site, poison, Duration::from_secs(19)).await;
+    let crashes = supervisor.crashes() - settled;
+    site.endpoints = supervisor.stop().await;
+    assert!(crashes <= 1, "{crashes}");
+}
+
 /// A failure is no completion, so it must not release the request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashed_three_endpoints_and_fails_at_others_is_not_sent_again() {
