--- a/crates/pistachioyard_policy/src/pipeline.rs
+++ b/crates/pistachioyard_policy/src/pipeline.rs
@@ -9,13 +9,15 @@
 //! See `docs/design/operators-platform.md`.
 
 mod card_placement;
+mod card_state;
 mod load;
 mod load_order;
 mod path_choice;
 mod path_repair;
 mod spec;
 
-pub use card_placement::{CardState, LayerMove, plan_moves};
+pub use card_placement::plan_moves;
+pub use card_state::{CardState, LayerMove};
 pub use load::{LoadTracker, RequestSize};
 pub use load_order::loads_to_start;
 pub use path_choice::{NoPath, Path, PathQuery, PathStage, StageOffer, choose_path};
--- a/crates/pistachioyard_policy/src/pipeline/load_order.rs
+++ b/crates/pistachioyard_policy/src/pipeline/load_order.rs
@@ -9,7 +9,7 @@
 
 use pistachioyard_wire::{DataCentre, EndpointId, LayerRange};
 
-use super::card_placement::{CardState, LayerMove};
+use super::card_state::{CardState, LayerMove};
 use super::spec::PipelineSpec;
 
 /// Returns the orders to give now, as many as can load beside the loads in progress.
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -118,7 +118,7 @@
     blamed: Option<SocketAddr>,
     /// The ids of the requests that were turned away.
     turned_away: Vec<String>,
-    /// The values of the header `Server-Limit` that all answers carry.
+    /// The limits of requests that all answers name, a header for each.
     limits: Vec<String>,
     /// The Unix times at which requests arrived, in ms.
     arrivals: Vec<u64>,
--- a/crates/pistachioyard_standins/src/site/worker/control.rs
+++ b/crates/pistachioyard_standins/src/site/worker/control.rs
@@ -8,8 +8,8 @@
 //! address makes these refusals blame that one. `PUT /control/silence` with a number of
 //! milliseconds makes it fall silent for that time: it accepts no connection and answers nothing,
 //! keeps its connections and then goes on. `GET /control/paths` lists the addresses of the stages
-//! of each running stream. `PUT /control/limit` with a list of texts makes all later answers carry a
-//! header `Server-Limit` with each of them, and `GET /control/arrivals` lists the Unix times at
+//! of each running stream. `PUT /control/limit` with a list of texts makes all later answers name
+//! each of them as the limit of requests, and `GET /control/arrivals` lists the Unix times at
 //! which requests have arrived, in milliseconds; after `PUT /control/crash`, the next running stream that passes through
 //! the worker ends the process.
 
--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -79,7 +79,7 @@
 }
 
 /// Probes an endpoint whose answer was lost, and records a crash if it does not answer or has
-/// started anew. That it accepts a connection says little, since a crash is over within seconds.
+/// started anew since it was sent the request. That it accepts a connection says little, since a crash is over within seconds.
 ///
 /// A lost answer alone is no crash. It must not count as one, since requests with the same
 /// content share a digest. A request that was in crashes before waits for the result, which
@@ -87,23 +87,18 @@
 pub(super) async fn check_for_crash(
     router: &Arc<Router>,
     digest: RequestDigest,
-    endpoint: &EndpointId,
+    target: &EndpointRecord,
 ) {
-    let Some(record) = router.endpoints.lock().get(endpoint).cloned() else {
-        return;
-    };
     let is_suspect = router.quarantine.lock().count_crashes(digest) > 0;
-    let router = router.clone();
+    let (router, address, run) = (router.clone(), target.address, target.run());
     let check = tokio::spawn(async move {
-        let run = record.run();
-        let started = run.started_unix_ms;
-        if has_crashed(&router, &record.endpoint, record.address, started).await {
+        if has_crashed(&router, &run.endpoint, address, run.started_unix_ms).await {
             router.note_crash_of_run(digest, &run);
         }
     });
     if is_suspect && let Err(e) = check.await {
         spdlog::error!("quarantine: a check for a crash failed", kv: {
-            endpoint = endpoint.as_str(), why = e.to_string().as_str()
+            endpoint = target.endpoint.as_str(), why = e.to_string().as_str()
         });
     }
 }
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -128,7 +128,7 @@
                         silent_at = self.silence_limit().map(|limit| Instant::now() + limit);
                         running.push(async move {
                             let attempt = attempt(router, call, &target).await;
-                            (target.endpoint, attempt)
+                            (target, attempt)
                         });
                     }
                     None if running.is_empty() => return Err(self.no_endpoint_left()),
@@ -140,11 +140,12 @@
                 silent_at.map(|at: Instant| at.saturating_duration_since(Instant::now()));
             let wait = until_silent.map_or(time_left, |until| until.min(time_left));
             match tokio::time::timeout(wait, running.next()).await {
-                Ok(Some((endpoint, attempt))) => {
+                Ok(Some((target, attempt))) => {
                     if matches!(attempt, AttemptResult::Lost(_)) {
-                        check_for_crash(router, call.digest, &endpoint).await;
+                        check_for_crash(router, call.digest, &target).await;
                     }
-                    match self.handle_result(&endpoint, attempt, running.is_empty(), record) {
+                    let is_only = running.is_empty();
+                    match self.handle_result(&target.endpoint, attempt, is_only, record) {
                         NextStep::Answer(response) => return Ok(response),
                         NextStep::Refuse(problem) if running.is_empty() => return Err(problem),
                         NextStep::TryAnother(reason) => next = Some(reason),
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -1,6 +1,7 @@
 //! Runs a stream on one path.
 
 mod pause_check;
+mod refusal;
 mod repair;
 
 use std::pin::Pin;
@@ -9,10 +10,9 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use pistachioyard_platform::{AnswerHead, EventSplitter, OutboundRequest, decode_answer_head};
+use pistachioyard_platform::{EventSplitter, OutboundRequest, decode_answer_head};
 use pistachioyard_policy::{
-    EndpointRegistry, EndpointRun, Path, PipelineSpec, Repeatability, RequestSize, StallDetector,
-    SuspectReason,
+    EndpointRun, Path, PipelineSpec, Repeatability, RequestSize, StallDetector, SuspectReason,
 };
 
 pub(super) use self::repair::RepairResult;
@@ -28,10 +28,6 @@
 use crate::router::filter::part_trial::PartTrial;
 use crate::router::filter::plain::endpoint_request;
 
-/// The share of an endpoint's memory in use below which a refusal cannot be due to lack of
-/// memory. The margin allows for the lag of this entry's load data.
-const NOT_FULL_SHARE: f64 = 0.6;
-
 /// The maximum size of one event, in bytes; an event holds the text of a few tokens. All streams
 /// of an endpoint may reach it at once, each with a buffer of up to twice this size.
 const MAX_EVENT_BYTES: usize = 128_000;
@@ -275,43 +271,6 @@
             .map(|record| record.endpoint.clone())
     }
 
-    /// Ejects the endpoint that the refusal names, or the first one if it names none.
-    fn note_refusal(&self, head: &AnswerHead) {
-        let named = head.at_fault.and_then(|at| self.endpoint_at(at));
-        let first = &self.path.stages[0].endpoint;
-        let at_fault = named.unwrap_or_else(|| first.clone());
-        let now = Instant::now();
-        let mut endpoints = self.router.endpoints.lock();
-        let load = self.router.load.lock();
-        let used = load.token_layers(&at_fault);
-        let capacity = self.capacity_of(&endpoints, &at_fault);
-        spdlog::info!("endpoints: refused a request", kv: {
-            endpoint = at_fault.as_str(), status = head.status.as_u16(),
-            requests_there = load.requests(&at_fault), token_layers_there = used as u64,
-            token_layers_room = capacity as u64
-        });
-        drop(load);
-        match (head.is_other_endpoint, at_fault == *first) {
-            (true, true) => endpoints.mark_unavailable(&at_fault),
-            (true, false) => {
-                drop(endpoints);
-                self.router.suspect(&at_fault, SuspectReason::OtherLayers);
-            }
-            (false, _) => endpoints.note_refusal(&at_fault, used < capacity * NOT_FULL_SHARE, now),
-        }
-    }
-
-    /// Returns how many token-layers fit into an endpoint's memory; 0 if unknown.
-    fn capacity_of(&self, endpoints: &EndpointRegistry, endpoint: &EndpointId) -> f64 {
-        let capacity = endpoints.get(endpoint).and_then(|record| {
-            let state = &record.state;
-            let spec = self.spec.as_ref()?;
-            let card = spec.cards.get(state.card.as_ref()?)?;
-            Some(spec.token_layer_capacity(card, state.layers?.len()))
-        });
-        capacity.unwrap_or_default()
-    }
-
     /// Marks the first endpoint as suspect, since its connection broke as in a crash.
     fn suspect_first_endpoint(&self) {
         self.router.suspect(
--- a/tests/site/poison_again.rs
+++ b/tests/site/poison_again.rs
@@ -186,13 +186,7 @@
     make_known(&site, &supervisor, AT_ONCE).await;
     let settled = supervisor.crashes();
     for _ in 0..2 {
-        let launcher = site.launcher.clone();
-        for entry in &mut site.entries {
-            entry.process.kill();
-        }
-        for entry in &mut site.entries {
-            entry.process.start(&launcher);
-        }
+        site.restart_entries();
         send_for(&site, AT_ONCE, SETTLE_TIME).await;
     }
     let crashes = supervisor.crashes() - settled;
--- a/tests/site/poison_part.rs
+++ b/tests/site/poison_part.rs
@@ -172,13 +172,7 @@
     send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)).await;
     let settled = supervisor.crashes();
     for _ in 0..2 {
-        let launcher = site.launcher.clone();
-        for entry in &mut site.entries {
-            entry.process.kill();
-        }
-        for entry in &mut site.entries {
-            entry.process.start(&launcher);
-        }
+        site.restart_entries();
         let end_at = Instant::now() + SETTLE_TIME;
         let goes_on = || Instant::now() < end_at;
         send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)).await;
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -219,6 +219,16 @@
         }
     }
 
+    /// Kills all entries and starts them again, so that none has a peer that knows anything.
+    pub(crate) fn restart_entries(&mut self) {
+        for entry in &mut self.entries {
+            entry.process.kill();
+        }
+        for entry in &mut self.entries {
+            entry.process.start(&self.launcher);
+        }
+    }
+
     /// Waits, for some gossip periods at most, until every entry counts `count` live entries.
     pub(crate) async fn await_live_entries(&self, count: usize) {
         let expected = format!("router_entries_live {count}");
