Let a restarted entry wait for what its peers know

A restarted entry sent its first requests before it knew limits, leaving endpoints and quarantined requests. The eight tests of limits pass. An entry that starts while the store is away is not covered.

--- a/src/router.rs
+++ b/src/router.rs
@@ -31,7 +31,7 @@
 };
 use pistachioyard_wire::{EntryState, Fence, MemberRecord};
 pub(crate) use run::run_router;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::lifecycle::Lifecycle;
 use crate::prelude::*;
@@ -41,6 +41,9 @@
 
 /// How long a peer may be silent before it counts as lost; covers several gossip periods.
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long after its start an entry waits for what its peers know. They are found through the
+/// store, which may be away.
+const FIRST_NEWS_LIMIT: Duration = Duration::from_millis(300);
 /// How long a request that crashes endpoints is refused. Crashed endpoints restart within
 /// seconds, and a request that was blamed by mistake is not blocked for long.
 const QUARANTINE_HOLD: Duration = Duration::from_secs(15);
@@ -72,6 +75,8 @@
     pub(crate) parts: Mutex<PartQuarantine>,
     pub(crate) plain_latency: Mutex<LatencyEstimates>,
     pub(crate) cross_centre_budget: Mutex<CrossingLimiter>,
+    /// Whether a peer has told what it knows, or there is none.
+    pub(crate) first_news: watch::Sender<bool>,
     /// Wakes requests that wait for free memory on endpoints.
     pub(crate) capacity_changed: Notify,
     /// Wakes the placement controller when the endpoints or the configuration have changed.
@@ -130,6 +135,7 @@
             parts: Mutex::default(),
             plain_latency: Mutex::default(),
             cross_centre_budget: Mutex::new(CrossingLimiter::new(now)),
+            first_news: watch::Sender::new(false),
             capacity_changed: Notify::new(),
             endpoints_changed: Notify::new(),
             suspects_due: Notify::new(),
@@ -174,6 +180,20 @@
             && self.endpoints.lock().ids().next().is_some()
     }
 
+    /// Waits until a restarted entry knows what its peers know, for a short time after its start.
+    ///
+    /// It would send requests beyond the limits of endpoints, to leaving ones, and ones that are
+    /// quarantined.
+    pub(crate) async fn wait_for_first_news(&self) {
+        let left = FIRST_NEWS_LIMIT.saturating_sub(self.started_at.elapsed());
+        if left.is_zero() || *self.first_news.borrow() {
+            return;
+        }
+        let mut news = self.first_news.subscribe();
+        // A peer that tells nothing in time is not waited for.
+        let _ = tokio::time::timeout(left, news.wait_for(|is_known| *is_known)).await;
+    }
+
     /// Returns whether callers may have sent requests already. A restarted entry cannot
     /// know, so it assumes that they have.
     pub(crate) fn has_traffic(&self) -> bool {
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -137,12 +137,18 @@
     };
     let now = Instant::now();
     let fresh = router.members.lock().merge(&gossip.members, now);
-    for entry in fresh {
+    for entry in &fresh {
         spdlog::info!("peers: entry joined or restarted", kv: { entry = entry.as_str() });
     }
     let Some(sender) = gossip.members.first() else {
         return;
     };
+    if fresh.contains(&sender.entry) {
+        // It knows nothing yet of limits, leaving endpoints and quarantined requests.
+        if let Some(datagram) = next_datagram(router) {
+            router.permits.send(sender.peer_address, &datagram);
+        }
+    }
     if sender.revision.0 > router.version() {
         router.config_outdated.notify_one();
     }
@@ -227,6 +233,7 @@
             router.note_leaving(&run, sender.entry.as_str());
         }
     }
+    router.first_news.send_replace(true);
 }
 
 fn receive_limit(
@@ -277,8 +284,24 @@
 }
 
 async fn send_gossip(router: &Router, socket: &UdpSocket) {
-    let (datagram, to) = {
-        let now = Instant::now();
+    let to = {
+        let members = router.members.lock();
+        members.gossip_addresses(FANOUT, Instant::now(), &mut rand::rng())
+    };
+    let Some(datagram) = next_datagram(router) else {
+        return;
+    };
+    for peer in to {
+        if let Err(e) = socket.send_to(&datagram, peer).await {
+            spdlog::debug!("peers: cannot send a datagram", kv: { why = e.to_string().as_str() });
+        }
+    }
+}
+
+/// Encodes this entry's state, with the records of some others.
+fn next_datagram(router: &Router) -> Option<Vec<u8>> {
+    let now = Instant::now();
+    let records = {
         let mut members = router.members.lock();
         members.set_own_state(own_state(router), Revision(router.version()));
         members.advance_heartbeat(now);
@@ -287,25 +310,12 @@
             .gossip_records(now)
             .into_iter()
             .filter(|r| r.entry != own.entry);
-        let others: Vec<MemberRecord> = others.collect();
-        let mut rng = rand::rng();
-        let to = members.gossip_addresses(FANOUT, now, &mut rng);
+        let others = others.choose_multiple(&mut rand::rng(), RELAYED_RECORDS);
         let mut records = vec![own];
-        records.extend(
-            others
-                .into_iter()
-                .choose_multiple(&mut rng, RELAYED_RECORDS),
-        );
-        (encode(router, records, now), to)
-    };
-    let Some(datagram) = datagram else {
-        return;
+        records.extend(others);
+        records
     };
-    for peer in to {
-        if let Err(e) = socket.send_to(&datagram, peer).await {
-            spdlog::debug!("peers: cannot send a datagram", kv: { why = e.to_string().as_str() });
-        }
-    }
+    encode(router, records, now)
 }
 
 fn own_state(router: &Router) -> EntryState {
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -40,6 +40,12 @@
             spdlog::warn!("peers: own registration is missing, registering again");
             is_registered = register_once(&router).await;
         }
+        if rounds == 0 && !*router.first_news.borrow() {
+            if router.members.lock().count() == 1 {
+                router.first_news.send_replace(true);
+            }
+            super::announce(&router).await;
+        }
         let pause = SYNC_PAUSES[rounds.min(SYNC_PAUSES.len() - 1)];
         rounds += 1;
         tokio::select! {
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -80,6 +80,7 @@
 ) -> Result<Response<AnswerBody>, Problem> {
     let in_flight = router.lifecycle.begin()?;
     let call = identify::identify(router, req, arrived_at, record).await?;
+    router.wait_for_first_news().await;
     check_quarantine(router, &call)?;
     router.retries.lock().on_first_try();
     dispatch(router, call, in_flight, record).await
--- a/src/router/permits.rs
+++ b/src/router/permits.rs
@@ -61,6 +61,19 @@
         let _ = self.socket.set(socket);
     }
 
+    /// Sends a datagram to a peer at once, or not at all.
+    pub(crate) fn send(&self, to: SocketAddr, datagram: &[u8]) {
+        let sent = match self.socket.get() {
+            Some(socket) => socket.try_send_to(datagram, to).map(|_| ()),
+            None => Err(std::io::ErrorKind::NotConnected.into()),
+        };
+        if let Err(e) = sent {
+            spdlog::warn!("permits: cannot send", kv: {
+                to = to.to_string().as_str(), why = e.to_string().as_str()
+            });
+        }
+    }
+
     /// Records how many entries are registered in the store.
     pub(crate) fn note_registered(&self, entries: usize) {
         self.registered.store(entries as u64, Ordering::Relaxed);
@@ -307,15 +320,11 @@
     }
 
     fn send_permit_message(&self, to: SocketAddr, message: &PermitMessage) {
-        let sent = match (self.permits.socket.get(), message.encode()) {
-            (Some(socket), Ok(datagram)) => socket.try_send_to(&datagram, to).map(|_| ()),
-            (None, Ok(_)) => Err(std::io::ErrorKind::NotConnected.into()),
-            (_, Err(e)) => Err(std::io::Error::other(e)),
-        };
-        if let Err(e) = sent {
-            spdlog::warn!("permits: cannot send", kv: {
-                to = to.to_string().as_str(), why = e.to_string().as_str()
-            });
+        match message.encode() {
+            Ok(datagram) => self.permits.send(to, &datagram),
+            Err(e) => spdlog::error!("permits: cannot encode a message", kv: {
+                why = e.to_string().as_str()
+            }),
         }
     }
 
