--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -4,16 +4,17 @@
 //! connections that could die unnoticed. Gossip is not needed for correctness, and all
 //! state received by it expires.
 
+mod messages;
 mod registry;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use pistachioyard_policy::{EndpointRun, GossipReport, RequestRate, StoreEra, StorePosition};
-use pistachioyard_wire::{EntryState, Fence, LayerRange, MemberRecord, PartReport, QuarantineMark};
+use messages::{Gossip, LayerReport, LimitNotice};
+use pistachioyard_policy::{EndpointRun, GossipReport, RequestRate, StorePosition};
+use pistachioyard_wire::{EntryState, MemberRecord};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -43,63 +44,6 @@
 /// The maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
-/// Holds the state that entries send to each other.
-#[derive(Deserialize, Serialize)]
-struct Gossip {
-    /// The sender's record, followed by some that it relays.
-    members: Vec<MemberRecord>,
-    /// Whether the sender can reach the store.
-    reaches_store: bool,
-    /// The store revision of the newest endpoint change that the sender has seen.
-    endpoints_revision: u64,
-    /// The era of that revision, if it is known.
-    #[serde(default)]
-    endpoints_era: Option<StoreEra>,
-    /// The highest fencing token of the placement lease that the sender knows of, since the
-    /// store may lose it.
-    #[serde(default)]
-    newest_fence: Fence,
-    /// The sender's load per endpoint: short key, requests, token-layers.
-    load: Vec<(u32, u32, f32)>,
-    /// The layer reports that the sender has recently received from endpoints.
-    heard: Vec<LayerReport>,
-    /// The runs of endpoints that are leaving: short key, Unix time of the start in ms.
-    #[serde(default)]
-    leaving: Vec<(u32, Option<u64>)>,
-    /// The limits that endpoints have named, and those that have ended lately.
-    #[serde(default)]
-    limits: Vec<LimitNotice>,
-    /// The requests that crashed endpoints.
-    quarantine: Vec<QuarantineMark>,
-    /// The findings about prompt parts; empty from entries that have none.
-    #[serde(default)]
-    parts: PartReport,
-}
-
-/// Holds what an endpoint reported about its layers.
-#[derive(Deserialize, Serialize)]
-struct LayerReport {
-    /// The short key of the endpoint.
-    key: u32,
-    layers: Option<LayerRange>,
-    is_moving: bool,
-    orders_begun: u64,
-    started_unix_ms: Option<u64>,
-    slowdown: f32,
-    age_ms: u64,
-}
-
-/// Holds what an endpoint said of its limit.
-#[derive(Deserialize, Serialize)]
-struct LimitNotice {
-    /// The short key of the endpoint.
-    key: u32,
-    started_unix_ms: Option<u64>,
-    /// The requests a second that it takes from all entries; none if there is no limit any more.
-    per_second: Option<f64>,
-    age_ms: u64,
-}
-
 /// Returns a short hash of an endpoint's id. A collision mixes up the load and the layer
 /// reports of the two endpoints.
 fn short_key(endpoint: &EndpointId) -> u32 {
--- /dev/null
+++ b/src/router/controller/peers/messages.rs
@@ -0,0 +1,62 @@
+//! The state that entries send to each other, as datagrams in CBOR.
+
+use pistachioyard_policy::StoreEra;
+use pistachioyard_wire::{Fence, LayerRange, MemberRecord, PartReport, QuarantineMark};
+use serde::{Deserialize, Serialize};
+
+/// Holds the state that entries send to each other.
+#[derive(Deserialize, Serialize)]
+pub(super) struct Gossip {
+    /// The sender's record, followed by some that it relays.
+    pub(super) members: Vec<MemberRecord>,
+    /// Whether the sender can reach the store.
+    pub(super) reaches_store: bool,
+    /// The store revision of the newest endpoint change that the sender has seen.
+    pub(super) endpoints_revision: u64,
+    /// The era of that revision, if it is known.
+    #[serde(default)]
+    pub(super) endpoints_era: Option<StoreEra>,
+    /// The highest fencing token of the placement lease that the sender knows of, since the
+    /// store may lose it.
+    #[serde(default)]
+    pub(super) newest_fence: Fence,
+    /// The sender's load per endpoint: short key, requests, token-layers.
+    pub(super) load: Vec<(u32, u32, f32)>,
+    /// The layer reports that the sender has recently received from endpoints.
+    pub(super) heard: Vec<LayerReport>,
+    /// The runs of endpoints that are leaving: short key, Unix time of the start in ms.
+    #[serde(default)]
+    pub(super) leaving: Vec<(u32, Option<u64>)>,
+    /// The limits that endpoints have named, and those that have ended lately.
+    #[serde(default)]
+    pub(super) limits: Vec<LimitNotice>,
+    /// The requests that crashed endpoints.
+    pub(super) quarantine: Vec<QuarantineMark>,
+    /// The findings about prompt parts; empty from entries that have none.
+    #[serde(default)]
+    pub(super) parts: PartReport,
+}
+
+/// Holds what an endpoint reported about its layers.
+#[derive(Deserialize, Serialize)]
+pub(super) struct LayerReport {
+    /// The short key of the endpoint.
+    pub(super) key: u32,
+    pub(super) layers: Option<LayerRange>,
+    pub(super) is_moving: bool,
+    pub(super) orders_begun: u64,
+    pub(super) started_unix_ms: Option<u64>,
+    pub(super) slowdown: f32,
+    pub(super) age_ms: u64,
+}
+
+/// Holds what an endpoint said of its limit.
+#[derive(Deserialize, Serialize)]
+pub(super) struct LimitNotice {
+    /// The short key of the endpoint.
+    pub(super) key: u32,
+    pub(super) started_unix_ms: Option<u64>,
+    /// The requests a second that it takes from all entries; none if there is no limit any more.
+    pub(super) per_second: Option<f64>,
+    pub(super) age_ms: u64,
+}
