--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -79,7 +79,8 @@
 }
 
 /// Probes an endpoint whose answer was lost, and records a crash if it does not answer or has
-/// started anew since it was sent the request. That it accepts a connection says little, since a crash is over within seconds.
+/// started anew since it was sent the request. That it accepts a connection says little, since a
+/// crash is over within seconds.
 ///
 /// A lost answer alone is no crash. It must not count as one, since requests with the same
 /// content share a digest. A request that was in crashes before waits for the result, which
