Probe an engine twice before its lost answers count as a crash

Cause: on the path of `serve`, one probe whose connection broke made the requests of an engine suspects, as after a crash. A connection may also break while its engine lives; the operators' path has probed twice for that reason since it was built. Two such mistakes quarantine a sound request, which is what kill_data_centre_at_first_token showed once.

Change: the judgement is a function of the probes in the policy crate; a lost answer is asked for once more after 150 ms, and two are a crash.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod bound;
 mod burn;
 mod chain;
+mod crash_probe;
 mod crossing_limiter;
 mod endpoint_registry;
 mod fair_queue;
@@ -41,6 +42,7 @@
 pub use chain::{
     Chain, ChainQuery, ChoicePolicy, NoChain, choose_chain, choose_chain_by, free_slots,
 };
+pub use crash_probe::{CrashProbe, CrashVerdict, judge_crash};
 pub use crossing_limiter::{CrossingLimiter, crossing_ms};
 pub use endpoint_registry::{
     EndpointChange, EndpointRecord, EndpointRegistry, EndpointReport, EndpointRun, GossipReport,
--- a/src/filter/suspect.rs
+++ b/src/filter/suspect.rs
@@ -5,8 +5,9 @@
 //! one that caused it and clears the others (`docs/design/quarantine.md`).
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
-use pistachioyard_policy::QuarantineVerdict;
+use pistachioyard_policy::{CrashProbe, CrashVerdict, QuarantineVerdict, judge_crash};
 use pistachioyard_wire::{RequestDigest, StageRef};
 
 use crate::error::CallError;
@@ -16,6 +17,8 @@
 const SUSPECT_RETRY_MS: u64 = 1_000;
 /// How long an endpoint may take to answer a probe for a crash, in milliseconds.
 const CRASH_PROBE_TIMEOUT_MS: u64 = 250;
+/// The interval between two such probes, in milliseconds.
+const CRASH_PROBE_INTERVAL_MS: u64 = 150;
 /// How long to wait for gossip about the suspects of peers before a suspect runs here, in
 /// milliseconds.
 const PEER_GOSSIP_WAIT_MS: u64 = 150;
@@ -62,13 +65,7 @@
     let Some((address, Some(boot))) = known else {
         return;
     };
-    let timeout = Duration::from_millis(CRASH_PROBE_TIMEOUT_MS);
-    let has_crashed = match node.engines.report(address, timeout).await {
-        Ok(report) => report.boot != boot,
-        Err(CallError::NotSent { .. } | CallError::AnswerLost { .. }) => true,
-        Err(_) => false,
-    };
-    if !has_crashed {
+    if !has_crashed(node, address, boot).await {
         return;
     }
     let running = node.streams.mark_suspects(endpoint);
@@ -84,6 +81,29 @@
     }
 }
 
+/// Returns whether the endpoint run at an address no longer answers.
+async fn has_crashed(node: &Node, address: SocketAddr, boot: BootId) -> bool {
+    let timeout = Duration::from_millis(CRASH_PROBE_TIMEOUT_MS);
+    let mut probes = Vec::new();
+    loop {
+        match judge_crash(&probes) {
+            CrashVerdict::Crashed => return true,
+            CrashVerdict::NotCrashed => return false,
+            CrashVerdict::ProbeAgain if probes.is_empty() => {}
+            CrashVerdict::ProbeAgain => {
+                tokio::time::sleep(Duration::from_millis(CRASH_PROBE_INTERVAL_MS)).await;
+            }
+        }
+        probes.push(match node.engines.report(address, timeout).await {
+            Ok(report) if report.boot == boot => CrashProbe::SameRun,
+            Ok(_) => CrashProbe::OtherRun,
+            Err(CallError::NotSent { .. }) => CrashProbe::Refused,
+            Err(CallError::AnswerLost { .. }) => CrashProbe::Lost,
+            Err(_) => CrashProbe::Unknown,
+        });
+    }
+}
+
 /// Tells whether every stage answers a probe; a stage that does not answer gets no new work.
 ///
 /// A suspect runs only if all do. Otherwise an endpoint that was lost at the same time as
