Convict no popular prompt part beside two bad ones

Change: of equals, those in three or more explained crashes more are popular and stay; the doubt time is 2 s instead of 1.5; a burst of three endpoints or more calls for it as well.

--- a/crates/pistachioyard_policy/src/part_quarantine.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine.rs
@@ -23,7 +23,7 @@
 
 use pistachioyard_wire::{BootId, PromptPart};
 
-use explanation::{Unexplained, find_culprits};
+use explanation::{ObservedCrash, find_culprits};
 pub use report::PartFindings;
 pub use writing_time::{PROOF_WRITING_TIME, WritingTime};
 
@@ -229,14 +229,15 @@
     }
 
     fn find_culprits(&self, now: Instant) -> Vec<PartConviction> {
-        let crashes = self.unexplained().map(|(run, crash)| {
+        let crashes = self.crashes.iter().map(|(run, crash)| {
             let suspects = crash.suspects.iter().copied();
-            Unexplained {
+            ObservedCrash {
                 run: *run,
                 at: crash.at,
                 suspects: suspects
                     .filter(|part| !self.is_sound(*part, crash.at))
                     .collect(),
+                is_explained: self.is_explained(crash),
             }
         });
         find_culprits(crashes.collect(), now)
@@ -267,12 +268,14 @@
 
     /// Returns the crashes in which no convicted part is a suspect.
     fn unexplained(&self) -> impl Iterator<Item = (&BootId, &Crash)> {
-        let is_explained = |crash: &Crash| {
-            let mut suspects = crash.suspects.iter();
-            suspects.any(|part| self.convicted.contains_key(part))
-        };
         let crashes = self.crashes.iter();
-        crashes.filter(move |(_, crash)| !is_explained(crash))
+        crashes.filter(|(_, crash)| !self.is_explained(crash))
+    }
+
+    /// Returns whether a convicted part is a suspect in a crash.
+    fn is_explained(&self, crash: &Crash) -> bool {
+        let mut suspects = crash.suspects.iter();
+        suspects.any(|part| self.convicted.contains_key(part))
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/pistachioyard_policy/src/part_quarantine/explanation.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine/explanation.rs
@@ -15,11 +15,15 @@
 const CRASHES_TO_CONVICT_EQUALS: usize = 5;
 /// How long a conviction is put off where other parts are in several crashes too. Meanwhile
 /// requests with the sound ones show that they are.
-const DOUBT_TIME: Duration = Duration::from_millis(1_500);
+const DOUBT_TIME: Duration = Duration::from_millis(2_000);
 /// The most crashes that another part may be in without casting doubt.
 const CRASHES_WITHOUT_DOUBT: usize = 1;
 /// The time from the first crash of a burst within which others belong to it.
 const BURST_SPAN: Duration = Duration::from_millis(250);
+/// The crashes in one burst from which on something else may have ended the endpoints.
+const CRASHES_OF_JOINT_LOSS: usize = 3;
+/// By how many explained crashes more a part must have been in to be popular rather than bad.
+const POPULAR_MARGIN: usize = 3;
 /// The share of the crashes, and of the bursts, that one part must explain, in percent. If
 /// none does, two parts that explain them together are looked for.
 const MIN_SHARE_OF_ONE: usize = 75;
@@ -27,10 +31,18 @@
 const MAX_PAIRED: usize = 24;
 
 /// Holds a crash and the parts that may have caused it.
-pub(super) struct Unexplained {
+pub(super) struct ObservedCrash {
     pub(super) run: BootId,
     pub(super) at: Instant,
     pub(super) suspects: Vec<PromptPart>,
+    /// Whether a convicted part is a suspect in it.
+    pub(super) is_explained: bool,
+}
+
+/// Holds a crash that is to be explained, and the number of its burst.
+struct Unexplained {
+    burst: u32,
+    crash: ObservedCrash,
 }
 
 /// Holds what a part would explain.
@@ -47,20 +59,24 @@
     crashes: Vec<(u32, Instant)>,
     now: Instant,
     by_part: BTreeMap<PromptPart, Suspicion>,
+    /// The number of explained crashes that each part was in as well.
+    explained: BTreeMap<PromptPart, usize>,
 }
 
 impl Evidence {
-    fn collect(unexplained: Vec<Unexplained>, now: Instant) -> Self {
+    /// Collects the newest crashes that are to be explained, as many as there are bits.
+    fn collect(observed: Vec<ObservedCrash>, now: Instant) -> Self {
+        let mut explained = BTreeMap::<PromptPart, usize>::new();
+        for crash in observed.iter().filter(|crash| crash.is_explained) {
+            for part in &crash.suspects {
+                *explained.entry(*part).or_default() += 1;
+            }
+        }
+        let mut unexplained = select_unexplained(observed);
+        let first = unexplained.len().saturating_sub(u64::BITS as usize);
         let mut by_part = BTreeMap::<PromptPart, Suspicion>::new();
         let mut crashes = Vec::with_capacity(unexplained.len());
-        let mut burst = 0;
-        let mut began_at = None;
-        for (index, crash) in unexplained.into_iter().enumerate() {
-            let is_same = began_at.is_some_and(|began_at| crash.at < began_at + BURST_SPAN);
-            if !is_same {
-                began_at = Some(crash.at);
-                burst += 1;
-            }
+        for (index, Unexplained { burst, crash }) in unexplained.drain(first..).enumerate() {
             crashes.push((burst, crash.at));
             for part in crash.suspects {
                 let suspicion = by_part.entry(part).or_default();
@@ -72,6 +88,7 @@
             crashes,
             now,
             by_part,
+            explained,
         }
     }
 
@@ -89,6 +106,24 @@
         nth.is_some_and(|(_, at)| self.now >= at + DOUBT_TIME)
     }
 
+    /// Returns whether endpoints were lost together in one of these crashes.
+    fn has_joint_loss(&self, crashes: u64) -> bool {
+        let mut bursts = self.select(crashes).map(|(burst, _)| burst);
+        bursts.any(|burst| {
+            let in_burst = self.crashes.iter().filter(|(other, _)| *other == burst);
+            in_burst.count() >= CRASHES_OF_JOINT_LOSS
+        })
+    }
+
+    /// Removes the parts that were in far more of the explained crashes than others: they are
+    /// popular, so that they are in many crashes by chance.
+    fn remove_popular(&self, parts: &mut Vec<PromptPart>) {
+        let count = |part: &PromptPart| self.explained.get(part).copied().unwrap_or_default();
+        if let Some(fewest) = parts.iter().map(count).min() {
+            parts.retain(|part| count(part) < fewest + POPULAR_MARGIN);
+        }
+    }
+
     /// Counts the bursts that these crashes belong to.
     fn count_bursts(&self, crashes: u64) -> usize {
         let bursts: BTreeSet<u32> = self.select(crashes).map(|(burst, _)| burst).collect();
@@ -105,13 +140,9 @@
 
 /// Returns the parts that explain the crashes, if there are enough of them for a conviction.
 ///
-/// At most 64 crashes are considered, the newest.
-pub(super) fn find_culprits(mut crashes: Vec<Unexplained>, now: Instant) -> Vec<PartConviction> {
-    crashes.retain(|crash| !crash.suspects.is_empty());
-    crashes.sort_by_key(|crash| Reverse((crash.at, crash.run)));
-    crashes.truncate(u64::BITS as usize);
-    crashes.reverse();
-    let evidence = Evidence::collect(crashes, now);
+/// At most 64 unexplained crashes are considered, the newest.
+pub(super) fn find_culprits(observed: Vec<ObservedCrash>, now: Instant) -> Vec<PartConviction> {
+    let evidence = Evidence::collect(observed, now);
     let culprits = match find_one(&evidence) {
         Some(ones) if !ones.is_empty() => find_in_better_pairs(&evidence, &ones).unwrap_or(ones),
         Some(none_yet) => none_yet,
@@ -124,6 +155,27 @@
     convictions.collect()
 }
 
+/// Returns the crashes that are to be explained, the oldest first: those with suspects and
+/// without a convicted part.
+fn select_unexplained(mut observed: Vec<ObservedCrash>) -> Vec<Unexplained> {
+    observed.sort_by_key(|crash| (crash.at, crash.run));
+    let mut bursts: Vec<Vec<ObservedCrash>> = Vec::new();
+    for crash in observed {
+        match bursts.last_mut() {
+            Some(burst) if crash.at < burst[0].at + BURST_SPAN => burst.push(crash),
+            _ => bursts.push(vec![crash]),
+        }
+    }
+    let numbered = (0..).zip(bursts);
+    let crashes = numbered.flat_map(|(burst, crashes)| {
+        let crashes = crashes.into_iter();
+        crashes.map(move |crash| Unexplained { burst, crash })
+    });
+    crashes
+        .filter(|Unexplained { crash, .. }| !crash.is_explained && !crash.suspects.is_empty())
+        .collect()
+}
+
 /// Returns the part that explains most crashes, or none yet if there are not enough of them;
 /// `None` if no part explains most.
 ///
@@ -153,14 +205,19 @@
     let doubtful = ranked
         .iter()
         .filter(|((_, crashes), ..)| *crashes > CRASHES_WITHOUT_DOUBT);
-    let is_clear = doubtful.count() == 1;
+    let is_clear = doubtful.count() == 1
+        && !top
+            .iter()
+            .any(|(_, _, crashes)| evidence.has_joint_loss(*crashes));
     let is_settled = top
         .iter()
         .all(|(_, _, crashes)| evidence.is_settled(*crashes, enough));
     if bursts < BURSTS_TO_CONVICT || !(is_clear || is_settled) {
         return Some(Vec::new());
     }
-    Some(top.into_iter().map(|(_, part, _)| *part).collect())
+    let mut culprits = top.into_iter().map(|(_, part, _)| *part).collect();
+    evidence.remove_popular(&mut culprits);
+    Some(culprits)
 }
 
 /// Returns the parts that belong to all pairs without `ones` that explain the most crashes;
