Know all entries and their load at a cost that does not grow with the fleet

Cause: at 118 entries a peer was heard of about once a second and counted as lost after 0.9 s. In a simulation of the gossip with 1% of datagrams lost an entry knew 60 of 118 on average and 22 at worst, and 1.9 took themselves for the first live entry at any time; of 28 it knew 26.7 and 20. With an entry its load was forgotten, so that each saw room on endpoints that were full, and the placement lease changed hands.

Ruled out: a longer timeout alone, since loads are then heard of every four seconds.

Change: peers in the data centre are told in turn, heartbeats of all members travel in each datagram as a short key and a counter, records only with news. Loads are kept for each peer of the data centre, and as one sum for each other data centre.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -55,14 +55,17 @@
     ChangeAnswer, Claim, ClaimState, KeyAgeError, LedgerChange, LedgerLayout, LedgerPage,
     LedgerPageError,
 };
-pub use membership::{Membership, responsible_entry};
+pub use membership::{
+    GOSSIP_FANOUT, GossipScope, GossipTarget, Heartbeat, MAX_HEARTBEATS, Membership,
+    responsible_entry, run_key,
+};
 pub use part_quarantine::{
     LossCheck, PROOF_WRITING_TIME, PartConviction, PartFindings, PartQuarantine, PartVerdict,
     WritingTime,
 };
 pub use pipeline::{
-    Card, CardState, LayerMove, LoadTracker, NoPath, Path, PathQuery, PathStage, PipelineSpec,
-    RequestSize, StageOffer, choose_path, loads_to_start, plan_moves, repair_path,
+    Card, CardState, LayerMove, LoadShare, LoadTracker, NoPath, Path, PathQuery, PathStage,
+    PipelineSpec, RequestSize, StageOffer, choose_path, loads_to_start, plan_moves, repair_path,
 };
 pub use placement::{
     HeldLayers, LoadPacer, PlacementChange, PlacementEndpoint, PlacementInput, PlacementModel,
--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -5,15 +5,15 @@
 //! record expires. See `docs/design/membership.md`.
 
 mod choose;
+mod gossip;
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 pub use choose::responsible_entry;
+use gossip::Turns;
+pub use gossip::{GOSSIP_FANOUT, GossipScope, GossipTarget, Heartbeat, MAX_HEARTBEATS, run_key};
 use pistachioyard_wire::{BootId, EntryId, EntryState, MemberRecord, Revision};
-use rand::Rng;
-use rand::seq::IteratorRandom;
 
 /// The number of heartbeat timeouts after which a lost entry is forgotten.
 const FORGET_AFTER_TIMEOUTS: u32 = 10;
@@ -25,7 +25,39 @@
 #[derive(Clone, Debug)]
 struct Member {
     record: MemberRecord,
+    /// The newest heartbeat; it may be ahead of the record's, since heartbeats travel alone.
+    heartbeat: u64,
     heard_at: Instant,
+    /// When the entry joined, restarted or changed its state.
+    changed_at: Instant,
+}
+
+impl Member {
+    fn new(record: MemberRecord, now: Instant) -> Self {
+        Self {
+            heartbeat: record.heartbeat,
+            record,
+            heard_at: now,
+            changed_at: now,
+        }
+    }
+
+    fn note_heartbeat(&mut self, heartbeat: u64, now: Instant) {
+        if heartbeat > self.heartbeat {
+            self.heartbeat = heartbeat;
+            self.heard_at = now;
+        }
+    }
+
+    /// Takes over a newer record of the same run.
+    fn update(&mut self, record: &MemberRecord, now: Instant) {
+        let is_ready = |record: &MemberRecord| record.revision > Revision(0);
+        if record.state != self.record.state || is_ready(record) != is_ready(&self.record) {
+            self.changed_at = now;
+        }
+        self.record = record.clone();
+        self.note_heartbeat(record.heartbeat, now);
+    }
 }
 
 /// Holds the last run and heartbeat of an entry that was forgotten.
@@ -46,25 +78,41 @@
     others: BTreeMap<EntryId, Member>,
     tombstones: BTreeMap<EntryId, Tombstone>,
     heartbeat_timeout: Duration,
+    /// The timeout in fleets in which most heartbeats arrive through peers.
+    relay_timeout: Duration,
+    /// The entry of each known run, by its short key.
+    by_run: HashMap<u32, EntryId>,
+    near_turns: Turns,
+    far_turns: Turns,
 }
 
 impl Membership {
     /// Creates a membership that contains only this entry's own record.
     pub fn new(own: MemberRecord, heartbeat_timeout: Duration, now: Instant) -> Self {
         Self {
-            own: Member {
-                record: own,
-                heard_at: now,
-            },
+            own: Member::new(own, now),
             others: BTreeMap::new(),
             tombstones: BTreeMap::new(),
             heartbeat_timeout,
+            relay_timeout: heartbeat_timeout,
+            by_run: HashMap::new(),
+            near_turns: Turns::default(),
+            far_turns: Turns::default(),
         }
     }
 
+    /// Sets the heartbeat timeout for fleets of more than [`GOSSIP_FANOUT`] peers, in which not
+    /// every peer is told in each round.
+    #[must_use]
+    pub fn with_relay_timeout(mut self, timeout: Duration) -> Self {
+        self.relay_timeout = timeout;
+        self
+    }
+
     /// Advances this entry's own heartbeat.
     pub fn advance_heartbeat(&mut self, now: Instant) {
         self.own.record.heartbeat = self.own.record.heartbeat.saturating_add(1);
+        self.own.heartbeat = self.own.record.heartbeat;
         self.own.heard_at = now;
     }
 
@@ -102,33 +150,26 @@
             let is_new_run = known.is_none_or(|k| record.boot > k.boot);
             let newer =
                 known.is_some_and(|k| record.boot == k.boot && record.heartbeat > k.heartbeat);
-            if !is_new_run && !newer {
-                continue;
-            }
-            self.tombstones.remove(&record.entry);
-            let member = Member {
-                record: record.clone(),
-                heard_at: now,
-            };
-            self.others.insert(record.entry.clone(), member);
             if is_new_run {
+                self.tombstones.remove(&record.entry);
+                self.add(record, now);
                 fresh.push(record.entry.clone());
+            } else if newer && let Some(member) = self.others.get_mut(&record.entry) {
+                member.update(record, now);
             }
         }
         fresh
     }
 
-    /// Merges heartbeats of members whose records are known.
-    pub fn merge_heartbeats(&mut self, heartbeats: &[(EntryId, BootId, u64)], now: Instant) {
-        for (entry, boot, heartbeat) in heartbeats {
-            let Some(member) = self.others.get_mut(entry) else {
-                continue;
-            };
-            if member.record.boot == *boot && member.record.heartbeat < *heartbeat {
-                member.record.heartbeat = *heartbeat;
-                member.heard_at = now;
-            }
+    /// Adds an entry, or replaces its earlier run.
+    fn add(&mut self, record: &MemberRecord, now: Instant) {
+        let member = Member::new(record.clone(), now);
+        let old = self.others.insert(record.entry.clone(), member);
+        if let Some(old) = old {
+            self.by_run.remove(&run_key(old.record.boot));
         }
+        self.by_run
+            .insert(run_key(record.boot), record.entry.clone());
     }
 
     /// Returns the state of an entry; an unknown entry counts as lost.
@@ -173,48 +214,34 @@
         1 + self.others.len()
     }
 
-    /// Returns the records to pass on to peers: those of all entries that are not lost.
+    /// Returns the records to pass on to peers, with the newest heartbeats: those of all entries
+    /// that are not lost.
     pub fn gossip_records(&self, now: Instant) -> Vec<MemberRecord> {
         self.members()
             .filter(|m| self.member_state(m, now) != EntryState::Lost)
-            .map(|m| m.record.clone())
+            .map(|m| MemberRecord {
+                heartbeat: m.heartbeat,
+                ..m.record.clone()
+            })
             .collect()
     }
 
-    /// Selects the addresses to send this entry's state to.
-    ///
-    /// These are up to `max_heard` random peers that are not lost, and one random lost
-    /// peer. After a network partition, both sides count each other as lost: unless one of
-    /// them keeps sending, neither would ever hear the other again.
-    pub fn gossip_addresses(
-        &self,
-        max_heard: usize,
-        now: Instant,
-        rng: &mut impl Rng,
-    ) -> Vec<SocketAddr> {
-        let others = self.others.values();
-        let (lost, heard): (Vec<&Member>, Vec<&Member>) =
-            others.partition(|m| self.member_state(m, now) == EntryState::Lost);
-        let mut targets = heard.into_iter().choose_multiple(rng, max_heard);
-        targets.extend(lost.into_iter().choose(rng));
-        targets.iter().map(|m| m.record.peer_address).collect()
-    }
-
     /// Forgets entries that have been lost for a long time, and removes old tombstones.
     pub fn expire(&mut self, now: Instant) {
         let keep = self.heartbeat_timeout * FORGET_AFTER_TIMEOUTS;
         self.tombstones
             .retain(|_, t| now.saturating_duration_since(t.at) <= keep);
-        let tombstones = &mut self.tombstones;
+        let (tombstones, by_run) = (&mut self.tombstones, &mut self.by_run);
         self.others.retain(|entry, member| {
             let kept = now.saturating_duration_since(member.heard_at) <= keep;
             if !kept {
                 let last = Tombstone {
                     boot: member.record.boot,
-                    heartbeat: member.record.heartbeat,
+                    heartbeat: member.heartbeat,
                     at: now,
                 };
                 tombstones.insert(entry.clone(), last);
+                by_run.remove(&run_key(member.record.boot));
             }
             kept
         });
@@ -227,13 +254,21 @@
     fn member_state(&self, member: &Member, now: Instant) -> EntryState {
         let is_own = member.record.entry == self.own.record.entry;
         let silence = now.saturating_duration_since(member.heard_at);
-        if !is_own && silence > self.heartbeat_timeout {
+        if !is_own && silence > self.timeout() {
             EntryState::Lost
         } else {
             member.record.state
         }
     }
 
+    /// Returns how long a member may be silent before it counts as lost.
+    fn timeout(&self) -> Duration {
+        match self.others.len() > GOSSIP_FANOUT {
+            true => self.relay_timeout,
+            false => self.heartbeat_timeout,
+        }
+    }
+
     /// Returns whether a record is no newer than the tombstone of its entry.
     fn is_tombstoned(&self, record: &MemberRecord) -> bool {
         self.tombstones.get(&record.entry).is_some_and(|last| {
--- a/crates/pistachioyard_policy/src/pipeline.rs
+++ b/crates/pistachioyard_policy/src/pipeline.rs
@@ -18,7 +18,7 @@
 
 pub use card_placement::plan_moves;
 pub use card_state::{CardState, LayerMove};
-pub use load::{LoadTracker, RequestSize};
+pub use load::{LoadShare, LoadTracker, RequestSize};
 pub use load_order::loads_to_start;
 pub use path_choice::{NoPath, Path, PathQuery, PathStage, StageOffer, choose_path};
 pub use path_repair::repair_path;
--- a/crates/pistachioyard_policy/tests/membership.rs
+++ b/crates/pistachioyard_policy/tests/membership.rs
@@ -149,10 +149,11 @@
     let mut exchange = |sides: &mut Vec<Membership>, now: Instant| {
         for from in 0..2 {
             sides[from].advance_heartbeat(now);
-            let targets = sides[from].gossip_addresses(8, now, &mut rng);
+            let targets = sides[from].next_targets(now, &mut rng);
             let own = sides[from].own_record().clone();
             let other = &mut sides[1 - from];
-            if targets.contains(&other.own_record().peer_address) {
+            let to = other.own_record().peer_address;
+            if targets.iter().any(|target| target.address == to) {
                 other.merge(&[own], now);
             }
         }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,8 +13,8 @@
 
 use parking_lot::Mutex;
 use pistachioyard_policy::{
-    ActiveConfig, ConfigAdoption, ConfigStatus, FleetView, Membership, PrefixIndex, Quarantine,
-    RetryBudget, SuspectReservations,
+    ActiveConfig, ConfigAdoption, ConfigStatus, FleetView, Heartbeat, Membership, PrefixIndex,
+    Quarantine, RetryBudget, SuspectReservations, run_key,
 };
 use pistachioyard_wire::{EntryState, GossipState, MemberRecord, WorkspaceUsage};
 use rand::SeedableRng;
@@ -239,7 +239,11 @@
     pub(crate) fn merge_gossip(&self, gossip: GossipState, now: Instant) {
         let newcomers = {
             let mut membership = self.membership.lock();
-            membership.merge_heartbeats(&gossip.beats, now);
+            let beats = gossip.beats.iter();
+            let beats: Vec<Heartbeat> = beats
+                .map(|(_, boot, beat)| (run_key(*boot), *beat))
+                .collect();
+            membership.merge_heartbeats(&beats, now);
             membership.merge(&gossip.members, now)
         };
         for entry in &newcomers {
--- a/src/router.rs
+++ b/src/router.rs
@@ -41,6 +41,8 @@
 
 /// How long a peer may be silent before it counts as lost; covers several gossip periods.
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same where heartbeats arrive through other peers, which takes several periods.
+const RELAYED_PEER_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// How long after its start an entry waits for what its peers know. They are found through the
 /// store, which may be away.
 const FIRST_NEWS_LIMIT: Duration = Duration::from_millis(300);
@@ -128,7 +130,9 @@
             endpoints: Mutex::default(),
             load: Mutex::default(),
             activity: Mutex::default(),
-            members: Mutex::new(Membership::new(own, PEER_TIMEOUT, now)),
+            members: Mutex::new(
+                Membership::new(own, PEER_TIMEOUT, now).with_relay_timeout(RELAYED_PEER_TIMEOUT),
+            ),
             peers_without_store: Mutex::default(),
             retries: Mutex::new(retries),
             quarantine: Mutex::new(Quarantine::without_isolation(QUARANTINE_HOLD)),
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -2,7 +2,8 @@
 //!
 //! Entries register in the store to be discovered, and then gossip over UDP, which has no
 //! connections that could die unnoticed. Gossip is not needed for correctness, and all
-//! state received by it expires.
+//! state received by it expires. What an entry sends and receives is bounded for fleets of any
+//! size (`docs/design/membership.md`).
 
 mod messages;
 mod registry;
@@ -11,7 +12,9 @@
 use std::net::SocketAddr;
 
 use messages::{Gossip, LayerReport, LimitNotice};
-use pistachioyard_policy::{EndpointRun, GossipReport, RequestRate, StorePosition};
+use pistachioyard_policy::{
+    EndpointRun, GossipReport, GossipScope, Heartbeat, LoadShare, RequestRate, StorePosition,
+};
 use pistachioyard_wire::{EntryState, MemberRecord};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
@@ -28,8 +31,9 @@
 const GOSSIP_PERIOD: Duration = Duration::from_millis(250);
 /// How long after the last period the next one ends in a process that was not paused.
 const PAUSE_LIMIT: Duration = Duration::from_millis(750);
-/// The number of peers, chosen at random, that receive the state in each period.
-const FANOUT: usize = 8;
+/// How long an entry must have run before it tells other data centres the load of its own; it has
+/// heard its peers there by then.
+const CENTRE_LOAD_AFTER: Duration = Duration::from_millis(1_500);
 /// The number of other entries' records that are relayed in one datagram.
 const RELAYED_RECORDS: usize = 2;
 /// The maximum number of layer reports, of leaving runs and of quarantine marks in one datagram,
@@ -80,7 +84,11 @@
         }
     };
     let now = Instant::now();
-    let fresh = router.members.lock().merge(&gossip.members, now);
+    let fresh = {
+        let mut members = router.members.lock();
+        members.merge_heartbeats(&gossip.heartbeats, now);
+        members.merge(&gossip.members, now)
+    };
     for entry in &fresh {
         spdlog::info!("peers: entry joined or restarted", kv: { entry = entry.as_str() });
     }
@@ -89,7 +97,11 @@
     };
     if fresh.contains(&sender.entry) {
         // It knows nothing yet of limits, leaving endpoints and quarantined requests.
-        if let Some(datagram) = next_datagram(router) {
+        let scope = match sender.data_centre == router.settings.data_centre {
+            true => GossipScope::SameCentre,
+            false => GossipScope::OtherCentre,
+        };
+        if let Some(datagram) = next_datagram(router, scope) {
             router.permits.send(sender.peer_address, &datagram);
         }
     }
@@ -127,14 +139,13 @@
         .ids()
         .map(|id| (short_key(id), id.clone()))
         .collect();
-    let load = gossip
-        .load
-        .iter()
-        .filter_map(|(key, requests, token_layers)| {
+    let load = gossip.load.map(|load| {
+        let known = load.iter().filter_map(|(key, requests, token_layers)| {
             let endpoint = by_key.get(key)?.clone();
             Some((endpoint, (*requests, f64::from(*token_layers))))
         });
-    let load = load.collect();
+        known.collect::<LoadShare>()
+    });
     for heard in &gossip.heard {
         let Some(endpoint) = by_key.get(&heard.key) else {
             continue;
@@ -161,7 +172,13 @@
             router.capacity_changed.notify_waiters();
         }
     }
-    router.load.lock().set_peer(sender.entry.clone(), load);
+    if let Some(load) = load {
+        let mut loads = router.load.lock();
+        match sender.data_centre == router.settings.data_centre {
+            true => loads.set_peer(sender.entry.clone(), load),
+            false => loads.set_centre(sender.data_centre.clone(), load, now),
+        }
+    }
     drop(endpoints);
     for notice in gossip.limits {
         if let Some(endpoint) = by_key.get(&notice.key) {
@@ -228,38 +245,42 @@
 }
 
 async fn send_gossip(router: &Router, socket: &UdpSocket) {
-    let to = {
-        let members = router.members.lock();
-        members.gossip_addresses(FANOUT, Instant::now(), &mut rand::rng())
-    };
-    let Some(datagram) = next_datagram(router) else {
-        return;
+    let targets = {
+        let mut members = router.members.lock();
+        members.next_targets(Instant::now(), &mut rand::rng())
     };
-    for peer in to {
-        if let Err(e) = socket.send_to(&datagram, peer).await {
-            spdlog::debug!("peers: cannot send a datagram", kv: { why = e.to_string().as_str() });
+    for scope in [GossipScope::SameCentre, GossipScope::OtherCentre] {
+        let mut to = targets.clone();
+        to.retain(|target| target.scope == scope);
+        if to.is_empty() {
+            continue;
+        }
+        let Some(datagram) = next_datagram(router, scope) else {
+            return;
+        };
+        for target in to {
+            if let Err(e) = socket.send_to(&datagram, target.address).await {
+                spdlog::debug!("peers: cannot send a datagram", kv: {
+                    why = e.to_string().as_str()
+                });
+            }
         }
     }
 }
 
-/// Encodes this entry's state, with the records of some others.
-fn next_datagram(router: &Router) -> Option<Vec<u8>> {
+/// Encodes this entry's state, with the records and heartbeats of others.
+fn next_datagram(router: &Router, scope: GossipScope) -> Option<Vec<u8>> {
     let now = Instant::now();
-    let records = {
+    let (records, heartbeats) = {
         let mut members = router.members.lock();
         members.set_own_state(own_state(router), Revision(router.version()));
         members.advance_heartbeat(now);
-        let own = members.own_record().clone();
-        let others = members
-            .gossip_records(now)
-            .into_iter()
-            .filter(|r| r.entry != own.entry);
-        let others = others.choose_multiple(&mut rand::rng(), RELAYED_RECORDS);
-        let mut records = vec![own];
-        records.extend(others);
-        records
+        let mut records = vec![members.own_record().clone()];
+        let rng = &mut rand::rng();
+        records.extend(members.relayed_records(RELAYED_RECORDS, now, rng));
+        (records, members.heartbeats(scope, now, rng))
     };
-    encode(router, records, now)
+    encode(router, scope, records, heartbeats, now)
 }
 
 fn own_state(router: &Router) -> EntryState {
@@ -270,7 +291,13 @@
     }
 }
 
-fn encode(router: &Router, members: Vec<MemberRecord>, now: Instant) -> Option<Vec<u8>> {
+fn encode(
+    router: &Router,
+    scope: GossipScope,
+    members: Vec<MemberRecord>,
+    heartbeats: Vec<Heartbeat>,
+    now: Instant,
+) -> Option<Vec<u8>> {
     let endpoints = router.endpoints.lock();
     let heard = endpoints
         .reported_within(LAYER_REPORT_MAX_AGE, now)
@@ -301,20 +328,18 @@
     });
     let limits = limits.choose_multiple(&mut rand::rng(), MAX_ITEMS_PER_LIST);
     drop(endpoints);
-    let load = router.load.lock();
-    let load = load.own().map(|(endpoint, requests, token_layers)| {
-        (short_key(endpoint), requests, token_layers as f32)
-    });
+    let load = load_to_tell(router, scope);
     let mut quarantine = router.quarantine.lock().marks(now);
     quarantine.truncate(MAX_ITEMS_PER_LIST);
     let seen = router.endpoints_lag.lock().newest();
     let gossip = Gossip {
         members,
+        heartbeats,
         reaches_store: router.store.is_reachable(),
         endpoints_revision: seen.revision,
         endpoints_era: seen.era,
         newest_fence: router.newest_fence(),
-        load: load.collect(),
+        load,
         heard,
         leaving,
         limits,
@@ -331,6 +356,19 @@
     }
 }
 
+/// Returns the load to send in a scope; none if it is not known yet.
+fn load_to_tell(router: &Router, scope: GossipScope) -> Option<Vec<(u32, u32, f32)>> {
+    let encode = |(endpoint, requests, token_layers): (&EndpointId, u32, f64)| {
+        (short_key(endpoint), requests, token_layers as f32)
+    };
+    let load = router.load.lock();
+    match scope {
+        GossipScope::SameCentre => Some(load.own().map(encode).collect()),
+        GossipScope::OtherCentre => (router.started_at.elapsed() >= CENTRE_LOAD_AFTER)
+            .then(|| load.centre().map(encode).collect()),
+    }
+}
+
 /// Discards the state of lost peers and divides the retry budget again.
 fn forget_lost(router: &Router) {
     let now = Instant::now();
@@ -342,6 +380,7 @@
         .into_iter()
         .filter(|(_, state)| *state == EntryState::Lost);
     let mut load = router.load.lock();
+    load.expire_centres(now);
     for (record, _) in lost {
         load.forget_peer(&record.entry);
         router.peers_without_store.lock().remove(&record.entry);
--- a/src/router/controller/peers/messages.rs
+++ b/src/router/controller/peers/messages.rs
@@ -1,6 +1,6 @@
 //! The state that entries send to each other, as datagrams in CBOR.
 
-use pistachioyard_policy::StoreEra;
+use pistachioyard_policy::{Heartbeat, StoreEra};
 use pistachioyard_wire::{Fence, LayerRange, MemberRecord, PartReport, QuarantineMark};
 use serde::{Deserialize, Serialize};
 
@@ -9,6 +9,9 @@
 pub(super) struct Gossip {
     /// The sender's record, followed by some that it relays.
     pub(super) members: Vec<MemberRecord>,
+    /// The heartbeats of other entries.
+    #[serde(default)]
+    pub(super) heartbeats: Vec<Heartbeat>,
     /// Whether the sender can reach the store.
     pub(super) reaches_store: bool,
     /// The store revision of the newest endpoint change that the sender has seen.
@@ -20,8 +23,10 @@
     /// store may lose it.
     #[serde(default)]
     pub(super) newest_fence: Fence,
-    /// The sender's load per endpoint: short key, requests, token-layers.
-    pub(super) load: Vec<(u32, u32, f32)>,
+    /// A load per endpoint: short key, requests, token-layers. It is the sender's for peers in its
+    /// data centre, and the data centre's for others; none if the sender does not know that yet.
+    #[serde(default)]
+    pub(super) load: Option<Vec<(u32, u32, f32)>>,
     /// The layer reports that the sender has recently received from endpoints.
     pub(super) heard: Vec<LayerReport>,
     /// The runs of endpoints that are leaving: short key, Unix time of the start in ms.
