Offer callers of a large fleet the entries of their data centre

Cause: a directory answer holds 64 addresses at most, and the first 64 of 118 in the order of their names are those of the first two or three data centres.

Change: fleets of more than 16 entries offer those of the caller's data centre, at least eight. The registrations of all entries are read less often in large fleets, since all entries together read them.

--- a/crates/pistachioyard_policy/src/membership/choose.rs
+++ b/crates/pistachioyard_policy/src/membership/choose.rs
@@ -4,14 +4,45 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use pistachioyard_wire::{DataCentre, EntryId, EntryState, MemberRecord, WorkspaceName};
+use pistachioyard_wire::{DataCentre, EntryId, EntryState, MemberRecord, Revision, WorkspaceName};
 use rand::Rng;
-use rand::seq::SliceRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{Member, Membership};
 
+/// The number of entries up to which callers are offered all of them.
+const SMALL_FLEET: usize = 16;
+/// The fewest entries that callers in a data centre are offered; where it has fewer, others are
+/// added.
+const MIN_OFFERED: usize = 8;
+
 impl Membership {
+    /// Returns up to `max` entries to offer to callers in a data centre, out of those that accept
+    /// new work and have a configuration.
+    ///
+    /// In large fleets these are the entries of that data centre. Their requests then run at
+    /// endpoints whose load they know, and callers everywhere spread over all entries.
+    pub fn entries_near(
+        &self,
+        centre: &DataCentre,
+        max: usize,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Vec<&MemberRecord> {
+        let ready = self.live(now).into_iter();
+        let ready: Vec<&MemberRecord> = ready.filter(|r| r.revision > Revision(0)).collect();
+        if ready.len() <= SMALL_FLEET {
+            return ready;
+        }
+        let (near, far): (Vec<&MemberRecord>, Vec<&MemberRecord>) =
+            ready.into_iter().partition(|r| r.data_centre == *centre);
+        let mut offered = near.into_iter().choose_multiple(rng, max);
+        let missing = MIN_OFFERED.saturating_sub(offered.len());
+        offered.extend(far.into_iter().choose_multiple(rng, missing));
+        offered
+    }
+
     /// Selects the peers of one gossip round: at most `fanout`, and one lost entry.
     ///
     /// Peers in this entry's data centre come first, but one peer of another data centre
--- a/crates/pistachioyard_policy/tests/membership.rs
+++ b/crates/pistachioyard_policy/tests/membership.rs
@@ -175,3 +175,24 @@
         );
     }
 }
+
+#[test]
+fn callers_of_a_large_fleet_get_the_entries_of_their_data_centre() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let small = three_centres(now, 12);
+    let offered = small.entries_near(&centre("b"), 64, now, &mut rng);
+    assert_eq!(offered.len(), 12);
+    let large = three_centres(now, 60);
+    let offered = large.entries_near(&centre("b"), 64, now, &mut rng);
+    assert_eq!(offered.len(), 20);
+    assert!(offered.iter().all(|r| r.data_centre == centre("b")));
+    assert_eq!(
+        large.entries_near(&centre("b"), 5, now, &mut rng).len(),
+        5,
+        "no more than asked for"
+    );
+    // Nothing is known of a new data centre, and few entries of one with losses.
+    let offered = large.entries_near(&centre("z"), 64, now, &mut rng);
+    assert_eq!(offered.len(), 8);
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -29,7 +29,7 @@
     ActivityTracker, CrossingLimiter, EndpointRegistry, LatencyEstimates, LoadTracker, Membership,
     PartQuarantine, Quarantine, RouteTable, SharedRetryBudget, SuspectReason, WatchLag,
 };
-use pistachioyard_wire::{EntryState, Fence, MemberRecord};
+use pistachioyard_wire::{DataCentre, EntryState, Fence, MemberRecord};
 pub(crate) use run::run_router;
 use tokio::sync::{Notify, watch};
 
@@ -249,11 +249,17 @@
         }
     }
 
-    /// Returns the addresses of the ready entries for callers, with this entry's first.
-    pub(crate) fn caller_addresses(&self, now: Instant) -> Vec<std::net::SocketAddr> {
+    /// Returns the addresses of up to `max` entries for callers in a data centre; in this entry's
+    /// if it is not known.
+    pub(crate) fn caller_addresses(
+        &self,
+        asked_from: Option<&DataCentre>,
+        max: usize,
+        now: Instant,
+    ) -> Vec<std::net::SocketAddr> {
         let members = self.members.lock();
-        let live = members.live(now).into_iter();
-        let ready = live.filter(|record| record.revision > Revision(0));
-        ready.map(|record| record.address).collect()
+        let centre = asked_from.unwrap_or(&self.settings.data_centre);
+        let entries = members.entries_near(centre, max, now, &mut rand::rng());
+        entries.into_iter().map(|record| record.address).collect()
     }
 }
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -17,6 +17,9 @@
     Duration::from_millis(1_200),
     Duration::from_secs(4),
 ];
+/// The number of entries up to which the longest pause is as stated; it grows with the fleet, so
+/// that all entries together read the same number of registrations a second.
+const ENTRIES_PER_PAUSE: usize = 16;
 /// How long this entry must have run before it removes registrations; live
 /// entries have been heard from by then.
 const REMOVE_AFTER: Duration = Duration::from_secs(20);
@@ -46,7 +49,7 @@
             }
             super::announce(&router).await;
         }
-        let pause = SYNC_PAUSES[rounds.min(SYNC_PAUSES.len() - 1)];
+        let pause = sync_pause(rounds, router.members.lock().count());
         rounds += 1;
         tokio::select! {
             () = tokio::time::sleep(jittered(pause)) => {}
@@ -58,6 +61,16 @@
     }
 }
 
+fn sync_pause(rounds: usize, entries: usize) -> Duration {
+    match SYNC_PAUSES.get(rounds) {
+        Some(pause) if rounds + 1 < SYNC_PAUSES.len() => *pause,
+        _ => {
+            let longest = SYNC_PAUSES[SYNC_PAUSES.len() - 1];
+            longest * entries.div_ceil(ENTRIES_PER_PAUSE).max(1) as u32
+        }
+    }
+}
+
 async fn register_once(router: &Router) -> bool {
     let own = router.members.lock().own_record().clone();
     let name = own.entry.as_str().to_owned();
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -32,6 +32,8 @@
 /// How long a caller caches a directory response, in seconds. It is the smallest value that
 /// the platform supports, so that callers leave a stopping entry soon.
 const DIRECTORY_TTL_S: u64 = 1;
+/// The most addresses that a caller takes from a directory response.
+const MAX_ADDRESSES: usize = 64;
 /// The smallest buffer for a request head that hyper accepts, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 /// How long the head of a request that has begun to arrive may take on a connection that is about
@@ -180,7 +182,8 @@
 
 fn directory(router: &Router, req: &Request<Incoming>) -> Response<AnswerBody> {
     let asked_from = req.uri().query().and_then(decode_directory_query);
-    let mut addresses = router.caller_addresses(Instant::now());
+    let now = Instant::now();
+    let mut addresses = router.caller_addresses(asked_from.as_ref(), MAX_ADDRESSES, now);
     if addresses.is_empty() {
         spdlog::warn!("directory: no ready entry to return", kv: { asked_from:? });
         return answer::status(StatusCode::SERVICE_UNAVAILABLE);
