--- a/crates/pistachioyard_policy/src/membership/choose.rs
+++ b/crates/pistachioyard_policy/src/membership/choose.rs
@@ -38,7 +38,7 @@
         let (near, far): (Vec<&MemberRecord>, Vec<&MemberRecord>) =
             ready.into_iter().partition(|r| r.data_centre == *centre);
         let mut offered = near.into_iter().choose_multiple(rng, max);
-        let missing = MIN_OFFERED.saturating_sub(offered.len());
+        let missing = MIN_OFFERED.min(max).saturating_sub(offered.len());
         offered.extend(far.into_iter().choose_multiple(rng, missing));
         offered
     }
