Tell the load to all peers of the data centre in each round

Cause: loads that are up to a second old make the 24 entries of a data centre choose the same endpoints at once.

Change: the peers that get no full datagram in a round get one with the load alone, 24 peers at most. Where a data centre has more, a smaller share of the memory is given out.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -56,7 +56,7 @@
     LedgerPageError,
 };
 pub use membership::{
-    GOSSIP_FANOUT, GossipScope, GossipTarget, Heartbeat, MAX_HEARTBEATS, Membership,
+    GOSSIP_FANOUT, GossipScope, GossipTarget, Heartbeat, LOAD_FANOUT, MAX_HEARTBEATS, Membership,
     responsible_entry, run_key,
 };
 pub use part_quarantine::{
--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -12,7 +12,9 @@
 
 pub use choose::responsible_entry;
 use gossip::Turns;
-pub use gossip::{GOSSIP_FANOUT, GossipScope, GossipTarget, Heartbeat, MAX_HEARTBEATS, run_key};
+pub use gossip::{
+    GOSSIP_FANOUT, GossipScope, GossipTarget, Heartbeat, LOAD_FANOUT, MAX_HEARTBEATS, run_key,
+};
 use pistachioyard_wire::{BootId, EntryId, EntryState, MemberRecord, Revision};
 
 /// The number of heartbeat timeouts after which a lost entry is forgotten.
@@ -83,6 +85,7 @@
     /// The entry of each known run, by its short key.
     by_run: HashMap<u32, EntryId>,
     near_turns: Turns,
+    load_turns: Turns,
     far_turns: Turns,
 }
 
@@ -97,6 +100,7 @@
             relay_timeout: heartbeat_timeout,
             by_run: HashMap::new(),
             near_turns: Turns::default(),
+            load_turns: Turns::default(),
             far_turns: Turns::default(),
         }
     }
@@ -209,6 +213,15 @@
         heard.map(|member| &member.record)
     }
 
+    /// Returns the number of live peers in this entry's data centre.
+    pub fn count_near(&self, now: Instant) -> usize {
+        let near = self.others.values().filter(|member| {
+            member.record.data_centre == self.own.record.data_centre
+                && self.member_state(member, now) == EntryState::Live
+        });
+        near.count()
+    }
+
     /// Returns the number of known entries, this one and the lost ones included.
     pub fn count(&self) -> usize {
         1 + self.others.len()
--- a/crates/pistachioyard_policy/src/membership/gossip.rs
+++ b/crates/pistachioyard_policy/src/membership/gossip.rs
@@ -18,6 +18,10 @@
 pub const GOSSIP_FANOUT: usize = 8;
 /// How many of them are in other data centres, if there are more peers than that.
 const REMOTE_FANOUT: usize = 2;
+/// The maximum number of peers in the same data centre that are told the load in one round,
+/// those that are told more included. Loads that are older than a round make entries choose the
+/// same endpoints.
+pub const LOAD_FANOUT: usize = 24;
 /// The maximum number of heartbeats in one message.
 pub const MAX_HEARTBEATS: usize = 128;
 /// How long a change of a record is passed on before records that have not changed.
@@ -28,6 +32,8 @@
 pub enum GossipScope {
     /// A peer in the same data centre, which hears of all members.
     SameCentre,
+    /// A peer in the same data centre that hears only of the sender's load in this round.
+    SameCentreLoad,
     /// A peer elsewhere, which hears of the sender's data centre.
     OtherCentre,
 }
@@ -52,7 +58,8 @@
 
 impl Membership {
     /// Selects the recipients of the next round: up to [`GOSSIP_FANOUT`] peers that are not lost
-    /// and one that is, since both sides of a network partition count each other as lost.
+    /// and one that is, since both sides of a network partition count each other as lost. Up to
+    /// [`LOAD_FANOUT`] peers in the same data centre hear at least of the load.
     pub fn next_targets(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<GossipTarget> {
         let (lost, heard): (Vec<&Member>, Vec<&Member>) = self
             .others
@@ -67,9 +74,19 @@
             .len()
             .min(REMOTE_FANOUT.max(GOSSIP_FANOUT.saturating_sub(near.len())));
         let mut chosen = self.near_turns.take(&near, GOSSIP_FANOUT - far_count, rng);
+        let mut others = near;
+        others.retain(|entry| !chosen.contains(entry));
+        let load_count = LOAD_FANOUT.saturating_sub(chosen.len());
+        let load_only = self.load_turns.take(&others, load_count, rng);
         chosen.extend(self.far_turns.take(&far, far_count, rng));
         let chosen = chosen.iter().filter_map(|entry| self.others.get(entry));
-        chosen.map(|m| self.target(m)).chain(lost).collect()
+        let load_only = load_only.iter().filter_map(|entry| self.others.get(entry));
+        let load_only = load_only.map(|m| GossipTarget {
+            address: m.record.peer_address,
+            scope: GossipScope::SameCentreLoad,
+        });
+        let chosen = chosen.map(|m| self.target(m));
+        chosen.chain(lost).chain(load_only).collect()
     }
 
     /// Returns the heartbeats to send in a scope, at most [`MAX_HEARTBEATS`].
@@ -79,10 +96,15 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Vec<Heartbeat> {
-        let told = self.others.values().filter(|member| {
-            self.member_state(member, now) != EntryState::Lost
-                && (scope == GossipScope::SameCentre || self.is_near(&member.record))
-        });
+        let is_told = |member: &Member| match scope {
+            GossipScope::SameCentre => true,
+            GossipScope::SameCentreLoad => false,
+            GossipScope::OtherCentre => self.is_near(&member.record),
+        };
+        let told = self
+            .others
+            .values()
+            .filter(|member| self.member_state(member, now) != EntryState::Lost && is_told(member));
         told.map(|member| (run_key(member.record.boot), member.heartbeat))
             .choose_multiple(rng, MAX_HEARTBEATS)
     }
--- a/crates/pistachioyard_policy/src/pipeline/path_choice.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice.rs
@@ -12,6 +12,8 @@
 use pistachioyard_wire::{DataCentre, EndpointId, LayerRange};
 use rand::Rng;
 
+use crate::membership::LOAD_FANOUT;
+
 use super::load::RequestSize;
 use super::spec::{Card, PipelineSpec};
 use search::{holds, search};
@@ -31,6 +33,10 @@
 /// The share of an endpoint's memory that is given out by estimate. The rest covers answers
 /// that grow longer than estimated and requests that peers have sent in the meantime.
 const MAX_FILL_SHARE: f64 = 0.85;
+/// By how much less is given out for each gossip round that the loads of peers are older.
+const FILL_SHARE_PER_ROUND: f64 = 0.08;
+/// The smallest share that is given out.
+const MIN_FILL_SHARE: f64 = 0.6;
 /// The weight with which the cost of a stage rises as its memory fills.
 const MEMORY_PRESSURE: f64 = 3.0;
 /// The maximum number of endpoints on a path; the endpoints enforce this limit.
@@ -75,6 +81,17 @@
     pub crossing_ms: Option<f64>,
     /// The endpoint that must run the first layer, if any.
     pub first: Option<&'a EndpointId>,
+    /// The number of peers in the entry's data centre, which give out the same memory.
+    pub near_peers: usize,
+}
+
+impl PathQuery<'_> {
+    /// Returns the share of an endpoint's memory that may be given out. It is smaller where many
+    /// peers share the memory, since each hears of the load of the others only in its turn.
+    fn max_fill(&self) -> f64 {
+        let rounds = self.near_peers.div_ceil(LOAD_FANOUT).max(1) - 1;
+        (MAX_FILL_SHARE - FILL_SHARE_PER_ROUND * rounds as f64).max(MIN_FILL_SHARE)
+    }
 }
 
 /// Holds one endpoint of a path and the layers that it runs.
@@ -197,7 +214,7 @@
     check_coverage(spec, offers, query, span)?;
     let mut candidates: Vec<Candidate<'_>> = offers
         .iter()
-        .filter(|offer| has_room(spec, offer, query.size))
+        .filter(|offer| has_room(spec, offer, query))
         .map(|offer| Candidate {
             offer,
             layer_ms: layer_ms(spec, offer, query.size) * rng.random_range(1.0..1.0 + span.jitter),
@@ -225,10 +242,11 @@
     layer_ms: f64,
 }
 
-fn has_room(spec: &PipelineSpec, offer: &StageOffer, size: RequestSize) -> bool {
+fn has_room(spec: &PipelineSpec, offer: &StageOffer, query: &PathQuery<'_>) -> bool {
     let held = offer.layers.len();
     let capacity = spec.token_layer_capacity(&offer.card, held);
-    offer.token_layers + size.resident_tokens() * f64::from(held) <= capacity * MAX_FILL_SHARE
+    let added = query.size.resident_tokens() * f64::from(held);
+    offer.token_layers + added <= capacity * query.max_fill()
 }
 
 /// Estimates the time that the request spends in one layer of an endpoint, in ms.
@@ -258,7 +276,7 @@
             return Err(NoPath::Gap { layer });
         }
         let mut with_room = holders
-            .filter(|offer| has_room(spec, offer, query.size))
+            .filter(|offer| has_room(spec, offer, query))
             .peekable();
         if with_room.peek().is_none() {
             return Err(NoPath::NoRoom { layer });
--- /dev/null
+++ b/crates/pistachioyard_policy/tests/load.rs
@@ -0,0 +1,6 @@
+//! Tests that replay load patterns against the decisions on waiting, refusing and placing.
+
+#[path = "load/driver.rs"]
+mod driver;
+#[path = "load/herd.rs"]
+mod herd;
--- a/crates/pistachioyard_policy/tests/membership_fleet.rs
+++ b/crates/pistachioyard_policy/tests/membership_fleet.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use pistachioyard_policy::{
-    GOSSIP_FANOUT, GossipScope, LoadShare, LoadTracker, MAX_HEARTBEATS, Membership, PathStage,
-    RequestSize,
+    GOSSIP_FANOUT, GossipScope, GossipTarget, LOAD_FANOUT, LoadShare, LoadTracker, MAX_HEARTBEATS,
+    Membership, PathStage, RequestSize,
 };
 use pistachioyard_wire::{
     BootId, DataCentre, EndpointId, EntryId, EntryState, LayerRange, MemberRecord, Revision,
@@ -33,6 +33,7 @@
     loads: Vec<LoadTracker>,
     by_address: BTreeMap<SocketAddr, usize>,
     most_datagrams: usize,
+    most_load_datagrams: usize,
     most_heartbeats: usize,
     rng: ChaCha8Rng,
 }
@@ -84,6 +85,7 @@
                 .map(|number| (record(number, 1).peer_address, number))
                 .collect(),
             most_datagrams: 0,
+            most_load_datagrams: 0,
             most_heartbeats: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -116,7 +118,10 @@
         let mut records = vec![member.own_record().clone()];
         records.extend(member.relayed_records(RELAYED_RECORDS, now, &mut self.rng));
         let targets = member.next_targets(now, &mut self.rng);
-        self.most_datagrams = self.most_datagrams.max(targets.len());
+        let of_load = |target: &&GossipTarget| target.scope == GossipScope::SameCentreLoad;
+        let load_only = targets.iter().filter(of_load).count();
+        self.most_load_datagrams = self.most_load_datagrams.max(load_only);
+        self.most_datagrams = self.most_datagrams.max(targets.len() - load_only);
         for target in targets {
             let heartbeats = self.members[from]
                 .as_ref()
@@ -127,7 +132,11 @@
             if let Some(member) = &mut self.members[to]
                 && self.rng.random_bool(ARRIVING)
             {
-                member.merge(&records, now + DELAY);
+                let told = match target.scope {
+                    GossipScope::SameCentreLoad => &records[..1],
+                    GossipScope::SameCentre | GossipScope::OtherCentre => &records,
+                };
+                member.merge(told, now + DELAY);
                 member.merge_heartbeats(&heartbeats, now + DELAY);
                 self.send_load(from, to, target.scope);
             }
@@ -139,7 +148,7 @@
         let sender = record(from, 1);
         let load = &self.loads[from];
         match scope {
-            GossipScope::SameCentre => {
+            GossipScope::SameCentre | GossipScope::SameCentreLoad => {
                 let share = collect(load.own());
                 self.loads[to].set_peer(sender.entry, share);
             }
@@ -180,6 +189,7 @@
             assert_eq!(fleet.count_first(), 1, "of {size}");
         });
         assert!(fleet.most_datagrams <= GOSSIP_FANOUT, "{size}");
+        assert!(fleet.most_load_datagrams <= LOAD_FANOUT, "{size}");
         assert!(fleet.most_heartbeats <= MAX_HEARTBEATS, "{size}");
     }
 }
@@ -237,7 +247,7 @@
         let near = targets
             .iter()
             .filter(|target| target.scope == GossipScope::SameCentre);
-        assert_eq!((targets.len(), near.clone().count()), (8, 6));
+        assert_eq!((targets.len(), near.clone().count()), (25, 6));
         for target in near {
             *told.entry(target.address).or_default() += 1;
         }
--- a/crates/pistachioyard_policy/tests/pipeline/paths.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/paths.rs
@@ -18,6 +18,7 @@
         home: &home,
         crossing_ms: with_crossings.then(|| crossing_ms(&spec)),
         first: None,
+        near_peers: 1,
     };
     choose_path(&spec, offers, &query, &mut ChaCha8Rng::seed_from_u64(seed))
 }
--- a/crates/pistachioyard_policy/tests/pipeline/repair.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/repair.rs
@@ -20,6 +20,7 @@
         home,
         crossing_ms: None,
         first: None,
+        near_peers: 1,
     }
 }
 
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -15,7 +15,7 @@
 use pistachioyard_policy::{
     EndpointRun, GossipReport, GossipScope, Heartbeat, LoadShare, RequestRate, StorePosition,
 };
-use pistachioyard_wire::{EntryState, MemberRecord};
+use pistachioyard_wire::{EntryState, MemberRecord, PartReport};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
 use tokio::net::UdpSocket;
@@ -194,7 +194,9 @@
             router.note_leaving(&run, sender.entry.as_str());
         }
     }
-    router.first_news.send_replace(true);
+    if !gossip.load_only {
+        router.first_news.send_replace(true);
+    }
 }
 
 fn receive_limit(
@@ -249,7 +251,11 @@
         let mut members = router.members.lock();
         members.next_targets(Instant::now(), &mut rand::rng())
     };
-    for scope in [GossipScope::SameCentre, GossipScope::OtherCentre] {
+    for scope in [
+        GossipScope::SameCentre,
+        GossipScope::SameCentreLoad,
+        GossipScope::OtherCentre,
+    ] {
         let mut to = targets.clone();
         to.retain(|target| target.scope == scope);
         if to.is_empty() {
@@ -277,7 +283,9 @@
         members.advance_heartbeat(now);
         let mut records = vec![members.own_record().clone()];
         let rng = &mut rand::rng();
-        records.extend(members.relayed_records(RELAYED_RECORDS, now, rng));
+        if scope != GossipScope::SameCentreLoad {
+            records.extend(members.relayed_records(RELAYED_RECORDS, now, rng));
+        }
         (records, members.heartbeats(scope, now, rng))
     };
     encode(router, scope, records, heartbeats, now)
@@ -298,11 +306,13 @@
     heartbeats: Vec<Heartbeat>,
     now: Instant,
 ) -> Option<Vec<u8>> {
+    let load_only = scope == GossipScope::SameCentreLoad;
+    let max_items = if load_only { 0 } else { MAX_ITEMS_PER_LIST };
     let endpoints = router.endpoints.lock();
     let heard = endpoints
         .reported_within(LAYER_REPORT_MAX_AGE, now)
         .into_iter()
-        .take(MAX_ITEMS_PER_LIST);
+        .take(max_items);
     let heard = heard
         .map(|(record, age)| LayerReport {
             key: short_key(&record.endpoint),
@@ -317,7 +327,7 @@
     let leaving = endpoints
         .leaving_runs()
         .map(|run| (short_key(&run.endpoint), run.started_unix_ms))
-        .choose_multiple(&mut rand::rng(), MAX_ITEMS_PER_LIST);
+        .choose_multiple(&mut rand::rng(), max_items);
     let limits = endpoints.limits().told(now);
     let limits = limits.map(|(run, rate, said_at)| LimitNotice {
         key: short_key(&run.endpoint),
@@ -326,11 +336,15 @@
         // Rounded up, so that a notice cannot get younger by being passed around.
         age_ms: ms(now.saturating_duration_since(said_at)) + 1,
     });
-    let limits = limits.choose_multiple(&mut rand::rng(), MAX_ITEMS_PER_LIST);
+    let limits = limits.choose_multiple(&mut rand::rng(), max_items);
     drop(endpoints);
     let load = load_to_tell(router, scope);
     let mut quarantine = router.quarantine.lock().marks(now);
-    quarantine.truncate(MAX_ITEMS_PER_LIST);
+    quarantine.truncate(max_items);
+    let parts = match load_only {
+        true => PartReport::default(),
+        false => router.parts.lock().report(now),
+    };
     let seen = router.endpoints_lag.lock().newest();
     let gossip = Gossip {
         members,
@@ -344,7 +358,8 @@
         leaving,
         limits,
         quarantine,
-        parts: router.parts.lock().report(now),
+        parts,
+        load_only,
     };
     let mut datagram = Vec::new();
     match ciborium::into_writer(&gossip, &mut datagram) {
@@ -363,7 +378,9 @@
     };
     let load = router.load.lock();
     match scope {
-        GossipScope::SameCentre => Some(load.own().map(encode).collect()),
+        GossipScope::SameCentre | GossipScope::SameCentreLoad => {
+            Some(load.own().map(encode).collect())
+        }
         GossipScope::OtherCentre => (router.started_at.elapsed() >= CENTRE_LOAD_AFTER)
             .then(|| load.centre().map(encode).collect()),
     }
--- a/src/router/controller/peers/messages.rs
+++ b/src/router/controller/peers/messages.rs
@@ -40,6 +40,9 @@
     /// The findings about prompt parts; empty from entries that have none.
     #[serde(default)]
     pub(super) parts: PartReport,
+    /// Whether the lists of news are left out, so that the message tells only of the load.
+    #[serde(default)]
+    pub(super) load_only: bool,
 }
 
 /// Holds what an endpoint reported about its layers.
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -164,6 +164,7 @@
         home: &router.settings.data_centre,
         crossing_ms: available_crossing_ms(router, spec, now),
         first: request.first,
+        near_peers: router.members.lock().count_near(now),
     }
 }
 
