Use other data centres' endpoints in a large fleet only for want of own ones

Ruled out: speed is not what is lost, since an answer is on time with 13 ms a token.

Change: where not every entry is told in each round, a first endpoint elsewhere costs 2,000 ms instead of 40, and a quarter less of its memory is given out. Small fleets choose as before.

--- a/crates/pistachioyard_policy/src/pipeline/path_choice.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice.rs
@@ -24,6 +24,11 @@
 /// The cost of a first endpoint outside the entry's data centre, in ms of a request's time.
 /// It stands for sending the bytes of a typical answer between data centres.
 const REMOTE_START_MS: f64 = 40.0;
+/// The same in a large fleet, where the loads of other data centres are only known as sums that
+/// are some rounds old: the time that a request in a busy data centre takes.
+const REMOTE_START_MS_IN_LARGE_FLEET: f64 = 2_000.0;
+/// By how much less of an endpoint's memory is given out from there.
+const REMOTE_FILL_MARGIN: f64 = 0.25;
 /// The maximum share by which costs are raised at random, so that entries that see the same
 /// load do not all choose the same path.
 const JITTER: f64 = 0.15;
@@ -83,14 +88,30 @@
     pub first: Option<&'a EndpointId>,
     /// The number of peers in the entry's data centre, which give out the same memory.
     pub near_peers: usize,
+    /// Whether the entry hears from every other one in each gossip round, so that it knows the
+    /// loads of other data centres as well as those of its own.
+    pub hears_all: bool,
 }
 
 impl PathQuery<'_> {
     /// Returns the share of an endpoint's memory that may be given out. It is smaller where many
-    /// peers share the memory, since each hears of the load of the others only in its turn.
-    fn max_fill(&self) -> f64 {
+    /// peers share the memory, since each hears of the load of the others only in its turn, and
+    /// where only the sum of another data centre's load is known.
+    fn max_fill(&self, offer: &StageOffer) -> f64 {
         let rounds = self.near_peers.div_ceil(LOAD_FANOUT).max(1) - 1;
-        (MAX_FILL_SHARE - FILL_SHARE_PER_ROUND * rounds as f64).max(MIN_FILL_SHARE)
+        let share = (MAX_FILL_SHARE - FILL_SHARE_PER_ROUND * rounds as f64).max(MIN_FILL_SHARE);
+        match self.hears_all || offer.data_centre == *self.home {
+            true => share,
+            false => share - REMOTE_FILL_MARGIN,
+        }
+    }
+
+    /// Returns the cost of a first endpoint in another data centre.
+    fn remote_start_ms(&self) -> f64 {
+        match self.hears_all {
+            true => REMOTE_START_MS,
+            false => REMOTE_START_MS_IN_LARGE_FLEET,
+        }
     }
 }
 
@@ -246,7 +267,7 @@
     let held = offer.layers.len();
     let capacity = spec.token_layer_capacity(&offer.card, held);
     let added = query.size.resident_tokens() * f64::from(held);
-    offer.token_layers + added <= capacity * query.max_fill()
+    offer.token_layers + added <= capacity * query.max_fill(offer)
 }
 
 /// Estimates the time that the request spends in one layer of an endpoint, in ms.
--- a/crates/pistachioyard_policy/src/pipeline/path_choice/search.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice/search.rs
@@ -2,7 +2,7 @@
 
 use pistachioyard_wire::{DataCentre, LayerRange};
 
-use super::{Candidate, HOP_MS, NoPath, Path, PathQuery, PathStage, REMOTE_START_MS, Span};
+use super::{Candidate, HOP_MS, NoPath, Path, PathQuery, PathStage, Span};
 
 /// Returns whether a range contains a layer.
 pub(super) fn holds(layers: LayerRange, layer: u32) -> bool {
@@ -87,7 +87,7 @@
     let start_ms = match span.from {
         Some(from) => hop_ms(from, &candidate.offer.data_centre, query)?,
         None if candidate.offer.data_centre == *query.home => 0.0,
-        None => REMOTE_START_MS,
+        None => query.remote_start_ms(),
     };
     Some(PartialPath {
         cost_ms: start_ms + candidate.layer_ms,
--- a/crates/pistachioyard_policy/tests/load/driver.rs
+++ b/crates/pistachioyard_policy/tests/load/driver.rs
@@ -1,15 +1,16 @@
-//! Plays the requests of many entries at the cards of one data centre.
+//! Plays the requests of many entries at the cards of some data centres.
 //!
-//! Each entry chooses paths by what it knows: its own load, and what each peer told in its turn.
-//! The cards know the truth: they refuse a request that does not fit into their memory.
+//! Each entry chooses paths by what it knows: its own load, what each peer of its data centre
+//! told in its turn, and the sums of the others. The cards know the truth: they refuse a request
+//! that does not fit into their memory.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use pistachioyard_policy::{
-    Card, CardState, LoadShare, LoadTracker, NoPath, PathQuery, PathStage, PipelineSpec,
-    RequestSize, StageOffer, choose_path, plan_moves,
+    Card, CardState, GOSSIP_FANOUT, LoadShare, LoadTracker, NoPath, PathQuery, PathStage,
+    PipelineSpec, RequestSize, StageOffer, choose_path, plan_moves,
 };
 use pistachioyard_wire::{DataCentre, EndpointId, EntryId};
 use rand::{Rng, SeedableRng};
@@ -27,12 +28,13 @@
 /// Describes a load.
 #[derive(Clone, Debug)]
 pub(crate) struct Pattern {
+    /// The entries of each data centre.
     pub(crate) entries: usize,
-    /// The number of fast, middle and small cards.
-    pub(crate) cards: [usize; 3],
+    /// The number of fast, middle and small cards of each data centre, and its share of the load.
+    pub(crate) centres: Vec<([usize; 3], f64)>,
     /// The requests a second of all entries, by the second.
     pub(crate) per_second: Vec<f64>,
-    /// How many peers each entry tells of its load in a gossip period.
+    /// How many peers in its data centre each entry tells of its load in a gossip period.
     pub(crate) fanout: usize,
 }
 
@@ -92,22 +94,29 @@
     }
 }
 
+fn centre(at: usize) -> DataCentre {
+    DataCentre::try_from(format!("centre-{at}")).expect("the name is valid")
+}
+
 /// Returns the offers of cards after their first placement.
-fn placed(spec: &PipelineSpec, counts: [usize; 3]) -> Vec<StageOffer> {
-    let home = DataCentre::try_from("a").expect("the name is valid");
-    let kinds = ["fast", "middle", "small"].into_iter().zip(counts);
-    let cards = kinds.flat_map(|(kind, count)| (0..count).map(move |at| (kind, at)));
-    let mut cards: Vec<CardState> = cards
-        .map(|(kind, at)| CardState {
-            endpoint: EndpointId::try_from(format!("{kind}-{at}")).expect("the name is valid"),
-            data_centre: home.clone(),
-            card: spec.cards[kind],
-            held: None,
-            takes_orders: true,
-            is_loading: false,
-            is_limited: false,
-        })
-        .collect();
+fn placed(spec: &PipelineSpec, centres: &[([usize; 3], f64)]) -> Vec<StageOffer> {
+    let mut cards = Vec::new();
+    for (number, (counts, _)) in centres.iter().enumerate() {
+        for (kind, count) in ["fast", "middle", "small"].into_iter().zip(counts) {
+            cards.extend((0..*count).map(|at| {
+                CardState {
+                    endpoint: EndpointId::try_from(format!("{number}-{kind}-{at}"))
+                        .expect("the name is valid"),
+                    data_centre: centre(number),
+                    card: spec.cards[kind],
+                    held: None,
+                    takes_orders: true,
+                    is_loading: false,
+                    is_limited: false,
+                }
+            }));
+        }
+    }
     let tokens = (SIZE.prompt + SIZE.answer) * RESERVED_REQUESTS;
     for order in plan_moves(spec, &cards, tokens) {
         let mut named = cards.iter_mut();
@@ -134,17 +143,12 @@
 pub(crate) fn play(pattern: &Pattern, seed: u64) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let spec = spec();
-    let offers = placed(&spec, pattern.cards);
-    let home = offers[0].data_centre.clone();
-    let entries: Vec<EntryId> = (0..pattern.entries)
-        .map(|at| EntryId::try_from(format!("entry-{at}")).expect("the name is valid"))
-        .collect();
-    let mut known = vec![LoadTracker::default(); pattern.entries];
+    let offers = placed(&spec, &pattern.centres);
+    let mut fleet = Fleet::new(pattern);
     let mut truth = LoadTracker::default();
     let mut running: Vec<Running> = Vec::new();
     let mut outcome = Outcome::default();
     let mut token_ms = 0.0;
-    let mut next_peer = vec![0; pattern.entries];
     let start = Instant::now();
     let ticks = pattern.per_second.len() as u64 * 100;
     for tick in 0..ticks {
@@ -153,81 +157,127 @@
             let is_over = request.ends_at <= now;
             if is_over {
                 truth.end(&request.stages, SIZE);
-                known[request.entry].end(&request.stages, SIZE);
+                fleet.known[request.entry].end(&request.stages, SIZE);
             }
             !is_over
         });
-        for entry in 0..pattern.entries {
-            // Each entry tells peers four times a second, at a time of its own.
-            if (tick as usize + entry * 7).is_multiple_of(25) {
-                let share: LoadShare = known[entry]
-                    .own()
-                    .map(|(endpoint, requests, used)| (endpoint.clone(), (requests, used)))
+        fleet.gossip(tick, now, &mut rng);
+        for (number, (_, share)) in pattern.centres.iter().enumerate() {
+            let rate = pattern.per_second[(tick / 100) as usize] * share * TICK.as_secs_f64();
+            let arriving = rate as usize + usize::from(rng.random_bool(rate.fract()));
+            for _ in 0..arriving {
+                let entry = number * pattern.entries + rng.random_range(0..pattern.entries);
+                outcome.sent += 1;
+                let view: Vec<StageOffer> = offers
+                    .iter()
+                    .map(|offer| StageOffer {
+                        requests: fleet.known[entry].requests(&offer.endpoint),
+                        token_layers: fleet.known[entry].token_layers(&offer.endpoint),
+                        ..offer.clone()
+                    })
                     .collect();
-                for _ in 0..pattern.fanout.min(pattern.entries - 1) {
-                    next_peer[entry] = (next_peer[entry] + 1) % (pattern.entries - 1);
-                    let peer = (entry + 1 + next_peer[entry]) % pattern.entries;
-                    known[peer].set_peer(entries[entry].clone(), share.clone());
-                }
-            }
-        }
-        let rate = pattern.per_second[(tick / 100) as usize] * TICK.as_secs_f64();
-        let arriving = rate as usize + usize::from(rng.random_bool(rate.fract()));
-        for _ in 0..arriving {
-            let entry = rng.random_range(0..pattern.entries);
-            let view: Vec<StageOffer> = offers
-                .iter()
-                .map(|offer| StageOffer {
-                    requests: known[entry].requests(&offer.endpoint),
-                    token_layers: known[entry].token_layers(&offer.endpoint),
-                    ..offer.clone()
-                })
-                .collect();
-            let query = PathQuery {
-                size: SIZE,
-                home: &home,
-                crossing_ms: None,
-                first: None,
-                near_peers: pattern.entries - 1,
-            };
-            outcome.sent += 1;
-            let path = match choose_path(&spec, &view, &query, &mut rng) {
-                Ok(path) => path,
-                Err(NoPath::NoRoom { .. }) => {
-                    outcome.without_path += 1;
+                let home = centre(number);
+                let query = PathQuery {
+                    size: SIZE,
+                    home: &home,
+                    crossing_ms: None,
+                    first: None,
+                    near_peers: pattern.entries - 1,
+                    hears_all: fleet.known.len() <= GOSSIP_FANOUT + 1,
+                };
+                let path = match choose_path(&spec, &view, &query, &mut rng) {
+                    Ok(path) => path,
+                    Err(NoPath::NoRoom { .. } | NoPath::NoCrossing) => {
+                        outcome.without_path += 1;
+                        continue;
+                    }
+                    Err(e) => panic!("seed {seed}: {e}"),
+                };
+                let used = path.stages.iter().map(|stage| {
+                    let offer = offers.iter().find(|o| o.endpoint == stage.endpoint);
+                    let offer = offer.expect("a path consists of offers");
+                    let capacity = spec.token_layer_capacity(&offer.card, offer.layers.len());
+                    let added = SIZE.resident_tokens() * f64::from(stage.layers.len());
+                    let fill = (truth.token_layers(&stage.endpoint) + added) / capacity;
+                    let requests = f64::from(truth.requests(&stage.endpoint));
+                    let step = spec.step_ms + spec.step_per_request_ms * requests;
+                    let share = f64::from(stage.layers.len()) / f64::from(spec.layers);
+                    (fill, step * share * offer.card.step_factor)
+                });
+                let used: Vec<(f64, f64)> = used.collect();
+                let fill = used.iter().map(|(fill, _)| *fill).fold(0.0, f64::max);
+                outcome.highest_fill = outcome.highest_fill.max(fill);
+                if fill > 1.0 {
+                    outcome.refused += 1;
                     continue;
                 }
-                Err(e) => panic!("seed {seed}: {e}"),
-            };
-            let used = path.stages.iter().map(|stage| {
-                let offer = offers.iter().find(|o| o.endpoint == stage.endpoint);
-                let offer = offer.expect("a path consists of offers");
-                let capacity = spec.token_layer_capacity(&offer.card, offer.layers.len());
-                let added = SIZE.resident_tokens() * f64::from(stage.layers.len());
-                let fill = (truth.token_layers(&stage.endpoint) + added) / capacity;
-                let requests = f64::from(truth.requests(&stage.endpoint));
-                let step = spec.step_ms + spec.step_per_request_ms * requests;
-                let share = f64::from(stage.layers.len()) / f64::from(spec.layers);
-                (fill, step * share * offer.card.step_factor)
-            });
-            let used: Vec<(f64, f64)> = used.collect();
-            let fill = used.iter().map(|(fill, _)| *fill).fold(0.0, f64::max);
-            outcome.highest_fill = outcome.highest_fill.max(fill);
-            if fill > 1.0 {
-                outcome.refused += 1;
-                continue;
+                let per_token: f64 = used.iter().map(|(_, ms)| ms + 0.2).sum();
+                token_ms += per_token;
+                truth.begin(&path.stages, SIZE);
+                fleet.known[entry].begin(&path.stages, SIZE);
+                running.push(Running {
+                    entry,
+                    stages: path.stages,
+                    ends_at: now + Duration::from_secs_f64((per_token * SIZE.answer + 60.0) / 1e3),
+                });
             }
-            let per_token: f64 = used.iter().map(|(_, ms)| ms + 0.2).sum();
-            token_ms += per_token;
-            truth.begin(&path.stages, SIZE);
-            known[entry].begin(&path.stages, SIZE);
-            running.push(Running {
-                entry,
-                stages: path.stages,
-                ends_at: now + Duration::from_secs_f64((per_token * SIZE.answer + 60.0) / 1e3),
-            });
         }
     }
     outcome.token_ms = token_ms / outcome.sent as f64;
     outcome
 }
+
+/// Holds what each entry knows, those of a data centre one after the other.
+struct Fleet {
+    per_centre: usize,
+    fanout: usize,
+    entries: Vec<EntryId>,
+    known: Vec<LoadTracker>,
+    next_peer: Vec<usize>,
+}
+
+impl Fleet {
+    fn new(pattern: &Pattern) -> Self {
+        let size = pattern.entries * pattern.centres.len();
+        Self {
+            per_centre: pattern.entries,
+            fanout: pattern.fanout.min(pattern.entries - 1),
+            entries: (0..size)
+                .map(|at| EntryId::try_from(format!("entry-{at}")).expect("the name is valid"))
+                .collect(),
+            known: vec![LoadTracker::default(); size],
+            next_peer: vec![0; size],
+        }
+    }
+
+    /// Lets each entry tell its peers four times a second, at a time of its own, and one or two
+    /// entries elsewhere the sum of its data centre.
+    fn gossip(&mut self, tick: u64, now: Instant, rng: &mut ChaCha8Rng) {
+        for from in 0..self.known.len() {
+            if !(tick as usize + from * 7).is_multiple_of(25) {
+                continue;
+            }
+            let first = from / self.per_centre * self.per_centre;
+            let share = collect(self.known[from].own());
+            for _ in 0..self.fanout {
+                let turn = (self.next_peer[from] + 1) % (self.per_centre - 1);
+                self.next_peer[from] = turn;
+                let to = first + (from - first + 1 + turn) % self.per_centre;
+                self.known[to].set_peer(self.entries[from].clone(), share.clone());
+            }
+            let sum = collect(self.known[from].centre());
+            for _ in 0..2 {
+                let to = rng.random_range(0..self.known.len());
+                if to / self.per_centre != from / self.per_centre {
+                    let told = centre(from / self.per_centre);
+                    self.known[to].set_centre(told, sum.clone(), now);
+                }
+            }
+        }
+    }
+}
+
+fn collect<'a>(load: impl Iterator<Item = (&'a EndpointId, u32, f64)>) -> LoadShare {
+    load.map(|(endpoint, requests, token_layers)| (endpoint.clone(), (requests, token_layers)))
+        .collect()
+}
--- a/crates/pistachioyard_policy/tests/load/herd.rs
+++ b/crates/pistachioyard_policy/tests/load/herd.rs
@@ -19,7 +19,7 @@
             for surge in [1.0, 1.5] {
                 let pattern = Pattern {
                     entries,
-                    cards,
+                    centres: vec![(cards, 1.0)],
                     per_second: vec![rate * surge; 12],
                     fanout: LOAD_FANOUT,
                 };
@@ -33,3 +33,30 @@
         }
     }
 }
+
+/// The fastest cards stand in two of five data centres. Entries elsewhere know of their load only
+/// as a sum that is some rounds old, so they must not all send there.
+#[test]
+fn entries_of_other_data_centres_do_not_overfill_the_fastest_endpoints() {
+    let centres = vec![
+        ([4, 13, 18], 0.19),
+        ([3, 20, 28], 0.165),
+        ([2, 32, 15], 0.215),
+        ([4, 13, 18], 0.19),
+        ([2, 19, 27], 0.24),
+    ];
+    for surge in [1.0, 1.3] {
+        let pattern = Pattern {
+            entries: 24,
+            centres: centres.clone(),
+            per_second: vec![340.0 * surge; 8],
+            fanout: LOAD_FANOUT,
+        };
+        let outcome = play(&pattern, 1);
+        let refused = outcome.refused as f64 / outcome.sent as f64;
+        assert!(
+            refused <= 0.01 && outcome.without_path == 0,
+            "{refused} of {pattern:?}: {outcome:?}"
+        );
+    }
+}
--- a/crates/pistachioyard_policy/tests/pipeline/paths.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/paths.rs
@@ -19,6 +19,7 @@
         crossing_ms: with_crossings.then(|| crossing_ms(&spec)),
         first: None,
         near_peers: 1,
+        hears_all: true,
     };
     choose_path(&spec, offers, &query, &mut ChaCha8Rng::seed_from_u64(seed))
 }
--- a/crates/pistachioyard_policy/tests/pipeline/repair.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/repair.rs
@@ -21,6 +21,7 @@
         crossing_ms: None,
         first: None,
         near_peers: 1,
+        hears_all: true,
     }
 }
 
