Tell peers of endpoints that refuse connections, and probe these less often

Cause: each of 118 entries finds a crashed endpoint by itself, by a request that it refuses.

Ruled out: sharing silence or broken connections, which an entry with harmed links sees of sound endpoints.

Change: a refusal with memory to spare calls for a probe. A refused connection goes to peers at once and is passed on for two seconds; it counts for that run only, and not against a later answer. Probes of endpoints that go on refusing back off to one a second.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -6,6 +6,7 @@
 //! without a usable endpoint. See `docs/design/operators-platform.md`.
 
 mod answers;
+mod deaths;
 mod deletion;
 mod limits;
 mod notices;
@@ -24,7 +25,7 @@
 pub use notices::EndpointRun;
 use notices::RunNotices;
 pub use record::{EndpointChange, EndpointRecord, EndpointReport, GossipReport, RunState};
-use tracked::{PROBE_INTERVAL, TrackedEndpoint};
+use tracked::TrackedEndpoint;
 pub use tracked::{ProbeResult, SuspectReason};
 
 /// The slowdown above which an endpoint is asked for a new report.
@@ -185,13 +186,9 @@
 
     /// Records the result of probing a suspect endpoint.
     pub fn note_probe(&mut self, endpoint: &EndpointId, result: ProbeResult, now: Instant) {
-        let answered = result == ProbeResult::Answered;
         let tracked = self.by_id.get_mut(endpoint);
         if let Some(suspect) = tracked.and_then(|tracked| tracked.suspect.as_mut()) {
-            suspect.has_answered = answered;
-            suspect.failed_probes += u32::from(!answered);
-            suspect.is_refused = result == ProbeResult::Refused;
-            suspect.next_probe_at = now + PROBE_INTERVAL;
+            suspect.note_probe(result, now);
         }
     }
 
--- a/crates/pistachioyard_policy/src/endpoint_registry/tracked.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/tracked.rs
@@ -9,8 +9,11 @@
 /// The first ejection of an endpoint at which requests stall, doubled with each repetition. It
 /// applies even if the endpoint answers probes: the fault may lie on its links to others.
 const MIN_EJECTION: Duration = Duration::from_millis(800);
-/// The time between two probes of a suspect endpoint.
-pub(super) const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The time between the first two probes of a suspect endpoint.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// The longest time between two probes of one that refuses connections, reached by doubling. Its
+/// next run registers in the store, so that probes are not needed to find it.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The longest ejection after repeated stalls.
 const MAX_EJECTION: Duration = Duration::from_secs(6);
 /// The time after which a failure no longer counts toward the next ejection.
@@ -58,9 +61,30 @@
     pub(super) failed_probes: u32,
     /// Whether the last probe was refused, so that no process listens there.
     pub(super) is_refused: bool,
+    /// When a connection to it was first refused, here or at a peer.
+    pub(super) refused_at: Option<Instant>,
     pub(super) has_answered: bool,
 }
 
+impl Suspicion {
+    pub(super) fn note_probe(&mut self, result: ProbeResult, now: Instant) {
+        let answered = result == ProbeResult::Answered;
+        self.has_answered = answered;
+        self.failed_probes += u32::from(!answered);
+        self.is_refused = result == ProbeResult::Refused;
+        if self.is_refused {
+            self.refused_at.get_or_insert(now);
+        }
+        let doublings = match self.is_refused {
+            // The first two probes decide whether its layers are lost.
+            true => self.failed_probes.saturating_sub(FAILED_PROBES_UNTIL_LOST),
+            false => 0,
+        };
+        let interval = PROBE_INTERVAL.saturating_mul(2_u32.saturating_pow(doublings));
+        self.next_probe_at = now + interval.min(MAX_PROBE_INTERVAL);
+    }
+}
+
 /// Says how a probe of a suspect endpoint ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ProbeResult {
@@ -93,6 +117,10 @@
     RequestsStall,
     /// It does not hold the layers that it was expected to hold; it is probed at once.
     OtherLayers,
+    /// It refused a request though it should have memory to spare; it is probed at once.
+    RefusedRequest,
+    /// It refused a connection of a peer.
+    ToldDead,
 }
 
 impl SuspectReason {
@@ -103,6 +131,8 @@
             Self::NoAnswer => "no answer",
             Self::RequestsStall => "requests stall there",
             Self::OtherLayers => "it holds other layers",
+            Self::RefusedRequest => "it refused a request",
+            Self::ToldDead => "a peer found it dead",
         }
     }
 }
@@ -143,7 +173,9 @@
         let ejection = match why {
             SuspectReason::ConnectionBroke
             | SuspectReason::NoAnswer
-            | SuspectReason::OtherLayers => Duration::ZERO,
+            | SuspectReason::OtherLayers
+            | SuspectReason::RefusedRequest
+            | SuspectReason::ToldDead => Duration::ZERO,
             SuspectReason::RequestsStall => {
                 (MIN_EJECTION * 2u32.saturating_pow(failures - 1)).min(MAX_EJECTION)
             }
@@ -156,6 +188,7 @@
                 failures,
                 failed_probes: 0,
                 is_refused: false,
+                refused_at: None,
                 has_answered: false,
             });
         }
--- a/crates/pistachioyard_policy/tests/pipeline/main.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/main.rs
@@ -1,6 +1,7 @@
 //! Tests of models whose layers are spread over cards: placement, paths, repair, endpoints,
 //! pauses.
 
+mod deaths;
 mod endpoints;
 mod fixture;
 mod notices;
--- a/src/router.rs
+++ b/src/router.rs
@@ -85,6 +85,8 @@
     pub(crate) endpoints_changed: Notify,
     /// Wakes the controller that probes ejected endpoints when another one is ejected.
     pub(crate) suspects_due: Notify,
+    /// Wakes the gossip, so that peers hear of something at once.
+    pub(crate) urgent_news: Notify,
     /// Wakes the configuration controller when a peer has a newer version.
     pub(crate) config_outdated: Notify,
     /// Wakes the endpoint controller when this entry has missed a change that a peer has seen.
@@ -143,6 +145,7 @@
             capacity_changed: Notify::new(),
             endpoints_changed: Notify::new(),
             suspects_due: Notify::new(),
+            urgent_news: Notify::new(),
             config_outdated: Notify::new(),
             endpoints_outdated: Notify::new(),
             convictions_changed: Notify::new(),
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -29,6 +29,8 @@
 
 /// How often an entry sends its state to peers.
 const GOSSIP_PERIOD: Duration = Duration::from_millis(250);
+/// The minimum time between two rounds if something urgent is to be told.
+const URGENT_PAUSE: Duration = Duration::from_millis(20);
 /// How long after the last period the next one ends in a process that was not paused.
 const PAUSE_LIMIT: Duration = Duration::from_millis(750);
 /// How long an entry must have run before it tells other data centres the load of its own; it has
@@ -185,6 +187,15 @@
             receive_limit(router, endpoint, &notice, &sender.entry, now);
         }
     }
+    for (key, started_unix_ms, age_ms) in gossip.dead {
+        if let Some(endpoint) = by_key.get(&key).cloned() {
+            let run = EndpointRun {
+                endpoint,
+                started_unix_ms,
+            };
+            router.note_dead(&run, Duration::from_millis(age_ms), sender.entry.as_str());
+        }
+    }
     for (key, started_unix_ms) in gossip.leaving {
         if let Some(endpoint) = by_key.get(&key).cloned() {
             let run = EndpointRun {
@@ -229,7 +240,10 @@
 pub(super) async fn gossip(router: Arc<Router>, socket: Arc<UdpSocket>) {
     let mut last_at = Instant::now();
     loop {
-        tokio::time::sleep(jittered(GOSSIP_PERIOD)).await;
+        tokio::time::sleep(URGENT_PAUSE).await;
+        let period = jittered(GOSSIP_PERIOD).saturating_sub(URGENT_PAUSE);
+        // A timeout and a notification both lead to the next round.
+        let _ = tokio::time::timeout(period, router.urgent_news.notified()).await;
         router.review_parts();
         router.review_limits(last_at.elapsed() > PAUSE_LIMIT);
         last_at = Instant::now();
@@ -328,6 +342,11 @@
         .leaving_runs()
         .map(|run| (short_key(&run.endpoint), run.started_unix_ms))
         .choose_multiple(&mut rand::rng(), max_items);
+    let dead = endpoints
+        .dead_runs(now)
+        // Rounded up, so that the news cannot get younger by being passed around.
+        .map(|(run, age)| (short_key(&run.endpoint), run.started_unix_ms, ms(age) + 1))
+        .choose_multiple(&mut rand::rng(), MAX_ITEMS_PER_LIST);
     let limits = endpoints.limits().told(now);
     let limits = limits.map(|(run, rate, said_at)| LimitNotice {
         key: short_key(&run.endpoint),
@@ -356,6 +375,7 @@
         load,
         heard,
         leaving,
+        dead,
         limits,
         quarantine,
         parts,
--- a/src/router/controller/peers/messages.rs
+++ b/src/router/controller/peers/messages.rs
@@ -32,6 +32,10 @@
     /// The runs of endpoints that are leaving: short key, Unix time of the start in ms.
     #[serde(default)]
     pub(super) leaving: Vec<(u32, Option<u64>)>,
+    /// The runs of endpoints that refused a connection lately: short key, Unix time of the start in
+    /// ms, time since in ms.
+    #[serde(default)]
+    pub(super) dead: Vec<(u32, Option<u64>, u64)>,
     /// The limits that endpoints have named, and those that have ended lately.
     #[serde(default)]
     pub(super) limits: Vec<LimitNotice>,
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -63,6 +63,9 @@
     if answered {
         router.capacity_changed.notify_waiters();
     }
+    if result == ProbeResult::Refused {
+        router.urgent_news.notify_one();
+    }
     // A failed probe may show that the endpoint is lost, so that its layers must be reassigned.
     router.endpoints_changed.notify_one();
 }
--- a/src/router/endpoint_answer.rs
+++ b/src/router/endpoint_answer.rs
@@ -1,12 +1,12 @@
 //! Applies what the heads of endpoints' answers say of the endpoints themselves.
 
 use pistachioyard_platform::AnswerHead;
-use pistachioyard_policy::EndpointRun;
+use pistachioyard_policy::{EndpointRun, SuspectReason};
 use pistachioyard_wire::ServiceName;
 
 use crate::prelude::*;
-use crate::router::Router;
 use crate::router::log::ms;
+use crate::router::{Router, metric};
 
 /// Says what was answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -71,4 +71,18 @@
             self.endpoints_changed.notify_one();
         }
     }
+
+    /// Records that a run of an endpoint refused a connection of a peer some time ago, and logs it.
+    pub(crate) fn note_dead(&self, run: &EndpointRun, age: Duration, from: &str) {
+        let is_new = self.endpoints.lock().note_dead(run, age, Instant::now());
+        if is_new {
+            metric::count_suspect();
+            let why = SuspectReason::ToldDead.as_str();
+            spdlog::warn!("endpoints: ejected after a failure", kv: {
+                endpoint = run.endpoint.as_str(), why, from
+            });
+            self.endpoints_changed.notify_one();
+            self.capacity_changed.notify_waiters();
+        }
+    }
 }
--- a/src/router/filter/relay/path_run/refusal.rs
+++ b/src/router/filter/relay/path_run/refusal.rs
@@ -33,7 +33,15 @@
                 drop(endpoints);
                 self.router.suspect(&at_fault, SuspectReason::OtherLayers);
             }
-            (false, _) => endpoints.note_refusal(&at_fault, used < capacity * NOT_FULL_SHARE, now),
+            (false, _) => {
+                let has_memory = used < capacity * NOT_FULL_SHARE;
+                endpoints.note_refusal(&at_fault, has_memory, now);
+                if has_memory {
+                    drop(endpoints);
+                    self.router
+                        .suspect(&at_fault, SuspectReason::RefusedRequest);
+                }
+            }
         }
     }
 
