Watch the store less often in large fleets

Besides, an entry that heard of a version from a peer before its own watch delivered it read the configuration once more.

Change: in fleets of more than nine entries all but the first wait for up to 30 s, and at least 0.3 of the propagation limit between two watches of endpoints or of the configuration. A peer must have had a newer version for 150 ms before it is read. What a watch may lag behind peers follows its interval. The pace is in the policy crate.

Ruled out for now: one or two readers for each data centre that tell the others, which is what thousands of entries need (docs/CAPACITY.md).

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod stall_detector;
 mod store_position;
 mod stream_guard;
+mod watch_pace;
 
 pub use activity_tracker::ActivityTracker;
 pub use adoption::{
@@ -82,3 +83,4 @@
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
 pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
+pub use watch_pace::WatchRole;
--- a/src/router.rs
+++ b/src/router.rs
@@ -26,8 +26,9 @@
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
-    ActivityTracker, CrossingLimiter, EndpointRegistry, LatencyEstimates, LoadTracker, Membership,
-    PartQuarantine, Quarantine, RouteTable, SharedRetryBudget, SuspectReason, WatchLag,
+    ActivityTracker, CrossingLimiter, EndpointRegistry, GOSSIP_FANOUT, LatencyEstimates,
+    LoadTracker, Membership, PartQuarantine, Quarantine, RouteTable, SharedRetryBudget,
+    SuspectReason, WatchLag,
 };
 use pistachioyard_wire::{DataCentre, EntryState, Fence, MemberRecord};
 pub(crate) use run::run_router;
@@ -212,6 +213,19 @@
         self.members.lock().live(now).len().max(1)
     }
 
+    /// Returns whether not every peer is told in each gossip round.
+    pub(crate) fn is_large_fleet(&self) -> bool {
+        self.members.lock().count() > GOSSIP_FANOUT + 1
+    }
+
+    /// Returns whether a live peer has a newer configuration.
+    pub(crate) fn is_behind_peers(&self) -> bool {
+        let version = Revision(self.version());
+        let members = self.members.lock();
+        let live = members.live(Instant::now());
+        live.iter().any(|record| record.revision > version)
+    }
+
     /// Divides the retry budget among the entries that have used it recently.
     ///
     /// A lost entry counts until its record expires, since the retries that it made still
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -5,7 +5,7 @@
 use pistachioyard_policy::{StorePosition, is_later_era};
 
 use super::jittered;
-use super::watch_pace;
+use super::watch_pace::{self, WatchPace};
 use crate::prelude::*;
 use crate::router::log::ms;
 use crate::router::store_client::{InEra, StoreError};
@@ -15,16 +15,27 @@
 /// configuration in the meantime.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long a peer may have a newer version before this entry reads it, since its watch may be on a
+/// dead connection.
+const MAX_VERSION_LAG: Duration = Duration::from_millis(150);
+
 /// Reads the configuration, then watches it for changes.
 pub(super) async fn run(router: Arc<Router>) {
     let mut position = None;
+    let mut pace = WatchPace::default();
     loop {
         let step = match position {
             None => read(&router).await,
             Some(after) => watch(&router, after).await,
         };
         match step {
-            Ok(seen) => position = Some(seen),
+            Ok(seen) => {
+                position = Some(seen);
+                // In a small fleet each version is adopted at once, as few entries read it.
+                if router.is_large_fleet() {
+                    pace.throttle(&router, router.settings.config_limit).await;
+                }
+            }
             Err(StoreError::Fault(StoreAnswerError::HistoryGone)) => {
                 spdlog::warn!("config: watch history expired, reading the configuration again");
                 position = None;
@@ -50,7 +61,7 @@
 /// Waits for changes after a position; if the store has come back from an older copy since, the
 /// changes after that revision are not all, so the configuration is read again.
 async fn watch(router: &Router, after: StorePosition) -> Result<StorePosition, StoreError> {
-    let wait = watch_pace::wait_time(router, router.settings.config_limit);
+    let wait = watch_pace::role(router).wait(router.settings.config_limit);
     tokio::select! {
         page = router.store.watch(CONFIG_KIND, after.revision, wait) => {
             let InEra { value: page, era } = page?;
@@ -63,11 +74,22 @@
             let revision = page.revision;
             Ok(StorePosition { era, revision })
         }
-        () = router.config_outdated.notified() => read(router).await,
+        () = outdated(router) => read(router).await,
         () = router.store.wait_for_later_era(after.era) => read(router).await,
     }
 }
 
+/// Waits until a peer has had a newer version for longer than a watch takes to deliver it.
+async fn outdated(router: &Router) {
+    loop {
+        router.config_outdated.notified().await;
+        tokio::time::sleep(MAX_VERSION_LAG).await;
+        if router.is_behind_peers() {
+            return;
+        }
+    }
+}
+
 fn adopt(router: &Router, object: &Object) {
     if object.name == CONFIG_NAME {
         adopt_source(router, &object.spec, "store");
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -31,7 +31,7 @@
         match step {
             Ok(seen) => {
                 position = Some(seen);
-                pace.throttle().await;
+                pace.throttle(&router, router.settings.drain_limit).await;
             }
             Err(e) => {
                 if matches!(e, StoreError::Fault(StoreAnswerError::HistoryGone)) {
@@ -66,7 +66,7 @@
 /// Waits for changes after a position; if the store has come back from an older copy since, the
 /// changes after that revision are not all, so all records are read again.
 async fn watch(router: &Arc<Router>, after: StorePosition) -> Result<StorePosition, StoreError> {
-    let wait = watch_pace::wait_time(router, router.settings.drain_limit);
+    let wait = watch_pace::role(router).wait(router.settings.drain_limit);
     let InEra { value: page, era } = tokio::select! {
         page = router.store.watch(ENDPOINT_KIND, after.revision, wait) => page?,
         // A peer has seen a newer change, so this watch may be on a dead connection.
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -21,7 +21,7 @@
 use tokio::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::jittered;
+use super::{jittered, watch_pace};
 use crate::prelude::*;
 use crate::router::log::ms;
 use crate::router::permits::PermitMessage;
@@ -44,9 +44,6 @@
 /// How long an endpoint's layer report is relayed; several gossip periods, since datagrams
 /// may be lost.
 const LAYER_REPORT_MAX_AGE: Duration = Duration::from_secs(3);
-/// How long a peer may know of a change that has not arrived here; exceeds the minimum
-/// interval between watches.
-const MAX_WATCH_LAG: Duration = Duration::from_millis(700);
 /// The maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
@@ -122,9 +119,10 @@
         era: gossip.endpoints_era,
         revision: gossip.endpoints_revision,
     };
+    let max_lag = watch_pace::role(router).max_lag(router.settings.drain_limit);
     let (is_overtaken, own) = {
         let mut lag = router.endpoints_lag.lock();
-        (lag.check(seen, now, MAX_WATCH_LAG), lag.newest())
+        (lag.check(seen, now, max_lag), lag.newest())
     };
     if is_overtaken {
         metric::count_overtaken_watch();
--- a/src/router/controller/watch_pace.rs
+++ b/src/router/controller/watch_pace.rs
@@ -1,30 +1,16 @@
-//! The wait time of store watches (long polls) and the interval between them.
-//!
-//! Each call to the store has a cost, and each change wakes the watches of all entries.
-//! The first of the live entries uses a short wait time to detect a dead connection early,
-//! and tells the others by gossip about changes, so they can wait longer.
+//! The role of this entry among those that watch the store, and the rate of its watches.
+
+use pistachioyard_policy::WatchRole;
 
 use crate::prelude::*;
 use crate::router::Router;
 
-/// The wait time of the first entry's watch, as a share of the propagation limit; the rest
-/// is left for detecting a dead connection.
-const WATCH_SHARE: f64 = 0.75;
-/// The wait time of the other entries' watches, as a multiple of the first entry's.
-const FOLLOWER_FACTOR: f64 = 4.0;
-/// The longest wait time that the store accepts.
-const MAX_WAIT: Duration = Duration::from_secs(30);
-/// The minimum interval between the ends of two watches. A single change arrives at once,
-/// and a burst of changes is batched.
-const MIN_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Returns the wait time of a watch whose changes must be known within `limit`.
-pub(super) fn wait_time(router: &Router, limit: Duration) -> Duration {
-    let base = limit.mul_f64(WATCH_SHARE);
-    if super::placement::is_candidate(router, Instant::now()) {
-        base
-    } else {
-        base.mul_f64(FOLLOWER_FACTOR).min(MAX_WAIT)
+/// Returns how closely this entry watches the store.
+pub(super) fn role(router: &Router) -> WatchRole {
+    match super::placement::is_candidate(router, Instant::now()) {
+        true => WatchRole::First,
+        false if router.is_large_fleet() => WatchRole::FollowerOfMany,
+        false => WatchRole::Follower,
     }
 }
 
@@ -35,12 +21,11 @@
 }
 
 impl WatchPace {
-    /// Waits until the next watch may start.
-    pub(super) async fn throttle(&mut self) {
-        let now = Instant::now();
+    /// Waits until the next watch may start whose changes must be known within `limit`.
+    pub(super) async fn throttle(&mut self, router: &Router, limit: Duration) {
         if let Some(ended_at) = self.ended_at {
-            let since = now.saturating_duration_since(ended_at);
-            tokio::time::sleep(MIN_INTERVAL.saturating_sub(since)).await;
+            let interval = role(router).min_interval(limit);
+            tokio::time::sleep(interval.saturating_sub(ended_at.elapsed())).await;
         }
         self.ended_at = Some(Instant::now());
     }
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -1,8 +1,8 @@
 //! Finds paths for streams, and waits briefly while endpoints have no free memory.
 
 use pistachioyard_policy::{
-    EndpointRun, GOSSIP_FANOUT, NoPath, Path, PathQuery, PathStage, PipelineSpec, RequestSize,
-    StageOffer, choose_path, choose_plain_endpoint, crossing_ms, repair_path,
+    EndpointRun, NoPath, Path, PathQuery, PathStage, PipelineSpec, RequestSize, StageOffer,
+    choose_path, choose_plain_endpoint, crossing_ms, repair_path,
 };
 use pistachioyard_wire::{LayerRange, ServiceName};
 
@@ -159,20 +159,13 @@
     spec: &PipelineSpec,
     now: Instant,
 ) -> PathQuery<'a> {
-    let (near_peers, hears_all) = {
-        let members = router.members.lock();
-        (
-            members.count_near(now),
-            members.count() <= GOSSIP_FANOUT + 1,
-        )
-    };
     PathQuery {
         size: request.size,
         home: &router.settings.data_centre,
         crossing_ms: available_crossing_ms(router, spec, now),
         first: request.first,
-        near_peers,
-        hears_all,
+        near_peers: router.members.lock().count_near(now),
+        hears_all: !router.is_large_fleet(),
     }
 }
 
