--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -159,13 +159,17 @@
     spec: &PipelineSpec,
     now: Instant,
 ) -> PathQuery<'a> {
+    // Each guard ends with its statement; within the struct's expression they would overlap.
+    let crossing_ms = available_crossing_ms(router, spec, now);
+    let near_peers = router.members.lock().count_near(now);
+    let hears_all = !router.is_large_fleet();
     PathQuery {
         size: request.size,
         home: &router.settings.data_centre,
-        crossing_ms: available_crossing_ms(router, spec, now),
+        crossing_ms,
         first: request.first,
-        near_peers: router.members.lock().count_near(now),
-        hears_all: !router.is_large_fleet(),
+        near_peers,
+        hears_all,
     }
 }
 
