Take no second copy of an answer for the answer to an order or a report

Cause: answers to requests are compared with the request's id, those to orders and calls for the report were not. A late second copy of a success on a connection in use again would have settled an order, so that layers count as held that nobody loads.

Change: one comparison for all calls; an answer that names a request answers no control call.

--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -109,7 +109,7 @@
     };
     let (parts, body) = response.into_parts();
     let head = decode_answer_head(parts.status, &parts.headers);
-    if head.request_id.is_some() && head.request_id.as_ref() != Some(&call.head.request_id) {
+    if !head.may_answer(Some(&call.head.request_id)) {
         return AttemptResult::Lost("the answer belongs to another request".to_owned());
     }
     router.note_answer(&target.run(), &head, AnswerTo::Request);
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -111,6 +111,9 @@
     let run = router.endpoints.lock().run_of(endpoint);
     let (response, connection) = router.client.send(to, req, Reuse::Allowed).await?;
     let head = decode_answer_head(response.status(), response.headers());
+    if !head.may_answer(None) {
+        return Err(CallError::AnswerLost { to });
+    }
     router.note_answer(&run, &head, AnswerTo::Control);
     let body = read_whole(to, response.into_body(), MAX_REPORT_BYTES).await?;
     router.client.keep(connection, None);
