Know an entry that restarted after its clock had jumped back

Cause: boot ids order the runs of an entry and begin with the time of day. After a jump back peers took the new run for an older one, until they had forgotten the last one (9 s) and its tombstone (9 s more).

Ruled out: taking relayed records of earlier boot ids, which bring back entries that are gone.

Change: the record that an entry sends of itself replaces that of a later boot id once that one is lost.

Result: a policy test that did not compile before; the old rule is the assertion before it.

--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -165,6 +165,22 @@
         fresh
     }
 
+    /// Merges the record that a peer sent of itself; returns whether it is new or was restarted.
+    ///
+    /// Boot ids follow the time of day, which may have jumped back before a restart. Unlike a
+    /// relayed record, one from the entry itself replaces that of a later boot id that has been
+    /// lost.
+    pub fn merge_sender(&mut self, record: &MemberRecord, now: Instant) -> bool {
+        let is_earlier = self.others.get(&record.entry).is_some_and(|known| {
+            record.boot < known.record.boot && self.member_state(known, now) == EntryState::Lost
+        });
+        if is_earlier {
+            self.add(record, now);
+            return true;
+        }
+        !self.merge(std::slice::from_ref(record), now).is_empty()
+    }
+
     /// Adds an entry, or replaces its earlier run.
     fn add(&mut self, record: &MemberRecord, now: Instant) {
         let member = Member::new(record.clone(), now);
--- a/crates/pistachioyard_policy/tests/membership.rs
+++ b/crates/pistachioyard_policy/tests/membership.rs
@@ -196,3 +196,27 @@
     let offered = large.entries_near(&centre("z"), 64, now, &mut rng);
     assert_eq!(offered.len(), 8);
 }
+
+/// The time of day may jump back before a restart, so that the boot id of the new run is lower.
+#[test]
+fn an_entry_that_restarted_after_its_clock_jumped_back_is_live_again() {
+    let now = Instant::now();
+    let mut membership = Membership::new(record(0, 5, 0, "a"), HEARTBEAT_TIMEOUT, now);
+    membership.merge(&[record(1, 9, 50, "a")], now);
+    let restarted = record(1, 3, 1, "a");
+    assert!(
+        !membership.merge_sender(&restarted, now),
+        "the old run lives"
+    );
+    let later = now + HEARTBEAT_TIMEOUT * 2;
+    assert!(
+        membership
+            .merge(std::slice::from_ref(&restarted), later)
+            .is_empty(),
+        "a relayed record may be old"
+    );
+    assert!(membership.merge_sender(&restarted, later));
+    assert_eq!(membership.state_of(&entry(1), later), EntryState::Live);
+    let kept = membership.record_of(&entry(1)).map(|record| record.boot);
+    assert_eq!(kept, Some(restarted.boot));
+}
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -86,7 +86,14 @@
     let fresh = {
         let mut members = router.members.lock();
         members.merge_heartbeats(&gossip.heartbeats, now);
-        members.merge(&gossip.members, now)
+        let mut fresh = Vec::new();
+        if let Some(sender) = gossip.members.first()
+            && members.merge_sender(sender, now)
+        {
+            fresh.push(sender.entry.clone());
+        }
+        fresh.extend(members.merge(&gossip.members, now));
+        fresh
     };
     for entry in &fresh {
         spdlog::info!("peers: entry joined or restarted", kv: { entry = entry.as_str() });
