Announce a dead endpoint once, and compute short keys once a second

Cause: each entry's own probe of an endpoint that peers had already found dead sent another urgent round, and each of 92 datagrams a second hashed the ids of 230 endpoints.

Change: only the first refused connection that is known of is urgent; the keys are cached.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -120,6 +120,11 @@
         self.by_id.values().map(|tracked| &tracked.record)
     }
 
+    /// Returns the number of known endpoints.
+    pub fn count(&self) -> usize {
+        self.by_id.len()
+    }
+
     /// Returns the ids of all known endpoints.
     pub fn ids(&self) -> impl Iterator<Item = &EndpointId> {
         self.by_id.keys()
@@ -184,12 +189,12 @@
         due.map(|tracked| tracked.record.clone()).collect()
     }
 
-    /// Records the result of probing a suspect endpoint.
-    pub fn note_probe(&mut self, endpoint: &EndpointId, result: ProbeResult, now: Instant) {
+    /// Records the result of probing a suspect endpoint; returns whether it is the first refused
+    /// connection, here or at a peer.
+    pub fn note_probe(&mut self, endpoint: &EndpointId, result: ProbeResult, now: Instant) -> bool {
         let tracked = self.by_id.get_mut(endpoint);
-        if let Some(suspect) = tracked.and_then(|tracked| tracked.suspect.as_mut()) {
-            suspect.note_probe(result, now);
-        }
+        let suspect = tracked.and_then(|tracked| tracked.suspect.as_mut());
+        suspect.is_some_and(|suspect| suspect.note_probe(result, now))
     }
 
     /// Records an order that an endpoint has begun and is expected to complete by `until`.
--- a/crates/pistachioyard_policy/src/endpoint_registry/tracked.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/tracked.rs
@@ -67,11 +67,14 @@
 }
 
 impl Suspicion {
-    pub(super) fn note_probe(&mut self, result: ProbeResult, now: Instant) {
+    /// Records the result of a probe; returns whether it is the first refused connection that is
+    /// known of.
+    pub(super) fn note_probe(&mut self, result: ProbeResult, now: Instant) -> bool {
         let answered = result == ProbeResult::Answered;
         self.has_answered = answered;
         self.failed_probes += u32::from(!answered);
         self.is_refused = result == ProbeResult::Refused;
+        let is_first_refusal = self.is_refused && self.refused_at.is_none();
         if self.is_refused {
             self.refused_at.get_or_insert(now);
         }
@@ -82,6 +85,7 @@
         };
         let interval = PROBE_INTERVAL.saturating_mul(2_u32.saturating_pow(doublings));
         self.next_probe_at = now + interval.min(MAX_PROBE_INTERVAL);
+        is_first_refusal
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -96,6 +96,8 @@
     pub(crate) convictions_changed: Notify,
     /// How far this entry has seen the changes of the endpoints.
     pub(crate) endpoints_lag: Mutex<WatchLag>,
+    /// The endpoints by the keys that stand for them in datagrams.
+    pub(crate) short_keys: Mutex<controller::ShortKeys>,
     /// The highest fencing token of the placement lease that this entry knows of.
     newest_fence: AtomicU64,
     pub(crate) permits: Permits,
@@ -151,6 +153,7 @@
             endpoints_outdated: Notify::new(),
             convictions_changed: Notify::new(),
             endpoints_lag: Mutex::default(),
+            short_keys: Mutex::default(),
             newest_fence: AtomicU64::new(0),
             permits: Permits::default(),
             client: EndpointClient::default(),
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -10,7 +10,7 @@
 mod watch_pace;
 
 pub(crate) use peer_fallback::{STATE_PATH, encode_state};
-pub(crate) use peers::announce;
+pub(crate) use peers::{ShortKeys, announce};
 
 use crate::prelude::*;
 use crate::router::Router;
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -7,8 +7,8 @@
 
 mod messages;
 mod registry;
+mod short_keys;
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use messages::{Gossip, LayerReport, LimitNotice};
@@ -18,8 +18,9 @@
 use pistachioyard_wire::{EntryState, MemberRecord, PartReport};
 use rand::seq::IteratorRandom;
 pub(super) use registry::register;
+pub(crate) use short_keys::ShortKeys;
+use short_keys::short_key;
 use tokio::net::UdpSocket;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::{jittered, watch_pace};
 use crate::prelude::*;
@@ -47,12 +48,6 @@
 /// The maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM: usize = 16 * 1024;
 
-/// Returns a short hash of an endpoint's id. A collision mixes up the load and the layer
-/// reports of the two endpoints.
-fn short_key(endpoint: &EndpointId) -> u32 {
-    xxh3_64(endpoint.as_str().as_bytes()) as u32
-}
-
 /// Receives gossip from peers.
 pub(super) async fn listen(router: Arc<Router>, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -142,10 +137,7 @@
     router.merge_quarantine(&gossip.quarantine, sender.entry.as_str(), now);
     router.merge_parts(&gossip.parts, sender.entry.as_str(), now);
     let mut endpoints = router.endpoints.lock();
-    let by_key: HashMap<u32, EndpointId> = endpoints
-        .ids()
-        .map(|id| (short_key(id), id.clone()))
-        .collect();
+    let by_key = router.short_keys.lock().get(&endpoints, now);
     let load = gossip.load.map(|load| {
         let known = load.iter().filter_map(|(key, requests, token_layers)| {
             let endpoint = by_key.get(key)?.clone();
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -50,20 +50,20 @@
     };
     let now = Instant::now();
     let answered = result == ProbeResult::Answered;
-    {
+    let is_first_refusal = {
         let mut endpoints = router.endpoints.lock();
         if let Some(report) = report {
             endpoints.apply_report(&record.endpoint, report, now);
         }
-        endpoints.note_probe(&record.endpoint, result, now);
-    }
+        endpoints.note_probe(&record.endpoint, result, now)
+    };
     spdlog::info!("endpoints: probed", kv: {
         endpoint = record.endpoint.as_str(), answered, result:?
     });
     if answered {
         router.capacity_changed.notify_waiters();
     }
-    if result == ProbeResult::Refused {
+    if is_first_refusal {
         router.urgent_news.notify_one();
     }
     // A failed probe may show that the endpoint is lost, so that its layers must be reassigned.
