Probe endpoints that peers found dead three seconds later

A new run registers in the store by itself.

Change: an entry that hears of a death probes after 3 s, the one that decides on the placement at once, since one own probe has to fail before layers count as lost.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -22,6 +22,7 @@
 use crate::pipeline::{CardState, LoadTracker, PipelineSpec, StageOffer};
 use crate::request_limits::RequestLimits;
 use crate::store_position::StorePosition;
+pub use deaths::ToldProbe;
 pub use notices::EndpointRun;
 use notices::RunNotices;
 pub use record::{EndpointChange, EndpointRecord, EndpointReport, GossipReport, RunState};
--- a/crates/pistachioyard_policy/src/endpoint_registry/deaths.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/deaths.rs
@@ -13,8 +13,19 @@
 
 /// How long a refused connection is passed on; long enough to reach all entries.
 const DEATH_NEWS_TIME: Duration = Duration::from_secs(2);
-/// When an endpoint that a peer found dead is probed here.
-const TOLD_PROBE_DELAY: Duration = Duration::from_millis(1_000);
+/// When an endpoint that a peer found dead is probed here. Its next run registers in the store, so
+/// that probes are not needed to find it.
+const TOLD_PROBE_DELAY: Duration = Duration::from_secs(3);
+
+/// Says when an entry probes an endpoint that a peer found dead.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ToldProbe {
+    /// At once: the entry decides on the placement, and one own probe still has to fail before the
+    /// endpoint's layers count as lost.
+    AtOnce,
+    /// Later, since many entries that probe at once cost more than they find out.
+    Later,
+}
 
 impl EndpointRegistry {
     /// Returns the runs that refused a connection lately, here or at a peer, with the time since.
@@ -28,9 +39,13 @@
 
     /// Records that a run refused a connection of a peer some time ago; returns whether the
     /// endpoint was not suspect before. A later run is not concerned.
-    ///
-    /// One own probe still has to fail before its layers count as lost.
-    pub fn note_dead(&mut self, run: &EndpointRun, age: Duration, now: Instant) -> bool {
+    pub fn note_dead(
+        &mut self,
+        run: &EndpointRun,
+        age: Duration,
+        probe: ToldProbe,
+        now: Instant,
+    ) -> bool {
         let Some(tracked) = self.by_id.get_mut(&run.endpoint) else {
             return false;
         };
@@ -45,10 +60,14 @@
         if lives(tracked.reported_at) || lives(Some(tracked.renewed_at)) {
             return false;
         }
+        let delay = match probe {
+            ToldProbe::AtOnce => Duration::ZERO,
+            ToldProbe::Later => TOLD_PROBE_DELAY,
+        };
         let is_new = tracked.mark_suspect(SuspectReason::ToldDead, now);
         if let Some(suspect) = tracked.suspect.as_mut().filter(|_| is_new) {
             *suspect = Suspicion {
-                next_probe_at: now + TOLD_PROBE_DELAY,
+                next_probe_at: now + delay,
                 failed_probes: 1,
                 is_refused: true,
                 refused_at: Some(refused_at),
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -47,7 +47,7 @@
 pub use crossing_limiter::{CrossingLimiter, crossing_ms};
 pub use endpoint_registry::{
     EndpointChange, EndpointRecord, EndpointRegistry, EndpointReport, EndpointRun, GossipReport,
-    ProbeResult, RunState, SuspectReason,
+    ProbeResult, RunState, SuspectReason, ToldProbe,
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
--- a/crates/pistachioyard_policy/tests/pipeline/deaths.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/deaths.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use pistachioyard_policy::{EndpointRegistry, EndpointRun, ProbeResult, SuspectReason};
+use pistachioyard_policy::{EndpointRegistry, EndpointRun, ProbeResult, SuspectReason, ToldProbe};
 
 use crate::fixture::{id, record, registry};
 
@@ -41,14 +41,20 @@
     let now = Instant::now();
     let mut peer = registry(now - SOON);
     assert!(peer.is_usable(&id("one"), now));
-    assert!(peer.note_dead(&run(1), SOON / 2, now));
+    assert!(peer.note_dead(&run(1), SOON / 2, ToldProbe::Later, now));
     assert!(!peer.is_usable(&id("one"), now));
-    assert!(!peer.note_dead(&run(1), SOON / 2, now), "known by now");
+    assert!(
+        !peer.note_dead(&run(1), SOON / 2, ToldProbe::Later, now),
+        "known by now"
+    );
     let told: Vec<_> = peer.dead_runs(now).collect();
     assert_eq!(told, [(run(1), SOON / 2)]);
     // Many entries that probe at once would cost more than what they find out.
     assert_eq!(peer.due_probes(now + SOON).len(), 0);
-    let later = now + Duration::from_secs(1);
+    let mut placing = registry(now - SOON);
+    placing.note_dead(&run(1), SOON / 2, ToldProbe::AtOnce, now);
+    assert_eq!(placing.due_probes(now).len(), 1);
+    let later = now + Duration::from_secs(3);
     assert_eq!(peer.due_probes(later).len(), 1);
     peer.note_probe(&id("one"), ProbeResult::Answered, later);
     assert!(peer.is_usable(&id("one"), later));
@@ -58,13 +64,22 @@
 fn a_death_of_an_earlier_run_or_before_an_answer_is_ignored() {
     let now = Instant::now();
     let mut peer = registry(now - SOON);
-    assert!(!peer.note_dead(&run(7), SOON / 2, now), "another run");
-    assert!(!peer.note_dead(&run(1), SOON * 2, now), "before its record");
+    assert!(
+        !peer.note_dead(&run(7), SOON / 2, ToldProbe::Later, now),
+        "another run"
+    );
+    assert!(
+        !peer.note_dead(&run(1), SOON * 2, ToldProbe::Later, now),
+        "before its record"
+    );
     let mut renewed = record("one", 1, None);
     renewed.state.started_unix_ms = Some(2);
     peer.apply(renewed, now);
-    assert!(!peer.note_dead(&run(1), Duration::ZERO, now));
-    assert!(!peer.note_dead(&run(2), Duration::from_secs(5), now), "old");
+    assert!(!peer.note_dead(&run(1), Duration::ZERO, ToldProbe::Later, now));
+    assert!(
+        !peer.note_dead(&run(2), Duration::from_secs(5), ToldProbe::Later, now),
+        "old"
+    );
     assert!(peer.is_usable(&id("one"), now));
 }
 
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -11,6 +11,7 @@
 
 pub(crate) use peer_fallback::{STATE_PATH, encode_state};
 pub(crate) use peers::{ShortKeys, announce};
+pub(crate) use placement::is_candidate as is_placement_candidate;
 
 use crate::prelude::*;
 use crate::router::Router;
--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -81,7 +81,7 @@
 /// that can reach the store, or the first of all live entries if none can.
 ///
 /// Entries may briefly disagree on this; the lease admits only one of them.
-pub(super) fn is_candidate(router: &Router, now: Instant) -> bool {
+pub(crate) fn is_candidate(router: &Router, now: Instant) -> bool {
     let own = &router.settings.entry;
     let members = router.members.lock();
     let live: Vec<&EntryId> = members
--- a/src/router/endpoint_answer.rs
+++ b/src/router/endpoint_answer.rs
@@ -1,12 +1,12 @@
 //! Applies what the heads of endpoints' answers say of the endpoints themselves.
 
 use pistachioyard_platform::AnswerHead;
-use pistachioyard_policy::{EndpointRun, SuspectReason};
+use pistachioyard_policy::{EndpointRun, SuspectReason, ToldProbe};
 use pistachioyard_wire::ServiceName;
 
 use crate::prelude::*;
 use crate::router::log::ms;
-use crate::router::{Router, metric};
+use crate::router::{Router, controller, metric};
 
 /// Says what was answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -74,7 +74,12 @@
 
     /// Records that a run of an endpoint refused a connection of a peer some time ago, and logs it.
     pub(crate) fn note_dead(&self, run: &EndpointRun, age: Duration, from: &str) {
-        let is_new = self.endpoints.lock().note_dead(run, age, Instant::now());
+        let now = Instant::now();
+        let probe = match controller::is_placement_candidate(self, now) {
+            true => ToldProbe::AtOnce,
+            false => ToldProbe::Later,
+        };
+        let is_new = self.endpoints.lock().note_dead(run, age, probe, now);
         if is_new {
             metric::count_suspect();
             let why = SuspectReason::ToldDead.as_str();
@@ -83,6 +88,9 @@
             });
             self.endpoints_changed.notify_one();
             self.capacity_changed.notify_waiters();
+            if probe == ToldProbe::AtOnce {
+                self.suspects_due.notify_one();
+            }
         }
     }
 }
