Spread the returns of callers that are refused together

Cause: a request refused for want of capacity was told to return after exactly 500 ms, one of a plain service after 200 ms. Callers refused at the same moment, as when endpoints crash, came back at the same moment.

Change: 0.5 to 2 times that time, at random.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -25,6 +25,7 @@
 mod quarantine;
 mod request_limits;
 mod retry_budget;
+mod return_spread;
 mod routing;
 mod stall_detector;
 mod store_position;
@@ -79,6 +80,7 @@
     BadRate, FleetPart, LimitChange, PermitAnswer, RequestLimits, RequestRate, ReturnSchedule,
 };
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
+pub use return_spread::spread_return_ms;
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
 pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
--- a/crates/pistachioyard_policy/tests/load.rs
+++ b/crates/pistachioyard_policy/tests/load.rs
@@ -4,3 +4,5 @@
 mod driver;
 #[path = "load/herd.rs"]
 mod herd;
+#[path = "load/returns.rs"]
+mod returns;
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -11,7 +11,9 @@
 use pistachioyard_platform::{
     AnswerHead, OutboundRequest, encode_answer_headers, encode_request_headers,
 };
-use pistachioyard_policy::{EndpointRecord, Repeatability, SuspectReason, choose_plain_endpoint};
+use pistachioyard_policy::{
+    EndpointRecord, Repeatability, SuspectReason, choose_plain_endpoint, spread_return_ms,
+};
 use pistachioyard_wire::ServiceName;
 
 use super::crash_check::{Framing, check_for_crash, record_end};
@@ -180,7 +182,10 @@
     }
 
     fn retry_after_ms(&self) -> u64 {
-        self.router.retry_after_ms(self.service, RETRY_AFTER_MS)
+        self.router.retry_after_ms(
+            self.service,
+            spread_return_ms(RETRY_AFTER_MS, &mut rand::rng()),
+        )
     }
 
     /// Returns whether another attempt may be started while the earlier ones may have run.
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -11,7 +11,9 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 use pistachioyard_platform::{EventSplitter, encode_answer_headers};
-use pistachioyard_policy::{PipelineSpec, Repeatability, RequestSize, StallDetector};
+use pistachioyard_policy::{
+    PipelineSpec, Repeatability, RequestSize, StallDetector, spread_return_ms,
+};
 use pistachioyard_wire::ServiceName;
 
 use super::crash_check::record_end;
@@ -223,7 +225,10 @@
         } else {
             no_capacity(
                 "the endpoints have no free capacity; retry later",
-                self.router.retry_after_ms(&self.service, RETRY_AFTER_MS),
+                self.router.retry_after_ms(
+                    &self.service,
+                    spread_return_ms(RETRY_AFTER_MS, &mut rand::rng()),
+                ),
             )
         }
     }
