Split what peers tell and hear into files, and log entries elsewhere not at all

Only moved, but for one thing: in a large fleet the line for an entry that joined or restarted is written for entries of the same data centre, so that the lines of an entry do not grow with the fleet.

--- /dev/null
+++ b/src/router/controller/peers/receive.rs
@@ -0,0 +1,198 @@
+//! Applies what peers tell.
+
+use std::net::SocketAddr;
+
+use pistachioyard_policy::{
+    EndpointRun, GossipReport, GossipScope, LoadShare, RequestRate, StorePosition,
+};
+use pistachioyard_wire::MemberRecord;
+
+use super::datagram::next_datagram;
+use super::messages::{Gossip, LimitNotice};
+use crate::prelude::*;
+use crate::router::controller::watch_pace;
+use crate::router::permits::PermitMessage;
+use crate::router::{Router, metric};
+
+/// Applies one datagram.
+pub(super) fn receive(router: &Router, datagram: &[u8], from: SocketAddr) {
+    if PermitMessage::is_one(datagram) {
+        match ciborium::from_reader(datagram) {
+            Ok(message) => router.receive_permit_message(message, from),
+            Err(e) => log_malformed(from, &e.to_string()),
+        }
+        return;
+    }
+    let gossip: Gossip = match ciborium::from_reader(datagram) {
+        Ok(gossip) => gossip,
+        Err(e) => {
+            log_malformed(from, &e.to_string());
+            return;
+        }
+    };
+    let now = Instant::now();
+    let fresh = merge_members(router, &gossip, now);
+    let Some(sender) = gossip.members.first() else {
+        return;
+    };
+    if fresh.contains(&sender.entry) {
+        // It knows nothing yet of limits, leaving endpoints and quarantined requests.
+        let scope = match sender.data_centre == router.settings.data_centre {
+            true => GossipScope::SameCentre,
+            false => GossipScope::OtherCentre,
+        };
+        if let Some(datagram) = next_datagram(router, scope) {
+            router.permits.send(sender.peer_address, &datagram);
+        }
+    }
+    if sender.revision.0 > router.version() {
+        router.config_outdated.notify_one();
+    }
+    {
+        let mut without_store = router.peers_without_store.lock();
+        if gossip.reaches_store {
+            without_store.remove(&sender.entry);
+        } else {
+            without_store.insert(sender.entry.clone());
+        }
+    }
+    let seen = StorePosition {
+        era: gossip.endpoints_era,
+        revision: gossip.endpoints_revision,
+    };
+    let max_lag = watch_pace::role(router).max_lag(router.settings.drain_limit);
+    let (is_overtaken, own) = {
+        let mut lag = router.endpoints_lag.lock();
+        (lag.check(seen, now, max_lag), lag.newest())
+    };
+    if is_overtaken {
+        metric::count_overtaken_watch();
+        spdlog::warn!("endpoints: a peer has seen a newer change, listing all records again", kv: {
+            from = sender.entry.as_str(), revision = seen.revision, own_revision = own.revision
+        });
+        router.endpoints_outdated.notify_one();
+    }
+    router.note_fence(gossip.newest_fence);
+    router.merge_quarantine(&gossip.quarantine, sender.entry.as_str(), now);
+    router.merge_parts(&gossip.parts, sender.entry.as_str(), now);
+    let mut endpoints = router.endpoints.lock();
+    let by_key = router.short_keys.lock().get(&endpoints, now);
+    let load = gossip.load.map(|load| {
+        let known = load.iter().filter_map(|(key, requests, token_layers)| {
+            let endpoint = by_key.get(key)?.clone();
+            Some((endpoint, (*requests, f64::from(*token_layers))))
+        });
+        known.collect::<LoadShare>()
+    });
+    for heard in &gossip.heard {
+        let Some(endpoint) = by_key.get(&heard.key) else {
+            continue;
+        };
+        let Some(heard_at) = now.checked_sub(Duration::from_millis(heard.age_ms)) else {
+            continue;
+        };
+        let is_new = endpoints.apply_gossip(&GossipReport {
+            endpoint: endpoint.clone(),
+            layers: heard.layers,
+            is_moving: heard.is_moving,
+            orders_begun: heard.orders_begun,
+            started_unix_ms: heard.started_unix_ms,
+            slowdown: f64::from(heard.slowdown),
+            heard_at,
+        });
+        if is_new {
+            let layers = heard.layers.map(|l| l.to_string()).unwrap_or_default();
+            spdlog::info!("endpoints: updated by a peer's report", kv: {
+                endpoint = endpoint.as_str(), from = sender.entry.as_str(),
+                layers = layers.as_str(), is_moving = heard.is_moving,
+                slowdown = heard.slowdown, age_ms = heard.age_ms
+            });
+            router.capacity_changed.notify_waiters();
+        }
+    }
+    if let Some(load) = load {
+        let mut loads = router.load.lock();
+        match sender.data_centre == router.settings.data_centre {
+            true => loads.set_peer(sender.entry.clone(), load),
+            false => loads.set_centre(sender.data_centre.clone(), load, now),
+        }
+    }
+    drop(endpoints);
+    for notice in gossip.limits {
+        if let Some(endpoint) = by_key.get(&notice.key) {
+            receive_limit(router, endpoint, &notice, &sender.entry, now);
+        }
+    }
+    for (key, started_unix_ms, age_ms) in gossip.dead {
+        if let Some(endpoint) = by_key.get(&key).cloned() {
+            let run = EndpointRun {
+                endpoint,
+                started_unix_ms,
+            };
+            router.note_dead(&run, Duration::from_millis(age_ms), sender.entry.as_str());
+        }
+    }
+    for (key, started_unix_ms) in gossip.leaving {
+        if let Some(endpoint) = by_key.get(&key).cloned() {
+            let run = EndpointRun {
+                endpoint,
+                started_unix_ms,
+            };
+            router.note_leaving(&run, sender.entry.as_str());
+        }
+    }
+    if !gossip.load_only {
+        router.first_news.send_replace(true);
+    }
+}
+
+/// Merges the members that a datagram names; returns those that joined or were restarted.
+fn merge_members(router: &Router, gossip: &Gossip, now: Instant) -> Vec<EntryId> {
+    let fresh: Vec<MemberRecord> = {
+        let mut members = router.members.lock();
+        members.merge_heartbeats(&gossip.heartbeats, now);
+        let sender = gossip.members.first();
+        let is_fresh = sender.is_some_and(|sender| members.merge_sender(sender, now));
+        let mut fresh = members.merge(&gossip.members, now);
+        fresh.extend(sender.filter(|_| is_fresh).map(|s| s.entry.clone()));
+        let named = gossip.members.iter();
+        named
+            .filter(|r| fresh.contains(&r.entry))
+            .cloned()
+            .collect()
+    };
+    for record in &fresh {
+        // Entries elsewhere are as many as the fleet is large, and their own logs tell of it.
+        if record.data_centre == router.settings.data_centre || !router.is_large_fleet() {
+            let entry = record.entry.as_str();
+            spdlog::info!("peers: entry joined or restarted", kv: { entry });
+        }
+    }
+    fresh.into_iter().map(|record| record.entry).collect()
+}
+
+fn receive_limit(
+    router: &Router,
+    endpoint: &EndpointId,
+    notice: &LimitNotice,
+    from: &EntryId,
+    now: Instant,
+) {
+    let run = EndpointRun {
+        endpoint: endpoint.clone(),
+        started_unix_ms: notice.started_unix_ms,
+    };
+    let Some(said_at) = now.checked_sub(Duration::from_millis(notice.age_ms)) else {
+        return;
+    };
+    match notice.per_second.map(RequestRate::try_from).transpose() {
+        Ok(rate) => router.note_limit(&run, rate, said_at, from.as_str()),
+        Err(e) => spdlog::warn!("peers: ignoring an invalid limit", kv: {
+            endpoint = endpoint.as_str(), from = from.as_str(), why = e.to_string().as_str()
+        }),
+    }
+}
+
+fn log_malformed(from: SocketAddr, why: &str) {
+    spdlog::warn!("peers: malformed datagram", kv: { from = from.to_string().as_str(), why });
+}
