Take only a whole event for the end of a silence

Cause: a stream that stalls and sends a byte now and then was taken for one that goes on, so its replacement was dropped, and the attempts of the route were used up with it: such streams never ended before their deadline.

Ruled out: the checks of a pause, which go by events already.

Change: the silent path is read until an event is complete.

--- a/crates/pistachioyard_standins/src/site/worker/answer.rs
+++ b/crates/pistachioyard_standins/src/site/worker/answer.rs
@@ -17,6 +17,8 @@
     Connection,
     /// With its connection in the middle of an event, unless the stream is resumed.
     InsideEvent,
+    /// Never: from the middle on single bytes arrive now and then, unless the stream is resumed.
+    Drip,
 }
 
 impl Ending {
@@ -26,6 +28,7 @@
             Some("leaving") => Self::Leaving,
             Some("connection") => Self::Connection,
             Some("inside-event") => Self::InsideEvent,
+            Some("drip") => Self::Drip,
             Some(_) | None => Self::Framed,
         }
     }
@@ -34,7 +37,7 @@
 /// Returns an answer with the worker's signature.
 pub(super) fn signed(id: &str, body: Body, ending: Ending) -> Response<Body> {
     let mut answer = match ending {
-        Ending::Framed | Ending::Leaving => Response::new(body),
+        Ending::Framed | Ending::Leaving | Ending::Drip => Response::new(body),
         Ending::Connection | Ending::InsideEvent => {
             // hyper delimits a body of unknown length by its connection in HTTP/1.0 only.
             let mut answer = Response::new(without_length(body));
--- a/crates/pistachioyard_standins/src/site/worker/events.rs
+++ b/crates/pistachioyard_standins/src/site/worker/events.rs
@@ -13,6 +13,8 @@
 const STALL_LIMIT: Duration = Duration::from_millis(2_500);
 /// The interval at which a stalled request checks its path again.
 const STALL_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The interval between two bytes of a stream that drips.
+const DRIP_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Produces the events of a stream, each once its path is complete.
 pub(super) struct Events {
@@ -23,6 +25,8 @@
     padded_len: usize,
     /// The event in whose middle the stream ends, if any.
     breaks_in: Option<u64>,
+    /// The event from which on only single bytes are sent, if any.
+    drips_from: Option<u64>,
 }
 
 impl Drop for Events {
@@ -43,11 +47,13 @@
         ending: Ending,
     ) -> Self {
         let breaks = ending == Ending::InsideEvent && last.is_none();
+        let drips = ending == Ending::Drip && last.is_none();
         Self {
             id: id.to_owned(),
             next: last.map_or(0, |last| last + 1),
             padded_len,
             breaks_in: breaks.then_some(worker.args.events / 2),
+            drips_from: drips.then_some(worker.args.events / 2),
             worker,
         }
     }
@@ -57,6 +63,10 @@
         if self.next >= self.worker.args.events {
             return Ok(None);
         }
+        if self.drips_from == Some(self.next) {
+            tokio::time::sleep(DRIP_INTERVAL).await;
+            return Ok(Some(Bytes::from_static(b":")));
+        }
         tokio::time::sleep(Duration::from_millis(self.worker.args.event_interval_ms)).await;
         self.wait_for_path().await?;
         let n = self.next;
--- a/src/router/filter/relay/silence.rs
+++ b/src/router/filter/relay/silence.rs
@@ -6,11 +6,13 @@
 use std::pin::pin;
 
 use futures_util::future::{Either, select};
+use pistachioyard_platform::EventSplitter;
 
 use super::path_run::{OpenResult, ReadResult};
 use super::recover::{NotReplaced, PathLeft, ReplacementProgress};
 use super::{PathRun, Relay};
 use crate::prelude::*;
+use crate::router::filter::Call;
 
 /// Says which path answered first.
 enum Answered<T> {
@@ -71,7 +73,8 @@
         let answered = {
             let waiting = pin!(async {
                 let left = call.time_left().unwrap_or_default();
-                let read = tokio::time::timeout(left, silent.read(&call, &mut splitter)).await;
+                let read = read_event(&mut silent, &call, &mut splitter);
+                let read = tokio::time::timeout(left, read).await;
                 read.unwrap_or_else(|_| {
                     ReadResult::Lost(None, "the deadline has passed".to_owned())
                 })
@@ -113,3 +116,18 @@
         self.record.log_silence_over(why, silent_at.elapsed());
     }
 }
+
+/// Reads until an event is complete or the answer ends. Single bytes do not show that a stalled
+/// stream goes on.
+async fn read_event(
+    path_run: &mut PathRun,
+    call: &Call,
+    splitter: &mut EventSplitter,
+) -> ReadResult {
+    loop {
+        match path_run.read(call, splitter).await {
+            ReadResult::Data if !splitter.has_event() => {}
+            read => return read,
+        }
+    }
+}
--- a/tests/site/lost/endings.rs
+++ b/tests/site/lost/endings.rs
@@ -5,8 +5,9 @@
 
 use super::{DEADLINE_MS, ONE_PATH, apply_config, start_site};
 use crate::caller::{Failure, new_request_id};
+use crate::layout::Layout;
 use crate::raw::{Exchange, RawConnection};
-use crate::support::Site;
+use crate::support::{DATA_CENTRES, Site};
 
 /// The number of requests of each kind; few enough for all of them to be retried.
 const REQUESTS: usize = 20;
@@ -87,6 +88,35 @@
     assert!(answers.iter().all(is_cut), "{answers:?}");
 }
 
+/// A stream that stalls goes on for ever since a byte arrives now and then. It has to go on along
+/// another path, where there is one.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_stall_and_drip_bytes_go_on_at_another_endpoint() {
+    let site = start_site(Layout {
+        data_centres: &DATA_CENTRES,
+        ..ONE_PATH
+    })
+    .await;
+    check_streams_ending(&site, "drip").await;
+}
+
+/// The same stream has an end at its deadline where there is no other path, and does not look
+/// complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_drip_bytes_for_ever_end_at_their_deadline() {
+    let site = start_site(ONE_PATH).await;
+    let to = site.entries[0].caller_address();
+    let mut connection = RawConnection::open(to).await;
+    let headers = [(ENDING, "drip"), ("x-deadline-ms", "4000")];
+    assert!(
+        connection
+            .write("/draft/a", &new_request_id(), &headers)
+            .await
+    );
+    let answer = connection.read().await;
+    assert!(matches!(answer, Exchange::Cut(_)), "{answer:?}");
+}
+
 /// An answer of a plain service that ends with its connection is taken for one that broke.
 #[tokio::test(flavor = "multi_thread")]
 async fn plain_answers_that_end_with_their_connection_are_complete() {
