--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -21,7 +21,7 @@
 const FORGET_AFTER_TIMEOUTS: u32 = 10;
 
 /// The maximum number of other entries that are tracked at the same time.
-const MAX_MEMBERS: usize = 256;
+const MAX_MEMBERS: usize = 512;
 
 /// Holds the newest record of an entry and when its heartbeat last grew.
 #[derive(Clone, Debug)]
