Find paths in a time that does not grow with the square of the endpoints

Cause: for each layer the search compared each holder with all endpoints.

Change: a step costs by its two data centres, so only the cheapest partial path in each is looked at. The paths are the same.

--- a/crates/pistachioyard_policy/src/pipeline/path_choice/search.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice/search.rs
@@ -1,5 +1,7 @@
 //! Finds the cheapest sequence of endpoints over a span of layers by dynamic programming.
 
+use std::collections::BTreeMap;
+
 use pistachioyard_wire::{DataCentre, LayerRange};
 
 use super::{Candidate, HOP_MS, NoPath, Path, PathQuery, PathStage, Span};
@@ -18,6 +20,10 @@
 }
 
 /// Finds the cheapest sequence of candidates over the span, layer by layer.
+///
+/// What a step from another endpoint costs depends on the two data centres alone, so for each
+/// layer only the cheapest partial path in each data centre is looked at. The time grows with
+/// the holders of a layer and the data centres, not with the square of the endpoints.
 pub(super) fn search(
     candidates: &[Candidate<'_>],
     query: &PathQuery<'_>,
@@ -25,9 +31,9 @@
 ) -> Result<Path, NoPath> {
     let mut rows: Vec<Vec<Option<PartialPath>>> = Vec::with_capacity(span.layers.len());
     for layer in span.layers.clone() {
-        let previous = rows.last();
+        let previous = rows.last().map(|row| PreviousLayer::new(row, candidates));
         let row: Vec<Option<PartialPath>> = (0..candidates.len())
-            .map(|at| cheapest_partial(candidates, query, span, previous, layer, at))
+            .map(|at| cheapest_partial(candidates, query, span, previous.as_ref(), layer, at))
             .collect();
         if row.iter().all(Option::is_none) {
             return Err(NoPath::NoCrossing);
@@ -37,11 +43,39 @@
     trace_back(candidates, query, span, &rows).ok_or(NoPath::NoCrossing)
 }
 
+/// Holds the partial paths up to the previous layer.
+struct PreviousLayer<'a> {
+    row: &'a [Option<PartialPath>],
+    /// The cheapest one that ends in each data centre: its cost and its last candidate.
+    by_centre: BTreeMap<&'a DataCentre, (f64, usize)>,
+}
+
+impl<'a> PreviousLayer<'a> {
+    fn new(row: &'a [Option<PartialPath>], candidates: &'a [Candidate<'_>]) -> Self {
+        let mut by_centre = BTreeMap::<&DataCentre, (f64, usize)>::new();
+        for (at, partial) in row.iter().enumerate() {
+            let Some(partial) = partial else {
+                continue;
+            };
+            let ending = (partial.cost_ms, at);
+            by_centre
+                .entry(&candidates[at].offer.data_centre)
+                .and_modify(|cheapest| {
+                    if ending.0 < cheapest.0 {
+                        *cheapest = ending;
+                    }
+                })
+                .or_insert(ending);
+        }
+        Self { row, by_centre }
+    }
+}
+
 fn cheapest_partial(
     candidates: &[Candidate<'_>],
     query: &PathQuery<'_>,
     span: &Span<'_>,
-    previous: Option<&Vec<Option<PartialPath>>>,
+    previous: Option<&PreviousLayer<'_>>,
     layer: u32,
     at: usize,
 ) -> Option<PartialPath> {
@@ -52,21 +86,25 @@
     let Some(previous) = previous else {
         return initial_partial(candidate, query, span, at);
     };
-    let partials = previous.iter().enumerate().filter_map(|(from, partial)| {
-        let stays = from == at;
-        let hop_ms = if stays {
-            0.0
-        } else {
-            hop_ms(
-                &candidates[from].offer.data_centre,
-                &candidate.offer.data_centre,
-                query,
-            )?
-        };
-        let cost_ms = (*partial)?.cost_ms + hop_ms + candidate.layer_ms;
-        Some(PartialPath { cost_ms, from })
+    let stays = previous.row[at].map(|partial| PartialPath {
+        cost_ms: partial.cost_ms + candidate.layer_ms,
+        from: at,
     });
-    partials.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+    let moves = previous
+        .by_centre
+        .iter()
+        .filter_map(|(centre, (cost, from))| {
+            let hop_ms = hop_ms(centre, &candidate.offer.data_centre, query)?;
+            let cost_ms = cost + hop_ms + candidate.layer_ms;
+            Some(PartialPath {
+                cost_ms,
+                from: *from,
+            })
+        });
+    stays
+        .into_iter()
+        .chain(moves)
+        .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
 }
 
 fn initial_partial(
--- a/crates/pistachioyard_policy/tests/pipeline/paths.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/paths.rs
@@ -1,6 +1,7 @@
 //! Tests the choice of a path for a request.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use pistachioyard_policy::{
     LoadTracker, NoPath, Path, PathQuery, StageOffer, choose_path, crossing_ms,
@@ -8,7 +9,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::fixture::{LAYERS, REQUEST_SIZE, RESERVED_TOKENS, data_centre, placed_offers, spec};
+use super::fixture::{LAYERS, REQUEST_SIZE, RESERVED_TOKENS, data_centre, id, placed_offers, spec};
 
 fn choose(offers: &[StageOffer], with_crossings: bool, seed: u64) -> Result<Path, NoPath> {
     let spec = spec();
@@ -170,3 +171,30 @@
         assert_eq!(path.stages[0].endpoint, offers[all[1]].endpoint);
     }
 }
+
+/// Load pattern: thousands of endpoints, of which each data centre holds many copies of the layers.
+/// The time of a search must grow with their number, not with its square: 10 times as many may
+/// take 40 times as long, not 100.
+#[test]
+fn the_time_to_find_a_path_does_not_grow_with_the_square_of_the_endpoints() {
+    let few = placed_offers();
+    let search_time = |count: usize| {
+        let offers: Vec<StageOffer> = (0..count)
+            .map(|at| {
+                let offer = &few[at % few.len()];
+                StageOffer {
+                    endpoint: id(&format!("{}-{at}", offer.endpoint)),
+                    ..offer.clone()
+                }
+            })
+            .collect();
+        let times = (0..5).map(|seed| {
+            let began_at = Instant::now();
+            choose(&offers, true, seed).expect("there is a path");
+            began_at.elapsed()
+        });
+        times.min().expect("there are searches")
+    };
+    let (small, large) = (search_time(300), search_time(3_000));
+    assert!(large < small * 40, "{large:?} for 3,000, {small:?} for 300");
+}
