--- a/crates/pistachioyard_policy/src/membership.rs
+++ b/crates/pistachioyard_policy/src/membership.rs
@@ -21,7 +21,10 @@
 const FORGET_AFTER_TIMEOUTS: u32 = 10;
 
 /// The maximum number of other entries that are tracked at the same time.
-const MAX_MEMBERS: usize = 512;
+const MAX_MEMBERS: usize = 256;
+
+/// The same where heartbeats arrive through peers.
+const MAX_RELAYED_MEMBERS: usize = 512;
 
 /// Holds the newest record of an entry and when its heartbeat last grew.
 #[derive(Clone, Debug)]
@@ -82,6 +85,7 @@
     heartbeat_timeout: Duration,
     /// The timeout in fleets in which most heartbeats arrive through peers.
     relay_timeout: Duration,
+    max_members: usize,
     /// The entry of each known run, by its short key.
     by_run: HashMap<u32, EntryId>,
     near_turns: Turns,
@@ -98,6 +102,7 @@
             tombstones: BTreeMap::new(),
             heartbeat_timeout,
             relay_timeout: heartbeat_timeout,
+            max_members: MAX_MEMBERS,
             by_run: HashMap::new(),
             near_turns: Turns::default(),
             load_turns: Turns::default(),
@@ -106,10 +111,11 @@
     }
 
     /// Sets the heartbeat timeout for fleets of more than [`GOSSIP_FANOUT`] peers, in which not
-    /// every peer is told in each round.
+    /// every peer is told in each round, and allows for twice as many members.
     #[must_use]
     pub fn with_relay_timeout(mut self, timeout: Duration) -> Self {
         self.relay_timeout = timeout;
+        self.max_members = MAX_RELAYED_MEMBERS;
         self
     }
 
@@ -148,7 +154,7 @@
                 continue;
             }
             let known = self.others.get(&record.entry).map(|m| &m.record);
-            if known.is_none() && self.others.len() >= MAX_MEMBERS {
+            if known.is_none() && self.others.len() >= self.max_members {
                 continue;
             }
             let is_new_run = known.is_none_or(|k| record.boot > k.boot);
