Bind an entry's connections to its own address

What callers saw: nothing. Connections to endpoints and the store are now bound to the address that the settings give, as those of the stand-alone entry are. On the platform a machine has one address, so nothing changes there but one system call for each connection.

--- a/src/router.rs
+++ b/src/router.rs
@@ -156,8 +156,8 @@
             short_keys: Mutex::default(),
             newest_fence: AtomicU64::new(0),
             permits: Permits::default(),
-            client: EndpointClient::default(),
-            store: StoreClient::new(settings.store.address),
+            client: EndpointClient::new(settings.caller_address.ip()),
+            store: StoreClient::new(settings.caller_address.ip(), settings.store.address),
             reports: filter::ReportCache::default(),
             settings,
         })
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -14,7 +14,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use crate::client::{MAX_HEAD_BYTES, head_lost};
 use crate::error::CallError;
@@ -53,8 +53,9 @@
 }
 
 /// Sends requests to endpoints over pooled connections.
-#[derive(Default)]
 pub(crate) struct EndpointClient {
+    /// The address that connections are bound to.
+    local: IpAddr,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -65,6 +66,14 @@
 }
 
 impl EndpointClient {
+    /// Creates a client whose connections are bound to `local`.
+    pub(crate) fn new(local: IpAddr) -> Self {
+        Self {
+            local,
+            idle: Mutex::default(),
+        }
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// Dropping the future or the response body closes the connection, which cancels the
@@ -86,7 +95,7 @@
                 },
             }
         }
-        let mut sender = connect(to).await?;
+        let mut sender = connect(self.local, to).await?;
         match sender.try_send_request(req).await {
             Ok(response) => Ok((response, Connection { to, sender })),
             Err(mut e) => Err(match e.take_message() {
@@ -98,7 +107,7 @@
 
     /// Returns whether an endpoint accepts connections.
     pub(crate) async fn is_reachable(&self, to: SocketAddr) -> bool {
-        match connect(to).await {
+        match connect(self.local, to).await {
             Ok(sender) => {
                 self.keep(Connection { to, sender }, None);
                 true
@@ -149,10 +158,10 @@
     }
 }
 
-async fn connect(to: SocketAddr) -> Result<SendRequest<Full<Bytes>>, CallError> {
+async fn connect(local: IpAddr, to: SocketAddr) -> Result<SendRequest<Full<Bytes>>, CallError> {
     metric::count_connect();
     let not_sent = CallError::NotSent { to };
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
+    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, open_stream(local, to)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
             return Err(CallError::Refused { to });
@@ -173,3 +182,9 @@
     sender.ready().await.map_err(|_| not_sent)?;
     Ok(sender)
 }
+
+async fn open_stream(local: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(local, 0))?;
+    socket.connect(to).await
+}
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -3,7 +3,7 @@
 //! A connection on which a call timed out may be dead, so the next call opens a new one.
 //! The store may come back from an older copy; each answer tells its era.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use pistachioyard_platform::{
@@ -66,12 +66,12 @@
 }
 
 impl StoreClient {
-    /// Creates a client of the store at an address.
-    pub(crate) fn new(address: SocketAddr) -> Self {
+    /// Creates a client of the store at an address, whose connections are bound to `local`.
+    pub(crate) fn new(local: IpAddr, address: SocketAddr) -> Self {
         Self {
             address,
-            pooled: HttpClient::new(None, Reuse::Pooled),
-            fresh: HttpClient::new(None, Reuse::Fresh),
+            pooled: HttpClient::new(Some(local), Reuse::Pooled),
+            fresh: HttpClient::new(Some(local), Reuse::Fresh),
             is_reachable: AtomicBool::new(true),
             last_failure: parking_lot::Mutex::new(None),
             era: watch::Sender::new(None),
