--- a/crates/pistachioyard_standins/src/proxy.rs
+++ b/crates/pistachioyard_standins/src/proxy.rs
@@ -13,6 +13,7 @@
 mod endless;
 mod pipe;
 mod state;
+mod syn_filter;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/pistachioyard_standins/src/proxy/api.rs
+++ b/crates/pistachioyard_standins/src/proxy/api.rs
@@ -47,6 +47,8 @@
     cx: Cx,
     body: TypedBody<Vec<FaultRule>>,
 ) -> Result<HttpResponseUpdatedNoContent, HttpError> {
-    cx.context().set_rules(body.into_inner());
+    cx.context()
+        .set_rules(body.into_inner())
+        .map_err(|e| HttpError::for_internal_error(e.to_string()))?;
     Ok(HttpResponseUpdatedNoContent())
 }
--- a/crates/pistachioyard_standins/src/proxy/control.rs
+++ b/crates/pistachioyard_standins/src/proxy/control.rs
@@ -64,6 +64,9 @@
 pub enum FaultKind {
     /// Resets open connections, and new ones once they are accepted.
     Cut,
+    /// Leaves attempts to open a connection unanswered, as a partition does; open connections
+    /// are not affected.
+    CutNew,
     /// Reads and discards the bytes sent to the target.
     CutToTarget,
     /// Reads and discards the bytes sent by the target.
@@ -106,6 +109,13 @@
 }
 
 impl FaultRule {
+    /// Returns the leading octets of the sources that the rule matches.
+    pub(crate) fn source_octets(&self) -> Vec<u8> {
+        let prefix = self.from.as_deref().unwrap_or_default();
+        let octets = prefix.split('.').take(4);
+        octets.filter_map(|octet| octet.parse().ok()).collect()
+    }
+
     /// Returns whether the rule matches connections from this source on this route.
     pub(crate) fn matches(&self, source: IpAddr, listen: SocketAddr) -> bool {
         let from = self.from.as_deref();
--- a/crates/pistachioyard_standins/src/proxy/state.rs
+++ b/crates/pistachioyard_standins/src/proxy/state.rs
@@ -1,6 +1,7 @@
 //! The routes and rules of the fault proxy.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use super::connection;
 use super::control::{FaultKind, FaultRule, Route};
 use super::endless::Endless;
+use super::syn_filter;
 use crate::server::ServeError;
 
 /// The pause before accepting again after an error.
@@ -51,6 +53,8 @@
     fn add(&mut self, kind: FaultKind) {
         match kind {
             FaultKind::Cut => self.cut = true,
+            // The filter of the listening socket applies it.
+            FaultKind::CutNew => {}
             FaultKind::CutToTarget => self.cut_to_target = true,
             FaultKind::CutFromTarget => self.cut_from_target = true,
             FaultKind::Delay { ms } => self.delay += Duration::from_millis(ms),
@@ -71,6 +75,7 @@
 #[derive(Debug)]
 pub(crate) struct ProxyState {
     routes: Mutex<BTreeMap<SocketAddr, SocketAddr>>,
+    listeners: Mutex<BTreeMap<SocketAddr, Arc<TcpListener>>>,
     rules: watch::Sender<RuleSet>,
 }
 
@@ -78,6 +83,7 @@
     pub(crate) fn new() -> Self {
         Self {
             routes: Mutex::default(),
+            listeners: Mutex::default(),
             rules: watch::Sender::new(RuleSet::default()),
         }
     }
@@ -97,6 +103,10 @@
             .await
             .map_err(|source| ServeError::Route { listen, source })?;
         self.routes.lock().insert(listen, target);
+        let listener = Arc::new(listener);
+        self.listeners.lock().insert(listen, listener.clone());
+        self.filter_listeners()
+            .map_err(|source| ServeError::Route { listen, source })?;
         tokio::spawn(Arc::clone(self).accept(listener, listen));
         Ok(())
     }
@@ -107,14 +117,33 @@
         routes.iter().map(route).collect()
     }
 
-    pub(crate) fn set_rules(&self, rules: Vec<FaultRule>) {
+    /// Replaces the rules in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a filter cannot be attached to a listening socket.
+    pub(crate) fn set_rules(&self, rules: Vec<FaultRule>) -> io::Result<()> {
         self.rules.send_modify(|set| {
             set.generation += 1;
             set.rules = rules.into();
         });
+        self.filter_listeners()
+    }
+
+    /// Makes each listening socket drop what opens connections from the sources that are cut off.
+    fn filter_listeners(&self) -> io::Result<()> {
+        let rules = self.rules.borrow().rules.clone();
+        for (listen, listener) in &*self.listeners.lock() {
+            let cut = rules.iter().filter(|rule| {
+                rule.kind == FaultKind::CutNew && rule.to.is_none_or(|to| to == *listen)
+            });
+            let sources: Vec<Vec<u8>> = cut.map(FaultRule::source_octets).collect();
+            syn_filter::set(listener, &sources)?;
+        }
+        Ok(())
     }
 
-    async fn accept(self: Arc<Self>, listener: TcpListener, listen: SocketAddr) {
+    async fn accept(self: Arc<Self>, listener: Arc<TcpListener>, listen: SocketAddr) {
         loop {
             let Ok((client, peer)) = listener.accept().await else {
                 tokio::time::sleep(ACCEPT_RETRY).await;
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -222,6 +222,8 @@
 
 async fn answer(worker: &Arc<Worker>, path: &str, req: Request<Incoming>) -> Response<Body> {
     match path {
+        // Endpoints of plain services hold no model to report on.
+        "/report" if !worker.is_engine() => status_only(StatusCode::NOT_FOUND),
         "/report" => {
             let orders = worker.state.lock().orders;
             json_response(StatusCode::OK, &worker.status_report(orders))
--- a/crates/pistachioyard_standins/tests/standins/proxy.rs
+++ b/crates/pistachioyard_standins/tests/standins/proxy.rs
@@ -248,3 +248,27 @@
     client.write_all(b"a").await.unwrap();
     assert_eq!(server.read_u8().await.unwrap(), b'a');
 }
+
+/// New connections from one source hang while those that are open, and those of others, go on.
+#[tokio::test]
+async fn new_connections_of_a_cut_source_hang() {
+    let proxy = ProxyHarness::start().await;
+    let cut: IpAddr = [127, 0, 0, 9].into();
+    let (mut client, mut server) = proxy.open_from(cut).await.expect("no fault yet");
+    let rule = FaultRule {
+        from: Some(cut.to_string()),
+        to: None,
+        kind: FaultKind::CutNew,
+    };
+    proxy.set_rules(vec![rule]).await;
+    let connecting = timeout(SETTLE_TIME, proxy.open_from(cut)).await;
+    assert!(connecting.is_err(), "{connecting:?}");
+    proxy.open().await.expect("other sources are not affected");
+    client
+        .write_all(b"!")
+        .await
+        .expect("the connection is open");
+    assert_eq!(server.read_u8().await.expect("it lives on"), b'!');
+    proxy.set_rules(Vec::new()).await;
+    proxy.open_from(cut).await.expect("the rule was removed");
+}
