Add failing tests of entries that are cut off from endpoints

The tests play the cut in four ways, of one entry, a data centre, all entries, and of some endpoints only, and check first tries by the operators' rule after the settle window.

--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod calm;
+mod cut;
 mod deployment;
 mod endless;
 mod endpoints;
