Use endpoints without a report again after an ejection

Cause: an ejection ends with an answered probe, the probe asks for the report, and an endpoint of a plain service answers that it has none, which counted as silence. Now any answer ends the ejection, as it already did in the check for crashes; both use CallError::is_answered. cut::return_of_links::plain_endpoints_that_were_out_of_reach_are_used_again failed before (no plain request served within 3 s) and passes.

--- a/src/error.rs
+++ b/src/error.rs
@@ -58,6 +58,19 @@
     },
 }
 
+impl CallError {
+    /// Returns whether the other side answered, though not with a usable response.
+    pub(crate) fn is_answered(&self) -> bool {
+        match self {
+            Self::Malformed { .. } | Self::Status { .. } | Self::TooLong { .. } => true,
+            Self::Refused { .. }
+            | Self::NotSent { .. }
+            | Self::AnswerLost { .. }
+            | Self::Timeout { .. } => false,
+        }
+    }
+}
+
 /// A part of a response that has a limit of its own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum AnswerPart {
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -45,6 +45,8 @@
     let asked = filter::fetch_report(router, &record.endpoint, record.address);
     let (report, result) = match tokio::time::timeout(PROBE_TIMEOUT, asked).await {
         Ok(Ok(report)) => (Some(report), ProbeResult::Answered),
+        // An endpoint of a plain service has no report, but it answers.
+        Ok(Err(e)) if e.is_answered() => (None, ProbeResult::Answered),
         Ok(Err(CallError::Refused { .. })) => (None, ProbeResult::Refused),
         Ok(Err(_)) | Err(_) => (None, ProbeResult::Silent),
     };
--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -147,16 +147,9 @@
         match asked.await {
             Ok(Ok(report)) => return started.is_some() && report.started_unix_ms != started,
             // An endpoint of a plain service has no report, but it answers.
-            Ok(Err(
-                CallError::Malformed { .. } | CallError::Status { .. } | CallError::TooLong { .. },
-            )) => return false,
+            Ok(Err(e)) if e.is_answered() => return false,
             Ok(Err(CallError::Refused { .. })) => return true,
-            Ok(Err(
-                CallError::NotSent { .. }
-                | CallError::AnswerLost { .. }
-                | CallError::Timeout { .. },
-            ))
-            | Err(_) => {}
+            Ok(Err(_)) | Err(_) => {}
         }
     }
     true
