Tell endpoints that are down from ones that only this entry does not reach

And requests whose connections a cut had ended counted as having crashed their endpoints; in a test one sound request was refused at both entries. Now only failed connections in a row make its own links doubtful, it tries further endpoints, and a service of which none accepts is out of reach.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -10,6 +10,7 @@
 mod deletion;
 mod limits;
 mod notices;
+mod reach;
 mod record;
 mod tracked;
 
@@ -165,6 +166,7 @@
         let suspect = self.by_id.get(endpoint).and_then(|tracked| tracked.suspect);
         suspect.is_some_and(|suspect| {
             !suspect.has_answered
+                && !suspect.is_reached_elsewhere(now)
                 && now.saturating_duration_since(suspect.since) < UNRESPONSIVE_WINDOW
         })
     }
@@ -296,6 +298,16 @@
             && !self.notices.is_paused(&run, now)
     }
 
+    /// Returns whether all that speaks against an endpoint is that this entry does not reach it.
+    fn is_only_out_of_reach(&self, tracked: &TrackedEndpoint, now: Instant) -> bool {
+        let suspect = tracked.suspect.filter(|s| s.is_reached_elsewhere(now));
+        let run = tracked.record.run();
+        suspect.is_some()
+            && tracked.is_usable_if_reached(now)
+            && !self.notices.is_leaving(&run)
+            && !self.notices.is_paused(&run, now)
+    }
+
     /// Returns the endpoints of a service that may get new requests.
     pub fn usable(&self, service: &ServiceName, now: Instant) -> Vec<&EndpointRecord> {
         let of_service = self.by_id.values().filter(|t| t.record.service == *service);
@@ -311,7 +323,14 @@
         load: &LoadTracker,
         now: Instant,
     ) -> Vec<StageOffer> {
-        let offers = self.usable(service, now).into_iter().filter_map(|record| {
+        let of_service = self.by_id.values().filter(|t| t.record.service == *service);
+        let offers = of_service.filter_map(|tracked| {
+            let record = &tracked.record;
+            let is_usable = self.takes_requests(tracked, now);
+            // Other endpoints reach it, so it may run later layers.
+            if !is_usable && !self.is_only_out_of_reach(tracked, now) {
+                return None;
+            }
             let state = &record.state;
             Some(StageOffer {
                 endpoint: record.endpoint.clone(),
@@ -320,7 +339,7 @@
                 layers: state.layers?,
                 card: *spec.cards.get(state.card.as_ref()?)?,
                 slowdown: state.slowdown.max(1.0),
-                may_start: self.has_room(record, now),
+                may_start: is_usable && self.has_room(record, now),
                 requests: load.requests(&record.endpoint),
                 token_layers: load.token_layers(&record.endpoint),
             })
--- a/crates/pistachioyard_policy/src/endpoint_registry/deaths.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/deaths.rs
@@ -71,6 +71,7 @@
                 failed_probes: 1,
                 is_refused: true,
                 refused_at: Some(refused_at),
+                is_confirmed_dead: true,
                 ..*suspect
             };
         }
--- a/crates/pistachioyard_policy/src/endpoint_registry/tracked.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/tracked.rs
@@ -64,9 +64,23 @@
     /// When a connection to it was first refused, here or at a peer.
     pub(super) refused_at: Option<Instant>,
     pub(super) has_answered: bool,
+    /// Until when it counts as alive, since it answers a peer.
+    pub(super) reached_elsewhere_until: Option<Instant>,
+    /// When a peer is asked next whether it answers there.
+    pub(super) next_opinion_at: Instant,
+    /// Whether it also refused a connection of a peer, or this entry reaches others.
+    pub(super) is_confirmed_dead: bool,
 }
 
 impl Suspicion {
+    /// Returns whether it does not answer this entry and answers a peer.
+    pub(super) fn is_reached_elsewhere(&self, now: Instant) -> bool {
+        !self.has_answered
+            && self
+                .reached_elsewhere_until
+                .is_some_and(|until| now < until)
+    }
+
     /// Records the result of a probe; returns whether it is the first refused connection that is
     /// known of.
     pub(super) fn note_probe(&mut self, result: ProbeResult, now: Instant) -> bool {
@@ -194,6 +208,9 @@
                 is_refused: false,
                 refused_at: None,
                 has_answered: false,
+                reached_elsewhere_until: None,
+                next_opinion_at: now,
+                is_confirmed_dead: false,
             });
         }
         is_new
@@ -234,15 +251,20 @@
         self.suspect.is_some_and(|suspect| {
             let silence = now.saturating_duration_since(suspect.since);
             !suspect.has_answered
+                && !suspect.is_reached_elsewhere(now)
                 && suspect.failed_probes >= FAILED_PROBES_UNTIL_LOST
                 && (suspect.is_refused || silence >= SILENCE_UNTIL_LOST)
         })
     }
 
     pub(super) fn is_usable(&self, now: Instant) -> bool {
+        self.is_usable_if_reached(now) && !self.is_suspect(now)
+    }
+
+    /// Returns whether it is usable for those that reach it.
+    pub(super) fn is_usable_if_reached(&self, now: Instant) -> bool {
         !self.record.is_leaving
             && !self.is_unavailable
-            && !self.is_suspect(now)
             && self.refusals.is_none_or(|refusals| now >= refusals.until)
     }
 }
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod plain_choice;
 mod prefix_index;
 mod quarantine;
+mod reach;
 mod request_limits;
 mod retry_budget;
 mod return_spread;
@@ -76,6 +77,7 @@
 pub use plain_choice::{LatencyEstimates, choose_plain_endpoint};
 pub use prefix_index::PrefixIndex;
 pub use quarantine::{Quarantine, QuarantineVerdict, RELAPSE_HOLD, SuspectReservations};
+pub use reach::{Reach, ReachTracker};
 pub use request_limits::{
     BadRate, FleetPart, LimitChange, PermitAnswer, RequestLimits, RequestRate, ReturnSchedule,
 };
--- a/src/router.rs
+++ b/src/router.rs
@@ -15,12 +15,14 @@
 mod log;
 mod metric;
 mod parts;
+mod peer_probe;
 mod permits;
 mod quarantine;
+mod reach;
 mod run;
 mod store_client;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::{Mutex, RwLock};
@@ -34,10 +36,12 @@
 pub(crate) use run::run_router;
 use tokio::sync::{Notify, watch};
 
+use crate::client::{HttpClient, Reuse};
 use crate::lifecycle::Lifecycle;
 use crate::prelude::*;
 use crate::router::endpoint_client::EndpointClient;
 use crate::router::permits::Permits;
+use crate::router::reach::{OwnReach, ToldReach};
 use crate::router::store_client::StoreClient;
 
 /// How long a peer may be silent before it counts as lost; covers several gossip periods.
@@ -73,6 +77,9 @@
     pub(crate) members: Mutex<Membership>,
     /// The peers that report that they cannot reach the store.
     pub(crate) peers_without_store: Mutex<BTreeSet<EntryId>>,
+    pub(crate) reach: OwnReach,
+    /// What each peer has told of its reach, by the keys of the services.
+    pub(crate) peer_reach: Mutex<BTreeMap<EntryId, BTreeMap<u32, ToldReach>>>,
     pub(crate) retries: Mutex<SharedRetryBudget>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) parts: Mutex<PartQuarantine>,
@@ -102,6 +109,7 @@
     newest_fence: AtomicU64,
     pub(crate) permits: Permits,
     pub(crate) client: EndpointClient,
+    pub(crate) peer_client: HttpClient,
     pub(crate) store: StoreClient,
     pub(crate) reports: filter::ReportCache,
 }
@@ -139,6 +147,8 @@
                 Membership::new(own, PEER_TIMEOUT, now).with_relay_timeout(RELAYED_PEER_TIMEOUT),
             ),
             peers_without_store: Mutex::default(),
+            reach: OwnReach::default(),
+            peer_reach: Mutex::default(),
             retries: Mutex::new(retries),
             quarantine: Mutex::new(Quarantine::without_isolation(QUARANTINE_HOLD)),
             parts: Mutex::default(),
@@ -157,6 +167,7 @@
             newest_fence: AtomicU64::new(0),
             permits: Permits::default(),
             client: EndpointClient::new(settings.caller_address.ip()),
+            peer_client: HttpClient::new(Some(settings.caller_address.ip()), Reuse::Pooled),
             store: StoreClient::new(settings.caller_address.ip(), settings.store.address),
             reports: filter::ReportCache::default(),
             settings,
@@ -266,6 +277,7 @@
             });
             self.suspects_due.notify_one();
             self.endpoints_changed.notify_one();
+            self.client.reach_doubtful.notify_one();
         }
     }
 
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -6,6 +6,7 @@
 mod peer_fallback;
 mod peers;
 mod placement;
+mod reach;
 mod suspects;
 mod watch_pace;
 
@@ -13,6 +14,9 @@
 pub(crate) use peers::{ShortKeys, announce};
 pub(crate) use placement::is_candidate as is_placement_candidate;
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
 use crate::prelude::*;
 use crate::router::Router;
 
@@ -31,6 +35,7 @@
     tokio::spawn(peers::register(router.clone()));
     tokio::spawn(placement::run(router.clone()));
     tokio::spawn(peer_fallback::run(router.clone()));
+    tokio::spawn(reach::run(router.clone()));
     tokio::spawn(suspects::run(router.clone()));
     tokio::spawn(run_housekeeping(router.clone()));
 }
@@ -39,6 +44,13 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING_PERIOD).await;
         router.client.expire();
+        let addresses: HashSet<SocketAddr> = {
+            let endpoints = router.endpoints.lock();
+            endpoints.records().map(|record| record.address).collect()
+        };
+        router
+            .client
+            .retain_addresses(|address| addresses.contains(&address));
         let endpoints = router.endpoints.lock();
         let mut latency = router.plain_latency.lock();
         latency.retain(|endpoint| endpoints.get(endpoint).is_some());
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -115,5 +115,6 @@
     for (record, _) in lost {
         load.forget_peer(&record.entry);
         router.peers_without_store.lock().remove(&record.entry);
+        router.peer_reach.lock().remove(&record.entry);
     }
 }
--- a/src/router/controller/peers/datagram.rs
+++ b/src/router/controller/peers/datagram.rs
@@ -56,6 +56,7 @@
 ) -> Option<Vec<u8>> {
     let load_only = scope == GossipScope::SameCentreLoad;
     let max_items = if load_only { 0 } else { MAX_ITEMS_PER_LIST };
+    let reach = router.reach_to_tell();
     let endpoints = router.endpoints.lock();
     let heard = endpoints
         .reported_within(LAYER_REPORT_MAX_AGE, now)
@@ -111,6 +112,7 @@
         leaving,
         dead,
         limits,
+        reach,
         quarantine,
         parts,
         load_only,
--- a/src/router/controller/peers/messages.rs
+++ b/src/router/controller/peers/messages.rs
@@ -39,6 +39,10 @@
     /// The limits that endpoints have named, and those that have ended lately.
     #[serde(default)]
     pub(super) limits: Vec<LimitNotice>,
+    /// The services of which the sender misses endpoints: key, silent endpoints, whether it
+    /// reaches none.
+    #[serde(default)]
+    pub(super) reach: Vec<(u32, u32, bool)>,
     /// The requests that crashed endpoints.
     pub(super) quarantine: Vec<QuarantineMark>,
     /// The findings about prompt parts; empty from entries that have none.
--- a/src/router/controller/peers/receive.rs
+++ b/src/router/controller/peers/receive.rs
@@ -56,6 +56,12 @@
             without_store.insert(sender.entry.clone());
         }
     }
+    {
+        let told = gossip.reach.iter();
+        let told = told.map(|(key, silent, is_lost)| (*key, (*silent, *is_lost)));
+        let mut reach = router.peer_reach.lock();
+        reach.insert(sender.entry.clone(), told.collect());
+    }
     let seen = StorePosition {
         era: gossip.endpoints_era,
         revision: gossip.endpoints_revision,
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -19,7 +19,9 @@
     loop {
         // A timeout and a notification both lead to the next check.
         let _ = tokio::time::timeout(CHECK_PERIOD, router.suspects_due.notified()).await;
-        let due = router.endpoints.lock().due_probes(Instant::now());
+        let mut due = router.endpoints.lock().due_probes(Instant::now());
+        // A service out of reach is tried by the controller of the reach.
+        due.retain(|record| !router.is_out_of_reach(&record.service));
         join_all(due.iter().map(|record| probe(&router, record))).await;
         survey_slow(&router).await;
     }
@@ -41,7 +43,7 @@
     }
 }
 
-async fn probe(router: &Router, record: &EndpointRecord) {
+async fn probe(router: &Arc<Router>, record: &EndpointRecord) {
     let asked = filter::fetch_report(router, &record.endpoint, record.address);
     let (report, result) = match tokio::time::timeout(PROBE_TIMEOUT, asked).await {
         Ok(Ok(report)) => (Some(report), ProbeResult::Answered),
@@ -52,12 +54,19 @@
     };
     let now = Instant::now();
     let answered = result == ProbeResult::Answered;
-    let is_first_refusal = {
+    let is_opinion_due = {
         let mut endpoints = router.endpoints.lock();
         if let Some(report) = report {
             endpoints.apply_report(&record.endpoint, report, now);
         }
-        endpoints.note_probe(&record.endpoint, result, now)
+        // This entry may be cut off, so a refusal counts once it is confirmed.
+        let is_confirmed = endpoints.is_confirmed_dead(&record.endpoint);
+        let counted = match result {
+            ProbeResult::Refused if !is_confirmed => ProbeResult::Silent,
+            result => result,
+        };
+        endpoints.note_probe(&record.endpoint, counted, now);
+        !answered && endpoints.take_due_opinion(&record.endpoint, now)
     };
     spdlog::info!("endpoints: probed", kv: {
         endpoint = record.endpoint.as_str(), answered, result:?
@@ -65,9 +74,25 @@
     if answered {
         router.capacity_changed.notify_waiters();
     }
-    if is_first_refusal {
-        router.urgent_news.notify_one();
+    if is_opinion_due {
+        tokio::spawn(confirm(router.clone(), record.clone(), result));
     }
     // A failed probe may show that the endpoint is lost, so that its layers must be reassigned.
     router.endpoints_changed.notify_one();
 }
+
+/// Asks a peer whether an endpoint that does not answer this entry is alive.
+async fn confirm(router: Arc<Router>, record: EndpointRecord, result: ProbeResult) {
+    let is_lost = router.is_lost_for_all(&record.run()).await;
+    if is_lost && result == ProbeResult::Refused {
+        let is_first = {
+            let mut endpoints = router.endpoints.lock();
+            endpoints.confirm_dead(&record.endpoint);
+            endpoints.note_probe(&record.endpoint, ProbeResult::Refused, Instant::now())
+        };
+        if is_first {
+            router.urgent_news.notify_one();
+        }
+    }
+    router.endpoints_changed.notify_one();
+}
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -14,7 +14,9 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use pistachioyard_policy::{Reach, ReachTracker};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Notify;
 
 use crate::client::{MAX_HEAD_BYTES, head_lost};
 use crate::error::CallError;
@@ -56,6 +58,9 @@
 pub(crate) struct EndpointClient {
     /// The address that connections are bound to.
     local: IpAddr,
+    reach: Mutex<ReachTracker>,
+    /// Wakes the controller that assesses the reach of this entry.
+    pub(crate) reach_doubtful: Notify,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -70,6 +75,8 @@
     pub(crate) fn new(local: IpAddr) -> Self {
         Self {
             local,
+            reach: Mutex::default(),
+            reach_doubtful: Notify::new(),
             idle: Mutex::default(),
         }
     }
@@ -95,7 +102,7 @@
                 },
             }
         }
-        let mut sender = connect(self.local, to).await?;
+        let mut sender = self.connect(to).await?;
         match sender.try_send_request(req).await {
             Ok(response) => Ok((response, Connection { to, sender })),
             Err(mut e) => Err(match e.take_message() {
@@ -107,7 +114,7 @@
 
     /// Returns whether an endpoint accepts connections.
     pub(crate) async fn is_reachable(&self, to: SocketAddr) -> bool {
-        match connect(self.local, to).await {
+        match self.connect(to).await {
             Ok(sender) => {
                 self.keep(Connection { to, sender }, None);
                 true
@@ -132,6 +139,39 @@
         }
     }
 
+    async fn connect(&self, to: SocketAddr) -> Result<SendRequest<Full<Bytes>>, CallError> {
+        let connected = connect(self.local, to).await;
+        let now = Instant::now();
+        match &connected {
+            Ok(_) => self.reach.lock().record_accepted(to, now),
+            Err(_) => {
+                self.reach.lock().record_failed(to, now);
+                self.reach_doubtful.notify_one();
+            }
+        }
+        connected
+    }
+
+    /// Assesses whether the endpoints of a service at these addresses are reached.
+    pub(crate) fn assess(&self, addresses: &[SocketAddr]) -> Reach {
+        self.reach.lock().assess(addresses)
+    }
+
+    /// Returns when one of the endpoints at these addresses last accepted a connection.
+    pub(crate) fn last_accepted(&self, addresses: &[SocketAddr]) -> Option<Instant> {
+        self.reach.lock().last_accepted(addresses)
+    }
+
+    /// Returns whether the last attempt to connect to an endpoint failed.
+    pub(crate) fn is_failing(&self, address: SocketAddr) -> bool {
+        self.reach.lock().is_failing(address)
+    }
+
+    /// Discards what is known of addresses that are not endpoints any more.
+    pub(crate) fn retain_addresses(&self, is_known: impl Fn(SocketAddr) -> bool) {
+        self.reach.lock().retain(is_known);
+    }
+
     /// Closes the idle connections that have expired.
     pub(crate) fn expire(&self) {
         let now = Instant::now();
--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -89,17 +89,29 @@
     router: &Arc<Router>,
     digest: RequestDigest,
     target: &EndpointRecord,
+) {
+    check_run_for_crash(router, digest, &target.run(), target.address).await;
+}
+
+/// Does the same as [`check_for_crash`] for a run that may not be the current one.
+pub(super) async fn check_run_for_crash(
+    router: &Arc<Router>,
+    digest: RequestDigest,
+    run: &EndpointRun,
+    address: SocketAddr,
 ) {
     let is_suspect = router.quarantine.lock().count_crashes(digest) > 0;
-    let (router, address, run) = (router.clone(), target.address, target.run());
-    let check = tokio::spawn(async move {
-        if has_crashed(&router, &run.endpoint, address, run.started_unix_ms).await {
-            router.note_crash_of_run(digest, &run);
+    let check = tokio::spawn({
+        let (router, run) = (router.clone(), run.clone());
+        async move {
+            if has_crashed(&router, &run.endpoint, address, run.started_unix_ms).await {
+                router.note_crash_of_run(digest, &run);
+            }
         }
     });
     if is_suspect && let Err(e) = check.await {
         spdlog::error!("quarantine: a check for a crash failed", kv: {
-            endpoint = target.endpoint.as_str(), why = e.to_string().as_str()
+            endpoint = run.endpoint.as_str(), why = e.to_string().as_str()
         });
     }
 }
@@ -120,6 +132,7 @@
             match state {
                 RunState::Sound => return,
                 RunState::Silent => tokio::time::sleep(SILENCE_CHECK_INTERVAL).await,
+                RunState::Ended if !router.is_lost_for_all(&run).await => return,
                 RunState::Ended => {
                     router.note_crash_of_run(digest, &run);
                     if let Some(trial) = trial {
@@ -132,25 +145,56 @@
     });
 }
 
-/// Returns whether the endpoint run that started at this time no longer answers.
+/// Returns whether the endpoint run that started at this time no longer answers, here and at a
+/// peer.
 pub(super) async fn has_crashed(
     router: &Router,
     endpoint: &EndpointId,
     address: SocketAddr,
     started: Option<u64>,
 ) -> bool {
+    let run = EndpointRun {
+        endpoint: endpoint.clone(),
+        started_unix_ms: started,
+    };
+    match probe(router, endpoint, address, started).await {
+        Probed::SameRun => false,
+        Probed::OtherRun => true,
+        Probed::NoAnswer => router.is_lost_for_all(&run).await,
+    }
+}
+
+/// Says what the probes of a run that lost an answer have found.
+enum Probed {
+    /// It answers.
+    SameRun,
+    /// A later run answers.
+    OtherRun,
+    /// There is no answer.
+    NoAnswer,
+}
+
+async fn probe(
+    router: &Router,
+    endpoint: &EndpointId,
+    address: SocketAddr,
+    started: Option<u64>,
+) -> Probed {
     for attempt in 0..CRASH_PROBES {
         if attempt > 0 {
             tokio::time::sleep(PROBE_INTERVAL).await;
         }
         let asked = tokio::time::timeout(REPORT_TIMEOUT, fetch(router, endpoint, address));
         match asked.await {
-            Ok(Ok(report)) => return started.is_some() && report.started_unix_ms != started,
+            Ok(Ok(report)) if started.is_some() && report.started_unix_ms != started => {
+                return Probed::OtherRun;
+            }
+            Ok(Ok(_)) => return Probed::SameRun,
             // An endpoint of a plain service has no report, but it answers.
-            Ok(Err(e)) if e.is_answered() => return false,
-            Ok(Err(CallError::Refused { .. })) => return true,
+            Ok(Err(e)) if e.is_answered() => return Probed::SameRun,
+            Ok(Err(CallError::Refused { .. })) => return Probed::NoAnswer,
             Ok(Err(_)) | Err(_) => {}
         }
     }
-    true
+    Probed::NoAnswer
 }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -16,7 +16,7 @@
 };
 use pistachioyard_wire::ServiceName;
 
-use super::crash_check::record_end;
+use super::crash_check::{check_run_for_crash, record_end};
 use super::path::{FoundPath, PathRequest, admit};
 use super::record::Record;
 use super::{Call, deadline_passed, no_capacity, result_lost};
@@ -321,8 +321,8 @@
                 ReadResult::Lost(at_fault, why) => (at_fault, why),
             };
             self.path_run = None;
-            if let Some(endpoint) = at_fault {
-                self.router.note_crash(self.call.digest, &endpoint);
+            if let Some((run, address)) = at_fault {
+                check_run_for_crash(&self.router, self.call.digest, &run, address).await;
             }
             self.recover(&why).await?;
         }
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -4,6 +4,7 @@
 mod refusal;
 mod repair;
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 
 use bytes::Bytes;
@@ -24,7 +25,7 @@
 use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
-use crate::router::filter::crash_check::Framing;
+use crate::router::filter::crash_check::{Framing, check_run_for_crash};
 use crate::router::filter::part_trial::PartTrial;
 use crate::router::filter::plain::endpoint_request;
 
@@ -59,10 +60,14 @@
     /// An event is longer than its limit, so the path is left; holds the first endpoint and the
     /// reason.
     TooLong(EndpointId, String),
-    /// The path is lost; holds the endpoint at fault, if one is known, and the reason.
-    Lost(Option<EndpointId>, String),
+    /// The path is lost; holds the run of its first endpoint if that may have crashed, and the
+    /// reason.
+    Lost(Option<FirstRun>, String),
 }
 
+/// Holds the run of the first endpoint of a path, and its address.
+pub(super) type FirstRun = (EndpointRun, SocketAddr);
+
 /// Resolves to the head of the answer to a request that was sent.
 type Sending =
     Pin<Box<dyn Future<Output = Result<(http::Response<Incoming>, Connection), CallError>> + Send>>;
@@ -121,6 +126,11 @@
         &self.path.stages[0].endpoint
     }
 
+    /// Returns the run of the first endpoint and its address.
+    fn first_run(&self) -> FirstRun {
+        (self.first_run.clone(), self.path.stages[0].address)
+    }
+
     /// Sends the request and waits for the head of the answer.
     ///
     /// While the first endpoint is slow to answer, the path is checked, since an endpoint
@@ -217,7 +227,8 @@
             Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
             Err(e) => {
                 self.suspect_first_endpoint();
-                self.router.note_crash(call.digest, self.first_endpoint());
+                let (run, address) = self.first_run();
+                check_run_for_crash(&self.router, call.digest, &run, address).await;
                 OpenResult::Lost(e.to_string())
             }
         }
@@ -264,7 +275,7 @@
         }
     }
 
-    fn endpoint_at(&self, address: std::net::SocketAddr) -> Option<EndpointId> {
+    fn endpoint_at(&self, address: SocketAddr) -> Option<EndpointId> {
         let endpoints = self.router.endpoints.lock();
         endpoints
             .by_address(address)
@@ -289,7 +300,7 @@
             let sent = self.answered().await;
             return match self.classify_sent(call, sent).await {
                 OpenResult::Stream(..) => ReadResult::Data,
-                OpenResult::Lost(why) => ReadResult::Lost(Some(self.first_endpoint().clone()), why),
+                OpenResult::Lost(why) => ReadResult::Lost(Some(self.first_run()), why),
                 OpenResult::TooLong(why) => ReadResult::TooLong(self.first_endpoint().clone(), why),
                 OpenResult::Complete(status, ..) => {
                     ReadResult::Lost(None, format!("the endpoint answered with status {status}"))
@@ -319,8 +330,7 @@
             }
             Some(Err(_)) => {
                 self.suspect_first_endpoint();
-                let first = self.path.stages[0].endpoint.clone();
-                ReadResult::Lost(Some(first), "the connection broke".to_owned())
+                ReadResult::Lost(Some(self.first_run()), "the connection broke".to_owned())
             }
             None if splitter.has_remainder() => {
                 if let Some(trial) = &self.trial {
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -20,6 +20,7 @@
 use crate::router::Router;
 use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{EndpointClient, MAX_REPORT_BYTES, Reuse};
+use crate::router::peer_probe::Opinion;
 
 /// The maximum age of an answer that is shared.
 const MAX_SHARED_AGE: Duration = Duration::from_millis(150);
@@ -70,6 +71,7 @@
 pub(crate) struct ReportCache {
     reports: SharedAnswers<Option<Arc<EndpointReport>>>,
     probes: SharedAnswers<bool>,
+    opinions: SharedAnswers<Opinion>,
 }
 
 impl ReportCache {
@@ -87,6 +89,15 @@
         self.reports.get(to, asked).await
     }
 
+    /// Returns a recent opinion of a peer on an endpoint, and awaits `asked` if there is none.
+    pub(crate) async fn opinion(
+        &self,
+        of: SocketAddr,
+        asked: impl Future<Output = Opinion>,
+    ) -> Opinion {
+        self.opinions.get(of, asked).await
+    }
+
     /// Returns whether an endpoint accepts a connection within the probe timeout.
     pub(crate) async fn is_alive(&self, client: &EndpointClient, to: SocketAddr) -> bool {
         let probe = async {
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -9,6 +9,7 @@
 
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,6 +26,7 @@
 use crate::router::answer::{self, AnswerBody};
 use crate::router::controller::{STATE_PATH, encode_state};
 use crate::router::log::ms;
+use crate::router::peer_probe::PROBE_PATH;
 use crate::router::{Router, filter, metric};
 
 /// The maximum number of connections waiting to be accepted; exceeds the number of callers.
@@ -39,6 +41,8 @@
 /// How long the head of a request that has begun to arrive may take on a connection that is about
 /// to be closed.
 const LAST_HEAD_LIMIT: Duration = Duration::from_millis(500);
+/// The maximum size of a peer's question for a probe, in bytes.
+const MAX_PROBE_BYTES: usize = 4_096;
 /// The delay after a failed accept, such as when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -51,7 +55,7 @@
     Directory,
     /// Whether this process is ready.
     Readiness,
-    /// This entry's state, for its peers.
+    /// This entry's state and probes, for its peers.
     Peers,
     /// The Prometheus metrics.
     Metrics(PrometheusHandle),
@@ -158,6 +162,17 @@
             }
             response
         }
+        Service::Peers if req.uri().path() == PROBE_PATH => {
+            let asked = Limited::new(req.into_body(), MAX_PROBE_BYTES).collect().await;
+            let answer = match asked {
+                Ok(asked) => router.answer_peer(&asked.to_bytes()).await,
+                Err(_) => None,
+            };
+            match answer {
+                Some(answer) => answer::text("application/json", answer),
+                None => answer::status(StatusCode::BAD_REQUEST),
+            }
+        }
         Service::Directory if req.uri().path() == DIRECTORY_PATH => directory(&router, &req),
         Service::Readiness if req.uri().path() == READY_PATH => {
             answer::status(if router.is_ready() {
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -112,6 +112,7 @@
     gauge!("router_endpoints_usable").set(usable as f64);
     let limited = router.endpoints.lock().limits().count();
     gauge!("router_endpoints_limited").set(limited as f64);
+    gauge!("router_services_out_of_reach").set(router.count_out_of_reach() as f64);
     gauge!("router_entries_live").set(router.live_entries(now) as f64);
     gauge!("router_config_version").set(router.version() as f64);
     gauge!("router_requests_in_flight").set(router.lifecycle.in_flight() as f64);
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -53,16 +53,10 @@
         responsible_entry(key, live).is_none_or(|entry| *entry == self.settings.entry)
     }
 
-    /// Records that an endpoint was lost while it ran a request.
+    /// Records that a run of an endpoint was lost while it ran a request.
     ///
     /// A request is refused once three endpoints were lost while they ran it. A request that
     /// has completed is not blamed for the losses.
-    pub(crate) fn note_crash(&self, digest: RequestDigest, endpoint: &EndpointId) {
-        let run = self.endpoints.lock().run_of(endpoint);
-        self.note_crash_of_run(digest, &run);
-    }
-
-    /// Does the same as [`Router::note_crash`] for a run that may not be the current one.
     pub(crate) fn note_crash_of_run(&self, digest: RequestDigest, run: &EndpointRun) {
         let endpoint = &run.endpoint;
         let run = Self::run_id(endpoint, run.started_unix_ms);
