--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -38,6 +38,10 @@
     let Some(active) = router.active_config() else {
         return;
     };
+    // What this entry takes for lost is only out of its reach, so another one decides.
+    if router.count_out_of_reach() > 0 {
+        return;
+    }
     // The holder keeps the lease, so that a returning entry does not force a handover.
     if !lease.is_held(router) && !is_candidate(router, Instant::now()) {
         return;
@@ -78,11 +82,12 @@
 }
 
 /// Returns whether this entry should hold the lease: it is the first of the live entries
-/// that can reach the store, or the first of all live entries if none can.
+/// that can reach the store and the endpoints, or the first of all live entries if none can.
 ///
 /// Entries may briefly disagree on this; the lease admits only one of them.
 pub(crate) fn is_candidate(router: &Router, now: Instant) -> bool {
     let own = &router.settings.entry;
+    let out_of_reach = router.peers_out_of_reach();
     let members = router.members.lock();
     let live: Vec<&EntryId> = members
         .live(now)
@@ -91,14 +96,15 @@
         .collect();
     let without_store = router.peers_without_store.lock();
     let is_own_without_store = !router.store.is_reachable();
-    let lacks_store = |entry: &EntryId| {
+    let is_own_out_of_reach = router.count_out_of_reach() > 0;
+    let is_hindered = |entry: &EntryId| {
         if entry == own {
-            is_own_without_store
+            is_own_without_store || is_own_out_of_reach
         } else {
-            without_store.contains(entry)
+            without_store.contains(entry) || out_of_reach.contains(entry)
         }
     };
-    let reaching = live.iter().filter(|entry| !lacks_store(entry)).min();
+    let reaching = live.iter().filter(|entry| !is_hindered(entry)).min();
     let first = reaching.or_else(|| live.iter().min());
     first.is_some_and(|first| *first == own)
 }
