Pass requests on to a peer while the endpoints are out of reach

Entries without links to the endpoints refused every request (0 of 69 first tries, the others 278 of 278), whichever way they were cut off. Cause (hypothesis 1): an entry could serve only through its own connections. An entry for which a service is out of reach, or that finds no path while a peer misses at most half as many endpoints, now sends the request to that peer, which serves it once, at one endpoint, and passes it on to nobody. Attempts and retries are counted at the first entry; a peer with an older configuration refuses; streams resume there after the last event that the caller has.

--- a/crates/pistachioyard_policy/src/pipeline/path_choice.rs
+++ b/crates/pistachioyard_policy/src/pipeline/path_choice.rs
@@ -163,6 +163,9 @@
     /// A path would have to cross between data centres, and the links have no capacity left.
     #[error("no data centre can run all layers and the links between them have no capacity left")]
     NoCrossing,
+    /// This entry reaches no endpoint of the service, and no peer does for it.
+    #[error("no endpoint of the service is within reach")]
+    OutOfReach,
     /// The lost endpoint is the first of its path, or not on it.
     #[error("the lost endpoint is the first of its path or not on it, so it cannot be replaced")]
     NotReplaceable,
--- a/src/router.rs
+++ b/src/router.rs
@@ -19,6 +19,7 @@
 mod permits;
 mod quarantine;
 mod reach;
+mod relay_hop;
 mod run;
 mod store_client;
 
@@ -80,6 +81,9 @@
     pub(crate) reach: OwnReach,
     /// What each peer has told of its reach, by the keys of the services.
     pub(crate) peer_reach: Mutex<BTreeMap<EntryId, BTreeMap<u32, ToldReach>>>,
+    /// The highest version of the configuration by which a peer has served a request for this
+    /// entry.
+    newest_peer_version: AtomicU64,
     pub(crate) retries: Mutex<SharedRetryBudget>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) parts: Mutex<PartQuarantine>,
@@ -149,6 +153,7 @@
             peers_without_store: Mutex::default(),
             reach: OwnReach::default(),
             peer_reach: Mutex::default(),
+            newest_peer_version: AtomicU64::new(0),
             retries: Mutex::new(retries),
             quarantine: Mutex::new(Quarantine::without_isolation(QUARANTINE_HOLD)),
             parts: Mutex::default(),
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -14,7 +14,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use pistachioyard_policy::{Reach, ReachTracker};
+use pistachioyard_policy::{Reach, ReachTracker, Repeatability};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
@@ -49,6 +49,16 @@
     Never,
 }
 
+impl Reuse {
+    /// Returns whether requests that may be repeated in this way may use a pooled connection.
+    pub(crate) fn of(repeatability: Repeatability) -> Self {
+        match repeatability {
+            Repeatability::AtMostOnce => Self::Never,
+            Repeatability::Idempotent | Repeatability::Resumable => Self::Allowed,
+        }
+    }
+}
+
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     usable_until: Instant,
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -25,7 +25,7 @@
 use crate::lifecycle::InFlight;
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
-use crate::router::{ActiveConfig, Router};
+use crate::router::{ActiveConfig, Router, relay_hop};
 use record::Record;
 
 /// Holds a request that may be dispatched.
@@ -43,6 +43,8 @@
     pub(crate) deadline: Instant,
     /// Identifies the request's content, to recognise a request that crashes endpoints.
     pub(crate) digest: RequestDigest,
+    /// Whether a peer has passed it on to this entry.
+    pub(crate) is_relayed: bool,
 }
 
 impl Call {
@@ -52,6 +54,15 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns the number of endpoints that may run the request for this entry. For one that was
+    /// passed on, the peer counts the attempts.
+    pub(crate) fn max_attempts(&self) -> u32 {
+        match self.is_relayed {
+            true => 1,
+            false => self.route.max_attempts,
+        }
+    }
+
     /// Returns the priority to send to the endpoint; the workspace's overrides the route's.
     pub(crate) fn urgency(&self) -> u8 {
         let workspace_priority = self.workspace.as_ref().and_then(|w| w.priority);
@@ -61,13 +72,44 @@
 
 /// Serves one request of a caller, from its filters to its response.
 pub(crate) async fn serve(router: Arc<Router>, req: Request<Incoming>) -> Response<AnswerBody> {
+    answer_filtered(&router, req, false).await
+}
+
+/// Serves a request that a peer has passed on, since it does not reach the endpoints.
+pub(crate) async fn serve_relayed(
+    router: Arc<Router>,
+    mut req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let refused = match relay_hop::take_mark(req.headers_mut()) {
+        Some(required) => router.check_relayed(required),
+        None => Ok(()),
+    };
+    match refused {
+        Ok(()) => answer_filtered(&router, req, true).await,
+        Err(problem) => {
+            let mut response = answer::problem(&problem);
+            relay_hop::mark_not_sent(response.headers_mut());
+            response
+        }
+    }
+}
+
+async fn answer_filtered(
+    router: &Arc<Router>,
+    req: Request<Incoming>,
+    is_relayed: bool,
+) -> Response<AnswerBody> {
     let arrived_at = Instant::now();
     let mut record = Record::new(arrived_at);
-    match run_filters(&router, req, arrived_at, &mut record).await {
+    match run_filters(router, req, arrived_at, is_relayed, &mut record).await {
         Ok(response) => response,
         Err(problem) => {
             record.end_refused(&problem);
-            answer::problem(&problem)
+            let mut response = answer::problem(&problem);
+            if is_relayed && record.sends() == 0 {
+                relay_hop::mark_not_sent(response.headers_mut());
+            }
+            response
         }
     }
 }
@@ -76,13 +118,17 @@
     router: &Arc<Router>,
     req: Request<Incoming>,
     arrived_at: Instant,
+    is_relayed: bool,
     record: &mut Record,
 ) -> Result<Response<AnswerBody>, Problem> {
     let in_flight = router.lifecycle.begin()?;
-    let call = identify::identify(router, req, arrived_at, record).await?;
+    let mut call = identify::identify(router, req, arrived_at, record).await?;
+    call.is_relayed = is_relayed;
     router.wait_for_first_news().await;
     check_quarantine(router, &call)?;
-    router.retries.lock().on_first_try();
+    if !is_relayed {
+        router.retries.lock().on_first_try();
+    }
     dispatch(router, call, in_flight, record).await
 }
 
--- a/src/router/filter/identify.rs
+++ b/src/router/filter/identify.rs
@@ -81,6 +81,7 @@
         arrived_at,
         deadline,
         digest,
+        is_relayed: false,
     }
 }
 
--- a/src/router/filter/path.rs
+++ b/src/router/filter/path.rs
@@ -9,6 +9,7 @@
 use super::{Call, no_capacity};
 use crate::prelude::*;
 use crate::router::Router;
+use crate::router::relay_hop::PeerHop;
 
 /// The share of a stream's latency target that it may wait for memory; the rest is for the
 /// prefill and the first tokens.
@@ -39,6 +40,8 @@
 /// Holds a path and the age of the oldest endpoint record that it was chosen by.
 pub(crate) struct FoundPath {
     pub(crate) path: Path,
+    /// The peer to which the request is passed on, in place of an endpoint.
+    pub(crate) peer: Option<PeerHop>,
     /// The run of the first endpoint, to which the request is sent.
     pub(crate) first_run: EndpointRun,
     pub(crate) oldest_entry_age: Duration,
@@ -60,10 +63,52 @@
     Ok(FoundPath {
         first_run: endpoints.run_of(&path.stages[0].endpoint),
         path,
+        peer: None,
         oldest_entry_age,
     })
 }
 
+/// Chooses a path, or a peer that serves the request if this entry does not reach the endpoints.
+pub(crate) fn find_path_or_peer(
+    router: &Router,
+    call: &Call,
+    request: &PathRequest<'_>,
+) -> Result<FoundPath, NoPath> {
+    let is_lost = router.is_out_of_reach(request.service);
+    let no_path = match find_path(router, request) {
+        Ok(found) if !is_lost => return Ok(found),
+        Err(no_path) if !is_lost => no_path,
+        Ok(_) | Err(_) => NoPath::OutOfReach,
+    };
+    if call.is_relayed || request.first.is_some() {
+        return Err(no_path);
+    }
+    let hop = router.find_peer_hop(request.service, request.without);
+    hop.map(through_peer).ok_or(no_path)
+}
+
+/// Returns a peer as a path of one stage.
+fn through_peer(peer: PeerHop) -> FoundPath {
+    let stage = PathStage {
+        endpoint: peer.name.clone(),
+        address: peer.address,
+        layers: LayerRange::WHOLE,
+    };
+    FoundPath {
+        path: Path {
+            stages: vec![stage],
+            crossings: 0,
+            cost_ms: 0.0,
+        },
+        first_run: EndpointRun {
+            endpoint: peer.name.clone(),
+            started_unix_ms: None,
+        },
+        peer: Some(peer),
+        oldest_entry_age: Duration::ZERO,
+    }
+}
+
 /// Chooses an endpoint of a plain service and returns it as a path of one stage.
 fn find_plain_endpoint(
     router: &Router,
@@ -201,7 +246,8 @@
     let wait_until = call.arrived_at + call.route.latency_target.mul_f64(MAX_WAIT_SHARE);
     let give_up_at = wait_until.min(call.deadline);
     loop {
-        match find_path(router, request) {
+        match find_path_or_peer(router, call, request) {
+            Ok(found) if found.peer.is_some() => return Ok(found),
             Ok(found) if router.take_permit(&found.first_run).await => return Ok(found),
             // The endpoint has no room, so another one is chosen.
             Ok(_) if call.time_left().is_some() => {}
@@ -213,6 +259,7 @@
                     retry_after_ms.unwrap_or(LIMIT_RETRY_MS),
                 ));
             }
+            Err(no_path @ NoPath::OutOfReach) => return Err(refusal(request.spec, no_path)),
             Err(no_path) if Instant::now() >= give_up_at => {
                 return Err(refusal(request.spec, no_path));
             }
@@ -245,6 +292,7 @@
 /// Estimates how long it takes until there is a path, in ms.
 fn estimated_wait_ms(spec: &PipelineSpec, no_path: NoPath) -> f64 {
     match no_path {
+        NoPath::OutOfReach => PLAIN_RETRY_MS,
         // Another card has to load the missing layers.
         NoPath::Gap { .. } | NoPath::NoCrossing => {
             let cards = spec.cards.values().map(|card| spec.max_layers(card));
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -2,7 +2,7 @@
 
 mod attempt;
 
-use attempt::{AttemptResult, attempt};
+use attempt::{AttemptResult, Target, attempt};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -22,6 +22,7 @@
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::answer::{self, AnswerBody};
+use crate::router::relay_hop::Arrival;
 
 /// The retry delay for a caller whose request no endpoint could take, in ms; about the time
 /// that a few requests take.
@@ -117,15 +118,15 @@
                 }
                 let chosen = match running.is_empty() {
                     true => {
-                        choose_endpoint(router, call, service, &self.tried, self.started > 0).await
+                        choose_target(router, call, service, &self.tried, self.started > 0).await
                     }
-                    false => find_permitted(router, service, &self.tried).await,
+                    false => find_target(router, call, service, &self.tried).await,
                 };
                 match chosen {
                     Some(target) => {
                         let (load, age) = load_and_age(router, &target);
-                        record.log_send(&target.endpoint, load, age, why);
-                        self.tried.push(target.endpoint.clone());
+                        record.log_send(target.name(), load, age, why);
+                        self.tried.push(target.name().clone());
                         self.started += 1;
                         silent_at = self.silence_limit().map(|limit| Instant::now() + limit);
                         running.push(async move {
@@ -143,11 +144,12 @@
             let wait = until_silent.map_or(time_left, |until| until.min(time_left));
             match tokio::time::timeout(wait, running.next()).await {
                 Ok(Some((target, attempt))) => {
-                    if matches!(attempt, AttemptResult::Lost(_)) {
-                        check_for_crash(router, call.digest, &target).await;
+                    if let (AttemptResult::Lost(_), Target::Endpoint(record)) = (&attempt, &target)
+                    {
+                        check_for_crash(router, call.digest, record).await;
                     }
                     let is_only = running.is_empty();
-                    match self.handle_result(&target.endpoint, attempt, is_only, record) {
+                    match self.handle_result(&target, attempt, is_only, record) {
                         NextStep::Answer(response) => return Ok(response),
                         NextStep::Refuse(problem) if running.is_empty() => return Err(problem),
                         NextStep::TryAnother(reason) => next = Some(reason),
@@ -157,8 +159,9 @@
                 Ok(None) => return Err(self.no_endpoint_left()),
                 Err(_) => {
                     silent_at = self.silence_limit().map(|limit| Instant::now() + limit);
-                    let other = find_endpoint(router, service, &self.tried, Instant::now());
-                    if self.may_start_another() && other.is_some() && router.try_retry() {
+                    let has_other = router.is_out_of_reach(service)
+                        || find_endpoint(router, service, &self.tried, Instant::now()).is_some();
+                    if self.may_start_another() && has_other && router.try_retry() {
                         next = Some("silent");
                     }
                 }
@@ -190,7 +193,7 @@
 
     /// Returns whether another attempt may be started while the earlier ones may have run.
     fn may_start_another(&self) -> bool {
-        self.may_repeat && self.started < self.call.route.max_attempts
+        self.may_repeat && self.started < self.call.max_attempts()
     }
 
     /// Returns how long to wait for an answer before another endpoint is tried as well; `None`
@@ -203,14 +206,34 @@
 
     fn handle_result(
         &mut self,
-        endpoint: &EndpointId,
+        target: &Target,
         attempt: AttemptResult,
         is_only: bool,
         record: &mut Record,
     ) -> NextStep {
+        let endpoint = target.name();
         match attempt {
             AttemptResult::Answered(head, headers, body) => {
-                self.handle_answer(endpoint, &head, &headers, body, is_only, record)
+                self.handle_answer(target, &head, &headers, body, is_only, record)
+            }
+            AttemptResult::Refused(head, headers, body) if is_only && self.started == 1 => {
+                record.end_answered(head.status.as_u16());
+                NextStep::Answer(caller_response(head.status, &headers, body))
+            }
+            AttemptResult::Refused(..) => {
+                record.log_attempt_failed(endpoint, "not run");
+                self.started -= 1;
+                NextStep::Refuse(self.refused())
+            }
+            AttemptResult::NotRunByPeer(arrival) => {
+                record.log_attempt_failed(endpoint, "not run");
+                self.started -= 1;
+                self.refusals += 1;
+                let is_free = arrival == Arrival::None;
+                if self.refusals >= MAX_REFUSALS || !is_free && !self.router.try_retry() {
+                    return NextStep::Refuse(self.refused());
+                }
+                NextStep::TryAnother("not_run")
             }
             AttemptResult::NotRun { is_full } => {
                 record.log_attempt_failed(endpoint, "not run");
@@ -224,7 +247,10 @@
             }
             AttemptResult::NotReached => {
                 record.log_attempt_failed(endpoint, "no connection");
-                self.router.suspect(endpoint, SuspectReason::NoAnswer);
+                if let Target::Endpoint(record) = target {
+                    self.router
+                        .suspect(&record.endpoint, SuspectReason::NoAnswer);
+                }
                 self.started -= 1;
                 NextStep::TryAnother("not_reached")
             }
@@ -253,17 +279,18 @@
 
     fn handle_answer(
         &mut self,
-        endpoint: &EndpointId,
+        target: &Target,
         head: &AnswerHead,
         headers: &HeaderMap,
         body: Bytes,
         is_only: bool,
         record: &mut Record,
     ) -> NextStep {
+        let endpoint = target.name();
         // An endpoint that fails may have failed before it ran what crashes others.
-        if head.status.is_success() {
+        if let (true, Target::Endpoint(record)) = (head.status.is_success(), target) {
             let framing = Framing::of(headers);
-            record_end(self.router, self.call.digest, endpoint, framing);
+            record_end(self.router, self.call.digest, &record.endpoint, framing);
         }
         let response = caller_response(head.status, headers, body);
         let is_failure = head.status.is_server_error();
@@ -291,41 +318,58 @@
     }
 }
 
-fn load_and_age(router: &Router, target: &EndpointRecord) -> (u32, Duration) {
-    let age = router
-        .endpoints
-        .lock()
-        .age(&target.endpoint, Instant::now());
-    let load = router.load.lock().requests(&target.endpoint);
+fn load_and_age(router: &Router, target: &Target) -> (u32, Duration) {
+    let name = target.name();
+    let age = router.endpoints.lock().age(name, Instant::now());
+    let load = router.load.lock().requests(name);
     (load, age.unwrap_or_default())
 }
 
-/// Chooses an endpoint that was not tried yet, and waits up to the latency target for one.
+/// Chooses a target that was not tried yet, and waits up to the latency target for one.
 ///
 /// A request that has not run does not wait for endpoints that asked for a pause or whose limits
-/// leave no room.
-async fn choose_endpoint(
+/// leave no room, nor for ones that are out of reach.
+async fn choose_target(
     router: &Router,
     call: &Call,
     service: &ServiceName,
     tried: &[EndpointId],
     has_run: bool,
-) -> Option<EndpointRecord> {
+) -> Option<Target> {
     let give_up_at = (call.arrived_at + call.route.latency_target).min(call.deadline);
     loop {
         let now = Instant::now();
-        let chosen = find_permitted(router, service, tried).await;
-        let are_all_paused = || {
+        let chosen = find_target(router, call, service, tried).await;
+        let is_futile = || {
             let endpoints = router.endpoints.lock();
-            endpoints.all_paused_for(service, tried, now).is_some()
+            let are_all_paused = endpoints.all_paused_for(service, tried, now).is_some();
+            are_all_paused || router.is_out_of_reach(service)
         };
-        if chosen.is_some() || now >= give_up_at || !has_run && are_all_paused() {
+        if chosen.is_some() || now >= give_up_at || !has_run && is_futile() {
             return chosen;
         }
         tokio::time::sleep(RECHECK_INTERVAL).await;
     }
 }
 
+/// Chooses an endpoint that was not tried yet, or a peer if this entry reaches none.
+async fn find_target(
+    router: &Router,
+    call: &Call,
+    service: &ServiceName,
+    tried: &[EndpointId],
+) -> Option<Target> {
+    if !router.is_out_of_reach(service)
+        && let Some(found) = find_permitted(router, service, tried).await
+    {
+        return Some(Target::Endpoint(found));
+    }
+    if call.is_relayed {
+        return None;
+    }
+    router.find_peer_hop(service, tried).map(Target::Peer)
+}
+
 /// Chooses an endpoint that was not tried yet, and takes a permit if it is limited.
 async fn find_permitted(
     router: &Router,
--- a/src/router/filter/record.rs
+++ b/src/router/filter/record.rs
@@ -67,6 +67,11 @@
         self.service = Some(service.clone());
     }
 
+    /// Returns the number of times that the request was sent.
+    pub(crate) fn sends(&self) -> u32 {
+        self.sends
+    }
+
     /// Logs that the request is sent to an endpoint, and the state that led to this choice.
     pub(crate) fn log_send(&mut self, endpoint: &EndpointId, load: u32, age: Duration, why: &str) {
         self.sends += 1;
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -24,6 +24,7 @@
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::answer::StreamAborted;
+use crate::router::relay_hop::Arrival;
 use path_run::{OpenResult, PathRun, ReadResult};
 
 /// The number of refusals by endpoints after which the caller is refused; each refusal
@@ -171,7 +172,20 @@
                         body,
                     ));
                 }
-                OpenResult::NotRun => AttemptFailure::NotRun,
+                OpenResult::Refused(status, headers, body) if !self.may_have_run() => {
+                    return Ok(Start::Complete(status, headers, body));
+                }
+                OpenResult::NotRunByPeer(Arrival::None) => {
+                    refusals += 1;
+                    why = "not_run";
+                    if refusals >= MAX_REFUSALS {
+                        return Err(self.capacity_problem());
+                    }
+                    continue;
+                }
+                OpenResult::NotRun | OpenResult::NotRunByPeer(_) | OpenResult::Refused(..) => {
+                    AttemptFailure::NotRun
+                }
                 OpenResult::NotReached => {
                     why = "not_reached";
                     continue;
@@ -235,7 +249,7 @@
 
     /// Returns whether another endpoint may start to run the request.
     fn may_start_again(&self) -> bool {
-        (self.first_endpoints.len() as u32) < self.call.route.max_attempts
+        (self.first_endpoints.len() as u32) < self.call.max_attempts()
     }
 
     /// Sends the request along a path and waits for the head of the answer. The run of the path
@@ -245,12 +259,7 @@
             .log_path_send(&found.path, found.oldest_entry_age, why);
         self.path_run = None;
         self.splitter = EventSplitter::default();
-        let mut path_run = PathRun::new(
-            self.router.clone(),
-            self.spec.clone(),
-            found.path,
-            self.size,
-        );
+        let mut path_run = PathRun::new(self.router.clone(), self.spec.clone(), found, self.size);
         let call = self.call.clone();
         // Recorded before the request is sent, since this wait may be cancelled after it.
         let first = path_run.first_endpoint().clone();
@@ -276,13 +285,19 @@
                 return;
             }
             OpenResult::Complete(..) => return,
-            OpenResult::NotRun | OpenResult::NotReached => {
+            OpenResult::NotRun
+            | OpenResult::NotRunByPeer(_)
+            | OpenResult::NotReached
+            | OpenResult::Refused(..) => {
                 if path_run.is_only_run_at_first {
                     self.first_endpoints.retain(|endpoint| endpoint != first);
                 }
+                if path_run.is_through_peer() {
+                    self.avoided.push(first.clone());
+                }
                 match opened {
-                    OpenResult::NotRun => "not run",
-                    _ => "no connection",
+                    OpenResult::NotReached => "no connection",
+                    _ => "not run",
                 }
             }
             OpenResult::Lost(detail) => detail,
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -11,7 +11,9 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use pistachioyard_platform::{EventSplitter, OutboundRequest, decode_answer_head};
+use pistachioyard_platform::{
+    EventSplitter, OutboundRequest, decode_answer_head, encode_answer_headers,
+};
 use pistachioyard_policy::{
     EndpointRun, Path, PipelineSpec, Repeatability, RequestSize, StallDetector, SuspectReason,
 };
@@ -27,7 +29,9 @@
 use crate::router::filter::Call;
 use crate::router::filter::crash_check::{Framing, check_run_for_crash};
 use crate::router::filter::part_trial::PartTrial;
+use crate::router::filter::path::FoundPath;
 use crate::router::filter::plain::endpoint_request;
+use crate::router::relay_hop::{self, Arrival};
 
 /// The maximum size of one event, in bytes; an event holds the text of a few tokens. All streams
 /// of an endpoint may reach it at once, each with a buffer of up to twice this size.
@@ -41,6 +45,10 @@
     Complete(StatusCode, HeaderMap, Bytes),
     /// An endpoint of the path refused the request without running it.
     NotRun,
+    /// A peer refused the request without running it.
+    NotRunByPeer(Arrival),
+    /// A peer refused the request without running it, and so would others; holds its answer.
+    Refused(StatusCode, HeaderMap, Bytes),
     /// No connection to the first endpoint was made, so nothing was sent.
     NotReached,
     /// The request may have run, but its answer was lost.
@@ -78,6 +86,8 @@
     router: Arc<Router>,
     spec: Option<Arc<PipelineSpec>>,
     path: Path,
+    /// Whether a peer serves the request in place of an endpoint.
+    is_through_peer: bool,
     /// The run of the first endpoint when the path was chosen.
     first_run: EndpointRun,
     size: RequestSize,
@@ -102,15 +112,21 @@
     pub(super) fn new(
         router: Arc<Router>,
         spec: Option<Arc<PipelineSpec>>,
-        path: Path,
+        found: FoundPath,
         size: RequestSize,
     ) -> Self {
+        let FoundPath {
+            path,
+            peer,
+            first_run,
+            ..
+        } = found;
         router.load.lock().begin(&path.stages, size);
-        let first_run = router.endpoints.lock().run_of(&path.stages[0].endpoint);
         Self {
             router,
             spec,
             path,
+            is_through_peer: peer.is_some(),
             first_run,
             size,
             is_only_run_at_first: true,
@@ -126,9 +142,22 @@
         &self.path.stages[0].endpoint
     }
 
-    /// Returns the run of the first endpoint and its address.
-    fn first_run(&self) -> FirstRun {
-        (self.first_run.clone(), self.path.stages[0].address)
+    /// Returns whether a peer serves the request in place of an endpoint.
+    pub(super) fn is_through_peer(&self) -> bool {
+        self.is_through_peer
+    }
+
+    /// Returns the run of the first endpoint; none if a peer serves the request.
+    fn first_run(&self) -> Option<FirstRun> {
+        let address = self.path.stages[0].address;
+        (!self.is_through_peer).then(|| (self.first_run.clone(), address))
+    }
+
+    /// Finds out whether the first endpoint has crashed under the request.
+    async fn check_for_crash(&mut self, call: &Call) {
+        if let Some((run, address)) = self.first_run() {
+            check_run_for_crash(&self.router, call.digest, &run, address).await;
+        }
     }
 
     /// Sends the request and waits for the head of the answer.
@@ -181,21 +210,21 @@
 
     fn send(&self, call: &Call, last_id: Option<u64>, time_left: Duration) -> Sending {
         let first = &self.path.stages[0];
-        let req = endpoint_request(
-            call,
-            &OutboundRequest {
-                endpoint: &first.endpoint,
-                workspace: call.workspace.as_ref().map(|w| &w.name),
-                time_left,
-                path: self.spec.as_ref().map_or(&[], |_| &self.path.stages),
-                last_event_id: last_id,
-                urgency: Some(call.urgency()),
-            },
-        );
-        let reuse = match call.route.repeatability {
-            Repeatability::AtMostOnce => Reuse::Never,
-            Repeatability::Idempotent | Repeatability::Resumable => Reuse::Allowed,
+        let req = match self.is_through_peer {
+            true => relay_hop::request(&self.router, call, time_left, last_id),
+            false => endpoint_request(
+                call,
+                &OutboundRequest {
+                    endpoint: &first.endpoint,
+                    workspace: call.workspace.as_ref().map(|w| &w.name),
+                    time_left,
+                    path: self.spec.as_ref().map_or(&[], |_| &self.path.stages),
+                    last_event_id: last_id,
+                    urgency: Some(call.urgency()),
+                },
+            ),
         };
+        let reuse = Reuse::of(call.route.repeatability);
         let (router, address) = (self.router.clone(), first.address);
         Box::pin(async move { router.client.send(address, req, reuse).await })
     }
@@ -227,8 +256,7 @@
             Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
             Err(e) => {
                 self.suspect_first_endpoint();
-                let (run, address) = self.first_run();
-                check_run_for_crash(&self.router, call.digest, &run, address).await;
+                self.check_for_crash(call).await;
                 OpenResult::Lost(e.to_string())
             }
         }
@@ -240,13 +268,26 @@
         response: http::Response<Incoming>,
         connection: Connection,
     ) -> OpenResult {
-        let (parts, body) = response.into_parts();
+        let (mut parts, body) = response.into_parts();
         let head = decode_answer_head(parts.status, &parts.headers);
         if !head.may_answer(Some(&call.head.request_id)) {
             return OpenResult::Lost("the answer belongs to another request".to_owned());
         }
-        self.router
-            .note_answer(&self.first_run, &head, AnswerTo::Request);
+        if self.is_through_peer {
+            let arrival = self.router.take_relay_marks(&mut parts.headers);
+            match (relay_hop::is_not_run(&head), head.status) {
+                (true, StatusCode::TOO_MANY_REQUESTS) => {
+                    return self
+                        .read_refusal(call, head.status, parts.headers, body)
+                        .await;
+                }
+                (true, _) => return OpenResult::NotRunByPeer(arrival),
+                (false, _) => {}
+            }
+        } else {
+            self.router
+                .note_answer(&self.first_run, &head, AnswerTo::Request);
+        }
         if head.is_not_run {
             self.note_refusal(&head);
             return OpenResult::NotRun;
@@ -275,6 +316,22 @@
         }
     }
 
+    /// Reads the refusal of a peer that others would repeat.
+    async fn read_refusal(
+        &mut self,
+        call: &Call,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Incoming,
+    ) -> OpenResult {
+        let reading = read_whole(self.path.stages[0].address, body, MAX_ANSWER_BYTES);
+        let time_left = call.time_left().unwrap_or_default();
+        match tokio::time::timeout(time_left, reading).await {
+            Ok(Ok(body)) => OpenResult::Refused(status, encode_answer_headers(&headers), body),
+            Ok(Err(_)) | Err(_) => OpenResult::NotRunByPeer(Arrival::Possible),
+        }
+    }
+
     fn endpoint_at(&self, address: SocketAddr) -> Option<EndpointId> {
         let endpoints = self.router.endpoints.lock();
         endpoints
@@ -300,12 +357,16 @@
             let sent = self.answered().await;
             return match self.classify_sent(call, sent).await {
                 OpenResult::Stream(..) => ReadResult::Data,
-                OpenResult::Lost(why) => ReadResult::Lost(Some(self.first_run()), why),
+                OpenResult::Lost(why) => ReadResult::Lost(self.first_run(), why),
                 OpenResult::TooLong(why) => ReadResult::TooLong(self.first_endpoint().clone(), why),
                 OpenResult::Complete(status, ..) => {
                     ReadResult::Lost(None, format!("the endpoint answered with status {status}"))
                 }
-                OpenResult::NotRun | OpenResult::NotReached | OpenResult::Silent(..) => {
+                OpenResult::NotRun
+                | OpenResult::NotRunByPeer(_)
+                | OpenResult::Refused(..)
+                | OpenResult::NotReached
+                | OpenResult::Silent(..) => {
                     ReadResult::Lost(None, "no endpoint ran the request".to_owned())
                 }
             };
@@ -330,7 +391,7 @@
             }
             Some(Err(_)) => {
                 self.suspect_first_endpoint();
-                ReadResult::Lost(Some(self.first_run()), "the connection broke".to_owned())
+                ReadResult::Lost(self.first_run(), "the connection broke".to_owned())
             }
             None if splitter.has_remainder() => {
                 if let Some(trial) = &self.trial {
@@ -356,7 +417,9 @@
 
     /// Records that an event passed through all stages.
     pub(super) fn record_activity(&self, now: Instant) {
-        self.router.activity.lock().record(&self.path.stages, now);
+        if !self.is_through_peer {
+            self.router.activity.lock().record(&self.path.stages, now);
+        }
     }
 
     fn is_on_path(&self, endpoint: &EndpointId) -> bool {
--- a/src/router/filter/relay/path_run/pause_check.rs
+++ b/src/router/filter/relay/path_run/pause_check.rs
@@ -16,6 +16,9 @@
 impl PathRun {
     /// Counts the first endpoint as lost under the request if it turns out to be silent for good.
     pub(in crate::router::filter::relay) fn watch_silent(&self, call: &Call) {
+        if self.is_through_peer {
+            return;
+        }
         let trial = self.trial.clone();
         watch_silent(&self.router, call.digest, &self.first_run, trial);
     }
@@ -29,6 +32,12 @@
         stall_detector: &mut StallDetector,
     ) -> PauseAction {
         let check = stall_detector.begin_check(Instant::now());
+        if self.is_through_peer {
+            return match check {
+                PauseCheck::Probe => PauseAction::Wait,
+                PauseCheck::Report => finish_check(stall_detector),
+            };
+        }
         if let Some(dead) = self.find_dead_endpoint(stall_detector.silent_since()).await {
             let why = format!("{dead} is unresponsive");
             return PauseAction::Leave(Some(dead), why);
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -8,7 +8,7 @@
 use super::{MAX_REFUSALS, Relay};
 use crate::prelude::*;
 use crate::router::answer::StreamAborted;
-use crate::router::filter::path::{FoundPath, find_path, wait_for_capacity};
+use crate::router::filter::path::{FoundPath, find_path_or_peer, wait_for_capacity};
 use crate::router::filter::result_lost;
 
 /// The maximum number of path repairs of one stream; each one sends an order, which has a cost.
@@ -149,7 +149,9 @@
                 wait_for_capacity(&self.router).await;
                 continue;
             };
-            if !self.router.take_permit(&found.first_run).await || !self.router.try_retry() {
+            let has_permit =
+                found.peer.is_some() || self.router.take_permit(&found.first_run).await;
+            if !has_permit || !self.router.try_retry() {
                 continue;
             }
             progress.set(true);
@@ -162,7 +164,10 @@
                 OpenResult::Stream(..) | OpenResult::Complete(..) | OpenResult::Silent(..) => {
                     return Ok(opened);
                 }
-                OpenResult::NotRun | OpenResult::NotReached => {
+                OpenResult::NotRun
+                | OpenResult::NotRunByPeer(_)
+                | OpenResult::NotReached
+                | OpenResult::Refused(..) => {
                     refusals += 1;
                     if refusals >= MAX_REFUSALS {
                         return Err(NotReplaced::Refused);
@@ -189,7 +194,8 @@
             }
             PathLeft::None => {}
         }
-        Ok(find_path(&self.router, &self.path_request(same_first, &without)).ok())
+        let request = self.path_request(same_first, &without);
+        Ok(find_path_or_peer(&self.router, &self.call, &request).ok())
     }
 
     /// Waits for the head of the answer on a replacement that is silent too.
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -27,7 +27,7 @@
 use crate::router::controller::{STATE_PATH, encode_state};
 use crate::router::log::ms;
 use crate::router::peer_probe::PROBE_PATH;
-use crate::router::{Router, filter, metric};
+use crate::router::{Router, filter, metric, relay_hop};
 
 /// The maximum number of connections waiting to be accepted; exceeds the number of callers.
 const BACKLOG: u32 = 1_024;
@@ -55,7 +55,7 @@
     Directory,
     /// Whether this process is ready.
     Readiness,
-    /// This entry's state and probes, for its peers.
+    /// This entry's state and probes, and requests that are passed on, for its peers.
     Peers,
     /// The Prometheus metrics.
     Metrics(PrometheusHandle),
@@ -95,7 +95,8 @@
     let limits = router.active_config().map(|active| active.table.limits);
     let max_head = limits.map_or(MIN_HEAD_BYTES, |l| l.max_header_bytes.max(MIN_HEAD_BYTES));
     let is_caller = matches!(service, Service::Callers);
-    let _open = is_caller.then(|| router.lifecycle.open_connection());
+    let may_serve = is_caller || matches!(service, Service::Peers);
+    let _open = may_serve.then(|| router.lifecycle.open_connection());
     let activity = ConnectionActivity::new(Instant::now());
     let (state, counted) = (router.clone(), activity.clone());
     let stream = TrackedStream::new(stream, activity.clone());
@@ -155,15 +156,18 @@
 ) -> Response<AnswerBody> {
     match service {
         Service::Callers => {
-            let mut response = filter::serve(router.clone(), req).await;
-            if router.lifecycle.is_draining() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-            }
-            response
+            let response = filter::serve(router.clone(), req).await;
+            close_if_draining(&router, response)
+        }
+        Service::Peers if relay_hop::is_marked(req.headers()) => {
+            let mut response = filter::serve_relayed(router.clone(), req).await;
+            router.mark_relayed_answer(response.headers_mut());
+            close_if_draining(&router, response)
         }
         Service::Peers if req.uri().path() == PROBE_PATH => {
-            let asked = Limited::new(req.into_body(), MAX_PROBE_BYTES).collect().await;
+            let asked = Limited::new(req.into_body(), MAX_PROBE_BYTES)
+                .collect()
+                .await;
             let answer = match asked {
                 Ok(asked) => router.answer_peer(&asked.to_bytes()).await,
                 Err(_) => None,
@@ -195,6 +199,14 @@
     }
 }
 
+fn close_if_draining(router: &Router, mut response: Response<AnswerBody>) -> Response<AnswerBody> {
+    if router.lifecycle.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
 fn directory(router: &Router, req: &Request<Incoming>) -> Response<AnswerBody> {
     let asked_from = req.uri().query().and_then(decode_directory_query);
     let now = Instant::now();
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -104,6 +104,11 @@
     counter!("router_endpoint_connects_total").increment(1);
 }
 
+/// Counts a request that is passed on to a peer.
+pub(crate) fn count_relay() {
+    counter!("router_relays_total").increment(1);
+}
+
 /// Updates the gauges and renders all series.
 pub(crate) fn render(router: &Router, handle: &PrometheusHandle) -> String {
     let now = Instant::now();
