Offer callers no entries that are cut off while most are not

Callers of a cut entry are served through a peer, which costs a detour, the work of two entries, and the answer if either is lost. While at least half of the entries reach the endpoints, the list that callers get now leaves the others out; with fewer it stays as it is, since the rest could not bear all callers. Whole data centres are covered: callers then get entries of others. membership::callers_are_not_offered_entries_that_are_cut_off_while_most_are_not (new) passes.

--- a/crates/pistachioyard_policy/src/membership/choose.rs
+++ b/crates/pistachioyard_policy/src/membership/choose.rs
@@ -1,6 +1,7 @@
 //! Selects the entries to gossip with and the ones to offer to callers.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -21,17 +22,25 @@
     /// Returns up to `max` entries to offer to callers in a data centre, out of those that accept
     /// new work and have a configuration.
     ///
+    /// Those of `avoided` are left out unless they are most of them: the others could not bear
+    /// the callers of all.
+    ///
     /// In large fleets these are the entries of that data centre. Their requests then run at
     /// endpoints whose load they know, and callers everywhere spread over all entries.
     pub fn entries_near(
         &self,
         centre: &DataCentre,
+        avoided: &BTreeSet<EntryId>,
         max: usize,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Vec<&MemberRecord> {
         let ready = self.live(now).into_iter();
-        let ready: Vec<&MemberRecord> = ready.filter(|r| r.revision > Revision(0)).collect();
+        let mut ready: Vec<&MemberRecord> = ready.filter(|r| r.revision > Revision(0)).collect();
+        let is_avoided = |record: &&MemberRecord| avoided.contains(&record.entry);
+        if ready.iter().filter(|record| is_avoided(record)).count() * 2 <= ready.len() {
+            ready.retain(|record| !is_avoided(record));
+        }
         if ready.len() <= SMALL_FLEET {
             return ready;
         }
--- a/crates/pistachioyard_policy/tests/membership.rs
+++ b/crates/pistachioyard_policy/tests/membership.rs
@@ -181,20 +181,47 @@
     let now = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let small = three_centres(now, 12);
-    let offered = small.entries_near(&centre("b"), 64, now, &mut rng);
+    let none = BTreeSet::new();
+    let offered = small.entries_near(&centre("b"), &none, 64, now, &mut rng);
     assert_eq!(offered.len(), 12);
     let large = three_centres(now, 60);
-    let offered = large.entries_near(&centre("b"), 64, now, &mut rng);
+    let offered = large.entries_near(&centre("b"), &none, 64, now, &mut rng);
     assert_eq!(offered.len(), 20);
     assert!(offered.iter().all(|r| r.data_centre == centre("b")));
     assert_eq!(
-        large.entries_near(&centre("b"), 5, now, &mut rng).len(),
+        large
+            .entries_near(&centre("b"), &none, 5, now, &mut rng)
+            .len(),
         5,
         "no more than asked for"
     );
     // Nothing is known of a new data centre, and few entries of one with losses.
-    let offered = large.entries_near(&centre("z"), 64, now, &mut rng);
+    let offered = large.entries_near(&centre("z"), &none, 64, now, &mut rng);
+    assert_eq!(offered.len(), 8);
+}
+
+#[test]
+fn callers_are_not_offered_entries_that_are_cut_off_while_most_are_not() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let fleet = three_centres(now, 4);
+    let mut offered_without = |numbers: &[u16]| {
+        let cut: BTreeSet<EntryId> = numbers.iter().map(|n| entry(*n)).collect();
+        let offered = fleet.entries_near(&centre("b"), &cut, 64, now, &mut rng);
+        let offered = offered.iter().map(|record| record.entry.clone());
+        offered.collect::<BTreeSet<EntryId>>()
+    };
+    assert_eq!(offered_without(&[1]), [0, 2, 3].map(entry).into());
+    assert_eq!(offered_without(&[0, 1]), [2, 3].map(entry).into());
+    let all: BTreeSet<EntryId> = [0, 1, 2, 3].map(entry).into();
+    assert_eq!(offered_without(&[0, 1, 2]), all);
+    assert_eq!(offered_without(&[0, 1, 2, 3]), all);
+    // All entries of a data centre.
+    let large = three_centres(now, 60);
+    let cut: BTreeSet<EntryId> = (0..60).filter(|n| n % 3 == 1).map(entry).collect();
+    let offered = large.entries_near(&centre("b"), &cut, 64, now, &mut rng);
     assert_eq!(offered.len(), 8);
+    assert!(offered.iter().all(|r| r.data_centre != centre("b")));
 }
 
 /// The time of day may jump back before a restart, so that the boot id of the new run is lower.
--- a/src/router.rs
+++ b/src/router.rs
@@ -288,15 +288,21 @@
 
     /// Returns the addresses of up to `max` entries for callers in a data centre; in this entry's
     /// if it is not known.
+    ///
+    /// Entries that are cut off from endpoints are left out while most others are not.
     pub(crate) fn caller_addresses(
         &self,
         asked_from: Option<&DataCentre>,
         max: usize,
         now: Instant,
     ) -> Vec<std::net::SocketAddr> {
+        let mut cut_off = self.peers_out_of_reach();
+        if self.count_out_of_reach() > 0 {
+            cut_off.insert(self.settings.entry.clone());
+        }
         let members = self.members.lock();
         let centre = asked_from.unwrap_or(&self.settings.data_centre);
-        let entries = members.entries_near(centre, max, now, &mut rand::rng());
+        let entries = members.entries_near(centre, &cut_off, max, now, &mut rand::rng());
         entries.into_iter().map(|record| record.address).collect()
     }
 }
