--- a/tests/matrix.rs
+++ b/tests/matrix.rs
@@ -5,6 +5,8 @@
 //! `cargo test --test matrix` runs all tests, `cargo test --test matrix NAME` runs
 //! one, and `cargo test --test matrix table -- --nocapture` prints the table.
 
+#[path = "matrix/cut.rs"]
+mod cut;
 #[path = "matrix/engine_faults.rs"]
 mod engine_faults;
 #[path = "matrix/entry_faults.rs"]
