Soak with cut entries, series of faults and kept connections

Entries (one, those of a data centre, all) are cut off from all or half of the endpoints in four ways; up to four faults follow each other within 0.4 s, proxy rules add up in place of replacing each other, and callers use open connections until these end. SOAK_ENTRIES sets the number of entries.

--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -1,12 +1,14 @@
 //! A randomized soak test with overlapping faults under load.
 //!
 //! It checks that no request runs twice, that none runs that was refused as not run, and that
-//! endpoints get no more than the limits that they name.
+//! endpoints get no more than the limits that they name. Faults come in series and overlap; callers
+//! use their open connections until the process at the other end is gone.
 //!
 //! `SOAK_SEEDS=50 SOAK_SECONDS=12 cargo test --test site soak -- --nocapture` runs more
-//! seeds; `SOAK_SEED=N` runs one. Seeds that have failed are kept in [`REGRESSION_SEEDS`].
+//! seeds; `SOAK_SEED=N` runs one, and `SOAK_ENTRIES=24` runs it with more entries. Seeds that have
+//! failed are kept in [`REGRESSION_SEEDS`].
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -17,8 +19,10 @@
 use serde_json::json;
 use tokio::time::Instant;
 
-use super::caller::{Failure, Outcome};
+use super::caller::{Failure, Outcome, new_request_id};
+use super::cut::Cut;
 use super::limited::{SETTLE_TIME, now_ms};
+use super::raw::{Exchange, RawConnection};
 use super::support::Site;
 
 /// Seeds that have failed, each with the cause.
@@ -27,6 +31,12 @@
 const CI_SEEDS: u64 = 2;
 /// The duration of each seed in CI, in seconds.
 const CI_SECONDS: u64 = 6;
+/// The number of entries unless `SOAK_ENTRIES` names another one.
+const ENTRIES: u64 = 3;
+/// The number of faults that are injected one after the other in each round, at most.
+const MAX_SERIES: u32 = 4;
+/// The time between two faults of a series, at most.
+const MAX_GAP: Duration = Duration::from_millis(400);
 /// The number of requests of each kind that are in flight at once.
 const REQUESTS_PER_KIND: usize = 12;
 /// The time within which a site without faults must serve again.
@@ -60,18 +70,22 @@
 
 async fn run(seed: u64, seconds: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut site = Site::start(3).await;
+    let entries = env_number("SOAK_ENTRIES", ENTRIES) as usize;
+    let mut site = Site::start(entries).await;
+    let mut kept = KeptConnections::default();
     let end = Instant::now() + seconds;
     site.control_store("copy", json!({})).await;
     let mut outcomes: Vec<Outcome> = Vec::new();
     let mut limited = limit_endpoints(&site, &mut rng).await;
     while Instant::now() < end {
-        let faults = rng.random_range(1..=2);
+        let faults = rng.random_range(1..=MAX_SERIES);
         for _ in 0..faults {
             inject_fault(&mut site, &mut limited, &mut rng).await;
+            tokio::time::sleep(MAX_GAP.mul_f64(rng.random())).await;
         }
-        outcomes.extend(send_requests(&site, &mut rng).await);
-        clear_some_faults(&mut site, &mut rng).await;
+        let (sent, on_kept) = tokio::join!(send_requests(&site, &mut rng), kept.send(&site));
+        outcomes.extend(sent.into_iter().chain(on_kept));
+        clear_some_faults(&mut site, &mut limited, &mut rng).await;
     }
     check_limits(&site, limited).await;
     recover(&mut site).await;
@@ -89,6 +103,7 @@
         rate,
         since_ms: now_ms(),
         excused: BTreeSet::new(),
+        rules: Vec::new(),
     }
 }
 
@@ -114,13 +129,68 @@
     since_ms: u64,
     /// The entries that were restarted, paused or cut off, which the rule excuses.
     excused: BTreeSet<IpAddr>,
+    /// The rules of the proxy in force, since each new list replaces the last one.
+    rules: Vec<FaultRule>,
+}
+
+impl Limited {
+    /// Adds rules of the proxy to those in force.
+    async fn add_rules(&mut self, site: &Site, rules: Vec<FaultRule>) {
+        self.rules.extend(rules);
+        site.set_proxy_faults(&self.rules).await;
+    }
+}
+
+/// Holds connections of callers, one to each entry, which are used until they end.
+#[derive(Default)]
+struct KeptConnections {
+    open: BTreeMap<usize, RawConnection>,
+}
+
+impl KeptConnections {
+    /// Sends a request on the connection to each entry, and opens those that have ended.
+    async fn send(&mut self, site: &Site) -> Vec<Outcome> {
+        let mut sent = Vec::new();
+        for entry in 0..site.entries.len() {
+            let to = site.entries[entry].caller_address();
+            let connection = match self.open.remove(&entry) {
+                Some(connection) => Some(connection),
+                None => RawConnection::try_open(to).await,
+            };
+            sent.push(async move {
+                let mut connection = connection?;
+                let id = new_request_id();
+                if !connection.write("/record/a", &id, &[]).await {
+                    return None;
+                }
+                let (result, left) = match connection.read().await {
+                    Exchange::Complete(200, _) => (Ok(()), Some(connection)),
+                    Exchange::Complete(status @ (408 | 421 | 429 | 503), _) => {
+                        (Err(Failure::NotRun(status)), Some(connection))
+                    }
+                    Exchange::Complete(status, _) => {
+                        let why = format!("status {status}");
+                        (Err(Failure::Unknown(why)), Some(connection))
+                    }
+                    Exchange::Cut(why) => (Err(Failure::Unknown(why)), None),
+                };
+                Some((entry, Outcome { id, result }, left))
+            });
+        }
+        let mut outcomes = Vec::new();
+        for (entry, outcome, left) in join_all(sent).await.into_iter().flatten() {
+            self.open.extend(left.map(|connection| (entry, connection)));
+            outcomes.push(outcome);
+        }
+        outcomes
+    }
 }
 
 /// Injects one random fault, or adds a route.
 async fn inject_fault(site: &mut Site, limited: &mut Limited, rng: &mut ChaCha8Rng) {
     let entry = rng.random_range(0..site.entries.len());
     let endpoint = rng.random_range(0..site.endpoints.len());
-    let fault = rng.random_range(0..10);
+    let fault = rng.random_range(0..13);
     if let 0 | 1 | 2 | 5 = fault {
         limited.excused.insert(site.entries[entry].ip);
     }
@@ -156,12 +226,12 @@
             ];
             let kind = kinds[rng.random_range(0..kinds.len())];
             let from = Some(site.entries[entry].ip.to_string());
-            site.set_proxy_faults(&[FaultRule {
+            let rule = FaultRule {
                 from,
                 to: None,
                 kind,
-            }])
-            .await;
+            };
+            limited.add_rules(site, vec![rule]).await;
         }
         6 => site.control_store("copy", json!({})).await,
         7 => {
@@ -171,11 +241,32 @@
             // The operator writes again what it wrote since the copy.
             assert!(site.apply_config().await, "the store accepts it");
         }
+        8..=10 => cut_off(site, limited, rng).await,
         // The store may be down; then the write fails, as an operator would see.
         _ => drop(site.add_route().await),
     }
 }
 
+/// Cuts one entry, the entries of a data centre or all of them off, from all endpoints or from some.
+async fn cut_off(site: &Site, limited: &mut Limited, rng: &mut ChaCha8Rng) {
+    let cut = Cut::ALL[rng.random_range(0..Cut::ALL.len())];
+    let all = 0..site.entries.len();
+    let first = rng.random_range(all.clone());
+    let entries: Vec<usize> = match rng.random_range(0..4) {
+        0 | 1 => vec![first],
+        2 => all.filter(|entry| entry % 2 == first % 2).collect(),
+        _ => all.collect(),
+    };
+    let share = [1.0, 1.0, 0.5][rng.random_range(0..3)];
+    let endpoints: Vec<usize> = (0..site.endpoints.len())
+        .filter(|_| rng.random_bool(share))
+        .collect();
+    let cut_entries = entries.iter().map(|entry| site.entries[*entry].ip);
+    limited.excused.extend(cut_entries);
+    let rules = site.cut_rules(&entries, &endpoints, cut);
+    limited.add_rules(site, rules).await;
+}
+
 /// Sends streams and plain requests to random entries, including ones that are down, as
 /// callers with stale addresses do; returns the outcomes of the plain ones.
 async fn send_requests(site: &Site, rng: &mut ChaCha8Rng) -> Vec<Outcome> {
@@ -194,7 +285,7 @@
 }
 
 /// Clears some of the faults at random, so that the next ones overlap with the rest.
-async fn clear_some_faults(site: &mut Site, rng: &mut ChaCha8Rng) {
+async fn clear_some_faults(site: &mut Site, limited: &mut Limited, rng: &mut ChaCha8Rng) {
     let launcher = site.launcher.clone();
     for entry in &mut site.entries {
         if rng.random_bool(0.7) {
@@ -208,6 +299,7 @@
     }
     if rng.random_bool(0.7) {
         site.set_store_fault(0).await;
+        limited.rules.clear();
         site.set_proxy_faults(&[]).await;
     }
 }
