Test that a short silence of a sound endpoint is counted nowhere

Two tests play it (paused, deaf) under streams at an entry with a peer: all streams are complete, no layers are placed anew, no request is blamed and no peer is told of a death. The endpoint gets no new requests for the time of its silence, and its streams go on elsewhere if that is sooner; the tests in lost/ have covered this.

--- a/tests/site/lost.rs
+++ b/tests/site/lost.rs
@@ -3,6 +3,7 @@
 //! A sound endpoint may fall silent for about a second and then go on. None of its connections
 //! breaks, so whatever runs there goes on as well.
 
+mod counted;
 mod early;
 mod endings;
 mod kept;
