Run no copy of a request while an engine is checked for a crash under it

Cause: since a lost probe is sent once more, 150 ms later, before an engine counts as crashed. In that time another entry, or the same one, ran a copy of the request (in turn), and a suspect that had waited 150 ms for gossip ran before the peer's verdict (at once). Now requests that were running at a lost engine are announced before it is probed, and their copies are refused as not run until the verdict; a suspect waits as long as a peer's check may take.

--- a/src/entry/streams.rs
+++ b/src/entry/streams.rs
@@ -55,6 +55,15 @@
         self.streams.lock().remove(&stream);
     }
 
+    /// Returns the requests that [`StreamTable::mark_suspects`] would mark.
+    pub(crate) fn possible_suspects(&self, endpoint: &EndpointId) -> Vec<RequestDigest> {
+        let streams = self.streams.lock();
+        let possible = streams.values().filter(|active| {
+            !active.has_progressed && active.stages.iter().any(|s| s.endpoint == *endpoint)
+        });
+        possible.map(|active| active.digest).collect()
+    }
+
     /// Marks and returns the requests that may have crashed an endpoint: those whose current
     /// attempt has a stage there and has produced no token.
     ///
--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -29,6 +29,20 @@
         self.own.lock().insert(digest, endpoints);
     }
 
+    /// Adds a request that may have crashed an endpoint, until that is found out; returns whether
+    /// it was not among this entry's own yet.
+    pub(crate) fn begin_check(&self, digest: RequestDigest) -> bool {
+        let mut own = self.own.lock();
+        let is_new = !own.contains_key(&digest);
+        own.entry(digest).or_default();
+        is_new
+    }
+
+    /// Returns whether this entry or a peer checks or retries a request.
+    pub(crate) fn contains(&self, digest: RequestDigest) -> bool {
+        self.own.lock().contains_key(&digest) || self.is_at_peer(digest)
+    }
+
     /// Removes a suspect from this entry's own.
     pub(crate) fn end(&self, digest: RequestDigest) {
         self.own.lock().remove(&digest);
--- a/src/filter/suspect.rs
+++ b/src/filter/suspect.rs
@@ -19,13 +19,19 @@
 const CRASH_PROBE_TIMEOUT_MS: u64 = 250;
 /// The interval between two such probes, in milliseconds.
 const CRASH_PROBE_INTERVAL_MS: u64 = 150;
+/// How long gossip takes to reach the peers, in milliseconds.
+const GOSSIP_MS: u64 = 150;
 /// How long to wait for gossip about the suspects of peers before a suspect runs here, in
-/// milliseconds.
-const PEER_GOSSIP_WAIT_MS: u64 = 150;
+/// milliseconds. A peer that has just lost an endpoint under the same request may still be probing.
+const PEER_GOSSIP_WAIT_MS: u64 = CRASH_PROBE_INTERVAL_MS + CRASH_PROBE_TIMEOUT_MS + GOSSIP_MS;
 
 /// Refuses a new request if it is quarantined, or a suspect that is being retried.
 pub(crate) fn refuse_suspects(node: &Node, digest: RequestDigest) -> Result<(), Problem> {
-    match node.quarantine.lock().verdict(digest, Instant::now()) {
+    let verdict = node.quarantine.lock().verdict(digest, Instant::now());
+    match verdict {
+        QuarantineVerdict::Clear if node.suspects.contains(digest) => {
+            Err(retried_elsewhere(Outcome::NotRun))
+        }
         QuarantineVerdict::Clear | QuarantineVerdict::OnTrial { .. } => Ok(()),
         QuarantineVerdict::Suspect { .. } => Err(retried_elsewhere(Outcome::NotRun)),
         QuarantineVerdict::Quarantined { retry_after } => {
@@ -65,6 +71,7 @@
     let Some((address, Some(boot))) = known else {
         return;
     };
+    let _check = CrashCheck::begin(node, endpoint);
     if !has_crashed(node, address, boot).await {
         return;
     }
@@ -81,6 +88,33 @@
     }
 }
 
+/// Keeps other copies of requests that may have crashed an endpoint from running, here and at
+/// peers, until it is dropped.
+struct CrashCheck {
+    node: Arc<Node>,
+    digests: Vec<RequestDigest>,
+}
+
+impl CrashCheck {
+    fn begin(node: &Arc<Node>, endpoint: &EndpointId) -> Self {
+        let mut digests = node.streams.possible_suspects(endpoint);
+        digests.retain(|digest| node.suspects.begin_check(*digest));
+        if !digests.is_empty() {
+            node.peers.push_gossip(node);
+        }
+        let node = node.clone();
+        Self { node, digests }
+    }
+}
+
+impl Drop for CrashCheck {
+    fn drop(&mut self) {
+        for digest in &self.digests {
+            self.node.suspects.end(*digest);
+        }
+    }
+}
+
 /// Returns whether the endpoint run at an address no longer answers.
 async fn has_crashed(node: &Node, address: SocketAddr, boot: BootId) -> bool {
     let timeout = Duration::from_millis(CRASH_PROBE_TIMEOUT_MS);
