--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -38,9 +38,6 @@
 /// How far a record in the store can lag behind the endpoint's own reports: a heartbeat in
 /// transit plus the pause between two watches.
 const MAX_RECORD_LAG: Duration = Duration::from_millis(1_000);
-/// How long after a failure an endpoint that has not answered since is treated as
-/// unresponsive; longer than the callers of its streams wait.
-const UNRESPONSIVE_WINDOW: Duration = Duration::from_secs(3);
 /// How much newer a peer's report must be than the last direct report to replace it.
 const MIN_GOSSIP_LEAD: Duration = Duration::from_millis(50);
 
@@ -160,17 +157,6 @@
         tracked.is_some_and(|tracked| tracked.mark_suspect(why, now))
     }
 
-    /// Returns whether an endpoint failed recently and has not answered since, so that its
-    /// running requests will not continue.
-    pub fn is_unresponsive(&self, endpoint: &EndpointId, now: Instant) -> bool {
-        let suspect = self.by_id.get(endpoint).and_then(|tracked| tracked.suspect);
-        suspect.is_some_and(|suspect| {
-            !suspect.has_answered
-                && !suspect.is_reached_elsewhere(now)
-                && now.saturating_duration_since(suspect.since) < UNRESPONSIVE_WINDOW
-        })
-    }
-
     /// Returns what is known of a run to which a request was sent that is not answered.
     pub fn state_of_run(&self, run: &EndpointRun, now: Instant) -> RunState {
         let tracked = self.by_id.get(&run.endpoint);
@@ -298,16 +284,6 @@
             && !self.notices.is_paused(&run, now)
     }
 
-    /// Returns whether all that speaks against an endpoint is that this entry does not reach it.
-    fn is_only_out_of_reach(&self, tracked: &TrackedEndpoint, now: Instant) -> bool {
-        let suspect = tracked.suspect.filter(|s| s.is_reached_elsewhere(now));
-        let run = tracked.record.run();
-        suspect.is_some()
-            && tracked.is_usable_if_reached(now)
-            && !self.notices.is_leaving(&run)
-            && !self.notices.is_paused(&run, now)
-    }
-
     /// Returns the endpoints of a service that may get new requests.
     pub fn usable(&self, service: &ServiceName, now: Instant) -> Vec<&EndpointRecord> {
         let of_service = self.by_id.values().filter(|t| t.record.service == *service);
--- a/crates/pistachioyard_policy/src/endpoint_registry/reach.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/reach.rs
@@ -9,6 +9,9 @@
 use super::EndpointRegistry;
 use super::tracked::TrackedEndpoint;
 
+/// How long after a failure an endpoint that has not answered since is treated as
+/// unresponsive; longer than the callers of its streams wait.
+const UNRESPONSIVE_WINDOW: Duration = Duration::from_secs(3);
 /// How long a peer's word that an endpoint answers it is relied on; longer than the time between
 /// two questions.
 const OPINION_LIFETIME: Duration = Duration::from_millis(2_500);
@@ -80,6 +83,27 @@
         }
     }
 
+    /// Returns whether an endpoint failed recently and has not answered since, so that its
+    /// running requests will not continue.
+    pub fn is_unresponsive(&self, endpoint: &EndpointId, now: Instant) -> bool {
+        let suspect = self.by_id.get(endpoint).and_then(|tracked| tracked.suspect);
+        suspect.is_some_and(|suspect| {
+            !suspect.has_answered
+                && !suspect.is_reached_elsewhere(now)
+                && now.saturating_duration_since(suspect.since) < UNRESPONSIVE_WINDOW
+        })
+    }
+
+    /// Returns whether all that speaks against an endpoint is that this entry does not reach it.
+    pub(super) fn is_only_out_of_reach(&self, tracked: &TrackedEndpoint, now: Instant) -> bool {
+        let suspect = tracked.suspect.filter(|s| s.is_reached_elsewhere(now));
+        let run = tracked.record.run();
+        suspect.is_some()
+            && tracked.is_usable_if_reached(now)
+            && !self.notices.is_leaving(&run)
+            && !self.notices.is_paused(&run, now)
+    }
+
     /// Makes the probes of all silent endpoints of a service due.
     pub fn probe_at_once(&mut self, service: &ServiceName, now: Instant) {
         for tracked in self.by_id.values_mut() {
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -1,9 +1,11 @@
 //! Sends requests to the endpoints of plain services, those without a pipeline.
 
 mod attempt;
+mod choice;
 
 use attempt::{AttemptResult, Target, attempt};
 use bytes::Bytes;
+use choice::{choose_target, find_endpoint, find_target};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -11,9 +13,7 @@
 use pistachioyard_platform::{
     AnswerHead, OutboundRequest, encode_answer_headers, encode_request_headers,
 };
-use pistachioyard_policy::{
-    EndpointRecord, Repeatability, SuspectReason, choose_plain_endpoint, spread_return_ms,
-};
+use pistachioyard_policy::{Repeatability, SuspectReason, spread_return_ms};
 use pistachioyard_wire::ServiceName;
 
 use super::crash_check::{Framing, check_for_crash, record_end};
@@ -32,9 +32,6 @@
 /// The multiple of the route's latency target after which a request that may be repeated is
 /// also sent to another endpoint.
 const SILENCE_LIMIT_FACTOR: f64 = 1.5;
-/// How often a waiting request looks for a usable endpoint.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Says what to do after an attempt.
 enum NextStep {
     /// Return this answer to the caller.
@@ -325,82 +322,6 @@
     (load, age.unwrap_or_default())
 }
 
-/// Chooses a target that was not tried yet, and waits up to the latency target for one.
-///
-/// A request that has not run does not wait for endpoints that asked for a pause or whose limits
-/// leave no room, nor for ones that are out of reach.
-async fn choose_target(
-    router: &Router,
-    call: &Call,
-    service: &ServiceName,
-    tried: &[EndpointId],
-    has_run: bool,
-) -> Option<Target> {
-    let give_up_at = (call.arrived_at + call.route.latency_target).min(call.deadline);
-    loop {
-        let now = Instant::now();
-        let chosen = find_target(router, call, service, tried).await;
-        let is_futile = || {
-            let endpoints = router.endpoints.lock();
-            let are_all_paused = endpoints.all_paused_for(service, tried, now).is_some();
-            are_all_paused || router.is_out_of_reach(service)
-        };
-        if chosen.is_some() || now >= give_up_at || !has_run && is_futile() {
-            return chosen;
-        }
-        tokio::time::sleep(RECHECK_INTERVAL).await;
-    }
-}
-
-/// Chooses an endpoint that was not tried yet, or a peer if this entry reaches none.
-async fn find_target(
-    router: &Router,
-    call: &Call,
-    service: &ServiceName,
-    tried: &[EndpointId],
-) -> Option<Target> {
-    if !router.is_out_of_reach(service)
-        && let Some(found) = find_permitted(router, service, tried).await
-    {
-        return Some(Target::Endpoint(found));
-    }
-    if call.is_relayed {
-        return None;
-    }
-    router.find_peer_hop(service, tried).map(Target::Peer)
-}
-
-/// Chooses an endpoint that was not tried yet, and takes a permit if it is limited.
-async fn find_permitted(
-    router: &Router,
-    service: &ServiceName,
-    tried: &[EndpointId],
-) -> Option<EndpointRecord> {
-    loop {
-        let found = find_endpoint(router, service, tried, Instant::now())?;
-        // An endpoint that grants no permit has no room for a while.
-        if router.take_permit(&found.run()).await {
-            return Some(found);
-        }
-    }
-}
-
-/// Chooses an endpoint that was not tried yet and may have room, without waiting.
-fn find_endpoint(
-    router: &Router,
-    service: &ServiceName,
-    tried: &[EndpointId],
-    now: Instant,
-) -> Option<EndpointRecord> {
-    let endpoints = router.endpoints.lock();
-    let mut usable = endpoints.with_room(service, now);
-    usable.retain(|record| !tried.contains(&record.endpoint));
-    let latency = router.plain_latency.lock();
-    let load = router.load.lock();
-    let home = &router.settings.data_centre;
-    choose_plain_endpoint(&usable, &latency, &load, home, now, &mut rand::rng()).cloned()
-}
-
 /// Builds the request to an endpoint.
 pub(super) fn endpoint_request(call: &Call, send: &OutboundRequest<'_>) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(call.body.clone()));
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -19,7 +19,7 @@
 use super::crash_check::{check_run_for_crash, record_end};
 use super::path::{FoundPath, PathRequest, admit};
 use super::record::Record;
-use super::{Call, deadline_passed, no_capacity, result_lost};
+use super::{Call, no_capacity, result_lost};
 use crate::lifecycle::InFlight;
 use crate::prelude::*;
 use crate::router::Router;
@@ -222,17 +222,6 @@
         !self.first_endpoints.is_empty()
     }
 
-    fn timeout_problem(&self) -> Problem {
-        if self.may_have_run() {
-            deadline_passed("no endpoint answered before the deadline; the request may have run")
-        } else {
-            no_capacity(
-                "the deadline passed before an endpoint was free",
-                RETRY_AFTER_MS,
-            )
-        }
-    }
-
     fn capacity_problem(&self) -> Problem {
         if self.may_have_run() {
             result_lost("an attempt's answer was lost; later ones were refused")
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -1,6 +1,7 @@
 //! Runs a stream on one path.
 
 mod pause_check;
+mod peer;
 mod refusal;
 mod repair;
 
@@ -11,9 +12,7 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use pistachioyard_platform::{
-    EventSplitter, OutboundRequest, decode_answer_head, encode_answer_headers,
-};
+use pistachioyard_platform::{EventSplitter, OutboundRequest, decode_answer_head};
 use pistachioyard_policy::{
     EndpointRun, Path, PipelineSpec, Repeatability, RequestSize, StallDetector, SuspectReason,
 };
@@ -27,7 +26,7 @@
 use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
-use crate::router::filter::crash_check::{Framing, check_run_for_crash};
+use crate::router::filter::crash_check::Framing;
 use crate::router::filter::part_trial::PartTrial;
 use crate::router::filter::path::FoundPath;
 use crate::router::filter::plain::endpoint_request;
@@ -142,24 +141,6 @@
         &self.path.stages[0].endpoint
     }
 
-    /// Returns whether a peer serves the request in place of an endpoint.
-    pub(super) fn is_through_peer(&self) -> bool {
-        self.is_through_peer
-    }
-
-    /// Returns the run of the first endpoint; none if a peer serves the request.
-    fn first_run(&self) -> Option<FirstRun> {
-        let address = self.path.stages[0].address;
-        (!self.is_through_peer).then(|| (self.first_run.clone(), address))
-    }
-
-    /// Finds out whether the first endpoint has crashed under the request.
-    async fn check_for_crash(&mut self, call: &Call) {
-        if let Some((run, address)) = self.first_run() {
-            check_run_for_crash(&self.router, call.digest, &run, address).await;
-        }
-    }
-
     /// Sends the request and waits for the head of the answer.
     ///
     /// While the first endpoint is slow to answer, the path is checked, since an endpoint
@@ -316,22 +297,6 @@
         }
     }
 
-    /// Reads the refusal of a peer that others would repeat.
-    async fn read_refusal(
-        &mut self,
-        call: &Call,
-        status: StatusCode,
-        headers: HeaderMap,
-        body: Incoming,
-    ) -> OpenResult {
-        let reading = read_whole(self.path.stages[0].address, body, MAX_ANSWER_BYTES);
-        let time_left = call.time_left().unwrap_or_default();
-        match tokio::time::timeout(time_left, reading).await {
-            Ok(Ok(body)) => OpenResult::Refused(status, encode_answer_headers(&headers), body),
-            Ok(Err(_)) | Err(_) => OpenResult::NotRunByPeer(Arrival::Possible),
-        }
-    }
-
     fn endpoint_at(&self, address: SocketAddr) -> Option<EndpointId> {
         let endpoints = self.router.endpoints.lock();
         endpoints
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -5,11 +5,11 @@
 use http::StatusCode;
 
 use super::path_run::{OpenResult, RepairResult};
-use super::{MAX_REFUSALS, Relay};
+use super::{MAX_REFUSALS, RETRY_AFTER_MS, Relay};
 use crate::prelude::*;
 use crate::router::answer::StreamAborted;
 use crate::router::filter::path::{FoundPath, find_path_or_peer, wait_for_capacity};
-use crate::router::filter::result_lost;
+use crate::router::filter::{deadline_passed, no_capacity, result_lost};
 
 /// The maximum number of path repairs of one stream; each one sends an order, which has a cost.
 const MAX_REPAIRS: u32 = 4;
@@ -66,6 +66,18 @@
         }
     }
 
+    /// Returns the problem for a request whose deadline passed before its answer began.
+    pub(super) fn timeout_problem(&self) -> Problem {
+        if self.may_have_run() {
+            deadline_passed("no endpoint answered before the deadline; the request may have run")
+        } else {
+            no_capacity(
+                "the deadline passed before an endpoint was free",
+                RETRY_AFTER_MS,
+            )
+        }
+    }
+
     /// Returns whether the request is quarantined because it, or a part of its prompt, crashed
     /// too many endpoints.
     pub(super) fn is_quarantined(&self) -> bool {
