Take the locks of the reach in the order of the others

Telling peers of the reach held the lock of the lost services while it took that of the endpoints; a plain request that waits for an endpoint takes them the other way round, so the two could have waited for each other for ever. The endpoints' lock now comes first, as src/router.rs says. A question for a probe that cannot be read is logged.

--- a/src/router/peer_probe.rs
+++ b/src/router/peer_probe.rs
@@ -111,7 +111,15 @@
 
     /// Probes an endpoint for a peer, and returns the answer for it.
     pub(crate) async fn answer_peer(&self, asked: &[u8]) -> Option<Vec<u8>> {
-        let asked: Asked = serde_json::from_slice(asked).ok()?;
+        let asked: Asked = match serde_json::from_slice(asked) {
+            Ok(asked) => asked,
+            Err(e) => {
+                spdlog::warn!("peers: malformed question for a probe", kv: {
+                    why = e.to_string().as_str()
+                });
+                return None;
+            }
+        };
         let opinion = self.probe_for_peer(&asked).await;
         serde_json::to_vec(&opinion).ok()
     }
--- a/src/router/reach.rs
+++ b/src/router/reach.rs
@@ -59,8 +59,8 @@
 
     /// Returns what this entry tells of each service of which it misses endpoints.
     pub(crate) fn reach_to_tell(&self) -> Vec<(u32, u32, bool)> {
-        let lost = self.reach.lost.lock();
         let endpoints = self.endpoints.lock();
+        let lost = self.reach.lost.lock();
         let services = endpoints.services().into_iter().filter_map(|service| {
             let is_lost = lost.contains_key(&service);
             let silent = endpoints.count_silent(&service) as u32;
