Tell in the log what became of an endpoint that lost a request

A loss that was not counted left no line, and 'is_lost=false' read alike for an endpoint that lives and for one of which nothing is known, so the hypotheses of the incident could be told apart by counting only. The judgement is now one of alive, ended and unknown; a loss that counts against no request gets a line with it, and a metric. The decisions are unchanged: what is unknown is still not counted.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod retry_budget;
 mod return_spread;
 mod routing;
+mod run_fate;
 mod stall_detector;
 mod store_position;
 mod stream_guard;
@@ -84,6 +85,7 @@
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use return_spread::spread_return_ms;
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
+pub use run_fate::RunFate;
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
 pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -1,7 +1,7 @@
 //! Probes ejected endpoints until they answer.
 
 use futures_util::future::join_all;
-use pistachioyard_policy::{EndpointRecord, ProbeResult};
+use pistachioyard_policy::{EndpointRecord, ProbeResult, RunFate};
 
 use crate::error::CallError;
 use crate::prelude::*;
@@ -83,8 +83,8 @@
 
 /// Asks a peer whether an endpoint that does not answer this entry is alive.
 async fn confirm(router: Arc<Router>, record: EndpointRecord, result: ProbeResult) {
-    let is_lost = router.is_lost_for_all(&record.run()).await;
-    if is_lost && result == ProbeResult::Refused {
+    let fate = router.fate_of_silent(&record.run()).await;
+    if fate == RunFate::Ended && result == ProbeResult::Refused {
         let is_first = {
             let mut endpoints = router.endpoints.lock();
             endpoints.confirm_dead(&record.endpoint);
--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use http::{HeaderMap, header};
-use pistachioyard_policy::{EndpointRecord, EndpointRun, RunState};
+use pistachioyard_policy::{EndpointRecord, EndpointRun, RunFate, RunState};
 use pistachioyard_wire::RequestDigest;
 
 use super::part_trial::PartTrial;
@@ -70,11 +70,11 @@
 
 async fn check_end(router: Arc<Router>, digest: RequestDigest, record: EndpointRecord) {
     let run = record.run();
-    let started = run.started_unix_ms;
-    if has_crashed(&router, &record.endpoint, record.address, started).await {
-        router.note_crash_of_run(digest, &run);
-    } else {
-        router.record_completion(digest);
+    let fate = find_fate(&router, &run, record.address).await;
+    router.log_fate(digest, &run, fate);
+    match fate {
+        RunFate::Ended => router.note_crash_of_run(digest, &run),
+        RunFate::Alive | RunFate::Unknown => router.record_completion(digest),
     }
 }
 
@@ -104,7 +104,9 @@
     let check = tokio::spawn({
         let (router, run) = (router.clone(), run.clone());
         async move {
-            if has_crashed(&router, &run.endpoint, address, run.started_unix_ms).await {
+            let fate = find_fate(&router, &run, address).await;
+            router.log_fate(digest, &run, fate);
+            if fate == RunFate::Ended {
                 router.note_crash_of_run(digest, &run);
             }
         }
@@ -132,35 +134,29 @@
             match state {
                 RunState::Sound => return,
                 RunState::Silent => tokio::time::sleep(SILENCE_CHECK_INTERVAL).await,
-                RunState::Ended if !router.is_lost_for_all(&run).await => return,
                 RunState::Ended => {
-                    router.note_crash_of_run(digest, &run);
-                    if let Some(trial) = trial {
-                        trial.record_loss();
+                    let fate = router.fate_of_silent(&run).await;
+                    router.log_fate(digest, &run, fate);
+                    if fate == RunFate::Ended {
+                        router.note_crash_of_run(digest, &run);
+                        if let Some(trial) = trial {
+                            trial.record_loss();
+                        }
                     }
                     return;
                 }
             }
         }
+        router.log_fate(digest, &run, RunFate::Unknown);
     });
 }
 
-/// Returns whether the endpoint run that started at this time no longer answers, here and at a
-/// peer.
-pub(super) async fn has_crashed(
-    router: &Router,
-    endpoint: &EndpointId,
-    address: SocketAddr,
-    started: Option<u64>,
-) -> bool {
-    let run = EndpointRun {
-        endpoint: endpoint.clone(),
-        started_unix_ms: started,
-    };
-    match probe(router, endpoint, address, started).await {
-        Probed::SameRun => false,
-        Probed::OtherRun => true,
-        Probed::NoAnswer => router.is_lost_for_all(&run).await,
+/// Probes a run of an endpoint, and asks a peer if it does not answer.
+pub(super) async fn find_fate(router: &Router, run: &EndpointRun, address: SocketAddr) -> RunFate {
+    match probe(router, &run.endpoint, address, run.started_unix_ms).await {
+        Probed::SameRun => RunFate::Alive,
+        Probed::OtherRun => RunFate::Ended,
+        Probed::NoAnswer => router.fate_of_silent(run).await,
     }
 }
 
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use pistachioyard_policy::{LossCheck, WritingTime};
+use pistachioyard_policy::{EndpointRun, LossCheck, RunFate, WritingTime};
 use pistachioyard_wire::PromptPart;
 
-use super::crash_check::{Framing, has_crashed};
+use super::crash_check::{Framing, find_fate};
 use crate::prelude::*;
 use crate::router::Router;
 
@@ -72,14 +72,15 @@
         match check {
             LossCheck::Known => {}
             LossCheck::Probe => {
-                let (router, run) = (self.router.clone(), self.run);
-                let (address, started) = (self.address, self.started_unix_ms);
-                let endpoint = self.endpoint.clone();
+                let (router, id, address) = (self.router.clone(), self.run, self.address);
+                let run = EndpointRun {
+                    endpoint: self.endpoint.clone(),
+                    started_unix_ms: self.started_unix_ms,
+                };
                 tokio::spawn(async move {
-                    if has_crashed(&router, &endpoint, address, started).await {
-                        router.note_part_crash(&endpoint, run).await;
-                    } else {
-                        router.parts.lock().dismiss_loss(run);
+                    match find_fate(&router, &run, address).await {
+                        RunFate::Ended => router.note_part_crash(&run.endpoint, id).await,
+                        RunFate::Alive | RunFate::Unknown => router.parts.lock().dismiss_loss(id),
                     }
                 });
             }
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -5,6 +5,7 @@
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use pistachioyard_policy::RunFate;
 
 use crate::prelude::*;
 use crate::router::Router;
@@ -62,6 +63,11 @@
     counter!("router_requests_quarantined_total").increment(1);
 }
 
+/// Counts a loss that is held against no request, by what became of the endpoint's run.
+pub(crate) fn count_uncounted_loss(fate: RunFate) {
+    counter!("router_losses_uncounted_total", "fate" => fate.as_str()).increment(1);
+}
+
 /// Counts a list of all endpoints that was read because a peer had seen a newer change.
 pub(crate) fn count_overtaken_watch() {
     counter!("router_watches_overtaken_total").increment(1);
--- a/src/router/peer_probe.rs
+++ b/src/router/peer_probe.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use pistachioyard_policy::EndpointRun;
+use pistachioyard_policy::{EndpointRun, RunFate};
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
@@ -39,36 +39,39 @@
 }
 
 impl Router {
-    /// Returns whether a run of an endpoint that does not answer this entry is lost for all: a
-    /// peer does not reach it either, or, if none can tell, this entry reaches others.
-    pub(crate) async fn is_lost_for_all(&self, run: &EndpointRun) -> bool {
+    /// Returns what became of a run of an endpoint that does not answer this entry. It has ended
+    /// if a peer does not reach it either or, if no peer can tell, if this entry reaches others.
+    pub(crate) async fn fate_of_silent(&self, run: &EndpointRun) -> RunFate {
         let known = self.endpoints.lock().get(&run.endpoint).cloned();
         let Some(record) = known.filter(|known| known.run() == *run) else {
             // It has ended, as the store says.
-            return true;
+            return RunFate::Ended;
         };
         let opinion = self
             .reports
             .opinion(record.address, self.ask_peer(run))
             .await;
         let now = Instant::now();
-        let is_lost = match opinion {
+        let fate = match opinion {
             Opinion::Alive => {
                 self.endpoints
                     .lock()
                     .note_reached_elsewhere(&run.endpoint, now);
-                false
+                RunFate::Alive
             }
-            Opinion::Dead => true,
+            Opinion::Dead => RunFate::Ended,
             Opinion::Unknown => {
-                self.reaches_others(&record.service, record.address, now)
-                    .await
+                let reaches_others = self.reaches_others(&record.service, record.address, now);
+                match reaches_others.await {
+                    true => RunFate::Ended,
+                    false => RunFate::Unknown,
+                }
             }
         };
         spdlog::info!("reach: asked a peer about a silent endpoint", kv: {
-            endpoint = run.endpoint.as_str(), opinion:?, is_lost
+            endpoint = run.endpoint.as_str(), opinion:?, fate = fate.as_str()
         });
-        is_lost
+        fate
     }
 
     /// Asks a peer whether a run of an endpoint is alive.
--- a/src/router/quarantine.rs
+++ b/src/router/quarantine.rs
@@ -1,6 +1,6 @@
 //! Applies findings about requests that crash endpoints.
 
-use pistachioyard_policy::{EndpointRun, QuarantineVerdict, responsible_entry};
+use pistachioyard_policy::{EndpointRun, QuarantineVerdict, RunFate, responsible_entry};
 use pistachioyard_wire::{QuarantineMark, RequestDigest};
 
 use super::{Router, metric};
@@ -72,6 +72,18 @@
         self.log_quarantined(&quarantined, "");
     }
 
+    /// Logs what became of a run that lost a request, unless it has ended.
+    pub(crate) fn log_fate(&self, digest: RequestDigest, run: &EndpointRun, fate: RunFate) {
+        if fate == RunFate::Ended {
+            return;
+        }
+        metric::count_uncounted_loss(fate);
+        spdlog::info!("quarantine: a loss counts against no request", kv: {
+            endpoint = run.endpoint.as_str(), digest = digest.to_string().as_str(),
+            fate = fate.as_str()
+        });
+    }
+
     /// Records that a request was answered, so that it did not cause its crashes.
     pub(crate) fn record_completion(&self, digest: RequestDigest) {
         self.quarantine
