Keep a loss until it is known whether its endpoint has ended

Callers of a small service whose endpoints were all down saw them crash again as soon as they were back: the request that had ended three of them was sent to each new one. Cause: where no peer can tell and no other endpoint of the service is reached, an endpoint that has ended cannot be told from one behind broken links; the answer 'unknown' was read as 'did not crash' by all its readers (lost answers, silent ends, answers without a length, which it even counted as completions, and prompt parts), and the loss was dropped for good. The class: a question that cannot be answered now is taken for answered with no.

Now the loss is kept, told to peers with its age, and decided later: by the store, when the run's record is gone or names another run; by a report of the run; or by a connection that another endpoint accepts while this one still refuses. A request that would be refused if all its losses were crashes waits for the decision, a second at most, before it is sent, also for the first time; one found guilty while it waited for an endpoint is refused then. A completion clears its losses, and a loss behind a cut still blames nobody: the peers see the run answer, or its record stays. A conviction is told to peers at once. Old builds ignore the new field of the marks, and theirs lacks it.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -77,7 +77,9 @@
 };
 pub use plain_choice::{LatencyEstimates, choose_plain_endpoint};
 pub use prefix_index::PrefixIndex;
-pub use quarantine::{Quarantine, QuarantineVerdict, RELAPSE_HOLD, SuspectReservations};
+pub use quarantine::{
+    Quarantine, QuarantineVerdict, RELAPSE_HOLD, SuspectReservations, UNDECIDED_TTL,
+};
 pub use reach::{Reach, ReachTracker};
 pub use request_limits::{
     BadRate, FleetPart, LimitChange, PermitAnswer, RequestLimits, RequestRate, ReturnSchedule,
--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -21,18 +21,22 @@
 //! Where suspects are not isolated, the end of a hold releases no request. One trial at a time
 //! finds out whether the request is still poison: its completion releases the request, and
 //! another crash refuses it for [`RELAPSE_HOLD`].
+//!
+//! A loss of which it is not known whether it was a crash is kept until that is known.
 
+mod marks;
 mod record;
 mod reservations;
+mod undecided;
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use pistachioyard_wire::{BootId, QuarantineMark, RequestDigest};
+use pistachioyard_wire::{BootId, RequestDigest};
 
 use record::CrashRecord;
 pub use reservations::SuspectReservations;
+pub use undecided::UNDECIDED_TTL;
 
 /// The crashes after which a request is quarantined if it was the only repeater in one of them.
 /// A repeater is a request that was in at least this many crashes.
@@ -53,9 +57,6 @@
 /// The number of crash records at which an entry adds no more of them from its peers, and
 /// replaces its own oldest.
 const MAX_RECORDS: usize = 4_096;
-/// The maximum number of crashes that are accepted from one mark of a peer.
-const MAX_CRASHES_PER_MARK: usize = 16;
-
 /// Says how to treat a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuarantineVerdict {
@@ -190,62 +191,12 @@
         let Some(record) = self.records.get_mut(&digest) else {
             return;
         };
-        let crashed = std::mem::take(&mut record.crashed);
-        record.clear(crashed, now);
+        let mut lost_by = std::mem::take(&mut record.crashed);
+        lost_by.extend(record.undecided.keys());
+        record.clear(lost_by, now);
         self.quarantine_culprits();
     }
 
-    /// Returns the marks to gossip to peers: those of quarantined requests first, then those
-    /// that clear a request, and then those with the most and the newest crashes, since a message
-    /// may have no room for all.
-    pub fn marks(&self, now: Instant) -> Vec<QuarantineMark> {
-        let told = self.records.iter().filter(|(_, record)| {
-            !record.crashed.is_empty() || !self.isolates_suspects && !record.cleared.is_empty()
-        });
-        let marks = told
-            .filter(|(_, record)| !self.is_expired(record, now))
-            .map(|(digest, record)| QuarantineMark {
-                digest: *digest,
-                crashed: record.crashed.iter().copied().collect(),
-                cleared: record.cleared.iter().copied().collect(),
-                convicted: record.quarantined,
-                has_relapsed: record.has_relapsed,
-                age_ms: age_ms(now, record.since),
-            });
-        let mut marks: Vec<QuarantineMark> = marks.collect();
-        marks.sort_by_key(|mark| {
-            let crashes = Reverse(mark.crashed.len());
-            (
-                !mark.convicted,
-                mark.cleared.is_empty(),
-                crashes,
-                mark.age_ms,
-            )
-        });
-        marks
-    }
-
-    /// Merges the marks of a peer.
-    ///
-    /// A mark carries its age, so that passing it around does not extend its lifetime. Crashes
-    /// that were cleared here are not added again. Returns the requests that are quarantined by
-    /// them.
-    pub fn merge(&mut self, marks: &[QuarantineMark], now: Instant) -> Vec<RequestDigest> {
-        self.expire(now);
-        let mut quarantined = Vec::new();
-        for mark in marks {
-            let age = Duration::from_millis(mark.age_ms);
-            if age < self.ttl(mark.convicted || !mark.cleared.is_empty()) {
-                let since = now.checked_sub(age).unwrap_or(now);
-                if self.merge_mark(mark, since, now) {
-                    quarantined.push(mark.digest);
-                }
-            }
-        }
-        quarantined.extend(self.quarantine_culprits());
-        quarantined
-    }
-
     /// Removes the records that no longer count.
     pub fn expire(&mut self, now: Instant) {
         let mut records = std::mem::take(&mut self.records);
@@ -268,40 +219,6 @@
         }
     }
 
-    /// Merges one mark; returns whether it quarantines its request.
-    fn merge_mark(&mut self, mark: &QuarantineMark, since: Instant, now: Instant) -> bool {
-        if let Some(record) = self.records.get_mut(&mark.digest) {
-            let listed = mark.cleared.iter().take(MAX_CRASHES_PER_MARK);
-            let cleared: Vec<BootId> = listed
-                .copied()
-                .filter(|boot| record.crashed.contains(boot))
-                .collect();
-            if !cleared.is_empty() {
-                record.clear(cleared, now);
-            }
-        }
-        let known = self.records.get(&mark.digest);
-        let counts = |boot: &BootId| known.is_none_or(|record| !record.cleared.contains(boot));
-        let listed = mark.crashed.iter().take(MAX_CRASHES_PER_MARK);
-        let crashed: Vec<BootId> = listed.copied().filter(counts).collect();
-        if crashed.is_empty() || known.is_none() && self.records.len() >= MAX_RECORDS {
-            return false;
-        }
-        let record = self
-            .records
-            .entry(mark.digest)
-            .or_insert_with(|| CrashRecord::new(since));
-        let is_newly_quarantined = mark.convicted && !record.quarantined;
-        let before = record.crashed.len();
-        record.crashed.extend(crashed);
-        record.quarantined |= mark.convicted;
-        record.has_relapsed |= mark.convicted && mark.has_relapsed;
-        if is_newly_quarantined || record.crashed.len() > before {
-            record.since = record.since.max(since);
-        }
-        is_newly_quarantined
-    }
-
     /// Quarantines the requests that were in enough crashes, and returns them.
     fn quarantine_culprits(&mut self) -> Vec<RequestDigest> {
         let mut repeaters: BTreeMap<BootId, usize> = BTreeMap::new();
--- a/crates/pistachioyard_policy/src/quarantine/record.rs
+++ b/crates/pistachioyard_policy/src/quarantine/record.rs
@@ -1,12 +1,20 @@
 //! Holds the crashes that one request was in.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use pistachioyard_wire::BootId;
 
 use super::{CRASHES_TO_QUARANTINE_SOLE_REPEATER, RELAPSE_HOLD};
 
+/// Holds a loss of which it is not known whether it was a crash.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Loss {
+    pub(super) at: Instant,
+    /// Whether this entry lost the request, and not a peer.
+    pub(super) is_own: bool,
+}
+
 /// Holds the crashes that a request was in, and whether it is quarantined for them.
 #[derive(Clone, Debug)]
 pub(super) struct CrashRecord {
@@ -14,6 +22,8 @@
     pub(super) crashed: BTreeSet<BootId>,
     /// The crashes that no longer count, because the request has completed since then.
     pub(super) cleared: BTreeSet<BootId>,
+    /// The runs that lost the request and may have ended.
+    pub(super) undecided: BTreeMap<BootId, Loss>,
     /// When it was last cleared of crashes.
     pub(super) cleared_at: Option<Instant>,
     pub(super) quarantined: bool,
@@ -30,6 +40,7 @@
         Self {
             crashed: BTreeSet::new(),
             cleared: BTreeSet::new(),
+            undecided: BTreeMap::new(),
             cleared_at: None,
             quarantined: false,
             has_relapsed: false,
@@ -57,16 +68,34 @@
             return;
         }
         self.cleared.remove(&run);
+        self.undecided.remove(&run);
         let held_until = self.since + self.hold(first_hold);
         self.has_relapsed |= self.quarantined && now >= held_until;
         self.trial_since = None;
         self.since = self.since.max(now);
     }
 
+    /// Adds a loss of this entry of which it is not known whether it was a crash.
+    pub(super) fn add_loss(&mut self, run: BootId, at: Instant) {
+        if !self.crashed.contains(&run) {
+            self.cleared.remove(&run);
+            self.undecided.insert(run, Loss { at, is_own: true });
+        }
+    }
+
+    /// Adds such a loss of a peer, unless the run is known.
+    pub(super) fn add_told_loss(&mut self, run: BootId, at: Instant) {
+        if !self.crashed.contains(&run) && !self.cleared.contains(&run) {
+            let loss = Loss { at, is_own: false };
+            self.undecided.entry(run).or_insert(loss);
+        }
+    }
+
     /// Removes crashes that the request did not cause, and ends its quarantine.
     pub(super) fn clear(&mut self, runs: impl IntoIterator<Item = BootId>, now: Instant) {
         for run in runs {
             self.crashed.remove(&run);
+            self.undecided.remove(&run);
             self.cleared.insert(run);
         }
         self.cleared_at = Some(now);
--- a/crates/pistachioyard_wire/src/peer.rs
+++ b/crates/pistachioyard_wire/src/peer.rs
@@ -111,6 +111,10 @@
     /// The crashes that the request did not cause, since it has completed after them.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub cleared: Vec<BootId>,
+    /// The endpoint runs that lost the request and of which it is not known whether they have
+    /// ended, with the age of each loss in milliseconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub undecided: Vec<(BootId, u64)>,
     /// Whether the request is quarantined, so that entries refuse it.
     pub convicted: bool,
     /// Whether the request crashed an endpoint again after it had been refused for a while.
--- a/src/router.rs
+++ b/src/router.rs
@@ -13,6 +13,7 @@
 mod filter;
 mod http_server;
 mod log;
+mod losses;
 mod metric;
 mod parts;
 mod peer_probe;
@@ -41,6 +42,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::prelude::*;
 use crate::router::endpoint_client::EndpointClient;
+use crate::router::losses::Losses;
 use crate::router::permits::Permits;
 use crate::router::reach::{OwnReach, ToldReach};
 use crate::router::store_client::StoreClient;
@@ -79,6 +81,7 @@
     /// The peers that report that they cannot reach the store.
     pub(crate) peers_without_store: Mutex<BTreeSet<EntryId>>,
     pub(crate) reach: OwnReach,
+    pub(crate) losses: Losses,
     /// What each peer has told of its reach, by the keys of the services.
     pub(crate) peer_reach: Mutex<BTreeMap<EntryId, BTreeMap<u32, ToldReach>>>,
     /// The highest version of the configuration by which a peer has served a request for this
@@ -152,6 +155,7 @@
             ),
             peers_without_store: Mutex::default(),
             reach: OwnReach::default(),
+            losses: Losses::default(),
             peer_reach: Mutex::default(),
             newest_peer_version: AtomicU64::new(0),
             retries: Mutex::new(retries),
--- a/src/router/controller/convictions.rs
+++ b/src/router/controller/convictions.rs
@@ -129,6 +129,7 @@
                 digest,
                 crashed: conviction.crashed,
                 cleared: Vec::new(),
+                undecided: Vec::new(),
                 convicted: true,
                 has_relapsed: conviction.has_relapsed,
                 age_ms,
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -30,6 +30,7 @@
         };
         match step {
             Ok(seen) => {
+                router.note_ended_runs();
                 position = Some(seen);
                 pace.throttle(&router, router.settings.drain_limit).await;
             }
@@ -204,6 +205,7 @@
 
 fn remove_expired(router: &Router) {
     let expired = router.endpoints.lock().drop_lapsed(Instant::now());
+    router.note_ended_runs();
     for endpoint in expired {
         spdlog::info!("endpoints: grace period over", kv: { endpoint = endpoint.as_str() });
         router.endpoints_changed.notify_one();
--- a/src/router/controller/peer_fallback.rs
+++ b/src/router/controller/peer_fallback.rs
@@ -140,4 +140,5 @@
             endpoints::remove(router, endpoint, None, None);
         }
     }
+    router.note_ended_runs();
 }
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -15,6 +15,7 @@
 mod stream;
 
 use bytes::Bytes;
+pub(crate) use crash_check::{RunJudgement, judge_run};
 use http::{HeaderMap, Method, Request, Response};
 use hyper::body::Incoming;
 use pistachioyard_platform::CallerHead;
@@ -25,6 +26,7 @@
 use crate::lifecycle::InFlight;
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
+use crate::router::quarantine::SuspectAdmission;
 use crate::router::{ActiveConfig, Router, relay_hop};
 use record::Record;
 
@@ -45,6 +47,8 @@
     pub(crate) digest: RequestDigest,
     /// Whether a peer has passed it on to this entry.
     pub(crate) is_relayed: bool,
+    /// Whether it runs as a trial after it has crashed endpoints.
+    pub(crate) is_trial: bool,
 }
 
 impl Call {
@@ -125,7 +129,7 @@
     let mut call = identify::identify(router, req, arrived_at, record).await?;
     call.is_relayed = is_relayed;
     router.wait_for_first_news().await;
-    check_quarantine(router, &call)?;
+    check_quarantine(router, &mut call)?;
     if !is_relayed {
         router.retries.lock().on_first_try();
     }
@@ -134,16 +138,33 @@
 
 /// Refuses a request that is quarantined because it, or a part of its prompt, crashed the
 /// endpoints that ran it.
-fn check_quarantine(router: &Router, call: &Call) -> Result<(), Problem> {
+fn check_quarantine(router: &Router, call: &mut Call) -> Result<(), Problem> {
     if let Some(problem) = router.check_parts(&call.head.prompt_parts) {
         return Err(problem);
     }
-    let Some(retry_after) = router.quarantine_hold(call.digest) else {
-        return Ok(());
-    };
+    let admission = router.admit_suspect(call.digest);
+    call.is_trial = admission == SuspectAdmission::Trial;
+    match admission {
+        SuspectAdmission::Free | SuspectAdmission::Trial => Ok(()),
+        SuspectAdmission::Refused { retry_after } => Err(crashes_endpoints(retry_after)),
+    }
+}
+
+/// Does the same right before the request is sent, since it may have waited.
+fn check_before_send(router: &Router, call: &Call) -> Result<(), Problem> {
+    if let Some(problem) = router.check_parts(&call.head.prompt_parts) {
+        return Err(problem);
+    }
+    match router.hold_since_admission(call.digest, call.is_trial) {
+        Some(retry_after) => Err(crashes_endpoints(retry_after)),
+        None => Ok(()),
+    }
+}
+
+fn crashes_endpoints(retry_after: Duration) -> Problem {
     let detail = "the request has crashed the endpoints that ran it; it was not run again";
     let problem = Problem::new(ProblemKind::Quarantined, Outcome::NotRun, detail);
-    Err(quarantined(problem, retry_after))
+    quarantined(problem, retry_after)
 }
 
 /// Completes the problem for a request that is quarantined and was not run.
--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -60,7 +60,14 @@
     };
     match record {
         Some(record) => {
-            tokio::spawn(check_end(router.clone(), digest, record));
+            let ended = router.clone();
+            drop(
+                router.begin_loss(digest, &record.run(), record.address, move |fate| {
+                    if fate == RunFate::Alive {
+                        ended.record_completion(digest);
+                    }
+                }),
+            );
         }
         None if framing == Framing::Explicit => router.record_completion(digest),
         // An endpoint that is gone by now may have crashed.
@@ -68,16 +75,6 @@
     }
 }
 
-async fn check_end(router: Arc<Router>, digest: RequestDigest, record: EndpointRecord) {
-    let run = record.run();
-    let fate = find_fate(&router, &run, record.address).await;
-    router.log_fate(digest, &run, fate);
-    match fate {
-        RunFate::Ended => router.note_crash_of_run(digest, &run),
-        RunFate::Alive | RunFate::Unknown => router.record_completion(digest),
-    }
-}
-
 /// Probes an endpoint whose answer was lost, and records a crash if it does not answer or has
 /// started anew since it was sent the request. That it accepts a connection says little, since a
 /// crash is over within seconds.
@@ -100,18 +97,9 @@
     run: &EndpointRun,
     address: SocketAddr,
 ) {
-    let is_suspect = router.quarantine.lock().count_crashes(digest) > 0;
-    let check = tokio::spawn({
-        let (router, run) = (router.clone(), run.clone());
-        async move {
-            let fate = find_fate(&router, &run, address).await;
-            router.log_fate(digest, &run, fate);
-            if fate == RunFate::Ended {
-                router.note_crash_of_run(digest, &run);
-            }
-        }
-    });
-    if is_suspect && let Err(e) = check.await {
+    let is_suspect = router.quarantine.lock().count_losses(digest) > 0;
+    let judged = router.begin_loss(digest, run, address, |_| {});
+    if is_suspect && let Err(e) = judged.await {
         spdlog::error!("quarantine: a check for a crash failed", kv: {
             endpoint = run.endpoint.as_str(), why = e.to_string().as_str()
         });
@@ -124,6 +112,7 @@
     router: &Arc<Router>,
     digest: RequestDigest,
     run: &EndpointRun,
+    address: SocketAddr,
     trial: Option<PartTrial>,
 ) {
     let (router, run) = (router.clone(), run.clone());
@@ -134,29 +123,49 @@
             match state {
                 RunState::Sound => return,
                 RunState::Silent => tokio::time::sleep(SILENCE_CHECK_INTERVAL).await,
-                RunState::Ended => {
-                    let fate = router.fate_of_silent(&run).await;
-                    router.log_fate(digest, &run, fate);
-                    if fate == RunFate::Ended {
-                        router.note_crash_of_run(digest, &run);
-                        if let Some(trial) = trial {
-                            trial.record_loss();
-                        }
-                    }
-                    return;
-                }
+                RunState::Ended => break,
             }
         }
-        router.log_fate(digest, &run, RunFate::Unknown);
+        drop(router.begin_loss(digest, &run, address, |_| {}));
+        if let Some(trial) = trial {
+            trial.record_loss();
+        }
     });
 }
 
+/// Says what is known of a run that lost a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RunJudgement {
+    /// The run itself answers and says since when it runs, or a later one does.
+    Known(RunFate),
+    /// Something answers at its address, here or to a peer, and does not say since when it runs.
+    Answers,
+}
+
+impl RunJudgement {
+    /// Returns what became of the run if nothing else is known of it.
+    pub(crate) fn fate(self) -> RunFate {
+        match self {
+            Self::Known(fate) => fate,
+            Self::Answers => RunFate::Alive,
+        }
+    }
+}
+
 /// Probes a run of an endpoint, and asks a peer if it does not answer.
-pub(super) async fn find_fate(router: &Router, run: &EndpointRun, address: SocketAddr) -> RunFate {
+pub(crate) async fn judge_run(
+    router: &Router,
+    run: &EndpointRun,
+    address: SocketAddr,
+) -> RunJudgement {
     match probe(router, &run.endpoint, address, run.started_unix_ms).await {
-        Probed::SameRun => RunFate::Alive,
-        Probed::OtherRun => RunFate::Ended,
-        Probed::NoAnswer => router.fate_of_silent(run).await,
+        Probed::SameRun => RunJudgement::Known(RunFate::Alive),
+        Probed::OtherRun => RunJudgement::Known(RunFate::Ended),
+        Probed::Answers => RunJudgement::Answers,
+        Probed::NoAnswer => match router.fate_of_silent(run).await {
+            RunFate::Alive => RunJudgement::Answers,
+            fate => RunJudgement::Known(fate),
+        },
     }
 }
 
@@ -166,6 +175,8 @@
     SameRun,
     /// A later run answers.
     OtherRun,
+    /// One of the two answers.
+    Answers,
     /// There is no answer.
     NoAnswer,
 }
@@ -185,9 +196,10 @@
             Ok(Ok(report)) if started.is_some() && report.started_unix_ms != started => {
                 return Probed::OtherRun;
             }
-            Ok(Ok(_)) => return Probed::SameRun,
+            Ok(Ok(_)) if started.is_some() => return Probed::SameRun,
+            Ok(Ok(_)) => return Probed::Answers,
             // An endpoint of a plain service has no report, but it answers.
-            Ok(Err(e)) if e.is_answered() => return Probed::SameRun,
+            Ok(Err(e)) if e.is_answered() => return Probed::Answers,
             Ok(Err(CallError::Refused { .. })) => return Probed::NoAnswer,
             Ok(Err(_)) | Err(_) => {}
         }
--- a/src/router/filter/identify.rs
+++ b/src/router/filter/identify.rs
@@ -82,6 +82,7 @@
         deadline,
         digest,
         is_relayed: false,
+        is_trial: false,
     }
 }
 
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -5,7 +5,7 @@
 use pistachioyard_policy::{EndpointRun, LossCheck, RunFate, WritingTime};
 use pistachioyard_wire::PromptPart;
 
-use super::crash_check::{Framing, find_fate};
+use super::crash_check::Framing;
 use crate::prelude::*;
 use crate::router::Router;
 
@@ -78,7 +78,7 @@
                     started_unix_ms: self.started_unix_ms,
                 };
                 tokio::spawn(async move {
-                    match find_fate(&router, &run, address).await {
+                    match router.find_fate(&run, address).last().await {
                         RunFate::Ended => router.note_part_crash(&run.endpoint, id).await,
                         RunFate::Alive | RunFate::Unknown => router.parts.lock().dismiss_loss(id),
                     }
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -18,7 +18,7 @@
 
 use super::crash_check::{Framing, check_for_crash, record_end};
 use super::record::Record;
-use super::{Call, deadline_passed, no_capacity, result_lost};
+use super::{Call, check_before_send, deadline_passed, no_capacity, result_lost};
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::answer::{self, AnswerBody};
@@ -100,25 +100,24 @@
         let mut silent_at = None;
         while let Some(time_left) = call.time_left() {
             if let Some(why) = next.take() {
-                if self.started > 0 && router.is_quarantined(call.digest) {
-                    match running.is_empty() {
-                        true => return Err(self.no_endpoint_left()),
-                        false => continue,
-                    }
-                }
-                if let Some(problem) = router.check_parts(&call.head.prompt_parts) {
-                    match (self.started, running.is_empty()) {
-                        (0, _) => return Err(problem),
-                        (_, true) => return Err(self.no_endpoint_left()),
-                        (_, false) => continue,
-                    }
-                }
                 let chosen = match running.is_empty() {
                     true => {
                         choose_target(router, call, service, &self.tried, self.started > 0).await
                     }
                     false => find_target(router, call, service, &self.tried).await,
                 };
+                if chosen.is_some() && running.is_empty() {
+                    // Another attempt is not kept waiting.
+                    router.await_decision(call.digest, call.deadline).await;
+                }
+                if chosen.is_some()
+                    && let Err(problem) = self.check_before_send()
+                {
+                    match running.is_empty() {
+                        true => return Err(problem),
+                        false => continue,
+                    }
+                }
                 match chosen {
                     Some(target) => {
                         let (load, age) = load_and_age(router, &target);
@@ -172,6 +171,15 @@
         Err(deadline_passed(detail))
     }
 
+    /// Checks that the request may be sent; one that may have run is no trial any more.
+    fn check_before_send(&self) -> Result<(), Problem> {
+        let checked = check_before_send(self.router, self.call);
+        if self.started > 0 && (checked.is_err() || self.router.is_quarantined(self.call.digest)) {
+            return Err(self.no_endpoint_left());
+        }
+        checked
+    }
+
     fn no_endpoint_left(&self) -> Problem {
         if self.started == 0 {
             let detail = "the service has no usable endpoint; retry later";
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -156,7 +156,7 @@
                 }
                 Err(problem) => return Err(problem),
             };
-            self.check_parts()?;
+            self.check_before_send().await?;
             let opened = match self.open(found, why).await {
                 OpenResult::Silent(detail) => self.outlast_silent_start(&detail).await,
                 opened => opened,
--- a/src/router/filter/relay/path_run/pause_check.rs
+++ b/src/router/filter/relay/path_run/pause_check.rs
@@ -20,7 +20,8 @@
             return;
         }
         let trial = self.trial.clone();
-        watch_silent(&self.router, call.digest, &self.first_run, trial);
+        let address = self.path.stages[0].address;
+        watch_silent(&self.router, call.digest, &self.first_run, address, trial);
     }
 
     /// Checks why no event arrives, and returns what to do about it.
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 use crate::router::answer::StreamAborted;
 use crate::router::filter::path::{FoundPath, find_path_or_peer, wait_for_capacity};
-use crate::router::filter::{deadline_passed, no_capacity, result_lost};
+use crate::router::filter::{check_before_send, deadline_passed, no_capacity, result_lost};
 
 /// The maximum number of path repairs of one stream; each one sends an order, which has a cost.
 const MAX_REPAIRS: u32 = 4;
@@ -55,14 +55,15 @@
 }
 
 impl Relay {
-    /// Refuses the request if a part of its prompt was convicted while it waited.
-    pub(super) fn check_parts(&self) -> Result<(), Problem> {
-        match self.router.check_parts(&self.call.head.prompt_parts) {
-            None => Ok(()),
-            Some(_) if self.may_have_run() => Err(result_lost(
+    /// Refuses the request if it, or a part of its prompt, was convicted while it waited.
+    pub(super) async fn check_before_send(&mut self) -> Result<(), Problem> {
+        let (router, call) = (&self.router, &self.call);
+        router.await_decision(call.digest, call.deadline).await;
+        match check_before_send(router, call) {
+            Err(_) if self.may_have_run() => Err(result_lost(
                 "an attempt's answer was lost; the request is quarantined",
             )),
-            Some(problem) => Err(problem),
+            checked => checked,
         }
     }
 
@@ -144,6 +145,9 @@
         let lost_at = Instant::now();
         let mut refusals = 0;
         while self.call.time_left().is_some() && lost_at.elapsed() < limit {
+            self.router
+                .await_decision(self.call.digest, self.call.deadline)
+                .await;
             if self.is_quarantined() {
                 return Err(NotReplaced::Quarantined);
             }
--- a/src/router/peer_probe.rs
+++ b/src/router/peer_probe.rs
@@ -129,10 +129,14 @@
 
     async fn probe_for_peer(&self, asked: &Asked) -> Opinion {
         let record = self.endpoints.lock().get(&asked.endpoint).cloned();
-        let Some(record) = record.filter(|r| r.state.started_unix_ms == asked.started_unix_ms)
-        else {
+        let Some(record) = record else {
             return Opinion::Unknown;
         };
+        match (record.state.started_unix_ms, asked.started_unix_ms) {
+            (known, asked) if known == asked => {}
+            (Some(known), Some(asked)) if known > asked => return Opinion::Dead,
+            _ => return Opinion::Unknown,
+        }
         let since = Instant::now();
         let probe = filter::fetch_report(self, &record.endpoint, record.address);
         match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
--- a/tests/fuzz/peers.rs
+++ b/tests/fuzz/peers.rs
@@ -89,6 +89,7 @@
         digest: RequestDigest(number),
         crashed: vec![BootId::generate(); 3],
         cleared: Vec::new(),
+        undecided: Vec::new(),
         convicted: true,
         has_relapsed: false,
         age_ms,
