Decode lists of the platform entry by entry

An entry of another writer that is nested too deeply or holds a number too large made the whole list or watch unreadable: entries stopped following the endpoints, and a restarted one served nobody. Cause: the page was decoded as one value, so the parser's limits for a single object ended it all. Now the page holds its items as text, and each is decoded by itself; what cannot be is skipped and logged with a reason. The path of serve reads its host list the same way; there a port out of range was enough.

--- a/crates/pistachioyard_standins/src/site/store.rs
+++ b/crates/pistachioyard_standins/src/site/store.rs
@@ -3,7 +3,8 @@
 //! `PUT /control/fault` with a status code makes it answer every call with that status;
 //! 0 removes the fault. `PUT /control/copy` takes a copy of the objects, and
 //! `PUT /control/restore` makes the store come back from it in a new era, which every answer
-//! names. `GET /control/lists` returns the number of lists of each kind.
+//! names. `PUT /control/odd` with a list of texts puts each, as it is, in front of the entries of
+//! workers in all lists, and in front of their changes. `GET /control/lists` returns the number of lists of each kind.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,7 +20,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::http::{Body, json_response, read_json, serve, status_only};
+use super::http::{Body, full_body, json_response, read_json, serve, status_only};
 
 /// The maximum number of events kept for watches.
 const MAX_EVENTS: usize = 4_096;
@@ -67,6 +68,8 @@
 struct State {
     era: u64,
     objects: Objects,
+    /// Texts of entries of another writer.
+    odd: Vec<String>,
 }
 
 #[derive(Default)]
@@ -141,6 +144,11 @@
                 Ok(order) => self.restore(order).await,
                 Err(e) => return json_response(StatusCode::BAD_REQUEST, &json!(e.to_string())),
             },
+            "odd" => {
+                let texts = body.as_array().into_iter().flatten();
+                let texts = texts.filter_map(|text| text.as_str().map(str::to_owned));
+                self.state.lock().odd = texts.collect();
+            }
             "lists" => return json_response(StatusCode::OK, &json!(*self.lists.lock())),
             _ => return status_only(StatusCode::NOT_FOUND),
         }
@@ -246,7 +254,27 @@
         let of_kind = objects.by_key.iter().filter(|((k, _), _)| k == kind);
         let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
         let page = json!({ "items": items, "has_more": false, "current_rev": objects.revision });
-        self.answer(StatusCode::OK, &page)
+        let odd = self.odd_of(kind).join(",");
+        self.page(&page, "\"items\":[", &odd, items.is_empty())
+    }
+
+    /// Returns the texts of another writer among the objects of a kind.
+    fn odd_of(&self, kind: &str) -> Vec<String> {
+        match kind {
+            "servers" => self.odd.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns a page with the text `odd` in front of what follows `start`.
+    fn page(&self, page: &Value, start: &str, odd: &str, is_empty: bool) -> Response<Body> {
+        if odd.is_empty() {
+            return self.answer(StatusCode::OK, page);
+        }
+        let separator = if is_empty { "" } else { "," };
+        let text = page.to_string();
+        let text = text.replacen(start, &format!("{start}{odd}{separator}"), 1);
+        self.with_era(Response::new(full_body(text)))
     }
 
     /// Returns the answer to a watch; none if there are no changes and its wait is not over.
@@ -261,7 +289,12 @@
             .filter(|(k, rev, _)| k == kind && *rev > after);
         let events: Vec<&Value> = newer.map(|(_, _, event)| event).collect();
         let page = json!({ "events": events, "current_rev": objects.revision });
-        (is_over || !events.is_empty()).then(|| self.answer(StatusCode::OK, &page))
+        let odd = self.odd_of(kind).into_iter();
+        let odd: Vec<String> = odd
+            .map(|text| format!("{{\"object\":{text},\"deleted\":false}}"))
+            .collect();
+        let answer = || self.page(&page, "\"events\":[", &odd.join(","), events.is_empty());
+        (is_over || !events.is_empty()).then(answer)
     }
 
     fn read(&self, kind: &str, name: &str) -> Response<Body> {
--- a/crates/pistachioyard_wire/src/lib.rs
+++ b/crates/pistachioyard_wire/src/lib.rs
@@ -47,5 +47,5 @@
 };
 pub use platform::{
     HostKind, HostRecord, HostState, ObjectKey, ObjectRecord, ObjectWrite, WatchPage, WriteAnswer,
-    WriteCondition,
+    WriteCondition, decode_host_list,
 };
--- a/crates/pistachioyard_wire/src/platform.rs
+++ b/crates/pistachioyard_wire/src/platform.rs
@@ -13,5 +13,5 @@
 mod host;
 mod object;
 
-pub use host::{HostKind, HostRecord, HostState};
+pub use host::{HostKind, HostRecord, HostState, decode_host_list};
 pub use object::{ObjectKey, ObjectRecord, ObjectWrite, WatchPage, WriteAnswer, WriteCondition};
--- a/crates/pistachioyard_wire/src/platform/host.rs
+++ b/crates/pistachioyard_wire/src/platform/host.rs
@@ -4,6 +4,7 @@
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::{DataCentre, EndpointId, HostName, Region, ServiceName};
 
@@ -53,3 +54,25 @@
     /// The state of the host.
     pub state: HostState,
 }
+
+/// Decodes a host list, whose records may come from several writers; one that cannot be decoded
+/// hides no other.
+///
+/// Returns the records, and why each of the others cannot be decoded.
+///
+/// # Errors
+///
+/// Fails when the body is no list.
+pub fn decode_host_list(
+    body: &[u8],
+) -> Result<(Vec<HostRecord>, Vec<serde_json::Error>), serde_json::Error> {
+    let raw: Vec<Box<RawValue>> = serde_json::from_slice(body)?;
+    let (mut records, mut undecoded) = (Vec::new(), Vec::new());
+    for record in raw {
+        match serde_json::from_str(record.get()) {
+            Ok(record) => records.push(record),
+            Err(e) => undecoded.push(e),
+        }
+    }
+    Ok((records, undecoded))
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,7 @@
 use http::Method;
 use pistachioyard_wire::{
     HostRecord, ObjectKey, ObjectRecord, ObjectWrite, WatchPage, WriteAnswer, WriteCondition,
+    decode_host_list,
 };
 
 use crate::client::{Call, HttpClient};
@@ -97,11 +98,24 @@
             .parse_success()
     }
 
-    /// Reads the host list, which may be out of date.
+    /// Reads the host list, which may be out of date, without the records that cannot be decoded.
     pub(crate) async fn hosts(&self) -> Result<Vec<HostRecord>, CallError> {
         let call = Call::get(self.address, "/hosts");
-        self.record_result(self.client.send(call, timeout()).await)?
-            .parse_success()
+        let answer = self.record_result(self.client.send(call, timeout()).await)?;
+        if !answer.status.is_success() {
+            return Err(CallError::Status {
+                to: self.address,
+                status: answer.status.as_u16(),
+            });
+        }
+        let (hosts, undecoded) = decode_host_list(&answer.body).map_err(|e| self.malformed(e))?;
+        if let Some(first) = undecoded.first() {
+            spdlog::warn!(
+                "hosts: ignoring {} records, the first: {first}",
+                undecoded.len()
+            );
+        }
+        Ok(hosts)
     }
 
     /// Returns the error for an object of the platform that cannot be parsed.
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -130,6 +130,7 @@
     ) -> Result<InEra<ListPage>, StoreError> {
         let InEra { value, era } = self.send(&StoreCall::list(kind, after, stale)).await?;
         let value = decode_list(value.status, &value.body)?;
+        log_undecoded(kind, &value.undecoded);
         Ok(InEra { value, era })
     }
 
@@ -145,6 +146,7 @@
             .send(&StoreCall::watch(kind, after_revision, wait_ms))
             .await?;
         let value = decode_watch(value.status, &value.body)?;
+        log_undecoded(kind, &value.undecoded);
         Ok(InEra { value, era })
     }
 
@@ -237,3 +239,12 @@
         _ => Ok(()),
     }
 }
+
+/// Logs that objects of a page were skipped.
+fn log_undecoded(kind: ObjectKind, undecoded: &[StoreAnswerError]) {
+    if let Some(first) = undecoded.first() {
+        spdlog::warn!("store: ignoring objects that cannot be decoded", kv: {
+            kind = kind.0, count = undecoded.len(), why = first.to_string().as_str()
+        });
+    }
+}
