Test refusals that are written twice and failures after a stream broke off

Two reports of other operators, which cannot happen here: an answer with the id of another request is no answer, requests that run once get a connection of their own, and one id is not sent twice on a connection; a stream that has begun passes on no other answer than events, and ends its connection if it cannot go on. The stand-in's deadly request that leaves connections open is not answered any more by a plain service: it was at times, within the same 10 ms.

--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -9,7 +9,7 @@
 //! [`crash::CRASHING_PART`], once its answer has begun.
 //! A request with `X-Answer-Bytes` has that many bytes in its answer, or in each event of it;
 //! one with `X-Run-Ms` runs for that time on a plain service; `X-Answer-Status` selects the status
-//! of an answer without events, and `X-Answer-End` how an answer ends. Tests observe and change a worker
+//! of an answer without events, `X-Resume-Status` that of one to a stream that goes on, and `X-Answer-End` how an answer ends. Tests observe and change a worker
 //! under `/control/`, see [`control`].
 
 mod answer;
@@ -351,12 +351,15 @@
         if crashes {
             tokio::spawn(crash::crash_soon());
         }
+        if body == DARK_POISON {
+            std::future::pending::<()>().await;
+        }
         let asked = header(&parts.headers, "x-run-ms").and_then(|ms| ms.parse().ok());
         tokio::time::sleep(asked.map_or(PLAIN_REQUEST_TIME, Duration::from_millis)).await;
         let line = padded(answer_line(&id, 0), padded_len(&parts.headers));
         let body = full_body(format!("{line}\n\n"));
         let mut answer = signed(&id, body, ending);
-        set_status(&parts.headers, &mut answer);
+        set_status(&parts.headers, "x-answer-status", &mut answer);
         return answer;
     }
     let path = parse_path(header(&parts.headers, "x-hop-count").unwrap_or_default());
@@ -367,9 +370,9 @@
         };
     }
     worker.state.lock().runs.push(id.clone());
-    if parts.headers.contains_key("x-answer-status") {
-        let mut answer = signed(&id, full_body(answer_line(&id, 0)), ending);
-        set_status(&parts.headers, &mut answer);
+    if let Some(name) = answer::status_header(&parts.headers) {
+        let mut answer = signed(&id, full_body(answer_line(&id, 0)), Ending::Framed);
+        set_status(&parts.headers, name, &mut answer);
         return answer;
     }
     worker.state.lock().paths.insert(id.clone(), path);
--- a/crates/pistachioyard_standins/src/site/worker/answer.rs
+++ b/crates/pistachioyard_standins/src/site/worker/answer.rs
@@ -56,9 +56,17 @@
     answer
 }
 
-/// Gives an answer the status that a request selects with `X-Answer-Status`.
-pub(super) fn set_status(requested: &HeaderMap, answer: &mut Response<Body>) {
-    let status = header(requested, "x-answer-status").and_then(|status| status.parse().ok());
+/// Returns the header that selects the status of the answer to a stream, if there is one.
+pub(super) fn status_header(requested: &HeaderMap) -> Option<&'static str> {
+    let is_resumed = requested.contains_key("last-event-id");
+    let names = [("x-answer-status", true), ("x-resume-status", is_resumed)];
+    let mut selected = names.into_iter().filter(|(_, applies)| *applies);
+    selected.find_map(|(name, _)| requested.contains_key(name).then_some(name))
+}
+
+/// Gives an answer the status that a request selects with the header `name`.
+pub(super) fn set_status(requested: &HeaderMap, name: &str, answer: &mut Response<Body>) {
+    let status = header(requested, name).and_then(|status| status.parse().ok());
     if let Some(status) = status.and_then(|status| StatusCode::from_u16(status).ok()) {
         *answer.status_mut() = status;
     }
--- a/tests/site/caller.rs
+++ b/tests/site/caller.rs
@@ -35,7 +35,7 @@
 }
 
 /// Returns the data of event `n` of a request, computed as the stand-in does.
-fn event_payload(id: &str, n: u64) -> String {
+pub(crate) fn event_payload(id: &str, n: u64) -> String {
     format!("{:016x}", xxh3_64(format!("{id}/{n}").as_bytes()))
 }
 
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -15,6 +15,7 @@
 mod limited;
 mod logs;
 mod lost;
+mod odd_answers;
 mod odd_entries;
 mod poison_again;
 mod poison_outage;
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -86,6 +86,11 @@
         self.stream.write_all(head).await.is_ok()
     }
 
+    /// Returns what was read and is no complete answer.
+    pub(crate) fn unread_text(&self) -> String {
+        String::from_utf8_lossy(&self.unread).into_owned()
+    }
+
     /// Reads an answer as fast as it comes.
     pub(crate) async fn read(&mut self) -> Exchange {
         self.read_slowly(u64::MAX).await
