Look at plain endpoints that leave a request without an answer

A request that ended an endpoint of a plain service without breaking its connections was sent on and on: its caller's deadline passed first, and nothing was looked at then. Cause: only broken connections and silent first endpoints of streams led to a check. Now an endpoint that has left a request without an answer for half a second is judged 1.5 s after the attempt was given up; a sound one answers by then.

--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -22,6 +22,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 /// How long a silent endpoint is watched; longer than it takes to find out that it is not sound.
 const SILENCE_WATCH: Duration = Duration::from_secs(4);
+/// How long an endpoint may be silent without having ended, beyond the time of a request.
+const SOUND_SILENCE: Duration = Duration::from_millis(1_500);
 /// How often the state of a silent endpoint is looked at.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -106,6 +108,20 @@
     }
 }
 
+/// Finds out whether an endpoint that has not answered in time has ended without breaking its
+/// connections; a sound one may be slow, or silent for about a second.
+pub(super) fn check_after_silence(
+    router: &Arc<Router>,
+    digest: RequestDigest,
+    target: &EndpointRecord,
+) {
+    let (router, target) = (router.clone(), target.clone());
+    tokio::spawn(async move {
+        tokio::time::sleep(SOUND_SILENCE).await;
+        drop(router.begin_loss(digest, &target.run(), target.address, |_| {}));
+    });
+}
+
 /// Counts the run of an endpoint that has fallen silent as lost under a request, if it turns out
 /// not to be sound. Its connection may stay open for much longer.
 pub(super) fn watch_silent(
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -13,10 +13,10 @@
 use pistachioyard_platform::{
     AnswerHead, OutboundRequest, encode_answer_headers, encode_request_headers,
 };
-use pistachioyard_policy::{Repeatability, SuspectReason, spread_return_ms};
+use pistachioyard_policy::{EndpointRecord, Repeatability, SuspectReason, spread_return_ms};
 use pistachioyard_wire::ServiceName;
 
-use super::crash_check::{Framing, check_for_crash, record_end};
+use super::crash_check::{Framing, check_after_silence, check_for_crash, record_end};
 use super::record::Record;
 use super::{Call, check_before_send, deadline_passed, no_capacity, result_lost};
 use crate::prelude::*;
@@ -32,6 +32,10 @@
 /// The multiple of the route's latency target after which a request that may be repeated is
 /// also sent to another endpoint.
 const SILENCE_LIMIT_FACTOR: f64 = 1.5;
+/// How long an endpoint must have left a request without an answer to be looked at; several times
+/// the time of a request.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
+
 /// Says what to do after an attempt.
 enum NextStep {
     /// Return this answer to the caller.
@@ -57,12 +61,13 @@
         service,
         may_repeat: call.route.repeatability != Repeatability::AtMostOnce,
         tried: Vec::new(),
+        unanswered: Vec::new(),
         started: 0,
         refusals: 0,
         failed_answer: None,
     };
     let ended = attempts.run(record).await;
-    match (ended, attempts.failed_answer) {
+    match (ended, attempts.failed_answer.take()) {
         (Ok(response), _) => Ok(response),
         // An endpoint's error response tells the caller more than the router's problem.
         (Err(_), Some(response)) => {
@@ -80,6 +85,8 @@
     service: &'a ServiceName,
     may_repeat: bool,
     tried: Vec<EndpointId>,
+    /// The endpoints that have the request and have not answered, and since when.
+    unanswered: Vec<(EndpointRecord, Instant)>,
     /// The number of attempts that are running or may have run.
     started: u32,
     /// The number of attempts that endpoints refused without running them.
@@ -88,6 +95,17 @@
     failed_answer: Option<Response<AnswerBody>>,
 }
 
+/// An endpoint that leaves a request without an answer may have ended under it.
+impl Drop for Attempts<'_> {
+    fn drop(&mut self) {
+        for (endpoint, since) in &self.unanswered {
+            if since.elapsed() >= MIN_SILENCE {
+                check_after_silence(self.router, self.call.digest, endpoint);
+            }
+        }
+    }
+}
+
 impl Attempts<'_> {
     /// Sends the request to one endpoint after another until one answers.
     ///
@@ -123,6 +141,9 @@
                         let (load, age) = load_and_age(router, &target);
                         record.log_send(target.name(), load, age, why);
                         self.tried.push(target.name().clone());
+                        if let Target::Endpoint(record) = &target {
+                            self.unanswered.push((record.clone(), Instant::now()));
+                        }
                         self.started += 1;
                         silent_at = self.silence_limit().map(|limit| Instant::now() + limit);
                         running.push(async move {
@@ -140,6 +161,10 @@
             let wait = until_silent.map_or(time_left, |until| until.min(time_left));
             match tokio::time::timeout(wait, running.next()).await {
                 Ok(Some((target, attempt))) => {
+                    if !matches!(attempt, AttemptResult::TimedOut) {
+                        self.unanswered
+                            .retain(|(e, _)| e.endpoint != *target.name());
+                    }
                     if let (AttemptResult::Lost(_), Target::Endpoint(record)) = (&attempt, &target)
                     {
                         check_for_crash(router, call.digest, record).await;
--- a/tests/site/poison_outage.rs
+++ b/tests/site/poison_outage.rs
@@ -17,6 +17,11 @@
     path: "/record/poison",
     ..AT_ONCE
 };
+/// Sent there too, and leaves the connections of the endpoints that it ends open for seconds.
+const SILENT: Poison = Poison {
+    body: "dark poison",
+    ..LOOK_UP
+};
 /// How long the request comes again once it has to be known.
 const REPEATED_FOR: Duration = Duration::from_secs(20);
 
@@ -60,3 +65,9 @@
 async fn a_request_that_crashed_the_only_endpoint_of_its_service_is_not_sent_again() {
     check_after_outage(layout(&["east"]), LOOK_UP).await;
 }
+
+/// Its callers' deadlines pass before the connections break.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_silenced_the_endpoints_of_a_plain_service_is_not_sent_again() {
+    check_after_outage(layout(&["east", "west"]), SILENT).await;
+}
