Refuse a request that was found guilty before another endpoint is waited for

A request that may not be sent again waited for an endpoint first, up to its latency target, and was refused then; a change of the check's place in had done this. It is checked before the wait again, and after it.

--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -118,6 +118,12 @@
         let mut silent_at = None;
         while let Some(time_left) = call.time_left() {
             if let Some(why) = next.take() {
+                if let Err(problem) = self.check_before_send() {
+                    match running.is_empty() {
+                        true => return Err(problem),
+                        false => continue,
+                    }
+                }
                 let chosen = match running.is_empty() {
                     true => {
                         choose_target(router, call, service, &self.tried, self.started > 0).await
@@ -127,14 +133,7 @@
                 if chosen.is_some() && running.is_empty() {
                     // Another attempt is not kept waiting.
                     router.await_decision(call.digest, call.deadline).await;
-                }
-                if chosen.is_some()
-                    && let Err(problem) = self.check_before_send()
-                {
-                    match running.is_empty() {
-                        true => return Err(problem),
-                        false => continue,
-                    }
+                    self.check_before_send()?;
                 }
                 match chosen {
                     Some(target) => {
