Let paused entries of the soak go on before their grace period is waited for

The trace: an entry had been told to stop and then paused; recovery waited four seconds for entries that stop, and resumed this one only afterwards, so it saw it running, and it ended 2.5 s later for good. The soak's fault, not the router's. Paused entries are resumed before the wait, and what is checked stays as it was.

--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -355,6 +355,11 @@
             endpoint.process.start(&launcher);
         }
     }
+    for entry in &mut site.entries {
+        if let Some(child) = &mut entry.process.child {
+            child.thaw().expect("the signal is sent");
+        }
+    }
     // Entries that were told to stop exit within their grace period of 4 s.
     tokio::time::sleep(Duration::from_secs(4)).await;
     for entry in &mut site.entries {
