Show that dark crashes under streams that may not be resumed never count

Cause: such a stream waits for its deadline without a look at the endpoint, and nothing is recorded when its caller leaves, so no loss is counted.

--- a/review/stand/early.rs
+++ b/review/stand/early.rs
@@ -37,7 +37,7 @@
     let behaviour = Behaviour {
         work: Duration::from_millis(30),
         down: Duration::from_secs(2),
-        headers: Default::default(),
+        goes_dark: false,
     };
     let fleet = Arc::new(Fleet::start(record.clone(), 4, 3, behaviour)?);
     let began = Instant::now();
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -241,7 +241,15 @@
              \"sticky\":false,\"resumable\":false}}"
         )
     };
+    // A stream that may not be resumed.
+    let stream = format!(
+        "{{\"name\":\"r-nacrt\",\"host\":\"{HOST}\",\"path_prefix\":\"/nacrt/\",\
+         \"kind\":\"streaming\",\"timeout_ms\":20000,\"target_latency_ms\":500,\"priority\":1,\
+         \"service\":\"registar\",\"max_attempts\":2,\"anonymous\":false,\"sticky\":false,\
+         \"resumable\":false,\"gap_target_ms\":200}}"
+    );
     let routes = [
+        stream,
         route("r-status", "/status/", "idempotent", 2),
         route("r-predaja", "/predaja/", "non_idempotent", 2),
     ];
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod dark;
 mod early;
 mod fleet;
 mod http;
@@ -37,6 +38,7 @@
         exit(2);
     });
     let held = match case.as_str() {
+        "dark" => dark::play(folder, has_trouble),
         "early" => early::play(folder, has_trouble),
         "poison" => poison::play(folder, has_trouble),
         "unreadable" => unreadable::play(folder, has_trouble),
--- a/review/stand/poison.rs
+++ b/review/stand/poison.rs
@@ -37,7 +37,7 @@
     let behaviour = Behaviour {
         work: WORK,
         down: DOWN,
-        headers: Default::default(),
+        goes_dark: false,
     };
     let fleet = Arc::new(Fleet::start(record.clone(), 4, WORKERS, behaviour)?);
     load(&fleet, has_trouble);
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -25,8 +25,9 @@
     pub work: Duration,
     /// How long a worker is away after a crash.
     pub down: Duration,
-    /// Headers of all answers to requests.
-    pub headers: Mutex<Vec<(String, String)>>,
+    /// Whether a worker that crashes goes dark: its connections stay open and silent, as those of a
+    /// machine that has lost power.
+    pub goes_dark: bool,
 }
 
 pub struct Worker {
@@ -46,12 +47,30 @@
     id: String,
     born: u128,
     is_over: AtomicBool,
+    is_dark: AtomicBool,
     running: AtomicUsize,
     waiting: AtomicUsize,
     open: Mutex<BTreeMap<u64, TcpStream>>,
     next: AtomicU64,
 }
 
+impl Run {
+    /// Closes the listener, within a millisecond, and all connections.
+    fn end(&self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Holds a connection of a dark run open, and silent, for good.
+    fn stay_silent(&self) {
+        while self.is_dark.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_secs(1));
+        }
+    }
+}
+
 impl Worker {
     pub fn start(
         name: String,
@@ -103,6 +122,7 @@
             id: format!("{}-run{count}", self.name),
             born,
             is_over: AtomicBool::new(false),
+            is_dark: AtomicBool::new(false),
             running: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             open: Mutex::default(),
@@ -113,6 +133,10 @@
         let worker = self.clone();
         thread::spawn(move || {
             while !run.is_over.load(Ordering::SeqCst) {
+                if run.is_dark.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                }
                 match listener.accept() {
                     Ok((stream, _)) => {
                         let (worker, run) = (worker.clone(), run.clone());
@@ -129,15 +153,16 @@
         let Some(run) = self.run.lock().unwrap().take() else {
             return;
         };
-        run.is_over.store(true, Ordering::SeqCst);
         self.record.note(&format!("worker {} crashes", run.id));
-        // The listener is closed within a millisecond.
-        for stream in run.open.lock().unwrap().values() {
-            let _ = stream.shutdown(Shutdown::Both);
+        if self.behaviour.goes_dark {
+            run.is_dark.store(true, Ordering::SeqCst);
+        } else {
+            run.end();
         }
-        let worker = self.clone();
+        let (worker, ended) = (self.clone(), run.clone());
         thread::spawn(move || {
             thread::sleep(worker.behaviour.down);
+            ended.is_over.store(true, Ordering::SeqCst);
             worker.begin_run();
         });
         let (store, id) = (self.store.clone(), run.id.clone());
@@ -171,10 +196,11 @@
             let Ok(Some(request)) = read_message(&mut stream, &mut buffer, false) else {
                 break;
             };
-            if !self.answer(run, &mut stream, &request) {
+            if run.is_dark.load(Ordering::SeqCst) || !self.answer(run, &mut stream, &request) {
                 break;
             }
         }
+        run.stay_silent();
         run.open.lock().unwrap().remove(&key);
     }
 
@@ -227,12 +253,10 @@
         if run.is_over.load(Ordering::SeqCst) {
             return false;
         }
-        let extra = self.behaviour.headers.lock().unwrap().clone();
-        let mut headers = vec![
+        let headers = [
             ("X-Attempt-Id", id.as_str()),
             ("X-Response-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
         ];
-        headers.extend(extra.iter().map(|(name, value)| (name.as_str(), value.as_str())));
         write_answer(stream, 200, &headers, &[b'.'; 800]).is_ok()
     }
 }
