--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -7,10 +7,10 @@
 mod fleet;
 mod http;
 mod json;
+mod odd;
 mod poison;
 mod record;
 mod store;
-mod unreadable;
 mod worker;
 
 use std::process::exit;
@@ -41,7 +41,7 @@
         "dark" => dark::play(folder, has_trouble),
         "early" => early::play(folder, has_trouble),
         "poison" => poison::play(folder, has_trouble),
-        "unreadable" => unreadable::play(folder, has_trouble),
+        "odd" => odd::play(folder, has_trouble),
         _ => Err(std::io::Error::other(format!("there is no case {case}"))),
     };
     match held {
