Show that nothing bounds the age of the list of endpoints

Added: three tests in which the watches of all entries hang while the store serves all other calls. The store's stand-in can hold watches and lists, and the endpoint's can say in the store that it leaves.

--- a/crates/pistachioyard_standins/src/site/store.rs
+++ b/crates/pistachioyard_standins/src/site/store.rs
@@ -4,7 +4,8 @@
 //! 0 removes the fault. `PUT /control/copy` takes a copy of the objects, and
 //! `PUT /control/restore` makes the store come back from it in a new era, which every answer
 //! names. `PUT /control/odd` with a list of texts puts each, as it is, in front of the entries of
-//! workers in all lists, and in front of their changes. `GET /control/lists` returns the number of lists of each kind.
+//! workers in all lists, and in front of their changes. `PUT /control/hang` makes watches hang, and the next
+//! lists of a kind. `GET /control/lists` returns the number of lists of each kind.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -55,6 +56,18 @@
     watches_wait_ms: u64,
 }
 
+/// Says which calls get no answer although the store serves all others.
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct HangOrder {
+    /// How long no watch is answered, those that wait already included, in milliseconds.
+    watches_ms: u64,
+    /// The kind of the lists that are not answered.
+    kind: String,
+    /// The number of these lists.
+    lists: u64,
+}
+
 #[derive(Clone, Default)]
 struct Objects {
     revision: u64,
@@ -84,6 +97,8 @@
     is_silent: AtomicBool,
     /// The time before which no watch is answered.
     watches_wait_until: Mutex<Option<Instant>>,
+    /// The number of lists of each kind that are still to hang.
+    hanging_lists: Mutex<BTreeMap<String, u64>>,
 }
 
 /// Serves the store until the process ends.
@@ -111,7 +126,7 @@
     match (&parts.method, segments.as_slice()) {
         (&Method::GET, ["objects", kind]) => match query_u64(&query, "watch") {
             Some(after) => store.watch(kind, after, query_u64(&query, "wait_ms")).await,
-            None => store.list(kind),
+            None => store.list(kind).await,
         },
         (&Method::GET, ["objects", kind, name]) => store.state.lock().read(kind, name),
         (&Method::POST, ["objects", kind]) => {
@@ -144,6 +159,10 @@
                 Ok(order) => self.restore(order).await,
                 Err(e) => return json_response(StatusCode::BAD_REQUEST, &json!(e.to_string())),
             },
+            "hang" => match serde_json::from_value(body) {
+                Ok(order) => self.hang(order),
+                Err(e) => return json_response(StatusCode::BAD_REQUEST, &json!(e.to_string())),
+            },
             "odd" => {
                 let texts = body.as_array().into_iter().flatten();
                 let texts = texts.filter_map(|text| text.as_str().map(str::to_owned));
@@ -183,8 +202,7 @@
             self.set_fault(StatusCode::SERVICE_UNAVAILABLE.as_u16());
             tokio::time::sleep(Duration::from_millis(order.away_ms)).await;
         }
-        let wait = Duration::from_millis(order.watches_wait_ms);
-        *self.watches_wait_until.lock() = Some(Instant::now() + wait);
+        self.hold_watches(order.watches_wait_ms);
         {
             let mut state = self.state.lock();
             state.objects = self.copy.lock().clone();
@@ -194,11 +212,31 @@
         self.set_fault(0);
     }
 
-    fn list(&self, kind: &str) -> Response<Body> {
+    fn hold_watches(&self, ms: u64) {
+        *self.watches_wait_until.lock() = Some(Instant::now() + Duration::from_millis(ms));
+    }
+
+    fn hang(&self, order: HangOrder) {
+        self.hold_watches(order.watches_ms);
+        self.hanging_lists.lock().insert(order.kind, order.lists);
+        // Those that wait already are held, too.
+        self.changed.notify_waiters();
+    }
+
+    async fn list(&self, kind: &str) -> Response<Body> {
         *self.lists.lock().entry(kind.to_owned()).or_default() += 1;
+        if self.takes_hanging_list(kind) {
+            std::future::pending::<()>().await;
+        }
         self.state.lock().list(kind)
     }
 
+    fn takes_hanging_list(&self, kind: &str) -> bool {
+        let mut hanging = self.hanging_lists.lock();
+        let left = hanging.get_mut(kind).filter(|left| **left > 0);
+        left.map(|left| *left -= 1).is_some()
+    }
+
     async fn watch(&self, kind: &str, after: u64, wait_ms: Option<u64>) -> Response<Body> {
         let wait = Duration::from_millis(wait_ms.unwrap_or_default());
         let deadline = Instant::now() + wait;
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -112,6 +112,8 @@
     crashes_in_stream: bool,
     /// Whether all answers say that the worker leaves.
     is_leaving: bool,
+    /// Whether the object in the store says that the worker leaves.
+    is_draining: bool,
     /// The `Retry-After` with which requests are turned away, in seconds; 0 if they are not.
     pause_s: f64,
     /// The address that is named as at fault when requests are turned away, if not its own.
@@ -179,9 +181,14 @@
         let stalled: Vec<Value> = stalled
             .map(|(id, at)| json!({ "id": id, "address": at }))
             .collect();
+        let status = if state.is_draining {
+            "draining"
+        } else {
+            "ready"
+        };
         json!({
             "service": self.args.service, "address": self.address(), "zone": self.args.zone,
-            "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0,
+            "version": "v1", "slots": 16, "state": status, "cold_remaining_ms": 0,
             "stage": "both", "models": [], "kind": self.args.card, "layers": layers,
             "busy": state.busy, "sequence": sequence, "born": self.started_at_ms, "queued": 0,
             "active": 0, "kv_used": 0, "kv_total": 1_000_000, "pace": 1.0, "stalled": stalled,
--- a/crates/pistachioyard_standins/src/site/worker/control.rs
+++ b/crates/pistachioyard_standins/src/site/worker/control.rs
@@ -3,7 +3,8 @@
 //! `GET /control/runs` lists the ids of the requests started, `GET /control/turned_away` those of
 //! the requests turned away, and `GET /control/fence` returns the highest fencing token of an
 //! order. `PUT /control/leaving` makes all later answers say that the worker leaves, while its
-//! object in the store stays `ready`; `PUT /control/pause` with a number of seconds makes it turn
+//! object in the store stays `ready`, and `PUT /control/draining` makes that `draining`; `PUT
+//! /control/pause` with a number of seconds makes it turn
 //! all requests away with that `Retry-After`, until it gets 0; `PUT /control/blame` with an
 //! address makes these refusals blame that one. `PUT /control/silence` with a number of
 //! milliseconds makes it fall silent for that time: it accepts no connection and answers nothing,
@@ -42,6 +43,10 @@
             state.is_leaving = true;
             status_only(StatusCode::OK)
         }
+        "draining" => {
+            state.is_draining = true;
+            status_only(StatusCode::OK)
+        }
         "pause" => {
             state.pause_s = body.as_f64().unwrap_or_default();
             status_only(StatusCode::OK)
--- a/tests/site/leaving.rs
+++ b/tests/site/leaving.rs
@@ -27,7 +27,7 @@
 const GOSSIP_TIME: Duration = Duration::from_millis(1_500);
 
 impl Site {
-    async fn send_plain(&self, to: SocketAddr) -> HttpAnswer {
+    pub(crate) async fn send_plain(&self, to: SocketAddr) -> HttpAnswer {
         self.send_to_path(to, "/record/a").await
     }
 
@@ -46,7 +46,7 @@
 
     /// Sends enough requests at once for every endpoint of the service to get some, and returns
     /// their answers, which must be successes.
-    async fn send_plain_batch(&self, to: SocketAddr) -> Vec<HttpAnswer> {
+    pub(crate) async fn send_plain_batch(&self, to: SocketAddr) -> Vec<HttpAnswer> {
         let answers = join_all((0..BATCH).map(|_| self.send_plain(to))).await;
         for answer in &answers {
             assert_eq!(answer.status, 200);
@@ -55,7 +55,7 @@
     }
 
     /// Returns the index of the first entry's nearest endpoint that holds no layers.
-    fn plain_endpoint(&self) -> usize {
+    pub(crate) fn plain_endpoint(&self) -> usize {
         let found = self.endpoints.iter().position(|endpoint| endpoint.is_plain);
         found.expect("the site has an endpoint without layers")
     }
@@ -115,7 +115,7 @@
         .expect("the line is logged");
     }
 
-    async fn control(&self, endpoint: usize, command: &str, body: Value) {
+    pub(crate) async fn control(&self, endpoint: usize, command: &str, body: Value) {
         let to = self.endpoints[endpoint].address;
         let path = format!("/control/{command}");
         let status = self.call(to, Method::PUT, &path, body).await;
@@ -144,7 +144,7 @@
         assert_eq!(self.count_turned_away(paused).await, turned_away);
     }
 
-    async fn count_endpoint_runs(&self, endpoint: usize) -> usize {
+    pub(crate) async fn count_endpoint_runs(&self, endpoint: usize) -> usize {
         self.fetch_runs(&self.endpoints[endpoint]).await.len()
     }
 }
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -24,5 +24,6 @@
 mod raw;
 mod soak;
 mod store_era;
+mod stuck_watches;
 mod supervisor;
 mod support;
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -29,7 +29,7 @@
     }
 
     /// Returns the content of an object in the store; null if there is none.
-    async fn stored_spec(&self, kind: &str, name: &str) -> Value {
+    pub(crate) async fn stored_spec(&self, kind: &str, name: &str) -> Value {
         let path = format!("/objects/{kind}/{name}");
         let object = self.client.get_json::<Value>(self.store, &path).await;
         object.map_or(Value::Null, |object| object["spec"].clone())
@@ -71,7 +71,7 @@
         (site, fence)
     }
 
-    async fn await_path(&self, to: SocketAddr, path: &str, timeout: Duration) -> bool {
+    pub(crate) async fn await_path(&self, to: SocketAddr, path: &str, timeout: Duration) -> bool {
         let path = format!("{path}a");
         let served = || async { self.check_plain(to, &path).await.result.is_ok() };
         wait_until(timeout, "a route", served).await.is_ok()
--- /dev/null
+++ b/tests/site/stuck_watches.rs
@@ -0,0 +1,80 @@
+//! Watches of the store that hang at all entries at once, so that no entry tells another one of a
+//! change.
+
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use pistachioyard_standins::wait_until;
+use serde_json::{Value, json};
+
+use super::support::Site;
+
+/// How long an endpoint that leaves may still get requests; `drain_ms` in the settings.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// How long a configuration may take to be in force; `config_ms` in the settings.
+const CONFIG_LIMIT: Duration = Duration::from_secs(2);
+/// How long watches hang; longer than the limits and the longest wait of a watch together.
+const HANG_MS: u64 = 12_000;
+/// How long requests are sent after the limit.
+const CHECK_TIME: Duration = Duration::from_secs(2);
+
+impl Site {
+    /// Makes an endpoint say in the store that it leaves, and checks that it gets no request later
+    /// than the limit after that.
+    async fn check_drain(&self) {
+        let leaving = self.plain_endpoint();
+        let name = &self.endpoints[leaving].process.name;
+        self.control(leaving, "draining", Value::Null).await;
+        let is_draining =
+            || async { self.stored_spec("servers", name).await["state"] == "draining" };
+        wait_until(Duration::from_secs(2), "the record", is_draining)
+            .await
+            .expect("the endpoint writes that it leaves");
+        let limit = Instant::now() + DRAIN_LIMIT;
+        tokio::time::sleep_until(limit.into()).await;
+        let runs = self.count_endpoint_runs(leaving).await;
+        while limit.elapsed() < CHECK_TIME {
+            let entries = self.entries.iter().map(|entry| entry.caller_address());
+            join_all(entries.map(|to| self.send_plain_batch(to))).await;
+        }
+        assert_eq!(self.count_endpoint_runs(leaving).await, runs);
+    }
+
+    async fn hang_watches(&self) {
+        self.control_store("hang", json!({ "watches_ms": HANG_MS }))
+            .await;
+    }
+}
+
+/// Guards against requests to a leaving endpoint while the watches of all entries hang.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_endpoint_gets_no_request_after_the_limit_while_all_watches_hang() {
+    let site = Site::start(2).await;
+    site.hang_watches().await;
+    site.check_drain().await;
+}
+
+/// Guards against waiting for a list that hangs as well, as on a connection that went silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_endpoint_gets_no_request_after_the_limit_while_watches_and_a_list_hang() {
+    let site = Site::start(1).await;
+    let hang = json!({ "watches_ms": HANG_MS, "kind": "servers", "lists": 1 });
+    site.control_store("hang", hang).await;
+    site.check_drain().await;
+}
+
+/// Guards against an older configuration in force while the watches of all entries hang.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_in_time_while_all_watches_hang() {
+    let site = Site::start(2).await;
+    // All entries begin their watches anew.
+    site.adopt_config_with(|_| {}).await;
+    site.hang_watches().await;
+    let path = site.add_route().await.expect("the store accepts it");
+    let deadline = Instant::now() + CONFIG_LIMIT;
+    let served = site.entries.iter().map(|entry| {
+        let left = deadline.saturating_duration_since(Instant::now());
+        site.await_path(entry.caller_address(), &path, left)
+    });
+    assert_eq!(join_all(served).await, [true, true]);
+}
