Bound the age of the list of endpoints and of the configuration

Cause: a watch that hangs looks like one that has nothing to tell. If the watches of all entries hang, the first is given up after 2.4 s and the list read half a second later, perhaps on a dead connection.

Change: each answer of the store confirms a copy up to a time; peers whose list has the same digest, or whose version is the same, pass that on; a copy that nothing has confirmed for 0.8 of its limit is read again, by a list that is sent once more on a new connection after 250 ms. The first entry's watch waits a quarter of the limit, so that confirmations reach all others in time. A list follows at once when a watch's history has gone. The same holds for the configuration, which had the same fault.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -8,6 +8,7 @@
 mod answers;
 mod deaths;
 mod deletion;
+mod digest;
 mod limits;
 mod notices;
 mod reach;
--- /dev/null
+++ b/crates/pistachioyard_policy/src/endpoint_registry/digest.rs
@@ -0,0 +1,28 @@
+//! Compares the lists of two entries by a short digest.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::EndpointRegistry;
+use super::tracked::TrackedEndpoint;
+
+impl EndpointRegistry {
+    /// Returns a digest that two entries share if they hold the same records of the store, and the
+    /// same of them have been deleted there.
+    pub fn digest(&self) -> u64 {
+        // Addition makes the order of the records irrelevant.
+        let digests = self.by_id.values().map(TrackedEndpoint::digest);
+        digests.fold(0, u64::wrapping_add)
+    }
+}
+
+impl TrackedEndpoint {
+    fn digest(&self) -> u64 {
+        let changed_at = self.record.changed_at;
+        let era = changed_at.era.map_or(0, |era| era.0);
+        let is_deleted = u64::from(self.grace_until.is_some());
+        let seed = [changed_at.revision, era, is_deleted]
+            .iter()
+            .fold(0, |seed, part| xxh3_64_with_seed(&part.to_le_bytes(), seed));
+        xxh3_64_with_seed(self.record.endpoint.as_str().as_bytes(), seed)
+    }
+}
--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod endpoint_registry;
 mod fair_queue;
 mod fleet;
+mod freshness;
 mod lease;
 mod ledger;
 mod membership;
@@ -54,6 +55,7 @@
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
+pub use freshness::Freshness;
 pub use lease::{EraLease, HeldLease, LeaseAction, LeaseRecord, decide_lease, raise_fence};
 pub use ledger::{
     ChangeAnswer, Claim, ClaimState, KeyAgeError, LedgerChange, LedgerLayout, LedgerPage,
--- a/crates/pistachioyard_policy/src/watch_pace.rs
+++ b/crates/pistachioyard_policy/src/watch_pace.rs
@@ -9,11 +9,11 @@
 /// The longest wait time that the store accepts.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 /// The wait time of the first entry's watch, as a share of the propagation limit; the rest
-/// is left for detecting a dead connection.
-const WATCH_SHARE: f64 = 0.75;
-/// The wait times of the others, as multiples of the first entry's.
-const FOLLOWER_FACTOR: f64 = 4.0;
-const FOLLOWER_OF_MANY_FACTOR: f64 = 10.0;
+/// is left for telling the others that nothing has changed.
+const FIRST_WAIT_SHARE: f64 = 0.25;
+/// The wait times of the others.
+const FOLLOWER_WAIT_SHARE: f64 = 3.0;
+const FOLLOWER_OF_MANY_WAIT_SHARE: f64 = 7.5;
 /// The minimum interval between the ends of two watches. A single change arrives at once,
 /// and a burst of changes is batched.
 const MIN_INTERVAL: Duration = Duration::from_millis(400);
@@ -36,13 +36,12 @@
 impl WatchRole {
     /// Returns the wait time of a watch whose changes must be known within `limit`.
     pub fn wait(self, limit: Duration) -> Duration {
-        let base = limit.mul_f64(WATCH_SHARE);
-        let factor = match self {
-            Self::First => return base,
-            Self::Follower => FOLLOWER_FACTOR,
-            Self::FollowerOfMany => FOLLOWER_OF_MANY_FACTOR,
+        let share = match self {
+            Self::First => FIRST_WAIT_SHARE,
+            Self::Follower => FOLLOWER_WAIT_SHARE,
+            Self::FollowerOfMany => FOLLOWER_OF_MANY_WAIT_SHARE,
         };
-        base.mul_f64(factor).min(MAX_WAIT)
+        limit.mul_f64(share).min(MAX_WAIT)
     }
 
     /// Returns the minimum interval between the ends of two such watches.
--- a/crates/pistachioyard_policy/tests/pipeline/revisions.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/revisions.rs
@@ -81,3 +81,27 @@
         EndpointChange::Leaves
     );
 }
+
+/// Guards against taking a list for complete because a peer with other records has a current one.
+#[test]
+fn lists_have_the_same_digest_only_if_records_and_deletions_are_the_same() {
+    let now = Instant::now();
+    let mut own = EndpointRegistry::default();
+    own.apply(record_at(at(1, 10), false), now);
+    own.apply(record("two", 2, None), now);
+    let mut peer = EndpointRegistry::default();
+    peer.apply(record("two", 2, None), now);
+    assert_ne!(own.digest(), peer.digest(), "a record is missing");
+    peer.apply(record_at(at(1, 10), false), now);
+    assert_eq!(own.digest(), peer.digest(), "the order makes no difference");
+    let mut changed = peer.clone();
+    changed.apply(record_at(at(1, 11), true), now);
+    assert_ne!(own.digest(), changed.digest(), "a record is newer");
+    let mut returned = peer.clone();
+    returned.apply(record_at(at(2, 10), false), now);
+    assert_ne!(own.digest(), returned.digest(), "a revision is reused");
+    let mut deleted = peer.clone();
+    let grace_until = now + Duration::from_secs(2);
+    deleted.remove(&id("one"), None, Some(grace_until), now);
+    assert_ne!(own.digest(), deleted.digest(), "a record was deleted");
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -30,7 +30,7 @@
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
-    ActivityTracker, CrossingLimiter, EndpointRegistry, GOSSIP_FANOUT, LatencyEstimates,
+    ActivityTracker, CrossingLimiter, EndpointRegistry, Freshness, GOSSIP_FANOUT, LatencyEstimates,
     LoadTracker, Membership, PartQuarantine, Quarantine, RouteTable, SharedRetryBudget,
     SuspectReason, WatchLag,
 };
@@ -110,6 +110,10 @@
     pub(crate) convictions_changed: Notify,
     /// How far this entry has seen the changes of the endpoints.
     pub(crate) endpoints_lag: Mutex<WatchLag>,
+    /// Up to when the list of endpoints is known to be complete.
+    pub(crate) endpoints_freshness: Mutex<Freshness>,
+    /// Up to when the active configuration is known to be the newest one.
+    pub(crate) config_freshness: Mutex<Freshness>,
     /// The endpoints by the keys that stand for them in datagrams.
     pub(crate) short_keys: Mutex<controller::ShortKeys>,
     /// The highest fencing token of the placement lease that this entry knows of.
@@ -172,6 +176,8 @@
             endpoints_outdated: Notify::new(),
             convictions_changed: Notify::new(),
             endpoints_lag: Mutex::default(),
+            endpoints_freshness: Mutex::new(Freshness::new(now)),
+            config_freshness: Mutex::new(Freshness::new(now)),
             short_keys: Mutex::default(),
             newest_fence: AtomicU64::new(0),
             permits: Permits::default(),
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -3,6 +3,7 @@
 mod config;
 mod convictions;
 mod endpoints;
+mod expiry;
 mod peer_fallback;
 mod peers;
 mod placement;
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -4,8 +4,8 @@
 
 use pistachioyard_policy::{StorePosition, is_later_era};
 
-use super::jittered;
 use super::watch_pace::{self, WatchPace};
+use super::{expiry, jittered};
 use crate::prelude::*;
 use crate::router::log::ms;
 use crate::router::store_client::{InEra, StoreError};
@@ -50,10 +50,12 @@
 }
 
 async fn read(router: &Router) -> Result<StorePosition, StoreError> {
-    let InEra { value: page, era } = router.store.list(CONFIG_KIND, false).await?;
+    let began = Instant::now();
+    let InEra { value: page, era } = router.store.list_in_time(CONFIG_KIND).await?;
     for object in &page.objects {
         adopt(router, object);
     }
+    router.config_freshness.lock().confirm(began);
     let revision = page.revision;
     Ok(StorePosition { era, revision })
 }
@@ -61,8 +63,12 @@
 /// Waits for changes after a position; if the store has come back from an older copy since, the
 /// changes after that revision are not all, so the configuration is read again.
 async fn watch(router: &Router, after: StorePosition) -> Result<StorePosition, StoreError> {
-    let wait = watch_pace::role(router).wait(router.settings.config_limit);
+    let limit = router.settings.config_limit;
+    let wait = watch_pace::role(router).wait(limit);
+    let began = Instant::now();
     tokio::select! {
+        biased;
+        () = expiry::expired(&router.config_freshness, CONFIG_KIND, limit) => read(router).await,
         page = router.store.watch(CONFIG_KIND, after.revision, wait) => {
             let InEra { value: page, era } = page?;
             if is_later_era(era, after.era) {
@@ -71,6 +77,8 @@
             for change in page.changes.iter().filter(|change| !change.deleted) {
                 adopt(router, &change.object);
             }
+            let mut freshness = router.config_freshness.lock();
+            freshness.confirm_watch(began, wait, Instant::now());
             let revision = page.revision;
             Ok(StorePosition { era, revision })
         }
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -5,8 +5,8 @@
 use pistachioyard_platform::{ENDPOINT_KIND, Object, StoreAnswerError, decode_endpoint};
 use pistachioyard_policy::{EndpointChange, EndpointRecord, StoreEra, StorePosition, is_later_era};
 
-use super::jittered;
 use super::watch_pace::{self, WatchPace};
+use super::{expiry, jittered};
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::log::ms;
@@ -15,6 +15,9 @@
 /// The pause after a failed call, because even a refused call has a cost. Peers supply the
 /// endpoints in the meantime.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// The pause before a list after the history that a watch needs has gone, which all entries notice
+/// at the same moment.
+const RELIST_PAUSE: Duration = Duration::from_millis(50);
 /// The grace period for missing records after a store outage or the store's return from an
 /// older copy. The platform specifies that endpoints register again within about two seconds.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_200);
@@ -34,19 +37,20 @@
                 position = Some(seen);
                 pace.throttle(&router, router.settings.drain_limit).await;
             }
-            Err(e) => {
-                if matches!(e, StoreError::Fault(StoreAnswerError::HistoryGone)) {
-                    spdlog::warn!("endpoints: watch history expired, listing all records again");
-                    position = None;
-                }
-                tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+            Err(StoreError::Fault(StoreAnswerError::HistoryGone)) => {
+                spdlog::warn!("endpoints: watch history expired, listing all records again");
+                position = None;
+                tokio::time::sleep(jittered(RELIST_PAUSE)).await;
             }
+            Err(_) => tokio::time::sleep(jittered(RETRY_PAUSE)).await,
         }
     }
 }
 
 async fn read(router: &Arc<Router>) -> Result<StorePosition, StoreError> {
-    let InEra { value: page, era } = router.store.list(ENDPOINT_KIND, false).await?;
+    let began = Instant::now();
+    let InEra { value: page, era } = router.store.list_in_time(ENDPOINT_KIND).await?;
+    router.endpoints_freshness.lock().confirm(began);
     note_position(router, era, 0);
     let mut listed = BTreeSet::new();
     for object in &page.objects {
@@ -67,8 +71,15 @@
 /// Waits for changes after a position; if the store has come back from an older copy since, the
 /// changes after that revision are not all, so all records are read again.
 async fn watch(router: &Arc<Router>, after: StorePosition) -> Result<StorePosition, StoreError> {
-    let wait = watch_pace::role(router).wait(router.settings.drain_limit);
+    let limit = router.settings.drain_limit;
+    let wait = watch_pace::role(router).wait(limit);
+    let began = Instant::now();
     let InEra { value: page, era } = tokio::select! {
+        biased;
+        // A watch that hangs, here and at all peers, cannot be told from one without news.
+        () = expiry::expired(&router.endpoints_freshness, ENDPOINT_KIND, limit) => {
+            return read(router).await;
+        }
         page = router.store.watch(ENDPOINT_KIND, after.revision, wait) => page?,
         // A peer has seen a newer change, so this watch may be on a dead connection.
         () = router.endpoints_outdated.notified() => return read(router).await,
@@ -87,6 +98,11 @@
             note_position(router, era, revision);
         }
     }
+    let now = Instant::now();
+    router
+        .endpoints_freshness
+        .lock()
+        .confirm_watch(began, wait, now);
     let revision = page.revision;
     Ok(StorePosition { era, revision })
 }
--- a/src/router/controller/peers/datagram.rs
+++ b/src/router/controller/peers/datagram.rs
@@ -91,6 +91,9 @@
         age_ms: ms(now.saturating_duration_since(said_at)) + 1,
     });
     let limits = limits.choose_multiple(&mut rand::rng(), max_items);
+    // Rounded up, so that a confirmation cannot get younger by being passed around.
+    let endpoints_age_ms = ms(router.endpoints_freshness.lock().age(now)) + 1;
+    let endpoints_fresh = Some((endpoints.digest(), endpoints_age_ms));
     drop(endpoints);
     let load = load_to_tell(router, scope);
     let mut quarantine = router.quarantine.lock().marks(now);
@@ -106,6 +109,8 @@
         reaches_store: router.store.is_reachable(),
         endpoints_revision: seen.revision,
         endpoints_era: seen.era,
+        endpoints_fresh,
+        config_age_ms: Some(ms(router.config_freshness.lock().age(now)) + 1),
         newest_fence: router.newest_fence(),
         load,
         heard,
--- a/src/router/controller/peers/messages.rs
+++ b/src/router/controller/peers/messages.rs
@@ -19,6 +19,13 @@
     /// The era of that revision, if it is known.
     #[serde(default)]
     pub(super) endpoints_era: Option<StoreEra>,
+    /// The digest of the sender's list of endpoints, and the age in ms of its confirmation.
+    #[serde(default)]
+    pub(super) endpoints_fresh: Option<(u64, u64)>,
+    /// The age in ms of the confirmation of the sender's configuration, whose version is in its
+    /// record.
+    #[serde(default)]
+    pub(super) config_age_ms: Option<u64>,
     /// The highest fencing token of the placement lease that the sender knows of, since the
     /// store may lose it.
     #[serde(default)]
--- a/src/router/controller/peers/receive.rs
+++ b/src/router/controller/peers/receive.rs
@@ -14,6 +14,9 @@
 use crate::router::permits::PermitMessage;
 use crate::router::{Router, metric};
 
+/// How long a datagram may be on its way.
+const TRANSIT_TIME: Duration = Duration::from_millis(20);
+
 /// Applies one datagram.
 pub(super) fn receive(router: &Router, datagram: &[u8], from: SocketAddr) {
     if PermitMessage::is_one(datagram) {
@@ -48,6 +51,7 @@
     if sender.revision.0 > router.version() {
         router.config_outdated.notify_one();
     }
+    confirm_copies(router, &gossip, sender, now);
     {
         let mut without_store = router.peers_without_store.lock();
         if gossip.reaches_store {
@@ -152,6 +156,23 @@
     }
 }
 
+/// Confirms the copies of the store's objects that are the same as the sender's.
+fn confirm_copies(router: &Router, gossip: &Gossip, sender: &MemberRecord, now: Instant) {
+    let age = |age_ms: u64| Duration::from_millis(age_ms) + TRANSIT_TIME;
+    if let Some((digest, age_ms)) = gossip.endpoints_fresh
+        && digest == router.endpoints.lock().digest()
+    {
+        let mut freshness = router.endpoints_freshness.lock();
+        freshness.confirm_by_peer(age(age_ms), now);
+    }
+    if let Some(age_ms) = gossip.config_age_ms
+        && sender.revision.0 == router.version()
+    {
+        let mut freshness = router.config_freshness.lock();
+        freshness.confirm_by_peer(age(age_ms), now);
+    }
+}
+
 /// Merges the members that a datagram names; returns those that joined or were restarted.
 fn merge_members(router: &Router, gossip: &Gossip, now: Instant) -> Vec<EntryId> {
     let fresh: Vec<MemberRecord> = {
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -73,6 +73,11 @@
     counter!("router_watches_overtaken_total").increment(1);
 }
 
+/// Counts a copy of the store's objects that was read again because nothing had confirmed it.
+pub(crate) fn count_expired_copy(kind: &'static str) {
+    counter!("router_copies_expired_total", "kind" => kind).increment(1);
+}
+
 /// Counts a request that was refused because of a part of its prompt.
 pub(crate) fn count_part_refusal() {
     counter!("router_part_refusals_total").increment(1);
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -21,6 +21,9 @@
 /// How long the store may take to answer, in addition to the wait time of a long poll. The
 /// store usually answers within 4 ms, and within a few hundred ms while it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// After which time without an answer a list that must not be late is requested once more, on a
+/// new connection.
+const HEDGE_AFTER: Duration = Duration::from_millis(250);
 
 /// Says why a call to the store failed.
 #[derive(Debug, thiserror::Error)]
@@ -112,9 +115,39 @@
         kind: ObjectKind,
         stale: bool,
     ) -> Result<InEra<ListPage>, StoreError> {
-        let mut list = self.list_page(kind, None, stale).await?;
+        self.list_over(self.client(), kind, stale).await
+    }
+
+    /// Lists all objects of a kind as [`StoreClient::list`] does, but does not wait long for a
+    /// connection that may be dead.
+    pub(crate) async fn list_in_time(
+        &self,
+        kind: ObjectKind,
+    ) -> Result<InEra<ListPage>, StoreError> {
+        let is_pooled = self.is_reachable();
+        let first = self.list(kind, false);
+        tokio::pin!(first);
+        if !is_pooled {
+            return first.await;
+        }
+        if let Ok(page) = tokio::time::timeout(HEDGE_AFTER, &mut first).await {
+            return page;
+        }
+        tokio::select! {
+            Ok(page) = &mut first => Ok(page),
+            page = self.list_over(&self.fresh, kind, false) => page,
+        }
+    }
+
+    async fn list_over(
+        &self,
+        client: &HttpClient,
+        kind: ObjectKind,
+        stale: bool,
+    ) -> Result<InEra<ListPage>, StoreError> {
+        let mut list = self.list_page(client, kind, None, stale).await?;
         while let Some(after) = list.value.continue_after.take() {
-            let page = self.list_page(kind, Some(&after), stale).await?;
+            let page = self.list_page(client, kind, Some(&after), stale).await?;
             check_era(list.era, page.era)?;
             list.value.objects.extend(page.value.objects);
             list.value.continue_after = page.value.continue_after;
@@ -124,11 +157,13 @@
 
     async fn list_page(
         &self,
+        client: &HttpClient,
         kind: ObjectKind,
         after: Option<&str>,
         stale: bool,
     ) -> Result<InEra<ListPage>, StoreError> {
-        let InEra { value, era } = self.send(&StoreCall::list(kind, after, stale)).await?;
+        let call = StoreCall::list(kind, after, stale);
+        let InEra { value, era } = self.send(client, &call).await?;
         let value = decode_list(value.status, &value.body)?;
         log_undecoded(kind, &value.undecoded);
         Ok(InEra { value, era })
@@ -142,9 +177,8 @@
         wait: Duration,
     ) -> Result<InEra<WatchPage>, StoreError> {
         let wait_ms = super::log::ms(wait);
-        let InEra { value, era } = self
-            .send(&StoreCall::watch(kind, after_revision, wait_ms))
-            .await?;
+        let call = StoreCall::watch(kind, after_revision, wait_ms);
+        let InEra { value, era } = self.send(self.client(), &call).await?;
         let value = decode_watch(value.status, &value.body)?;
         log_undecoded(kind, &value.undecoded);
         Ok(InEra { value, era })
@@ -161,22 +195,29 @@
 
     /// Makes a call whose answer is a single object.
     pub(crate) async fn object(&self, call: &StoreCall) -> Result<InEra<Object>, StoreError> {
-        let InEra { value, era } = self.send(call).await?;
+        let InEra { value, era } = self.send(self.client(), call).await?;
         let value = decode_object(value.status, &value.body)?;
         Ok(InEra { value, era })
     }
 
-    async fn send(&self, call: &StoreCall) -> Result<InEra<Answer>, StoreError> {
+    /// Returns the client for the next call; a kept connection may be dead after a failure.
+    fn client(&self) -> &HttpClient {
+        match self.is_reachable() {
+            true => &self.pooled,
+            false => &self.fresh,
+        }
+    }
+
+    async fn send(
+        &self,
+        client: &HttpClient,
+        call: &StoreCall,
+    ) -> Result<InEra<Answer>, StoreError> {
         let mut http_call = Call::new(call.method.clone(), self.address, call.path.clone());
         if let Some(body) = &call.body {
             http_call = http_call.json(body);
         }
         let timeout = CALL_TIMEOUT + Duration::from_millis(call.wait_ms);
-        let client = if self.is_reachable() {
-            &self.pooled
-        } else {
-            &self.fresh
-        };
         let answer = client.send(http_call, timeout).await;
         let refused = answer.as_ref().ok().and_then(|answer| {
             let status = answer.status.as_u16();
