Tell all findings about requests that crash endpoints in turn

Cause: a datagram held the first 16 marks, always in the same order: convicted requests, then those that were cleared within ten minutes, then suspects. One crash of a busy endpoint fills it, so that no suspect is told and each entry counts its own crashes only. The lists of runs in a mark had no bound, though datagrams over 16 KB are not read.

Change: marks that have changed go first, suspects with the most losses before cleared ones, for six messages; then all are told in turn. A datagram holds 32 marks and 256 runs at most.

The test of a request that comes seldom now asks for the marks as the entries do, with the same number.

--- a/crates/pistachioyard_policy/src/quarantine.rs
+++ b/crates/pistachioyard_policy/src/quarantine.rs
@@ -86,6 +86,8 @@
     /// Whether suspects share no endpoint, so that two crashes can be enough.
     isolates_suspects: bool,
     records: BTreeMap<RequestDigest, CrashRecord>,
+    /// The number of messages to peers so far.
+    messages: u64,
 }
 
 impl Quarantine {
@@ -95,6 +97,7 @@
             hold_time,
             isolates_suspects: true,
             records: BTreeMap::new(),
+            messages: 0,
         }
     }
 
@@ -234,6 +237,7 @@
                 || record.crashed.len() >= CRASHES_TO_QUARANTINE;
             if is_enough && !record.quarantined {
                 record.quarantined = true;
+                record.tellings = 0;
                 quarantined.push(*digest);
             }
         }
--- a/crates/pistachioyard_policy/src/quarantine/marks.rs
+++ b/crates/pistachioyard_policy/src/quarantine/marks.rs
@@ -1,6 +1,7 @@
 //! What entries tell each other of requests that crash endpoints.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use pistachioyard_wire::{BootId, QuarantineMark, RequestDigest};
@@ -11,11 +12,45 @@
 
 /// The maximum number of runs of each kind that are accepted from one mark of a peer.
 const MAX_CRASHES_PER_MARK: usize = 16;
+/// The maximum number of runs in the marks of one message, which keeps it small.
+const MAX_RUNS_PER_MESSAGE: usize = 256;
+/// The number of messages in which a mark goes before all that have not changed; messages go to
+/// several groups of peers in turn, and may be lost.
+const FIRST_TELLINGS: u32 = 6;
 
 impl Quarantine {
+    /// Returns the marks for the next message to peers, `max` at most, if it has no room for all.
+    ///
+    /// Marks that have changed lately go first, in the order of [`Quarantine::marks`]. All others
+    /// follow in turn, so that none keeps another one from being told.
+    pub fn marks_to_tell(&mut self, max: usize, now: Instant) -> Vec<QuarantineMark> {
+        let mut marks = self.marks(now);
+        marks.sort_by_key(|mark| {
+            let record = &self.records[&mark.digest];
+            match record.tellings < FIRST_TELLINGS {
+                true => (false, 0),
+                false => (true, record.last_told),
+            }
+        });
+        marks.truncate(max);
+        let mut runs = 0;
+        let within = marks.iter().take_while(|mark| {
+            runs += mark.crashed.len() + mark.cleared.len() + mark.undecided.len();
+            runs <= MAX_RUNS_PER_MESSAGE
+        });
+        marks.truncate(within.count());
+        self.messages += 1;
+        for mark in &marks {
+            if let Some(record) = self.records.get_mut(&mark.digest) {
+                record.tellings = record.tellings.saturating_add(1);
+                record.last_told = self.messages;
+            }
+        }
+        marks
+    }
+
     /// Returns the marks to gossip to peers: those of quarantined requests first, then those
-    /// that clear a request, and then those with the most and the newest losses, since a message
-    /// may have no room for all.
+    /// with the most and the newest losses, and then those that only clear a request.
     pub fn marks(&self, now: Instant) -> Vec<QuarantineMark> {
         let told = self.records.iter().filter(|(_, record)| {
             !record.crashed.is_empty()
@@ -26,8 +61,8 @@
             .filter(|(_, record)| !self.is_expired(record, now))
             .map(|(digest, record)| QuarantineMark {
                 digest: *digest,
-                crashed: record.crashed.iter().copied().collect(),
-                cleared: record.cleared.iter().copied().collect(),
+                crashed: listed(&record.crashed),
+                cleared: listed(&record.cleared),
                 undecided: record.undecided_at(now),
                 convicted: record.quarantined,
                 has_relapsed: record.has_relapsed,
@@ -36,12 +71,7 @@
         let mut marks: Vec<QuarantineMark> = marks.collect();
         marks.sort_by_key(|mark| {
             let losses = Reverse(mark.crashed.len() + mark.undecided.len());
-            (
-                !mark.convicted,
-                mark.cleared.is_empty(),
-                losses,
-                mark.age_ms,
-            )
+            (!mark.convicted, losses, mark.age_ms)
         });
         marks
     }
@@ -105,6 +135,7 @@
         record.quarantined |= mark.convicted;
         record.has_relapsed |= mark.convicted && mark.has_relapsed;
         if is_newly_quarantined || record.crashed.len() > before {
+            record.tellings = 0;
             record.since = record.since.max(since);
         }
         is_newly_quarantined
@@ -121,6 +152,11 @@
     }
 }
 
+/// Returns the runs that a mark lists.
+fn listed(runs: &BTreeSet<BootId>) -> Vec<BootId> {
+    runs.iter().take(MAX_CRASHES_PER_MARK).copied().collect()
+}
+
 /// Returns the undecided losses of a mark that still count, with the time of each.
 fn recent_losses(mark: &QuarantineMark, now: Instant) -> Vec<(BootId, Instant)> {
     let listed = mark.undecided.iter().take(MAX_CRASHES_PER_MARK);
--- a/crates/pistachioyard_policy/src/quarantine/record.rs
+++ b/crates/pistachioyard_policy/src/quarantine/record.rs
@@ -33,6 +33,10 @@
     pub(super) trial_since: Option<Instant>,
     /// The time of the newest crash.
     pub(super) since: Instant,
+    /// The number of messages that have held its mark since the last change.
+    pub(super) tellings: u32,
+    /// The number of the last message that held it, of all messages of this entry.
+    pub(super) last_told: u64,
 }
 
 impl CrashRecord {
@@ -46,6 +50,8 @@
             has_relapsed: false,
             trial_since: None,
             since,
+            tellings: 0,
+            last_told: 0,
         }
     }
 
@@ -67,6 +73,7 @@
         if !self.crashed.insert(run) {
             return;
         }
+        self.tellings = 0;
         self.cleared.remove(&run);
         self.undecided.remove(&run);
         let held_until = self.since + self.hold(first_hold);
@@ -78,6 +85,7 @@
     /// Adds a loss of this entry of which it is not known whether it was a crash.
     pub(super) fn add_loss(&mut self, run: BootId, at: Instant) {
         if !self.crashed.contains(&run) {
+            self.tellings = 0;
             self.cleared.remove(&run);
             self.undecided.insert(run, Loss { at, is_own: true });
         }
@@ -98,6 +106,7 @@
             self.undecided.remove(&run);
             self.cleared.insert(run);
         }
+        self.tellings = 0;
         self.cleared_at = Some(now);
         self.quarantined = false;
         self.has_relapsed = false;
--- a/crates/pistachioyard_policy/tests/quarantine.rs
+++ b/crates/pistachioyard_policy/tests/quarantine.rs
@@ -1,5 +1,6 @@
 //! Tests that a request that crashes endpoints is quarantined and its bystanders are not.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use pistachioyard_policy::{Quarantine, QuarantineVerdict, SuspectReservations};
@@ -7,6 +8,8 @@
 use uuid::Uuid;
 
 const HOLD: Duration = Duration::from_secs(600);
+/// The number of marks in a message.
+const MAX_MARKS: usize = 16;
 const POISON: RequestDigest = RequestDigest(1);
 const BYSTANDERS: [RequestDigest; 2] = [RequestDigest(2), RequestDigest(3)];
 
@@ -178,11 +181,9 @@
                 crashes += 1;
             }
         }
-        let marks = entries.each_ref().map(|entry| {
-            let mut marks = entry.marks(now);
-            marks.truncate(16);
-            marks
-        });
+        let marks = entries
+            .each_mut()
+            .map(|entry| entry.marks_to_tell(MAX_MARKS, now));
         for entry in &mut entries {
             for marks in &marks {
                 entry.merge(marks, now);
@@ -191,3 +192,84 @@
     }
     assert!(crashes <= 4, "{crashes}");
 }
+
+/// Guards against suspects that are not told because many other requests were lost and answered.
+#[test]
+fn entries_count_the_crashes_of_a_request_together_beside_many_cleared_ones() {
+    let start = Instant::now();
+    let mut entries = [(); 4].map(|()| Quarantine::without_isolation(HOLD));
+    for (number, entry) in entries.iter_mut().enumerate() {
+        // Fewer than a mark holds, of a crash that other endpoints made up for.
+        for bystander in 0..60 {
+            let digest = RequestDigest(1_000 * (number as u64 + 1) + bystander);
+            entry.record_crash(&[digest], boot(100 + number as u128), start);
+            entry.record_completion(digest, start);
+        }
+    }
+    let mut now = start;
+    exchange(&mut entries, &mut now, Duration::from_secs(10));
+    for number in 0..3 {
+        entries[number].record_crash(&[POISON], boot(number as u128), now);
+        exchange(&mut entries, &mut now, Duration::from_secs(1));
+    }
+    for entry in &entries {
+        assert!(is_quarantined(entry, POISON, now));
+    }
+}
+
+/// Guards against marks that are never told because those before them do not change any more.
+#[test]
+fn all_marks_are_told_in_turn() {
+    let start = Instant::now();
+    let mut entry = Quarantine::without_isolation(HOLD);
+    for number in 0..200 {
+        let digest = RequestDigest(number);
+        for run in 0..3 {
+            entry.record_crash(&[digest], boot(run), start);
+        }
+    }
+    let mut told = BTreeSet::new();
+    for _ in 0..7 * 200_usize.div_ceil(MAX_MARKS) {
+        let marks = entry.marks_to_tell(MAX_MARKS, start);
+        told.extend(marks.into_iter().map(|mark| mark.digest));
+    }
+    assert_eq!(told.len(), 200);
+}
+
+/// Guards against messages that peers do not read because they are too long.
+#[test]
+fn a_message_holds_a_bounded_number_of_runs() {
+    let start = Instant::now();
+    let mut entry = Quarantine::without_isolation(HOLD);
+    for number in 0..100 {
+        let digest = RequestDigest(number);
+        for run in 0..40 {
+            entry.record_crash(&[digest], boot(run), start);
+            entry.record_completion(digest, start);
+        }
+    }
+    let marks = entry.marks_to_tell(MAX_MARKS, start);
+    assert!(!marks.is_empty());
+    let runs: usize = marks
+        .iter()
+        .map(|m| m.crashed.len() + m.cleared.len())
+        .sum();
+    assert!(runs <= 256, "{runs}");
+}
+
+/// Lets entries tell each other of their marks every quarter of a second.
+fn exchange(entries: &mut [Quarantine], now: &mut Instant, time: Duration) {
+    let end = *now + time;
+    while *now < end {
+        *now += Duration::from_millis(250);
+        let told: Vec<_> = entries
+            .iter_mut()
+            .map(|entry| entry.marks_to_tell(MAX_MARKS, *now))
+            .collect();
+        for entry in entries.iter_mut() {
+            for marks in &told {
+                entry.merge(marks, *now);
+            }
+        }
+    }
+}
--- a/src/router/controller/peers/datagram.rs
+++ b/src/router/controller/peers/datagram.rs
@@ -15,9 +15,11 @@
 const CENTRE_LOAD_AFTER: Duration = Duration::from_millis(1_500);
 /// The number of other entries' records that are relayed in one datagram.
 const RELAYED_RECORDS: usize = 2;
-/// The maximum number of layer reports, of leaving runs and of quarantine marks in one datagram,
-/// which keeps it small.
+/// The maximum number of layer reports and of leaving runs in one datagram, which keeps it small.
 const MAX_ITEMS_PER_LIST: usize = 16;
+/// The maximum number of quarantine marks in one datagram; the crash of an endpoint makes a mark for
+/// each request that ran there.
+const MAX_QUARANTINE_MARKS: usize = 32;
 /// How long an endpoint's layer report is relayed; several gossip periods, since datagrams
 /// may be lost.
 const LAYER_REPORT_MAX_AGE: Duration = Duration::from_secs(3);
@@ -96,8 +98,8 @@
     let endpoints_fresh = Some((endpoints.digest(), endpoints_age_ms));
     drop(endpoints);
     let load = load_to_tell(router, scope);
-    let mut quarantine = router.quarantine.lock().marks(now);
-    quarantine.truncate(max_items);
+    let max_marks = if load_only { 0 } else { MAX_QUARANTINE_MARKS };
+    let quarantine = router.quarantine.lock().marks_to_tell(max_marks, now);
     let parts = match load_only {
         true => PartReport::default(),
         false => router.parts.lock().report(now),
