Look at endpoints that leave a stream without an answer

Cause: such a stream waits for its answer until its caller leaves or the deadline passes, and is dropped then. Plain requests look at the endpoint that left them without an answer; streams did not, so no loss was recorded.

Change: a path that is dropped half a second or more after the last piece of its answer has its first endpoint judged, as for plain requests. It covers streams that may be repeated too, if their caller leaves before they count as silent.

--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -20,6 +20,9 @@
 const CRASH_PROBES: u32 = 2;
 /// The interval between two such probes.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+/// How long an endpoint must have sent nothing of an answer that nobody waits for any more to be
+/// looked at; several times the time of a small request, or of a pause between two events.
+pub(super) const MIN_SILENCE: Duration = Duration::from_millis(500);
 /// How long a silent endpoint is watched; longer than it takes to find out that it is not sound.
 const SILENCE_WATCH: Duration = Duration::from_secs(4);
 /// How long an endpoint may be silent without having ended, beyond the time of a request.
@@ -113,12 +116,13 @@
 pub(super) fn check_after_silence(
     router: &Arc<Router>,
     digest: RequestDigest,
-    target: &EndpointRecord,
+    run: EndpointRun,
+    address: SocketAddr,
 ) {
-    let (router, target) = (router.clone(), target.clone());
+    let router = router.clone();
     tokio::spawn(async move {
         tokio::time::sleep(SOUND_SILENCE).await;
-        drop(router.begin_loss(digest, &target.run(), target.address, |_| {}));
+        drop(router.begin_loss(digest, &run, address, |_| {}));
     });
 }
 
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -16,7 +16,7 @@
 use pistachioyard_policy::{EndpointRecord, Repeatability, SuspectReason, spread_return_ms};
 use pistachioyard_wire::ServiceName;
 
-use super::crash_check::{Framing, check_after_silence, check_for_crash, record_end};
+use super::crash_check::{Framing, MIN_SILENCE, check_after_silence, check_for_crash, record_end};
 use super::record::Record;
 use super::{Call, check_before_send, deadline_passed, no_capacity, result_lost};
 use crate::prelude::*;
@@ -32,10 +32,6 @@
 /// The multiple of the route's latency target after which a request that may be repeated is
 /// also sent to another endpoint.
 const SILENCE_LIMIT_FACTOR: f64 = 1.5;
-/// How long an endpoint must have left a request without an answer to be looked at; several times
-/// the time of a request.
-const MIN_SILENCE: Duration = Duration::from_millis(500);
-
 /// Says what to do after an attempt.
 enum NextStep {
     /// Return this answer to the caller.
@@ -100,7 +96,12 @@
     fn drop(&mut self) {
         for (endpoint, since) in &self.unanswered {
             if since.elapsed() >= MIN_SILENCE {
-                check_after_silence(self.router, self.call.digest, endpoint);
+                check_after_silence(
+                    self.router,
+                    self.call.digest,
+                    endpoint.run(),
+                    endpoint.address,
+                );
             }
         }
     }
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -16,6 +16,7 @@
 use pistachioyard_policy::{
     EndpointRun, Path, PipelineSpec, Repeatability, RequestSize, StallDetector, SuspectReason,
 };
+use pistachioyard_wire::RequestDigest;
 
 pub(super) use self::repair::RepairResult;
 use super::PauseAction;
@@ -26,7 +27,7 @@
 use crate::router::endpoint_answer::AnswerTo;
 use crate::router::endpoint_client::{Connection, MAX_ANSWER_BYTES, Reuse};
 use crate::router::filter::Call;
-use crate::router::filter::crash_check::Framing;
+use crate::router::filter::crash_check::{Framing, MIN_SILENCE, check_after_silence};
 use crate::router::filter::part_trial::PartTrial;
 use crate::router::filter::path::FoundPath;
 use crate::router::filter::plain::endpoint_request;
@@ -96,12 +97,22 @@
     sending: Option<Sending>,
     answer: Option<(Incoming, Option<Connection>, Option<Duration>)>,
     framing: Framing,
+    /// The digest of the request, and since when the first endpoint has sent nothing of its
+    /// answer; none if it owes nothing, or is watched already.
+    unanswered: Option<(RequestDigest, Instant)>,
     /// Finds out whether the first endpoint crashes on the prompt; none if nothing was sent.
     trial: Option<PartTrial>,
 }
 
 impl Drop for PathRun {
     fn drop(&mut self) {
+        // An endpoint that leaves a request without an answer may have ended under it.
+        if let Some((digest, since)) = self.unanswered
+            && since.elapsed() >= MIN_SILENCE
+            && let Some((run, address)) = self.first_run()
+        {
+            check_after_silence(&self.router, digest, run, address);
+        }
         self.router.load.lock().end(&self.path.stages, self.size);
         self.router.capacity_changed.notify_one();
     }
@@ -132,6 +143,7 @@
             sending: None,
             answer: None,
             framing: Framing::UntilClose,
+            unanswered: None,
             trial: None,
         }
     }
@@ -153,6 +165,7 @@
         let parts = &call.head.prompt_parts;
         self.trial = PartTrial::new(&self.router, parts, self.first_endpoint());
         self.sending = Some(self.send(call, last_id, time_left));
+        self.unanswered = Some((call.digest, Instant::now()));
         let may_repeat = call.route.repeatability != Repeatability::AtMostOnce;
         let mut stall_detector = StallDetector::new(
             call.route.latency_target,
@@ -227,6 +240,7 @@
         call: &Call,
         sent: Result<(http::Response<Incoming>, Connection), CallError>,
     ) -> OpenResult {
+        self.unanswered = None;
         match sent {
             Ok((response, connection)) => self.classify(call, response, connection).await,
             Err(CallError::NotSent { .. } | CallError::Refused { .. }) => {
@@ -280,6 +294,7 @@
             let kept = (!head.closes).then_some(connection);
             self.framing = Framing::of(&parts.headers);
             self.answer = Some((body, kept, head.idle_limit));
+            self.unanswered = Some((call.digest, Instant::now()));
             return OpenResult::Stream(parts.status, parts.headers);
         }
         if let Some(endpoint) = head.at_fault.and_then(|at| self.endpoint_at(at)) {
@@ -344,7 +359,12 @@
             let e = too_long(first.address, AnswerPart::Event, MAX_EVENT_BYTES);
             return ReadResult::TooLong(first.endpoint.clone(), e.to_string());
         }
-        match body.frame().await {
+        let frame = body.frame().await;
+        self.unanswered = match frame {
+            Some(Ok(_)) => Some((call.digest, Instant::now())),
+            Some(Err(_)) | None => None,
+        };
+        match frame {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     splitter.push(data);
--- a/src/router/filter/relay/path_run/pause_check.rs
+++ b/src/router/filter/relay/path_run/pause_check.rs
@@ -15,7 +15,8 @@
 
 impl PathRun {
     /// Counts the first endpoint as lost under the request if it turns out to be silent for good.
-    pub(in crate::router::filter::relay) fn watch_silent(&self, call: &Call) {
+    pub(in crate::router::filter::relay) fn watch_silent(&mut self, call: &Call) {
+        self.unanswered = None;
         if self.is_through_peer {
             return;
         }
--- a/tests/site/poison_again.rs
+++ b/tests/site/poison_again.rs
@@ -5,8 +5,9 @@
 use http::Method;
 
 use super::caller::new_request_id;
+use super::layout::Layout;
 use super::supervisor::Supervisor;
-use super::support::Site;
+use super::support::{Entry, Site};
 
 /// The crashes after which the request has to be known, and the time that entries then have.
 pub(crate) const CRASHES_TO_KNOW: usize = 3;
@@ -37,6 +38,27 @@
     fails_by_turns: false,
 };
 
+/// Sends the request to one entry and waits for its end; only the endpoints tell what became of it.
+async fn send_once(site: &Site, entry: &Entry, poison: Poison, fails: bool) {
+    let id = new_request_id();
+    let key = format!("Bearer {}", super::support::KEY);
+    let mut headers = vec![
+        ("x-attempt-id", id.as_str()),
+        ("x-deadline-ms", "2000"),
+        ("authorization", key.as_str()),
+        ("x-token-usage", "100,20"),
+        ("x-answer-end", poison.answer_end),
+    ];
+    if fails {
+        headers.push(("x-answer-status", "500"));
+    }
+    let (to, body) = (entry.caller_address(), poison.body.into());
+    let sent = site
+        .client
+        .send(Method::POST, to, poison.path, &headers, body);
+    let _ = sent.await;
+}
+
 /// Sends the request to all entries at an interval while `goes_on`.
 pub(crate) async fn send_while(site: &Site, poison: Poison, goes_on: impl Fn() -> bool) {
     let mut ticks = tokio::time::interval(INTERVAL);
@@ -44,29 +66,8 @@
     while goes_on() {
         ticks.tick().await;
         fails = poison.fails_by_turns && !fails;
-        let sends = site.entries.iter().map(|entry| {
-            let to = entry.caller_address();
-            async move {
-                let id = new_request_id();
-                let key = format!("Bearer {}", super::support::KEY);
-                let mut headers = vec![
-                    ("x-attempt-id", id.as_str()),
-                    ("x-deadline-ms", "2000"),
-                    ("authorization", key.as_str()),
-                    ("x-token-usage", "100,20"),
-                    ("x-answer-end", poison.answer_end),
-                ];
-                if fails {
-                    headers.push(("x-answer-status", "500"));
-                }
-                let body = poison.body.into();
-                // Only the endpoints tell what became of it.
-                let _ = site
-                    .client
-                    .send(Method::POST, to, poison.path, &headers, body)
-                    .await;
-            }
-        });
+        let entries = site.entries.iter();
+        let sends = entries.map(|entry| send_once(site, entry, poison, fails));
         futures_util::future::join_all(sends).await;
     }
 }
@@ -178,6 +179,49 @@
     assert!(crashes <= MAX_RUNS_AFTERWARDS, "{crashes}");
 }
 
+/// Its callers leave before anything tells that the endpoint has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_runs_once_at_most_and_silenced_three_endpoints_is_not_sent_again() {
+    const TURNS: usize = 9;
+    // Longer than the time to settle.
+    const TURN: Duration = Duration::from_secs(4);
+    const PATIENCE: Duration = Duration::from_millis(1_500);
+    let mut site = Site::start_with(Layout {
+        entries: 3,
+        plain_endpoints: 4,
+        ..Layout::default()
+    })
+    .await;
+    site.adopt_config_with(|spec| {
+        for route in spec["routes"].as_array_mut().expect("there are routes") {
+            route["resumable"] = false.into();
+        }
+    })
+    .await;
+    let poison = Poison {
+        body: "dark poison",
+        path: "/feed/poison",
+        ..AT_ONCE
+    };
+    let supervisor = site.supervise_endpoints();
+    let mut turns = tokio::time::interval(TURN);
+    for turn in 0..TURNS {
+        turns.tick().await;
+        let entry = &site.entries[turn % site.entries.len()];
+        let sent = send_once(&site, entry, poison, false);
+        let _ = tokio::time::timeout(PATIENCE, sent).await;
+    }
+    // The last endpoints that fell silent end.
+    tokio::time::sleep(2 * TURN).await;
+    let crashes = supervisor.crashes();
+    site.endpoints = supervisor.stop().await;
+    println!("crashes: {crashes}");
+    assert!(
+        crashes <= CRASHES_TO_KNOW + MAX_RUNS_AFTERWARDS,
+        "{crashes}"
+    );
+}
+
 /// Entries that all start again have no peer that knows the request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashed_three_endpoints_is_not_sent_again_after_restarts_of_all_entries() {
