Keep the shares of the retry budget of entries that are only not heard

Cause: an entry that was not heard for 9 s was forgotten, and its share of the budget handed out to the others. One that is cut off from the others still sends requests and repeats, so each side of the cut took over the others' part.

Change: an entry counts until it was neither heard nor registered in the store for the window of the budget and three syncs; only a list of registrations drops it, so that an entry which hears nobody and reads no list does not take itself for the only one.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod placement;
 mod plain_choice;
 mod prefix_index;
+mod presence;
 mod quarantine;
 mod reach;
 mod request_limits;
@@ -79,6 +80,7 @@
 };
 pub use plain_choice::{LatencyEstimates, choose_plain_endpoint};
 pub use prefix_index::PrefixIndex;
+pub use presence::Presence;
 pub use quarantine::{
     Quarantine, QuarantineVerdict, RELAPSE_HOLD, SuspectReservations, UNDECIDED_TTL,
 };
--- a/src/router.rs
+++ b/src/router.rs
@@ -31,7 +31,7 @@
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
     ActivityTracker, CrossingLimiter, EndpointRegistry, Freshness, GOSSIP_FANOUT, LatencyEstimates,
-    LoadTracker, Membership, PartQuarantine, Quarantine, RouteTable, SharedRetryBudget,
+    LoadTracker, Membership, PartQuarantine, Presence, Quarantine, RouteTable, SharedRetryBudget,
     SuspectReason, WatchLag,
 };
 use pistachioyard_wire::{DataCentre, EntryState, Fence, MemberRecord};
@@ -88,6 +88,8 @@
     /// entry.
     newest_peer_version: AtomicU64,
     pub(crate) retries: Mutex<SharedRetryBudget>,
+    /// The entries that share the retry budget.
+    pub(crate) presence: Mutex<Presence>,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) parts: Mutex<PartQuarantine>,
     pub(crate) plain_latency: Mutex<LatencyEstimates>,
@@ -163,6 +165,7 @@
             peer_reach: Mutex::default(),
             newest_peer_version: AtomicU64::new(0),
             retries: Mutex::new(retries),
+            presence: Mutex::default(),
             quarantine: Mutex::new(Quarantine::without_isolation(QUARANTINE_HOLD)),
             parts: Mutex::default(),
             plain_latency: Mutex::default(),
@@ -255,12 +258,21 @@
         live.iter().any(|record| record.revision > version)
     }
 
-    /// Divides the retry budget among the entries that have used it recently.
+    /// Divides the retry budget among the entries that may use it or have used it recently.
     ///
-    /// A lost entry counts until its record expires, since the retries that it made still
-    /// count against the budget.
+    /// An entry that is not heard may only be cut off from this one, and the retries that a lost
+    /// entry made still count against the budget.
     pub(crate) fn divide_retry_budget(&self, now: Instant) {
-        let entries = self.members.lock().all(now).len().max(1);
+        let entries = {
+            let members = self.members.lock();
+            let mut presence = self.presence.lock();
+            for (record, state) in members.all(now) {
+                if state != EntryState::Lost {
+                    presence.note_heard(&record.entry, now);
+                }
+            }
+            presence.count()
+        };
         self.retries.lock().rebalance(entries, now);
     }
 
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -1,6 +1,6 @@
 //! Registrations of entries in the store, through which they discover each other.
 
-use pistachioyard_platform::{ObjectKind, StoreAnswerError, StoreCall};
+use pistachioyard_platform::{Object, ObjectKind, StoreAnswerError, StoreCall};
 use pistachioyard_policy::is_later_era;
 use pistachioyard_wire::{EntryState, MemberRecord};
 
@@ -20,6 +20,9 @@
 /// The number of entries up to which the longest pause is as stated; it grows with the fleet, so
 /// that all entries together read the same number of registrations a second.
 const ENTRIES_PER_PAUSE: usize = 16;
+/// The number of pauses between syncs in which an entry shows in a list if it runs: entries that are
+/// cut off from each other remove each other's registrations, and write their own again.
+const SYNCS_TO_SHOW: u32 = 3;
 /// How long this entry must have run before it removes registrations; live
 /// entries have been heard from by then.
 const REMOVE_AFTER: Duration = Duration::from_secs(20);
@@ -126,6 +129,7 @@
     };
     let own = router.settings.entry.as_str();
     router.permits.note_registered(page.objects.len());
+    note_presence(router, &page.objects);
     let is_listed = page.objects.iter().any(|object| object.name == own);
     let now = Instant::now();
     let mut silent = Vec::new();
@@ -156,6 +160,17 @@
     }
 }
 
+/// Records the registered entries, and drops those that have gone and whose retries no longer
+/// count.
+fn note_presence(router: &Router, objects: &[Object]) {
+    let ids = objects.iter().map(|object| object.name.as_str());
+    let registered: Vec<EntryId> = ids.filter_map(|id| EntryId::try_from(id).ok()).collect();
+    let pause = sync_pause(SYNC_PAUSES.len(), registered.len());
+    let max_age = router.settings.retry_window + pause * SYNCS_TO_SHOW;
+    let mut presence = router.presence.lock();
+    presence.note_registered(&registered, max_age, Instant::now());
+}
+
 async fn remove_registrations(router: &Router, silent: Vec<(String, u64)>) {
     for (name, revision) in silent {
         let removed = router
