--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -62,10 +62,8 @@
             return EndpointChange::Outdated;
         }
         self.deleted.remove(&record.endpoint);
-        // If another endpoint now has the address, the previous one is gone.
-        self.by_id.retain(|endpoint, tracked| {
-            tracked.record.address != record.address || *endpoint == record.endpoint
-        });
+        self.by_id
+            .retain(|_, tracked| !record.takes_address_of(&tracked.record));
         let Some(tracked) = self.by_id.get_mut(&record.endpoint) else {
             let tracked = TrackedEndpoint::new(record, now);
             self.by_id.insert(tracked.record.endpoint.clone(), tracked);
--- a/crates/pistachioyard_policy/src/endpoint_registry/record.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/record.rs
@@ -42,6 +42,17 @@
         }
     }
 
+    /// Returns whether another endpoint is gone because this one has its address now. It is not if
+    /// it started later, or if only this one does not tell its start: an entry of another writer
+    /// may name the address of any endpoint.
+    pub(super) fn takes_address_of(&self, other: &Self) -> bool {
+        let is_later = match (self.state.started_unix_ms, other.state.started_unix_ms) {
+            (Some(own), Some(others)) => own >= others,
+            (own, others) => own.is_some() || others.is_none(),
+        };
+        self.address == other.address && self.endpoint != other.endpoint && is_later
+    }
+
     /// Returns whether a known record shows that this one is from an older copy of the store:
     /// its endpoint or address belongs to a later run, or the endpoint is leaving by now.
     pub fn is_outdated_by(&self, known: &Self) -> bool {
--- a/crates/pistachioyard_policy/tests/pipeline/revisions.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/revisions.rs
@@ -105,3 +105,20 @@
     deleted.remove(&id("one"), None, Some(grace_until), now);
     assert_ne!(own.digest(), deleted.digest(), "a record was deleted");
 }
+
+/// Guards against an entry of another writer that names the address of an endpoint.
+#[test]
+fn an_entry_without_a_later_start_takes_no_address() {
+    let now = Instant::now();
+    let with_start = |name: &str, started: Option<u64>| {
+        let mut record = record(name, 1, None);
+        record.state.started_unix_ms = started;
+        record
+    };
+    for (started, is_kept) in [(None, true), (Some(400), true), (Some(600), false)] {
+        let mut registry = EndpointRegistry::default();
+        registry.apply(with_start("sound", Some(500)), now);
+        registry.apply(with_start("other", started), now);
+        assert_eq!(registry.get(&id("sound")).is_some(), is_kept, "{started:?}");
+    }
+}
