Apply the limit for heads in force to open connections

Cause: the limit was the size of the connection's buffer, which cannot change while it is open.

Change: buffers grow up to 64 KiB, or the limit if it is larger; the limit in force is checked for each request, as the new problem head_too_large.

Evidence: the tests of long_heads are new.

--- a/crates/pistachioyard_wire/src/caller/problem.rs
+++ b/crates/pistachioyard_wire/src/caller/problem.rs
@@ -29,6 +29,8 @@
     BadRequest,
     /// The body exceeds the maximum size.
     BodyTooLarge,
+    /// The request's head exceeds the limit.
+    HeadTooLarge,
     /// The configuration contains no such workspace, model, service or call.
     NotConfigured,
     /// The workspace may not use the model or service.
@@ -71,9 +73,10 @@
 
 impl ProblemKind {
     /// All kinds, for tables and for metrics that are registered at startup.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::BadRequest,
         Self::BodyTooLarge,
+        Self::HeadTooLarge,
         Self::NotConfigured,
         Self::NotAllowed,
         Self::UnknownCaller,
@@ -105,6 +108,7 @@
             Self::KeyReused => 409,
             Self::KeyTooOld => 410,
             Self::BodyTooLarge => 413,
+            Self::HeadTooLarge => 431,
             Self::Quarantined => 422,
             Self::Overloaded | Self::WorkspaceLimit => 429,
             Self::ChainLost | Self::ResultLost => 502,
@@ -123,6 +127,7 @@
         match self {
             Self::BadRequest => "bad_request",
             Self::BodyTooLarge => "body_too_large",
+            Self::HeadTooLarge => "head_too_large",
             Self::NotConfigured => "not_configured",
             Self::NotAllowed => "not_allowed",
             Self::UnknownCaller => "unknown_caller",
--- a/src/burn.rs
+++ b/src/burn.rs
@@ -180,6 +180,7 @@
     match kind {
         ProblemKind::BadRequest
         | ProblemKind::BodyTooLarge
+        | ProblemKind::HeadTooLarge
         | ProblemKind::NotConfigured
         | ProblemKind::NotAllowed
         | ProblemKind::UnknownCaller
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -126,6 +126,9 @@
     record: &mut Record,
 ) -> Result<Response<AnswerBody>, Problem> {
     let in_flight = router.lifecycle.begin()?;
+    if !is_relayed {
+        identify::check_head(router, &req)?;
+    }
     let mut call = identify::identify(router, req, arrived_at, record).await?;
     call.is_relayed = is_relayed;
     router.wait_for_first_news().await;
--- a/src/router/filter/identify.rs
+++ b/src/router/filter/identify.rs
@@ -16,6 +16,8 @@
 /// The retry delay for callers while this process has no configuration yet, in ms; the store
 /// answers within a few ms.
 const NO_CONFIG_RETRY_MS: u64 = 300;
+/// The size of a head that is accepted whatever the limit is, in bytes.
+const MIN_HEAD_BYTES: usize = 8_192;
 
 /// Identifies a request and reads its body.
 pub(crate) async fn identify(
@@ -44,6 +46,35 @@
     ))
 }
 
+/// Refuses a request whose head is longer than the configuration in force allows.
+///
+/// The buffers of connections have room for more, since the limit may rise while they are open.
+pub(super) fn check_head(router: &Router, req: &Request<Incoming>) -> Result<(), Problem> {
+    let limits = router.active_config().map(|active| active.table.limits);
+    let Some(limit) = limits.map(|l| l.max_header_bytes.max(MIN_HEAD_BYTES)) else {
+        return Ok(());
+    };
+    if head_bytes(req) <= limit {
+        return Ok(());
+    }
+    let detail = format!("the head exceeds the limit of {limit} bytes");
+    Err(Problem::new(
+        ProblemKind::HeadTooLarge,
+        Outcome::NotRun,
+        detail,
+    ))
+}
+
+/// Returns the size of a request's head as callers usually send it.
+fn head_bytes(req: &Request<Incoming>) -> usize {
+    let path = req.uri().path_and_query().map_or(1, |p| p.as_str().len());
+    let first_line = req.method().as_str().len() + path + "  HTTP/1.1\r\n".len();
+    let line = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    first_line + req.headers().iter().map(line).sum::<usize>() + "\r\n".len()
+}
+
 #[expect(
     clippy::too_many_arguments,
     reason = "the parts are determined one after the other"
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -36,8 +36,9 @@
 const DIRECTORY_TTL_S: u64 = 1;
 /// The most addresses that a caller takes from a directory response.
 const MAX_ADDRESSES: usize = 64;
-/// The smallest buffer for a request head that hyper accepts, in bytes.
-const MIN_HEAD_BYTES: usize = 8_192;
+/// The size up to which the buffer of a connection grows, in bytes, unless the limit for heads is
+/// larger. It cannot be changed while the connection is open, and the limit may rise meanwhile.
+const HEAD_BUFFER_BYTES: usize = 64 * 1024;
 /// How long the head of a request that has begun to arrive may take on a connection that is about
 /// to be closed.
 const LAST_HEAD_LIMIT: Duration = Duration::from_millis(500);
@@ -93,7 +94,7 @@
         return;
     }
     let limits = router.active_config().map(|active| active.table.limits);
-    let max_head = limits.map_or(MIN_HEAD_BYTES, |l| l.max_header_bytes.max(MIN_HEAD_BYTES));
+    let max_head = limits.map_or(0, |limits| limits.max_header_bytes);
     let is_caller = matches!(service, Service::Callers);
     let may_serve = is_caller || matches!(service, Service::Peers);
     let _open = may_serve.then(|| router.lifecycle.open_connection());
@@ -110,7 +111,7 @@
         }
     });
     let connection = http1::Builder::new()
-        .max_buf_size(max_head)
+        .max_buf_size(max_head.max(HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let ended = tokio::select! {
--- /dev/null
+++ b/tests/site/long_heads.rs
@@ -0,0 +1,66 @@
+//! Heads of requests on connections that are older than the limit in force.
+
+use std::time::{Duration, Instant};
+
+use pistachioyard_standins::wait_until;
+
+use super::caller::new_request_id;
+use super::raw::{Exchange, RawConnection};
+use super::support::Site;
+
+/// How long an entry may take to start, and to adopt a configuration.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Sends a request with a header of this size and returns the status of its answer.
+async fn send(connection: &mut RawConnection, header_bytes: usize) -> Option<u16> {
+    let long = "x".repeat(header_bytes);
+    let id = new_request_id();
+    let extra = [("X-Long", long.as_str())];
+    assert!(connection.write("/lookup/a", &id, &extra).await);
+    match connection.read().await {
+        Exchange::Complete(status, _) => Some(status),
+        Exchange::Cut(_) => None,
+    }
+}
+
+/// Guards against the limit of a process that has no configuration yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_from_before_the_first_configuration_takes_long_heads() {
+    let mut site = Site::start(1).await;
+    site.set_store_fault(503).await;
+    let launcher = site.launcher.clone();
+    site.entries[0].process.start(&launcher);
+    let to = site.entries[0].caller_address();
+    let give_up_at = Instant::now() + START_TIMEOUT;
+    let mut kept = loop {
+        match RawConnection::try_open(to).await {
+            Some(connection) => break connection,
+            None => assert!(Instant::now() < give_up_at, "the entry does not accept"),
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    // The connection is accepted and served before there is a configuration.
+    assert_eq!(send(&mut kept, 10).await, Some(503));
+    site.set_store_fault(0).await;
+    wait_until(START_TIMEOUT, "the entry", || async {
+        site.check_plain(to, "/lookup/a").await.result.is_ok()
+    })
+    .await
+    .expect("the entry serves requests");
+    assert_eq!(send(&mut kept, 12_000).await, Some(200));
+}
+
+/// Guards against the limit that was in force when the connection was opened.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_limit_for_heads_in_force_applies_to_open_connections() {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let mut kept = RawConnection::open(to).await;
+    assert_eq!(send(&mut kept, 17_000).await, Some(431));
+    let mut kept = RawConnection::open(to).await;
+    assert_eq!(send(&mut kept, 10).await, Some(200));
+    site.adopt_config_with(|spec| spec["limits"]["max_header_bytes"] = 32_768.into())
+        .await;
+    assert_eq!(send(&mut kept, 17_000).await, Some(200));
+    assert_eq!(send(&mut kept, 33_000).await, Some(431));
+}
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -14,6 +14,7 @@
 mod leaving;
 mod limited;
 mod logs;
+mod long_heads;
 mod lost;
 mod odd_answers;
 mod odd_entries;
