Refuse requests that a stopping entry may have to cut off

Cause: a stopping entry took every request for 2.5 s, whatever was left of the grace period.

Change: it refuses requests that may run once at most, as not run and with no time to wait, if their deadline lies behind the end; and it takes requests for half of the grace period at most.

--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Tracks whether the process serves, drains or stops, and the requests in progress.
 
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 
 use tokio::sync::Notify;
@@ -21,6 +22,8 @@
     in_flight: AtomicUsize,
     open_connections: AtomicUsize,
     has_received_requests: AtomicBool,
+    /// When the requests in progress are cut off, if a stop was requested that does so.
+    ends_at: OnceLock<Instant>,
     changed: Notify,
 }
 
@@ -40,6 +43,20 @@
         self.phase.fetch_max(DRAINING, Ordering::SeqCst);
     }
 
+    /// Starts draining; the requests that are still in progress at `ends_at` are cut off.
+    pub(crate) fn drain_until(&self, ends_at: Instant) {
+        // A second request to stop does not move the end.
+        let _ = self.ends_at.set(ends_at);
+        self.drain();
+    }
+
+    /// Returns whether a request with this deadline may be cut off before it.
+    pub(crate) fn ends_before(&self, deadline: Instant) -> bool {
+        self.ends_at
+            .get()
+            .is_some_and(|ends_at| *ends_at < deadline)
+    }
+
     /// Starts refusing new work.
     pub(crate) fn stop(&self) {
         self.phase.store(STOPPING, Ordering::SeqCst);
@@ -59,15 +76,10 @@
         let guard = InFlight {
             lifecycle: self.clone(),
         };
-        if self.is_stopping() {
-            return Err(Problem::new(
-                ProblemKind::Stopping,
-                Outcome::NotRun,
-                "this entry is stopping; send GET /v1/entries to another entry",
-            )
-            .with_retry_after_ms(0));
+        match self.is_stopping() {
+            true => Err(stopping()),
+            false => Ok(guard),
         }
-        Ok(guard)
     }
 
     /// Counts a caller's connection as open until the returned guard is dropped.
@@ -123,6 +135,16 @@
     }
 }
 
+/// Returns the refusal of a stopping entry.
+pub(crate) fn stopping() -> Problem {
+    Problem::new(
+        ProblemKind::Stopping,
+        Outcome::NotRun,
+        "this entry is stopping; send GET /v1/entries to another entry",
+    )
+    .with_retry_after_ms(0)
+}
+
 /// Counts one request as in progress until it is dropped.
 pub(crate) struct InFlight {
     lifecycle: Arc<Lifecycle>,
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -19,11 +19,11 @@
 use http::{HeaderMap, Method, Request, Response};
 use hyper::body::Incoming;
 use pistachioyard_platform::CallerHead;
-use pistachioyard_policy::{Route, Workspace};
+use pistachioyard_policy::{Repeatability, Route, Workspace};
 use pistachioyard_wire::RequestDigest;
 pub(crate) use report_cache::{ReportCache, fetch as fetch_report, survey};
 
-use crate::lifecycle::InFlight;
+use crate::lifecycle::{InFlight, stopping};
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
 use crate::router::quarantine::SuspectAdmission;
@@ -131,6 +131,12 @@
     }
     let mut call = identify::identify(router, req, arrived_at, record).await?;
     call.is_relayed = is_relayed;
+    // It could be cut off, and its caller could not send it again.
+    if call.route.repeatability == Repeatability::AtMostOnce
+        && router.lifecycle.ends_before(call.deadline)
+    {
+        return Err(stopping());
+    }
     router.wait_for_first_news().await;
     check_quarantine(router, &mut call)?;
     if !is_relayed {
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -15,6 +15,9 @@
 /// How long new requests are still accepted after a stop was requested, for callers with a
 /// cached directory response; some callers cache it for three times its TTL.
 const STALE_DIRECTORY_GRACE: Duration = Duration::from_millis(2_500);
+/// The share of the grace period in which new requests are accepted at most; the rest is left for
+/// those that came last.
+const MAX_ACCEPTING_SHARE: f64 = 0.5;
 /// How long before the end of the grace period the remaining requests are cut off.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
 /// How long the last log lines may take to be written; an active reader takes a few ms.
@@ -123,14 +126,16 @@
 /// while, then waits for the requests in progress until the grace period is nearly over.
 async fn stop(router: &Arc<Router>) {
     let asked_at = Instant::now();
-    router.lifecycle.drain();
+    let grace = router.settings.stop_grace;
+    let ends_at = asked_at + grace.saturating_sub(STOP_MARGIN);
+    router.lifecycle.drain_until(ends_at);
     spdlog::info!("router: stopping", kv: { in_flight = router.lifecycle.in_flight() });
     controller::announce(router).await;
-    tokio::time::sleep(STALE_DIRECTORY_GRACE).await;
+    let accepting = STALE_DIRECTORY_GRACE.min(grace.mul_f64(MAX_ACCEPTING_SHARE));
+    tokio::time::sleep(accepting).await;
     router.lifecycle.stop();
-    let remaining = (router.settings.stop_grace - STOP_MARGIN).saturating_sub(asked_at.elapsed());
     let idle = router.lifecycle.wait_until_idle();
-    let is_idle = tokio::time::timeout(remaining, idle).await.is_ok();
+    let is_idle = tokio::time::timeout_at(ends_at.into(), idle).await.is_ok();
     spdlog::info!("router: stopped", kv: {
         is_idle, cut_off = router.lifecycle.in_flight(),
         open_connections = router.lifecycle.open_connections(),
--- a/tests/site/lost/stop.rs
+++ b/tests/site/lost/stop.rs
@@ -36,6 +36,12 @@
 const SENDING_TIME: Duration = Duration::from_secs(5);
 /// The time in which many streams begin.
 const STREAMS_START_TIME: Duration = Duration::from_millis(700);
+/// The number of requests that come one after the other once an entry stops, and the interval; they
+/// cover the time in which it takes requests.
+const LATE_REQUESTS: usize = 12;
+const LATE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long each of them runs, in milliseconds; less than the grace period of 4 s.
+const LATE_RUN_MS: &str = "2500";
 /// The time in which each answer begins.
 const START_TIME: Duration = Duration::from_millis(300);
 
@@ -125,6 +131,51 @@
     );
 }
 
+/// Guards against taking a request that may not be repeated and cutting it off at the end of the
+/// grace period.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_takes_no_request_that_it_may_have_to_cut_off() {
+    let site = start_site(ONE_PATH).await;
+    let to = site.entries[0].caller_address();
+    let mut kept = Vec::new();
+    for _ in 0..LATE_REQUESTS {
+        let mut connection = RawConnection::open(to).await;
+        assert!(connection.write("/record/a", &new_request_id(), &[]).await);
+        assert!(matches!(
+            connection.read().await,
+            Exchange::Complete(200, _)
+        ));
+        kept.push(connection);
+    }
+    site.entries[0].process.signal(Signal::SIGTERM);
+    let sent = kept
+        .into_iter()
+        .zip(1..)
+        .map(|(mut connection, turn)| async move {
+            tokio::time::sleep(LATE_INTERVAL * turn).await;
+            let id = new_request_id();
+            let extra = [("X-Run-Ms", LATE_RUN_MS)];
+            connection.write("/record/a", &id, &extra).await;
+            (id, connection.read().await)
+        });
+    let sent = join_all(sent).await;
+    let runs = site.count_runs().await;
+    let cut: Vec<_> = sent
+        .iter()
+        .filter(|(id, exchange)| matches!(exchange, Exchange::Cut(_)) && runs.contains_key(id))
+        .collect();
+    assert!(
+        cut.is_empty(),
+        "{} ran and had no answer: {cut:?}",
+        cut.len()
+    );
+    let not_run = |exchange: &Exchange| matches!(exchange, Exchange::Complete(503, _));
+    let refused = sent.iter().filter(|(_, exchange)| not_run(exchange));
+    for (id, _) in refused {
+        assert!(!runs.contains_key(id), "{id} was refused and ran");
+    }
+}
+
 /// Streams of a stopping entry are cut off when their only first endpoint is paused.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_a_stopping_entry_go_on_after_a_silence() {
