--- a/tests/site/odd_answers.rs
+++ b/tests/site/odd_answers.rs
@@ -162,3 +162,77 @@
     let failure = site.check_stream(to).await;
     assert!(!matches!(failure, Err(Failure::Unknown(_))), "{failure:?}");
 }
+
+/// The answer of an endpoint that ends in its head, without its id.
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nContent-Type: text/plain\r\n\
+                      Content-Length: 12\r\n\r\n";
+
+/// Serves as an endpoint that closes each connection after a part of its answer's head.
+async fn end_in_head(listener: TcpListener, len: Arc<Mutex<usize>>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let len = *len.lock();
+        tokio::spawn(async move {
+            let Some((path, id)) = read_request(&mut stream).await else {
+                return;
+            };
+            let answer = match path.as_str() {
+                "/report" => "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned(),
+                _ => {
+                    let (line, rest) = ANSWER.split_once("\r\n").expect("it has lines");
+                    let mut head = format!("{line}\r\nX-Attempt-Id: {id}\r\n{rest}");
+                    head.truncate(len.min(head.len() - 1));
+                    head
+                }
+            };
+            // The entry may have given the answer up.
+            let _ = stream.write_all(answer.as_bytes()).await;
+        });
+    }
+}
+
+/// Guards against taking a head that ends with its connection for a whole answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_in_its_head_is_no_success() {
+    let site = Site::start_with(Layout {
+        plain_endpoints: 0,
+        ..Layout::default()
+    })
+    .await;
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let len = Arc::new(Mutex::new(0));
+    tokio::spawn(end_in_head(listener, len.clone()));
+    let spec = json!({
+        "service": "records", "address": address, "zone": "east", "version": "v1", "slots": 16,
+        "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
+    });
+    let put = json!({ "spec": spec });
+    let put = site.call(site.store, Method::PUT, "/objects/servers/faulty", put);
+    assert_eq!(put.await, Some(200));
+    let to = site.entries[0].caller_address();
+    let mut lost = 0;
+    // One byte less than the whole head, and steps that end in each of its lines.
+    for cut in (9..ANSWER.len() + 40).step_by(7).chain([usize::MAX]) {
+        *len.lock() = cut;
+        for path in ["/lookup/a", "/record/a", "/feed/a"] {
+            let mut connection = RawConnection::open(to).await;
+            assert!(connection.write(path, &new_request_id(), &[]).await);
+            match connection.read().await {
+                Exchange::Complete(status, body) => {
+                    assert!(status >= 400, "{path}, {cut} bytes: {status} with {body:?}");
+                    lost += usize::from(status == 502);
+                }
+                Exchange::Cut(_) => {
+                    let received = connection.unread_text();
+                    assert!(
+                        !received.starts_with("HTTP/1.1 2"),
+                        "{path}, {cut}: {received}"
+                    );
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+    assert!(lost > REQUESTS, "only {lost} answers ended in their heads");
+}
