Keep the digest of the list of endpoints until a record changes

Cause: each datagram that is sent or received is compared with the digest, which was computed from all records each time.

Change: it is kept until a record is applied, removed or dropped.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -50,6 +50,8 @@
     deleted: BTreeMap<EndpointId, (StorePosition, Instant)>,
     notices: RunNotices,
     limits: RequestLimits,
+    /// The digest of the records; none if they have changed since it was computed.
+    digest: Option<u64>,
 }
 
 impl EndpointRegistry {
@@ -61,6 +63,7 @@
         if self.is_outdated(&record) {
             return EndpointChange::Outdated;
         }
+        self.digest = None;
         self.deleted.remove(&record.endpoint);
         self.by_id
             .retain(|_, tracked| !record.takes_address_of(&tracked.record));
--- a/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
@@ -35,6 +35,7 @@
         grace_until: Option<Instant>,
         now: Instant,
     ) -> bool {
+        self.digest = None;
         self.deleted
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < DELETION_RETENTION);
         if let Some(at) = deleted_at {
@@ -55,6 +56,7 @@
     /// Removes the endpoints whose records did not return within the grace period after an
     /// outage, and returns their ids.
     pub fn drop_lapsed(&mut self, now: Instant) -> Vec<EndpointId> {
+        self.digest = None;
         let is_gone =
             |tracked: &TrackedEndpoint| tracked.grace_until.is_some_and(|until| now >= until);
         let gone = self.by_id.extract_if(.., |_, tracked| is_gone(tracked));
--- a/crates/pistachioyard_policy/src/endpoint_registry/digest.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/digest.rs
@@ -8,10 +8,14 @@
 impl EndpointRegistry {
     /// Returns a digest that two entries share if they hold the same records of the store, and the
     /// same of them have been deleted there.
-    pub fn digest(&self) -> u64 {
-        // Addition makes the order of the records irrelevant.
-        let digests = self.by_id.values().map(TrackedEndpoint::digest);
-        digests.fold(0, u64::wrapping_add)
+    ///
+    /// It is kept until a record changes, since many datagrams are compared with it.
+    pub fn digest(&mut self) -> u64 {
+        *self.digest.get_or_insert_with(|| {
+            // Addition makes the order of the records irrelevant.
+            let digests = self.by_id.values().map(TrackedEndpoint::digest);
+            digests.fold(0, u64::wrapping_add)
+        })
     }
 }
 
--- a/src/router/controller/peers/datagram.rs
+++ b/src/router/controller/peers/datagram.rs
@@ -59,7 +59,8 @@
     let load_only = scope == GossipScope::SameCentreLoad;
     let max_items = if load_only { 0 } else { MAX_ITEMS_PER_LIST };
     let reach = router.reach_to_tell();
-    let endpoints = router.endpoints.lock();
+    let mut endpoints = router.endpoints.lock();
+    let digest = endpoints.digest();
     let heard = endpoints
         .reported_within(LAYER_REPORT_MAX_AGE, now)
         .into_iter()
@@ -95,7 +96,7 @@
     let limits = limits.choose_multiple(&mut rand::rng(), max_items);
     // Rounded up, so that a confirmation cannot get younger by being passed around.
     let endpoints_age_ms = ms(router.endpoints_freshness.lock().age(now)) + 1;
-    let endpoints_fresh = Some((endpoints.digest(), endpoints_age_ms));
+    let endpoints_fresh = Some((digest, endpoints_age_ms));
     drop(endpoints);
     let load = load_to_tell(router, scope);
     let max_marks = if load_only { 0 } else { MAX_QUARANTINE_MARKS };
