--- a/tests/site/odd_answers.rs
+++ b/tests/site/odd_answers.rs
@@ -1,6 +1,7 @@
 //! Answers of faulty endpoints that must not be taken for others.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -91,19 +92,16 @@
     }
 }
 
-/// A refusal that comes once more must not be taken for that of the next request.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_refusal_that_is_written_twice_refuses_no_other_request() {
-    let site = Site::start_with(Layout {
-        plain_endpoints: 0,
-        ..Layout::default()
-    })
-    .await;
+/// Opens a socket for an endpoint.
+async fn bind() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await;
     let listener = listener.expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
-    let runs = Runs::default();
-    tokio::spawn(refuse_twice(listener, runs.clone()));
+    (listener, address)
+}
+
+/// Registers an endpoint of the service without a pipeline.
+async fn register(site: &Site, address: SocketAddr) {
     let spec = json!({
         "service": "records", "address": address, "zone": "east", "version": "v1", "slots": 16,
         "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
@@ -111,6 +109,20 @@
     let body = json!({ "spec": spec });
     let put = site.call(site.store, Method::PUT, "/objects/servers/faulty", body);
     assert_eq!(put.await, Some(200));
+}
+
+/// A refusal that comes once more must not be taken for that of the next request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_is_written_twice_refuses_no_other_request() {
+    let site = Site::start_with(Layout {
+        plain_endpoints: 0,
+        ..Layout::default()
+    })
+    .await;
+    let (listener, address) = bind().await;
+    let runs = Runs::default();
+    tokio::spawn(refuse_twice(listener, runs.clone()));
+    register(&site, address).await;
     let to = site.entries[0].caller_address();
     let mut ran = 0;
     for path in ["/lookup/a", "/record/a", "/feed/a"] {
@@ -198,18 +210,10 @@
         ..Layout::default()
     })
     .await;
-    let listener = TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("a port is free");
-    let address = listener.local_addr().expect("it is bound");
+    let (listener, address) = bind().await;
     let len = Arc::new(Mutex::new(0));
     tokio::spawn(end_in_head(listener, len.clone()));
-    let spec = json!({
-        "service": "records", "address": address, "zone": "east", "version": "v1", "slots": 16,
-        "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
-    });
-    let put = json!({ "spec": spec });
-    let put = site.call(site.store, Method::PUT, "/objects/servers/faulty", put);
-    assert_eq!(put.await, Some(200));
+    register(&site, address).await;
     let to = site.entries[0].caller_address();
     let mut lost = 0;
     // One byte less than the whole head, and steps that end in each of its lines.
