Tell for each service what it uses of the retry budget

Nothing told the hypotheses of the incident apart: there was no count of first tries and retries by service, nor of the entries that share the slack. The logic is the same: RetryBudgets still holds one bucket for all services.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod reach;
 mod request_limits;
 mod retry_budget;
+mod retry_budgets;
 mod return_spread;
 mod routing;
 mod run_fate;
@@ -89,6 +90,7 @@
     BadRate, FleetPart, LimitChange, PermitAnswer, RequestLimits, RequestRate, ReturnSchedule,
 };
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
+pub use retry_budgets::{RetryBudgets, RetryUsage};
 pub use return_spread::spread_return_ms;
 pub use routing::{CallerLimits, Repeatability, Route, RouteTable, Service, Workspace};
 pub use run_fate::RunFate;
--- a/crates/pistachioyard_policy/src/retry_budget.rs
+++ b/crates/pistachioyard_policy/src/retry_budget.rs
@@ -54,6 +54,11 @@
         self.units >= UNITS_PER_RETRY
     }
 
+    /// Returns the number of retries in the bucket, with what has accrued of the next one.
+    fn left(&self) -> f64 {
+        self.units as f64 / UNITS_PER_RETRY as f64
+    }
+
     /// Takes one retry from the bucket; returns whether there was one.
     pub fn try_retry(&mut self) -> bool {
         match self.units.checked_sub(UNITS_PER_RETRY) {
@@ -126,6 +131,11 @@
         self.bucket.has_retry()
     }
 
+    /// Returns the number of retries in this entry's part, with what has accrued of the next one.
+    pub fn left(&self) -> f64 {
+        self.bucket.left()
+    }
+
     /// Takes one retry from this entry's part; returns whether there was one.
     pub fn try_retry(&mut self) -> bool {
         self.bucket.try_retry()
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,6 +21,7 @@
 mod quarantine;
 mod reach;
 mod relay_hop;
+mod retries;
 mod run;
 mod store_client;
 
@@ -31,7 +32,7 @@
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
     ActivityTracker, CrossingLimiter, EndpointRegistry, Freshness, GOSSIP_FANOUT, LatencyEstimates,
-    LoadTracker, Membership, PartQuarantine, Presence, Quarantine, RouteTable, SharedRetryBudget,
+    LoadTracker, Membership, PartQuarantine, Presence, Quarantine, RetryBudgets, RouteTable,
     SuspectReason, WatchLag,
 };
 use pistachioyard_wire::{DataCentre, EntryState, Fence, MemberRecord};
@@ -87,7 +88,7 @@
     /// The highest version of the configuration by which a peer has served a request for this
     /// entry.
     newest_peer_version: AtomicU64,
-    pub(crate) retries: Mutex<SharedRetryBudget>,
+    pub(crate) retries: Mutex<RetryBudgets>,
     /// The entries that share the retry budget.
     pub(crate) presence: Mutex<Presence>,
     pub(crate) quarantine: Mutex<Quarantine>,
@@ -141,7 +142,7 @@
             data_centre: settings.data_centre.clone(),
             revision: Revision(0),
         };
-        let retries = SharedRetryBudget::new(
+        let retries = RetryBudgets::new(
             settings.retry_share,
             settings.retry_slack,
             settings.retry_window,
@@ -258,36 +259,6 @@
         live.iter().any(|record| record.revision > version)
     }
 
-    /// Divides the retry budget among the entries that may use it or have used it recently.
-    ///
-    /// An entry that is not heard may only be cut off from this one, and the retries that a lost
-    /// entry made still count against the budget.
-    pub(crate) fn divide_retry_budget(&self, now: Instant) {
-        let entries = {
-            let members = self.members.lock();
-            let mut presence = self.presence.lock();
-            for (record, state) in members.all(now) {
-                if state != EntryState::Lost {
-                    presence.note_heard(&record.entry, now);
-                }
-            }
-            presence.count()
-        };
-        self.retries.lock().rebalance(entries, now);
-    }
-
-    /// Returns whether this entry's share of the retry budget has a retry left.
-    pub(crate) fn has_retry(&self) -> bool {
-        self.retries.lock().has_retry()
-    }
-
-    /// Takes one retry from this entry's share of the budget; returns whether one was left.
-    pub(crate) fn try_retry(&self) -> bool {
-        let allowed = self.retries.lock().try_retry();
-        metric::count_retry(allowed);
-        allowed
-    }
-
     /// Ejects a failed endpoint from routing until it recovers, and logs it.
     pub(crate) fn suspect(&self, endpoint: &EndpointId, why: SuspectReason) {
         let now = Instant::now();
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -103,7 +103,7 @@
 /// Discards the state of lost peers and divides the retry budget again.
 fn forget_lost(router: &Router) {
     let now = Instant::now();
-    router.divide_retry_budget(now);
+    router.divide_retry_budgets(now);
     let mut members = router.members.lock();
     members.expire(now);
     let lost = members
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -139,9 +139,6 @@
     }
     router.wait_for_first_news().await;
     check_quarantine(router, &mut call)?;
-    if !is_relayed {
-        router.retries.lock().on_first_try();
-    }
     dispatch(router, call, in_flight, record).await
 }
 
@@ -196,6 +193,10 @@
         ));
     };
     record.set_service(&service);
+    // The peer that passed it on has counted it.
+    if !call.is_relayed {
+        router.count_first_try(&service);
+    }
     if call.route.is_stream {
         stream::dispatch(router, call, &service, in_flight, record).await
     } else {
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -182,7 +182,7 @@
                     silent_at = self.silence_limit().map(|limit| Instant::now() + limit);
                     let has_other = router.is_out_of_reach(service)
                         || find_endpoint(router, service, &self.tried, Instant::now()).is_some();
-                    if self.may_start_another() && has_other && router.try_retry() {
+                    if self.may_start_another() && has_other && router.try_retry(service) {
                         next = Some("silent");
                     }
                 }
@@ -260,7 +260,8 @@
                 self.started -= 1;
                 self.refusals += 1;
                 let is_free = arrival == Arrival::None;
-                if self.refusals >= MAX_REFUSALS || !is_free && !self.router.try_retry() {
+                if self.refusals >= MAX_REFUSALS || !is_free && !self.router.try_retry(self.service)
+                {
                     return NextStep::Refuse(self.refused());
                 }
                 NextStep::TryAnother("not_run")
@@ -270,7 +271,7 @@
                 note_not_run(self.router, endpoint, is_full);
                 self.started -= 1;
                 self.refusals += 1;
-                if self.refusals >= MAX_REFUSALS || !self.router.try_retry() {
+                if self.refusals >= MAX_REFUSALS || !self.router.try_retry(self.service) {
                     return NextStep::Refuse(self.refused());
                 }
                 NextStep::TryAnother("not_run")
@@ -286,7 +287,7 @@
             }
             AttemptResult::Lost(detail) => {
                 record.log_attempt_failed(endpoint, &detail);
-                if !self.may_start_another() || !self.router.try_retry() {
+                if !self.may_start_another() || !self.router.try_retry(self.service) {
                     return NextStep::Refuse(result_lost(detail));
                 }
                 NextStep::TryAnother("lost")
@@ -329,7 +330,7 @@
             self.failed_answer = Some(response);
             return NextStep::Wait;
         }
-        if !is_failure || !self.may_start_another() || !self.router.try_retry() {
+        if !is_failure || !self.may_start_another() || !self.router.try_retry(self.service) {
             record.end_answered(head.status.as_u16());
             return NextStep::Answer(response);
         }
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -201,7 +201,7 @@
                 AttemptFailure::NotRun => {
                     refusals += 1;
                     why = "not_run";
-                    if refusals >= MAX_REFUSALS || !self.router.try_retry() {
+                    if refusals >= MAX_REFUSALS || !self.router.try_retry(&self.service) {
                         return Err(self.capacity_problem());
                     }
                 }
@@ -209,7 +209,7 @@
                     why = "lost";
                     let is_allowed =
                         self.may_repeat() && self.may_start_again() && !self.is_quarantined();
-                    if !is_allowed || !self.router.try_retry() {
+                    if !is_allowed || !self.router.try_retry(&self.service) {
                         return Err(result_lost(detail));
                     }
                 }
--- a/src/router/filter/relay/recover.rs
+++ b/src/router/filter/relay/recover.rs
@@ -154,7 +154,7 @@
             if left == PathLeft::Silent && !self.may_start_again() {
                 return Err(NotReplaced::NoAttemptLeft);
             }
-            if !self.router.has_retry() {
+            if !self.router.has_retry(&self.service) {
                 match left {
                     PathLeft::None => return Err(NotReplaced::BudgetExhausted),
                     PathLeft::Silent => tokio::time::sleep(BUDGET_RECHECK_INTERVAL).await,
@@ -167,7 +167,7 @@
             };
             let has_permit =
                 found.peer.is_some() || self.router.take_permit(&found.first_run).await;
-            if !has_permit || !self.router.try_retry() {
+            if !has_permit || !self.router.try_retry(&self.service) {
                 continue;
             }
             progress.set(true);
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -1,11 +1,13 @@
 //! Prometheus metrics of the router daemon.
 //!
-//! Labels have fixed sets of values, so the number of series does not grow with traffic.
+//! Labels have fixed sets of values or name the services of the configuration, so the number of
+//! series does not grow with traffic.
 //! `docs/OPERATIONS.md` lists the metrics.
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use pistachioyard_policy::RunFate;
+use pistachioyard_wire::ServiceName;
 
 use crate::prelude::*;
 use crate::router::Router;
@@ -35,10 +37,19 @@
     histogram!("router_first_event_seconds").record(took.as_secs_f64());
 }
 
-/// Counts a retry, by whether the retry budget allowed it.
-pub(crate) fn count_retry(allowed: bool) {
+/// Counts the first try of a request for a service.
+pub(crate) fn count_first_try(service: &ServiceName) {
+    let service = service.as_str().to_owned();
+    counter!("router_first_tries_total", "service" => service).increment(1);
+}
+
+/// Counts a retry at a service, by whether the retry budget allowed it, and records how many
+/// retries are left of this entry's part.
+pub(crate) fn count_retry(service: &ServiceName, allowed: bool, left: f64) {
     let allowed = if allowed { "yes" } else { "no" };
-    counter!("router_retries_total", "allowed" => allowed).increment(1);
+    let service = service.as_str().to_owned();
+    gauge!("router_retries_left", "service" => service.clone()).set(left);
+    counter!("router_retries_total", "service" => service, "allowed" => allowed).increment(1);
 }
 
 /// Records the longest pause between two events of a finished stream.
@@ -129,6 +140,7 @@
     let limited = router.endpoints.lock().limits().count();
     gauge!("router_endpoints_limited").set(limited as f64);
     gauge!("router_services_out_of_reach").set(router.count_out_of_reach() as f64);
+    gauge!("router_retry_entries").set(router.retries.lock().entries() as f64);
     gauge!("router_entries_live").set(router.live_entries(now) as f64);
     gauge!("router_config_version").set(router.version() as f64);
     gauge!("router_requests_in_flight").set(router.lifecycle.in_flight() as f64);
