Show that a busy service pays for the retries at a quiet one

The rule bounds the retries at each service by the requests for it. Two services that fail at once also share one slack where each has its own.

--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -23,6 +23,7 @@
 mod poison_part;
 mod process;
 mod raw;
+mod retries;
 mod soak;
 mod store_era;
 mod stuck_watches;
