--- a/crates/pistachioyard_policy/tests/retry_budgets.rs
+++ b/crates/pistachioyard_policy/tests/retry_budgets.rs
@@ -76,3 +76,48 @@
         assert!(f64::from(at_one) >= 0.8 * SLACK, "{at_one}");
     }
 }
+
+/// Guards against a service that a configuration drops and adds again with a new slack.
+#[test]
+fn a_service_that_is_dropped_and_added_again_has_used_its_retries() {
+    let begin = Instant::now();
+    let mut budgets = RetryBudgets::new(SHARE, SLACK, WINDOW, true, begin);
+    let name = service("returning");
+    let mut used = 0;
+    // A report ends a window in which there was no request.
+    for window in 0..2 {
+        let now = begin + WINDOW * window;
+        budgets.rebalance(1, now);
+        budgets.take_usage(now);
+    }
+    let busy_at = begin + WINDOW * 2 - STEP;
+    budgets.rebalance(1, busy_at);
+    used += (0..1_000).filter(|_| budgets.try_retry(&name)).count();
+    for step in 1..4 {
+        let now = busy_at + STEP * step;
+        budgets.rebalance(1, now);
+        budgets.take_usage(now);
+        used += (0..1_000).filter(|_| budgets.try_retry(&name)).count();
+    }
+    assert!(used as f64 <= SLACK, "{used}");
+}
+
+/// Guards against memory that services of former configurations keep.
+#[test]
+fn services_without_requests_are_forgotten() {
+    let begin = Instant::now();
+    let mut budgets = RetryBudgets::new(SHARE, SLACK, WINDOW, true, begin);
+    for n in 0..500 {
+        let name = service(&format!("former-{n}"));
+        budgets.on_first_try(&name);
+        while budgets.try_retry(&name) {}
+    }
+    let mut counted = Vec::new();
+    for window in 1..5 {
+        let now = begin + WINDOW * window;
+        budgets.rebalance(1, now);
+        counted.push(budgets.take_usage(now).map_or(0, |usage| usage.len()));
+    }
+    assert_eq!(counted[0], 500);
+    assert_eq!(counted.last(), Some(&0), "{counted:?}");
+}
