Keep what was used of the retry budget when the entries rise and fall

Endpoints could get more retries than allowed while the number of entries that an entry hears moves, as on busy machines. Cause: a smaller capacity cut what was used at that capacity; a larger one then gave the rest back as new. Change: the bucket may hold less than nothing.

--- a/crates/pistachioyard_policy/src/retry_budget.rs
+++ b/crates/pistachioyard_policy/src/retry_budget.rs
@@ -6,14 +6,15 @@
 use std::time::{Duration, Instant};
 
 /// The units of one retry; an integer scale lets fractions of a retry add up exactly.
-const UNITS_PER_RETRY: u64 = 1_000_000;
+const UNITS_PER_RETRY: i64 = 1_000_000;
 
 /// A token bucket that first tries fill and retries drain.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    units: u64,
-    max_units: u64,
-    units_per_first_try: u64,
+    /// Below zero if more was used than a smaller capacity holds.
+    units: i64,
+    max_units: i64,
+    units_per_first_try: i64,
 }
 
 impl RetryBudget {
@@ -39,9 +40,8 @@
     pub fn set_burst(&mut self, burst: f64) {
         let max_units = to_units(burst);
         // Keeps the number of used retries, so that changing the capacity gives none back.
-        let used = self.max_units.saturating_sub(self.units);
+        self.units += max_units - self.max_units;
         self.max_units = max_units;
-        self.units = max_units.saturating_sub(used);
     }
 
     /// Counts a first try.
@@ -61,13 +61,11 @@
 
     /// Takes one retry from the bucket; returns whether there was one.
     pub fn try_retry(&mut self) -> bool {
-        match self.units.checked_sub(UNITS_PER_RETRY) {
-            Some(rest) => {
-                self.units = rest;
-                true
-            }
-            None => false,
+        let has_retry = self.has_retry();
+        if has_retry {
+            self.units -= UNITS_PER_RETRY;
         }
+        has_retry
     }
 }
 
@@ -142,6 +140,6 @@
     }
 }
 
-fn to_units(retries: f64) -> u64 {
-    (retries.clamp(0.0, 1e9) * UNITS_PER_RETRY as f64).round() as u64
+fn to_units(retries: f64) -> i64 {
+    (retries.clamp(0.0, 1e9) * UNITS_PER_RETRY as f64).round() as i64
 }
--- a/crates/pistachioyard_policy/tests/retry_budget_shared.rs
+++ b/crates/pistachioyard_policy/tests/retry_budget_shared.rs
@@ -93,3 +93,17 @@
     assert!(used + again <= 100, "{used} and {again}");
     assert!(again >= 40, "{again}");
 }
+
+/// Guards against retries that are given back when the number of entries rises and falls again.
+#[test]
+fn a_number_of_entries_that_rises_and_falls_gives_no_retries_back() {
+    const SLACK: f64 = 200.0;
+    let now = Instant::now();
+    let mut budget = SharedRetryBudget::new(0.2, SLACK, Duration::from_secs(10), true, now);
+    let mut used = 0;
+    for round in 0..20 {
+        budget.rebalance(if round % 2 == 0 { 2 } else { 8 }, now);
+        used += (0..200).filter(|_| budget.try_retry()).count();
+    }
+    assert!(used as f64 <= SLACK / 2.0, "{used}");
+}
