Take no part of the retry budget that the other entries do not count

Endpoints could get more retries than allowed after entries restart while the store is silent, or while an entry is cut off from its peers and the store. Cause: an entry divided the slack by the entries that it knew. Change: an entry has a part once it has read the registrations, and as long as it is listed or hears all others; it gives it up a window before the others drop it. Without a part it retries a share of its own first tries.

--- a/crates/pistachioyard_policy/src/retry_budget.rs
+++ b/crates/pistachioyard_policy/src/retry_budget.rs
@@ -44,6 +44,17 @@
         self.max_units = max_units;
     }
 
+    /// Sets the capacity of the bucket and keeps the retries in it, as far as they fit.
+    fn limit_to(&mut self, burst: f64) {
+        self.max_units = to_units(burst);
+        self.units = self.units.min(self.max_units);
+    }
+
+    /// Fills the bucket.
+    fn fill(&mut self) {
+        self.units = self.max_units;
+    }
+
     /// Counts a first try.
     pub fn on_first_try(&mut self) {
         self.units = (self.units + self.units_per_first_try).min(self.max_units);
@@ -75,6 +86,9 @@
 /// The share of the slack that is available at once. The rest accrues over the window, so that
 /// no span of that length allows more than the slack.
 const BURST_SHARE: f64 = 0.5;
+/// The number of retries that an entry without a part of the slack may save up from its own first
+/// tries. Few, because the number of such entries is not known.
+const UNSHARED_BURST: f64 = 2.0;
 
 /// Holds one entry's part of a retry budget that all entries share: in every window, a share
 /// of the first tries plus a fixed number of retries, the slack.
@@ -87,36 +101,57 @@
     bucket: RetryBudget,
     slack: f64,
     window: Duration,
-    rebalanced_at: Instant,
+    /// Whether the first part of the slack fills the bucket.
+    starts_full: bool,
+    /// When the slack last accrued; `None` while this entry has no part of it.
+    accrued_at: Option<Instant>,
 }
 
 impl SharedRetryBudget {
-    /// Creates this entry's part; the bucket is empty unless `is_first`, which says that all
-    /// entries are starting for the first time.
-    pub fn new(share: f64, slack: f64, window: Duration, is_first: bool, now: Instant) -> Self {
+    /// Creates the budget of an entry that has no part of the slack yet. Its first part is used up
+    /// unless `is_first`, which says that all entries are starting for the first time.
+    pub fn new(share: f64, slack: f64, window: Duration, is_first: bool) -> Self {
         let slack = slack * GRANTED_SHARE;
-        let mut bucket = RetryBudget::new(share * GRANTED_SHARE, slack * BURST_SHARE);
-        if !is_first {
-            bucket.units = 0;
-        }
+        let mut bucket = RetryBudget::new(share * GRANTED_SHARE, slack.min(UNSHARED_BURST));
+        bucket.units = 0;
         Self {
             bucket,
             slack,
             window,
-            rebalanced_at: now,
+            starts_full: is_first,
+            accrued_at: None,
         }
     }
 
-    /// Divides the slack by the number of entries that have used it lately, and adds what has
+    /// Divides the slack into this many parts, of which this entry has one, and adds what has
     /// accrued since the last call.
-    pub fn rebalance(&mut self, entries: usize, now: Instant) {
-        let slack = self.slack / entries.max(1) as f64;
-        self.bucket.set_burst(slack * BURST_SHARE);
-        let since = now.saturating_duration_since(self.rebalanced_at);
-        let windows = since.as_secs_f64() / self.window.as_secs_f64().max(f64::EPSILON);
-        self.bucket
-            .refill(slack * (1.0 - BURST_SHARE) * windows.min(1.0));
-        self.rebalanced_at = now;
+    ///
+    /// Without a part, with `None`, the entry retries a share of its own first tries only.
+    pub fn rebalance(&mut self, parts: Option<usize>, now: Instant) {
+        let Some(parts) = parts else {
+            self.bucket.limit_to(self.slack.min(UNSHARED_BURST));
+            self.accrued_at = None;
+            return;
+        };
+        let slack = self.slack / parts.max(1) as f64;
+        let burst = slack * BURST_SHARE;
+        match self.accrued_at {
+            Some(accrued_at) => {
+                self.bucket.set_burst(burst);
+                let since = now.saturating_duration_since(accrued_at);
+                let windows = since.as_secs_f64() / self.window.as_secs_f64().max(f64::EPSILON);
+                self.bucket
+                    .refill(slack * (1.0 - BURST_SHARE) * windows.min(1.0));
+            }
+            None => {
+                self.bucket.limit_to(burst);
+                if self.starts_full {
+                    self.bucket.fill();
+                }
+                self.starts_full = false;
+            }
+        }
+        self.accrued_at = Some(now);
     }
 
     /// Counts a first try.
--- a/crates/pistachioyard_policy/src/retry_budgets.rs
+++ b/crates/pistachioyard_policy/src/retry_budgets.rs
@@ -23,8 +23,8 @@
     unused: SharedRetryBudget,
     /// The services with requests in the last windows.
     services: HashMap<ServiceName, ServiceRetries>,
-    /// The number of entries that the slack is divided by; 0 before it was divided.
-    entries: usize,
+    /// The number of parts that the slack is divided into; `None` if this entry has none.
+    parts: Option<usize>,
     window: Duration,
     reported_at: Instant,
 }
@@ -37,27 +37,27 @@
     /// so that no retries from before the start still count.
     pub fn new(share: f64, slack: f64, window: Duration, is_first: bool, now: Instant) -> Self {
         Self {
-            unused: SharedRetryBudget::new(share, slack, window, is_first, now),
+            unused: SharedRetryBudget::new(share, slack, window, is_first),
             services: HashMap::new(),
-            entries: 0,
+            parts: None,
             window,
             reported_at: now,
         }
     }
 
-    /// Divides the slack of each service by the number of entries that have used it lately, and
-    /// adds what has accrued since the last call.
-    pub fn rebalance(&mut self, entries: usize, now: Instant) {
-        self.entries = entries;
-        self.unused.rebalance(entries, now);
+    /// Divides the slack of each service into this many parts, of which this entry has one, and
+    /// adds what has accrued since the last call; with `None` it has no part.
+    pub fn rebalance(&mut self, parts: Option<usize>, now: Instant) {
+        self.parts = parts;
+        self.unused.rebalance(parts, now);
         for service in self.services.values_mut() {
-            service.budget.rebalance(entries, now);
+            service.budget.rebalance(parts, now);
         }
     }
 
-    /// Returns the number of entries that the slack is divided by; 0 before it was divided.
-    pub fn entries(&self) -> usize {
-        self.entries
+    /// Returns the number of parts that the slack is divided into; `None` if this entry has none.
+    pub fn parts(&self) -> Option<usize> {
+        self.parts
     }
 
     /// Counts the first try of a request for a service.
--- a/crates/pistachioyard_policy/tests/retry_budget_shared.rs
+++ b/crates/pistachioyard_policy/tests/retry_budget_shared.rs
@@ -50,16 +50,16 @@
     const WINDOW: Duration = Duration::from_secs(10);
     const STEP: Duration = Duration::from_millis(250);
     let begin = Instant::now();
-    let start = |is_first, now| SharedRetryBudget::new(SHARE, SLACK, WINDOW, is_first, now);
-    let mut budgets: Vec<_> = (0..ENTRIES).map(|_| start(true, begin)).collect();
+    let start = |is_first| SharedRetryBudget::new(SHARE, SLACK, WINDOW, is_first);
+    let mut budgets: Vec<_> = (0..ENTRIES).map(|_| start(true)).collect();
     let (mut requests, mut retries) = (0u32, 0u32);
     for step in 0..40 {
         let now = begin + STEP * step;
         if step == 28 {
-            budgets = (0..ENTRIES).map(|_| start(false, now)).collect();
+            budgets = (0..ENTRIES).map(|_| start(false)).collect();
         }
         for budget in &mut budgets {
-            budget.rebalance(ENTRIES, now);
+            budget.rebalance(Some(ENTRIES), now);
             for _ in 0..4 {
                 requests += 1;
                 budget.on_first_try();
@@ -84,11 +84,11 @@
 fn the_slack_refills_within_a_window() {
     let begin = Instant::now();
     let window = Duration::from_secs(10);
-    let mut budget = SharedRetryBudget::new(0.2, 100.0, window, true, begin);
-    budget.rebalance(1, begin);
+    let mut budget = SharedRetryBudget::new(0.2, 100.0, window, true);
+    budget.rebalance(Some(1), begin);
     let used = (0..200).filter(|_| budget.try_retry()).count();
     assert!(!budget.try_retry());
-    budget.rebalance(1, begin + window);
+    budget.rebalance(Some(1), begin + window);
     let again = (0..200).filter(|_| budget.try_retry()).count();
     assert!(used + again <= 100, "{used} and {again}");
     assert!(again >= 40, "{again}");
@@ -99,10 +99,10 @@
 fn a_number_of_entries_that_rises_and_falls_gives_no_retries_back() {
     const SLACK: f64 = 200.0;
     let now = Instant::now();
-    let mut budget = SharedRetryBudget::new(0.2, SLACK, Duration::from_secs(10), true, now);
+    let mut budget = SharedRetryBudget::new(0.2, SLACK, Duration::from_secs(10), true);
     let mut used = 0;
     for round in 0..20 {
-        budget.rebalance(if round % 2 == 0 { 2 } else { 8 }, now);
+        budget.rebalance(Some(if round % 2 == 0 { 2 } else { 8 }), now);
         used += (0..200).filter(|_| budget.try_retry()).count();
     }
     assert!(used as f64 <= SLACK / 2.0, "{used}");
--- a/crates/pistachioyard_policy/tests/retry_budgets.rs
+++ b/crates/pistachioyard_policy/tests/retry_budgets.rs
@@ -31,7 +31,7 @@
         let now = begin + STEP * step;
         let mut in_step = [0; 2];
         for budget in &mut budgets {
-            budget.rebalance(ENTRIES, now);
+            budget.rebalance(Some(ENTRIES), now);
         }
         for (which, name) in services.iter().enumerate() {
             for request in 0..requests_per_step[which] {
@@ -87,15 +87,15 @@
     // A report ends a window in which there was no request.
     for window in 0..2 {
         let now = begin + WINDOW * window;
-        budgets.rebalance(1, now);
+        budgets.rebalance(Some(1), now);
         budgets.take_usage(now);
     }
     let busy_at = begin + WINDOW * 2 - STEP;
-    budgets.rebalance(1, busy_at);
+    budgets.rebalance(Some(1), busy_at);
     used += (0..1_000).filter(|_| budgets.try_retry(&name)).count();
     for step in 1..4 {
         let now = busy_at + STEP * step;
-        budgets.rebalance(1, now);
+        budgets.rebalance(Some(1), now);
         budgets.take_usage(now);
         used += (0..1_000).filter(|_| budgets.try_retry(&name)).count();
     }
@@ -115,7 +115,7 @@
     let mut counted = Vec::new();
     for window in 1..5 {
         let now = begin + WINDOW * window;
-        budgets.rebalance(1, now);
+        budgets.rebalance(Some(1), now);
         counted.push(budgets.take_usage(now).map_or(0, |usage| usage.len()));
     }
     assert_eq!(counted[0], 500);
--- a/src/router.rs
+++ b/src/router.rs
@@ -166,7 +166,7 @@
             peer_reach: Mutex::default(),
             newest_peer_version: AtomicU64::new(0),
             retries: Mutex::new(retries),
-            presence: Mutex::default(),
+            presence: Mutex::new(Presence::new(settings.entry.clone(), settings.retry_window)),
             quarantine: Mutex::new(Quarantine::without_isolation(QUARANTINE_HOLD)),
             parts: Mutex::default(),
             plain_latency: Mutex::default(),
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -166,9 +166,8 @@
     let ids = objects.iter().map(|object| object.name.as_str());
     let registered: Vec<EntryId> = ids.filter_map(|id| EntryId::try_from(id).ok()).collect();
     let pause = sync_pause(SYNC_PAUSES.len(), registered.len());
-    let max_age = router.settings.retry_window + pause * SYNCS_TO_SHOW;
     let mut presence = router.presence.lock();
-    presence.note_registered(&registered, max_age, Instant::now());
+    presence.note_registered(&registered, pause * SYNCS_TO_SHOW, Instant::now());
 }
 
 async fn remove_registrations(router: &Router, silent: Vec<(String, u64)>) {
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -140,7 +140,8 @@
     let limited = router.endpoints.lock().limits().count();
     gauge!("router_endpoints_limited").set(limited as f64);
     gauge!("router_services_out_of_reach").set(router.count_out_of_reach() as f64);
-    gauge!("router_retry_entries").set(router.retries.lock().entries() as f64);
+    let parts = router.retries.lock().parts().unwrap_or_default();
+    gauge!("router_retry_parts").set(parts as f64);
     gauge!("router_entries_live").set(router.live_entries(now) as f64);
     gauge!("router_config_version").set(router.version() as f64);
     gauge!("router_requests_in_flight").set(router.lifecycle.in_flight() as f64);
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -12,25 +12,24 @@
     /// An entry that is not heard may only be cut off from this one, and the retries that a lost
     /// entry made still count against the budgets.
     pub(crate) fn divide_retry_budgets(&self, now: Instant) {
-        let entries = {
+        let parts = {
             let members = self.members.lock();
+            let live = members.all(now).into_iter();
+            let live = live.filter(|(_, state)| *state != EntryState::Lost);
             let mut presence = self.presence.lock();
-            for (record, state) in members.all(now) {
-                if state != EntryState::Lost {
-                    presence.note_heard(&record.entry, now);
-                }
-            }
-            presence.count()
+            presence.note_live(live.map(|(record, _)| record.entry), now);
+            presence.parts(now)
         };
-        let (entries_before, usage) = {
+        let (parts_before, usage) = {
             let mut retries = self.retries.lock();
-            let entries_before = retries.entries();
-            retries.rebalance(entries, now);
-            (entries_before, retries.take_usage(now))
+            let parts_before = retries.parts();
+            retries.rebalance(parts, now);
+            (parts_before, retries.take_usage(now))
         };
-        if entries != entries_before {
+        if parts != parts_before {
             spdlog::info!("retries: slack is divided anew", kv: {
-                entries, entries_before
+                parts = parts.unwrap_or_default(),
+                parts_before = parts_before.unwrap_or_default()
             });
         }
         for (service, usage) in usage.unwrap_or_default() {
@@ -43,13 +42,13 @@
         if usage.retries + usage.denied == 0 {
             return;
         }
-        let (left, entries) = {
+        let (left, parts) = {
             let retries = self.retries.lock();
-            (retries.left(service), retries.entries())
+            (retries.left(service), retries.parts().unwrap_or_default())
         };
         spdlog::info!("retries: used in the last window", kv: {
             service = service.as_str(), first_tries = usage.first_tries, retries = usage.retries,
-            denied = usage.denied, left, entries
+            denied = usage.denied, left, parts
         });
     }
 
