Bound the time of every question for a report

Callers were refused for want of layers while one endpoint was silent. Cause: an order without an answer is followed by a question for the endpoint's report, the only one without a time limit. An endpoint that answers neither, or sends a byte a second, kept the placement controller waiting, and with it the orders for all other endpoints. Change: the function that asks takes the limit, so that no caller can omit it.

--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -9,6 +9,7 @@
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::endpoint_order::post_order;
+use crate::router::filter::fetch_report;
 
 /// How long an endpoint may take to answer an order; a healthy one answers within a few ms.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
@@ -122,9 +123,8 @@
         }
         // The endpoint may still execute the order, so the next round plans with its new state.
         Ok(_) | Err(_) => {
-            let report =
-                crate::router::filter::fetch_report(router, &record.endpoint, record.address).await;
-            if let Ok(report) = report {
+            let (endpoint, to) = (&record.endpoint, record.address);
+            if let Ok(report) = fetch_report(router, endpoint, to, ORDER_TIMEOUT).await {
                 let mut endpoints = router.endpoints.lock();
                 endpoints.apply_report(&order.endpoint, report, now);
             }
@@ -142,8 +142,8 @@
         let Some(record) = record.filter(|record| record.state.is_moving) else {
             return;
         };
-        let asked = crate::router::filter::fetch_report(&router, &record.endpoint, record.address);
-        if let Ok(Ok(report)) = tokio::time::timeout(ORDER_TIMEOUT, asked).await {
+        let (asked, to) = (&record.endpoint, record.address);
+        if let Ok(report) = fetch_report(&router, asked, to, ORDER_TIMEOUT).await {
             let mut endpoints = router.endpoints.lock();
             endpoints.apply_report(&endpoint, report, Instant::now());
         }
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -44,13 +44,14 @@
 }
 
 async fn probe(router: &Arc<Router>, record: &EndpointRecord) {
-    let asked = filter::fetch_report(router, &record.endpoint, record.address);
-    let (report, result) = match tokio::time::timeout(PROBE_TIMEOUT, asked).await {
-        Ok(Ok(report)) => (Some(report), ProbeResult::Answered),
+    let to = record.address;
+    let fetched = filter::fetch_report(router, &record.endpoint, to, PROBE_TIMEOUT).await;
+    let (report, result) = match fetched {
+        Ok(report) => (Some(report), ProbeResult::Answered),
         // An endpoint of a plain service has no report, but it answers.
-        Ok(Err(e)) if e.is_answered() => (None, ProbeResult::Answered),
-        Ok(Err(CallError::Refused { .. })) => (None, ProbeResult::Refused),
-        Ok(Err(_)) | Err(_) => (None, ProbeResult::Silent),
+        Err(e) if e.is_answered() => (None, ProbeResult::Answered),
+        Err(CallError::Refused { .. }) => (None, ProbeResult::Refused),
+        Err(_) => (None, ProbeResult::Silent),
     };
     let now = Instant::now();
     let answered = result == ProbeResult::Answered;
--- a/src/router/filter/crash_check.rs
+++ b/src/router/filter/crash_check.rs
@@ -211,17 +211,16 @@
         if attempt > 0 {
             tokio::time::sleep(PROBE_INTERVAL).await;
         }
-        let asked = tokio::time::timeout(REPORT_TIMEOUT, fetch(router, endpoint, address));
-        match asked.await {
-            Ok(Ok(report)) if started.is_some() && report.started_unix_ms != started => {
+        match fetch(router, endpoint, address, REPORT_TIMEOUT).await {
+            Ok(report) if started.is_some() && report.started_unix_ms != started => {
                 return Probed::OtherRun;
             }
-            Ok(Ok(_)) if started.is_some() => return Probed::SameRun,
-            Ok(Ok(_)) => return Probed::Answers,
+            Ok(_) if started.is_some() => return Probed::SameRun,
+            Ok(_) => return Probed::Answers,
             // An endpoint of a plain service has no report, but it answers.
-            Ok(Err(e)) if e.is_answered() => return Probed::Answers,
-            Ok(Err(CallError::Refused { .. })) => return Probed::NoAnswer,
-            Ok(Err(_)) | Err(_) => {}
+            Err(e) if e.is_answered() => return Probed::Answers,
+            Err(CallError::Refused { .. }) => return Probed::NoAnswer,
+            Err(_) => {}
         }
     }
     Probed::NoAnswer
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -83,8 +83,8 @@
         to: SocketAddr,
     ) -> Option<Arc<EndpointReport>> {
         let asked = async {
-            let report = tokio::time::timeout(REPORT_TIMEOUT, fetch(router, endpoint, to)).await;
-            report.ok().and_then(Result::ok).map(Arc::new)
+            let report = fetch(router, endpoint, to, REPORT_TIMEOUT).await;
+            report.ok().map(Arc::new)
         };
         self.reports.get(to, asked).await
     }
@@ -108,11 +108,21 @@
     }
 }
 
-/// Requests the report of an endpoint.
+/// Requests the report of an endpoint, which may send it slowly or never.
 pub(crate) async fn fetch(
     router: &Router,
     endpoint: &EndpointId,
     to: SocketAddr,
+    timeout: Duration,
+) -> Result<EndpointReport, CallError> {
+    let fetched = tokio::time::timeout(timeout, exchange(router, endpoint, to)).await;
+    fetched.unwrap_or(Err(CallError::Timeout { to }))
+}
+
+async fn exchange(
+    router: &Router,
+    endpoint: &EndpointId,
+    to: SocketAddr,
 ) -> Result<EndpointReport, CallError> {
     let mut req = Request::new(Full::new(Bytes::new()));
     *req.uri_mut() = http::Uri::from_static(LoadOrder::REPORT_PATH);
--- a/src/router/peer_probe.rs
+++ b/src/router/peer_probe.rs
@@ -138,13 +138,13 @@
             _ => return Opinion::Unknown,
         }
         let since = Instant::now();
-        let probe = filter::fetch_report(self, &record.endpoint, record.address);
-        match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
-            Ok(Ok(report)) if report.started_unix_ms == asked.started_unix_ms => Opinion::Alive,
-            Ok(Ok(_)) => Opinion::Dead,
+        let to = record.address;
+        match filter::fetch_report(self, &record.endpoint, to, PROBE_TIMEOUT).await {
+            Ok(report) if report.started_unix_ms == asked.started_unix_ms => Opinion::Alive,
+            Ok(_) => Opinion::Dead,
             // An endpoint of a plain service has no report, but it answers.
-            Ok(Err(e)) if e.is_answered() => Opinion::Alive,
-            Ok(Err(_)) | Err(_) => {
+            Err(e) if e.is_answered() => Opinion::Alive,
+            Err(_) => {
                 match self
                     .reaches_others(&record.service, record.address, since)
                     .await
--- a/tests/site/endless.rs
+++ b/tests/site/endless.rs
@@ -4,7 +4,8 @@
 
 use futures_util::future::join_all;
 use http::Method;
-use pistachioyard_standins::{FaultKind, FaultRule};
+use pistachioyard_standins::{FaultKind, FaultRule, wait_until};
+use serde_json::Value;
 
 use super::caller::{Failure, new_request_id};
 use super::layout::Layout;
@@ -246,3 +247,37 @@
 async fn bodies_without_end_from_the_store_are_not_kept() {
     check_store(FaultKind::EndlessBody, MAX_GROWTH_BYTES).await;
 }
+
+/// How long layers may take to be placed after an endpoint is back; `recovery_s` of the operators.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// Guards against an endpoint that answers neither an order nor the question for its report, and so
+/// keeps all other endpoints waiting for their orders.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_endpoint_without_answers_keeps_no_other_waiting_for_its_layers() {
+    let mut site = Site::start(1).await;
+    let engines = (0..site.endpoints.len()).filter(|index| !site.endpoints[*index].is_plain);
+    let engines: Vec<usize> = engines.collect();
+    let (silent, other) = (engines[0], engines[1]);
+    let rules = rules(&site, &[silent], FaultKind::CutFromTarget);
+    site.set_proxy_faults(&rules).await;
+    let launcher = &site.launcher;
+    site.endpoints[silent].process.start(launcher);
+    let name = site.endpoints[silent].process.name.clone();
+    let ordered = format!("placement: order sent {{ endpoint={name}");
+    let log = || async { site.entries[0].process.log() };
+    let before = log().await.matches(&ordered).count();
+    wait_until(RECOVERY_TIME, "an order to the silent endpoint", || async {
+        log().await.matches(&ordered).count() > before
+    })
+    .await
+    .expect("the silent endpoint is sent an order");
+    site.endpoints[other].process.start(&site.launcher);
+    let to = site.endpoints[other].address;
+    wait_until(RECOVERY_TIME, "layers of the other endpoint", || async {
+        let report = site.client.get_json::<Value>(to, "/report").await;
+        report.is_ok_and(|report| report["layers"].is_object())
+    })
+    .await
+    .expect("the other endpoint gets layers");
+}
