--- a/tests/site/retries.rs
+++ b/tests/site/retries.rs
@@ -20,6 +20,44 @@
 const STREAMS_PER_LOOKUP: u32 = 4;
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Returns rules that play a fault at all endpoints of the service without a pipeline.
+fn rules(site: &Site, kind: FaultKind) -> Vec<FaultRule> {
+    let plain = site.endpoints.iter().filter(|endpoint| endpoint.is_plain);
+    let rule = |to| FaultRule {
+        from: None,
+        to: Some(to),
+        kind,
+    };
+    plain.map(|endpoint| rule(endpoint.advertised)).collect()
+}
+
+/// Sends a look-up after a pause and returns its id.
+async fn look_up(site: &Site, n: u32, deadline_ms: &str) -> String {
+    tokio::time::sleep(LOOKUP_INTERVAL * n).await;
+    let (id, to) = (new_request_id(), site.entries[0].caller_address());
+    let path = format!("/lookup/{n}");
+    let deadline = [("x-deadline-ms", deadline_ms)];
+    // Endpoints fail on purpose, so only what they ran counts.
+    let _ = site
+        .send_request(to, Method::POST, &path, &id, &deadline)
+        .await;
+    id
+}
+
+/// Checks that the endpoints ran these requests again no more often than the budget allows.
+async fn check_retries(site: &Site, ids: &[String]) {
+    site.set_proxy_faults(&[]).await;
+    let runs = site.count_runs().await;
+    let runs = ids.iter().filter_map(|id| runs.get(id));
+    let retries: usize = runs.map(|runs| runs - 1).sum();
+    let allowed = SHARE * ids.len() as f64 + f64::from(SLACK);
+    println!("{retries} retries, {allowed} allowed");
+    assert!(
+        retries as f64 <= allowed,
+        "{retries} retries, {allowed} allowed"
+    );
+}
+
 /// Guards against requests of a busy service that pay for retries at a quiet one.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_a_busy_service_pay_for_no_retries_of_look_ups() {
@@ -30,29 +68,9 @@
     })
     .await;
     let to = site.entries[0].caller_address();
-    let plain = site.endpoints.iter().filter(|endpoint| endpoint.is_plain);
-    let rules: Vec<FaultRule> = plain
-        .map(|endpoint| FaultRule {
-            from: None,
-            to: Some(endpoint.advertised),
-            kind: FaultKind::CutFromTarget,
-        })
-        .collect();
-    site.set_proxy_faults(&rules).await;
-    let lookups = join_all((0..LOOKUPS).map(|n| {
-        let site = &site;
-        async move {
-            tokio::time::sleep(LOOKUP_INTERVAL * n).await;
-            let id = new_request_id();
-            let deadline = [("x-deadline-ms", "1500")];
-            let path = format!("/lookup/{n}");
-            // No endpoint's answer arrives, so only what it ran counts.
-            let _ = site
-                .send_request(to, Method::POST, &path, &id, &deadline)
-                .await;
-            id
-        }
-    }));
+    site.set_proxy_faults(&rules(&site, FaultKind::CutFromTarget))
+        .await;
+    let lookups = join_all((0..LOOKUPS).map(|n| look_up(&site, n, "1500")));
     let streams = join_all((0..LOOKUPS * STREAMS_PER_LOOKUP).map(|n| {
         let site = &site;
         async move {
@@ -63,14 +81,24 @@
     let (lookups, streams) = tokio::join!(lookups, streams);
     let served = streams.iter().filter(|stream| stream.is_ok()).count();
     assert!(served > streams.len() / 2, "{served} streams were served");
-    site.set_proxy_faults(&[]).await;
-    let runs = site.count_runs().await;
-    let runs = lookups.iter().filter_map(|id| runs.get(id));
-    let retries: usize = runs.map(|runs| runs - 1).sum();
-    let allowed = SHARE * f64::from(LOOKUPS) + f64::from(SLACK);
-    println!("{retries} retries, {allowed} allowed; {served} streams served");
-    assert!(
-        retries as f64 <= allowed,
-        "{retries} retries, {allowed} allowed"
-    );
+    check_retries(&site, &lookups).await;
+}
+
+/// Guards against connections that break once a request went out, and are taken for ones that never
+/// carried it.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_whose_connections_break_draw_on_the_budget() {
+    // From the first bytes of a request to the last ones of its answer.
+    for bytes in [1, 350, 450] {
+        let site = Site::start_with(Layout {
+            retry_slack: SLACK,
+            ..Layout::default()
+        })
+        .await;
+        site.set_proxy_faults(&rules(&site, FaultKind::DropAfter { bytes }))
+            .await;
+        let lookups = join_all((0..LOOKUPS).map(|n| look_up(&site, n, "1500"))).await;
+        print!("{bytes} bytes: ");
+        check_retries(&site, &lookups).await;
+    }
 }
