Keep a retry budget for each model and service on the path of serve

Change: a budget for each, which takes memory only while retries are used, since callers may name any service. tests/keyed_retry_budgets.rs: 2 passed.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod fair_queue;
 mod fleet;
 mod freshness;
+mod keyed_retry_budgets;
 mod lease;
 mod ledger;
 mod membership;
@@ -60,6 +61,7 @@
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
 pub use fleet::{EndpointView, FleetView};
 pub use freshness::Freshness;
+pub use keyed_retry_budgets::KeyedRetryBudgets;
 pub use lease::{EraLease, HeldLease, LeaseAction, LeaseRecord, decide_lease, raise_fence};
 pub use ledger::{
     ChangeAnswer, Claim, ClaimState, KeyAgeError, LedgerChange, LedgerLayout, LedgerPage,
--- a/crates/pistachioyard_policy/src/retry_budget.rs
+++ b/crates/pistachioyard_policy/src/retry_budget.rs
@@ -60,6 +60,11 @@
         self.units = (self.units + self.units_per_first_try).min(self.max_units);
     }
 
+    /// Returns whether the bucket holds all that fits.
+    pub(crate) fn is_full(&self) -> bool {
+        self.units >= self.max_units
+    }
+
     /// Returns whether the bucket holds a retry.
     pub fn has_retry(&self) -> bool {
         self.units >= UNITS_PER_RETRY
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,10 +13,10 @@
 
 use parking_lot::Mutex;
 use pistachioyard_policy::{
-    ActiveConfig, ConfigAdoption, ConfigStatus, FleetView, Heartbeat, Membership, PrefixIndex,
-    Quarantine, RetryBudget, SuspectReservations, run_key,
+    ActiveConfig, ConfigAdoption, ConfigStatus, FleetView, Heartbeat, KeyedRetryBudgets,
+    Membership, PrefixIndex, Quarantine, SuspectReservations, run_key,
 };
-use pistachioyard_wire::{EntryState, GossipState, MemberRecord, WorkspaceUsage};
+use pistachioyard_wire::{EntryState, GossipState, MemberRecord, ServiceName, WorkspaceUsage};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 pub(crate) use run::run_entry;
@@ -51,9 +51,9 @@
 const MAX_MARKS: usize = 1_024;
 /// The maximum number of workspaces whose usage is accepted from one gossip message.
 const MAX_USAGE_WORKSPACES: usize = 4_096;
-/// The retries that each first attempt adds to the retry budget.
+/// The retries that each first attempt adds to the retry budget of its model or service.
 const RETRY_RATIO: f64 = 0.2;
-/// The maximum number of retries in the retry budget, which starts full.
+/// The maximum number of retries in each retry budget, which starts full.
 const RETRY_BURST: f64 = 200.0;
 /// The fraction of the in-force time after which an unconfirmed configuration is stale. The rest
 /// of the time is left for requests that are being admitted.
@@ -74,7 +74,8 @@
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) suspect_reservations: Mutex<SuspectReservations>,
     pub(crate) suspects: SuspectTable,
-    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) model_retries: Mutex<KeyedRetryBudgets<ModelName>>,
+    pub(crate) service_retries: Mutex<KeyedRetryBudgets<ServiceName>>,
     pub(crate) peer_usage: Mutex<BTreeMap<EntryId, BTreeMap<WorkspaceName, WorkspaceUsage>>>,
     pub(crate) rng: Mutex<ChaCha8Rng>,
     pub(crate) admission: Admission,
@@ -107,7 +108,8 @@
             quarantine: Mutex::new(Quarantine::new(millis(QUARANTINE_HOLD_MS))),
             suspect_reservations: Mutex::new(SuspectReservations::default()),
             suspects: SuspectTable::default(),
-            retries: Mutex::new(RetryBudget::new(RETRY_RATIO, RETRY_BURST)),
+            model_retries: Mutex::new(KeyedRetryBudgets::new(RETRY_RATIO, RETRY_BURST)),
+            service_retries: Mutex::new(KeyedRetryBudgets::new(RETRY_RATIO, RETRY_BURST)),
             peer_usage: Mutex::new(BTreeMap::new()),
             rng: Mutex::new(ChaCha8Rng::from_os_rng()),
             admission: Admission::new(),
--- a/src/filter/dispatch.rs
+++ b/src/filter/dispatch.rs
@@ -108,7 +108,8 @@
 
 impl Generation {
     async fn run(mut self) {
-        record_first_try(&self.node);
+        let model = &self.cx.call.model;
+        self.node.model_retries.lock().on_first_try(model);
         let ended = self.run_attempts().await;
         let node = self.node.clone();
         node.streams.end(self.stream);
@@ -293,7 +294,3 @@
         });
     }
 }
-
-fn record_first_try(node: &Node) {
-    node.retries.lock().on_first_try();
-}
--- a/src/filter/operate.rs
+++ b/src/filter/operate.rs
@@ -152,11 +152,11 @@
     node: &Arc<Node>,
     req: &OperationRequest,
 ) -> Result<OperationOutcome, Problem> {
-    node.retries.lock().on_first_try();
+    node.service_retries.lock().on_first_try(&req.service);
     let mut tried = BTreeSet::new();
     let mut may_have_run = false;
     while let Some((endpoint, address)) = next_endpoint(node, req, &tried) {
-        if !tried.is_empty() && !node.retries.lock().try_retry() {
+        if !tried.is_empty() && !node.service_retries.lock().try_retry(&req.service) {
             break;
         }
         tried.insert(endpoint.clone());
--- a/src/filter/recover.rs
+++ b/src/filter/recover.rs
@@ -42,7 +42,8 @@
     }
     // A stream that its caller already reads matters more than one that has not begun, so only
     // the latter spends from the retry budget.
-    if !generation.has_started && !generation.node.retries.lock().try_retry() {
+    let model = &generation.cx.call.model;
+    if !generation.has_started && !generation.node.model_retries.lock().try_retry(model) {
         return NextStep::GiveUp(generation.problem(
             ProblemKind::RefusedByEndpoints,
             "no endpoint confirmed the start of the request and the retry budget is used up",
