--- a/tests/site/stuck_watches.rs
+++ b/tests/site/stuck_watches.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use pistachioyard_standins::wait_until;
+use pistachioyard_standins::{FaultKind, FaultRule, wait_until};
 use serde_json::{Value, json};
 
 use super::support::Site;
@@ -15,6 +15,10 @@
 const CONFIG_LIMIT: Duration = Duration::from_secs(2);
 /// How long watches hang; longer than the limits and the longest wait of a watch together.
 const HANG_MS: u64 = 12_000;
+/// The length of the silent outage of the store.
+const OUTAGE: Duration = Duration::from_millis(3_300);
+/// How long after a return of the store the limits hold; `settle_window_ms` of the operators.
+const SETTLE_WINDOW: Duration = Duration::from_secs(3);
 /// How long requests are sent after the limit.
 const CHECK_TIME: Duration = Duration::from_secs(2);
 
@@ -78,3 +82,28 @@
     });
     assert_eq!(join_all(served).await, [true, true]);
 }
+
+/// Guards against calls of the last moments of a silent outage that are waited for after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn limits_hold_after_an_outage_in_which_calls_are_never_answered() {
+    let site = Site::start(2).await;
+    let silent = FaultRule {
+        from: None,
+        to: Some(site.proxied_store),
+        kind: FaultKind::CutToTarget,
+    };
+    for wait in [SETTLE_WINDOW, SETTLE_WINDOW * 2] {
+        site.set_proxy_faults(std::slice::from_ref(&silent)).await;
+        tokio::time::sleep(OUTAGE).await;
+        site.set_proxy_faults(&[]).await;
+        tokio::time::sleep(wait).await;
+        let path = site.add_route().await.expect("the store accepts it");
+        let deadline = Instant::now() + CONFIG_LIMIT;
+        let served = site.entries.iter().map(|entry| {
+            let left = deadline.saturating_duration_since(Instant::now());
+            site.await_path(entry.caller_address(), &path, left)
+        });
+        assert_eq!(join_all(served).await, [true, true], "{wait:?}");
+    }
+    site.check_drain().await;
+}
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -70,6 +70,8 @@
     _files: TempDir,
     _store_and_proxy: Vec<Child>,
     pub(crate) store: SocketAddr,
+    /// The address on which the entries reach the store.
+    pub(crate) proxied_store: SocketAddr,
     proxy: SocketAddr,
     pub(crate) entries: Vec<Entry>,
     pub(crate) endpoints: Vec<Endpoint>,
@@ -160,6 +162,7 @@
             _files: files,
             _store_and_proxy: store_and_proxy,
             store,
+            proxied_store,
             proxy,
             entries,
             endpoints,
