Check the retry budget of each service in the soak

Streams and look-ups are counted by service; the slack is small enough to be used up, and the answers of the plain service get lost as one more fault.

--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -1,7 +1,8 @@
 //! A randomized soak test with overlapping faults under load.
 //!
-//! It checks that no request runs twice, that none runs that was refused as not run, and that
-//! endpoints get no more than the limits that they name. Faults come in series and overlap; callers
+//! It checks that no request runs twice that may not, that none runs that was refused as not run,
+//! that each service gets no more retries than its budget, and that endpoints get no more than the
+//! limits that they name. Faults come in series and overlap; callers
 //! use their open connections until the process at the other end is gone.
 //!
 //! Deadly requests crash endpoints meanwhile. With `SOAK_OTHER_BINARY`, every second entry runs that
@@ -27,6 +28,7 @@
 
 use super::caller::{Failure, Outcome, new_request_id};
 use super::cut::Cut;
+use super::layout::Layout;
 use super::limited::{SETTLE_TIME, now_ms};
 use super::raw::{Exchange, RawConnection};
 use super::support::Site;
@@ -47,6 +49,12 @@
 const MAX_GAP: Duration = Duration::from_millis(400);
 /// The number of requests of each kind that are in flight at once.
 const REQUESTS_PER_KIND: usize = 12;
+/// The retries in the settings beyond a share of the requests, few enough to be used up.
+const RETRY_SLACK: u32 = 20;
+/// The share of the requests in the settings.
+const RETRY_SHARE: f64 = 0.2;
+/// The window in the settings over which retries are counted.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// The time within which a site without faults must serve again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -79,12 +87,19 @@
 async fn run(seed: u64, seconds: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let entries = env_number("SOAK_ENTRIES", ENTRIES) as usize;
-    let mut site = Site::start(entries).await;
+    let mut site = Site::start_with(Layout {
+        entries,
+        retry_slack: RETRY_SLACK,
+        ..Layout::default()
+    })
+    .await;
+    let started_at = Instant::now();
     mix_builds(&mut site).await;
     let mut kept = KeptConnections::default();
     let end = Instant::now() + seconds;
     site.control_store("copy", json!({})).await;
     let mut outcomes: Vec<Outcome> = Vec::new();
+    let mut repeatable = Repeatable::default();
     let mut limited = limit_endpoints(&site, &mut rng).await;
     while Instant::now() < end {
         let faults = rng.random_range(1..=MAX_SERIES);
@@ -92,13 +107,24 @@
             inject_fault(&mut site, &mut limited, &mut rng).await;
             tokio::time::sleep(MAX_GAP.mul_f64(rng.random())).await;
         }
-        let (sent, on_kept) = tokio::join!(send_requests(&site, &mut rng), kept.send(&site));
+        let (sent, on_kept) = tokio::join!(
+            send_requests(&site, &mut repeatable, &mut rng),
+            kept.send(&site)
+        );
         outcomes.extend(sent.into_iter().chain(on_kept));
         clear_some_faults(&mut site, &mut limited, &mut rng).await;
     }
     check_limits(&mut site, limited).await;
     recover(&mut site).await;
     check_runs(&site, &outcomes, seed).await;
+    check_retries(&site, &repeatable, started_at.elapsed(), seed).await;
+}
+
+/// Holds the ids of the requests that may be repeated, by their services.
+#[derive(Default)]
+struct Repeatable {
+    streams: Vec<String>,
+    lookups: Vec<String>,
 }
 
 /// Makes some endpoints name a limit from the start; returns it, and when they named it first.
@@ -204,7 +230,7 @@
 async fn inject_fault(site: &mut Site, limited: &mut Limited, rng: &mut ChaCha8Rng) {
     let entry = rng.random_range(0..site.entries.len());
     let endpoint = rng.random_range(0..site.endpoints.len());
-    let fault = rng.random_range(0..14);
+    let fault = rng.random_range(0..16);
     if let 0 | 1 | 2 | 5 = fault {
         limited.excused.insert(site.entries[entry].ip);
     }
@@ -257,11 +283,26 @@
         }
         8..=10 => cut_off(site, limited, rng).await,
         11 => send_deadly(site, entry, rng).await,
+        12 | 13 => lose_answers(site, limited).await,
         // The store may be down; then the write fails, as an operator would see.
         _ => drop(site.add_route().await),
     }
 }
 
+/// Makes the answers of the service without a pipeline get lost, so that its requests are retried.
+async fn lose_answers(site: &Site, limited: &mut Limited) {
+    let is_plain = |index: &usize| site.endpoints[*index].is_plain;
+    // What they name does not arrive either.
+    limited.endpoints.retain(|index| !is_plain(index));
+    let plain = (0..site.endpoints.len()).filter(is_plain);
+    let rules = plain.map(|index| FaultRule {
+        from: None,
+        to: Some(site.endpoints[index].advertised),
+        kind: FaultKind::CutFromTarget,
+    });
+    limited.add_rules(site, rules.collect()).await;
+}
+
 /// Cuts one entry, the entries of a data centre or all of them off, from all endpoints or from some.
 async fn cut_off(site: &Site, limited: &mut Limited, rng: &mut ChaCha8Rng) {
     let cut = Cut::ALL[rng.random_range(0..Cut::ALL.len())];
@@ -283,19 +324,27 @@
 }
 
 /// Sends streams and plain requests to random entries, including ones that are down, as
-/// callers with stale addresses do; returns the outcomes of the plain ones.
-async fn send_requests(site: &Site, rng: &mut ChaCha8Rng) -> Vec<Outcome> {
+/// callers with stale addresses do; returns the outcomes of the plain ones that may run once.
+async fn send_requests(
+    site: &Site,
+    repeatable: &mut Repeatable,
+    rng: &mut ChaCha8Rng,
+) -> Vec<Outcome> {
     let targets: Vec<_> = (0..REQUESTS_PER_KIND)
-        .map(|_| rng.random_range(0..site.entries.len()))
+        .map(|_| site.entries[rng.random_range(0..site.entries.len())].caller_address())
         .collect();
-    let streams = targets
-        .iter()
-        .map(|index| site.check_stream(site.entries[*index].caller_address()));
-    let plain = targets
-        .iter()
-        .map(|index| site.check_plain(site.entries[*index].caller_address(), "/record/a"));
+    let ids: Vec<String> = targets.iter().map(|_| new_request_id()).collect();
+    let streams = targets.iter().zip(&ids);
+    let streams = streams.map(|(to, id)| site.check_stream_with_id(*to, id));
+    let plain = targets.iter().map(|to| site.check_plain(*to, "/record/a"));
+    let lookups = targets.iter().map(|to| site.check_plain(*to, "/lookup/a"));
     // Streams may fail under faults; the content of complete ones is checked on arrival.
-    let (_, outcomes) = tokio::join!(join_all(streams), join_all(plain));
+    let (_, outcomes, lookups) =
+        tokio::join!(join_all(streams), join_all(plain), join_all(lookups));
+    repeatable.streams.extend(ids);
+    repeatable
+        .lookups
+        .extend(lookups.into_iter().map(|outcome| outcome.id));
     outcomes
 }
 
@@ -390,3 +439,23 @@
     }
     println!("soak: seed {seed}: {done} plain requests done, {refused} not run, {unknown} unknown");
 }
+
+/// Checks that the endpoints of each service ran its requests again no more often than its budget
+/// allows in the time that the soak took.
+async fn check_retries(site: &Site, repeatable: &Repeatable, took: Duration, seed: u64) {
+    let runs = site.count_runs().await;
+    let windows = took.div_duration_f64(RETRY_WINDOW).ceil();
+    for (service, ids) in [
+        ("model", &repeatable.streams),
+        ("records", &repeatable.lookups),
+    ] {
+        let runs = ids.iter().filter_map(|id| runs.get(id));
+        let retries: usize = runs.map(|runs| runs - 1).sum();
+        let allowed = RETRY_SHARE * ids.len() as f64 + f64::from(RETRY_SLACK) * windows;
+        println!("soak: seed {seed}: {retries} retries at {service}, {allowed} allowed");
+        assert!(
+            retries as f64 <= allowed,
+            "seed {seed}: {retries} retries at {service}, {allowed} allowed"
+        );
+    }
+}
