--- a/tests/site/retries.rs
+++ b/tests/site/retries.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::join_all;
 use http::Method;
-use pistachioyard_standins::{FaultKind, FaultRule};
+use pistachioyard_standins::{FaultKind, FaultRule, wait_until};
 
 use super::caller::new_request_id;
 use super::layout::Layout;
@@ -18,7 +18,10 @@
 const LOOKUPS: u32 = 150;
 /// The number of streams of the other service for each look-up.
 const STREAMS_PER_LOOKUP: u32 = 4;
+/// The time between two look-ups.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(40);
+/// How long entries may take to agree on their number; several reads of the registrations.
+const AGREEMENT_TIME: Duration = Duration::from_secs(12);
 
 /// Returns rules that play a fault at all endpoints of the service without a pipeline.
 fn rules(site: &Site, kind: FaultKind) -> Vec<FaultRule> {
@@ -102,3 +105,17 @@
         check_retries(&site, &lookups).await;
     }
 }
+
+/// Guards against entries that never take their part of the slack.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_divide_the_slack_by_their_number() {
+    let site = Site::start(3).await;
+    for entry in &site.entries {
+        wait_until(AGREEMENT_TIME, "parts of the slack", || async {
+            let metrics = site.fetch_metrics(entry).await;
+            metrics.lines().any(|line| line == "router_retry_parts 3")
+        })
+        .await
+        .expect("the slack is divided by all entries");
+    }
+}
--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -38,7 +38,7 @@
 /// Seeds that have failed, each with the cause.
 const REGRESSION_SEEDS: [(u64, &str); 0] = [];
 /// The number of seeds that CI runs.
-const CI_SEEDS: u64 = 2;
+const CI_SEEDS: u64 = 4;
 /// The duration of each seed in CI, in seconds.
 const CI_SECONDS: u64 = 6;
 /// The number of entries unless `SOAK_ENTRIES` names another one.
