Wait for all entries of a site at the same time

Cause: the check asked one entry after the other, each with a stream of 0.3 s, so 60 entries take 18 s even if all serve. Now all are asked at once within the same 10 s, which is as strict for few entries and stricter for many.

--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use http::Method;
 use pistachioyard_standins::{
     AddressPool, Child, FaultRule, HttpClient, HttpClientConfig, Launcher, wait_until,
@@ -202,7 +203,8 @@
 
     /// Waits until every entry reports readiness and serves a stream.
     pub(crate) async fn await_service(&self) {
-        for entry in &self.entries {
+        // At the same time, so that the wait does not grow with the number of entries.
+        join_all(self.entries.iter().map(|entry| async move {
             wait_until(START_TIMEOUT, &entry.process.name, || async {
                 let ready = self
                     .call(entry.ready_address(), Method::GET, "/ready", Value::Null)
@@ -211,7 +213,8 @@
             })
             .await
             .expect("the entry serves requests");
-        }
+        }))
+        .await;
     }
 
     /// Kills all entries and starts them again, so that none has a peer that knows anything.
