--- a/crates/pistachioyard_policy/tests/presence.rs
+++ b/crates/pistachioyard_policy/tests/presence.rs
@@ -39,8 +39,6 @@
     hears: &'a dyn Fn(usize, usize, u32) -> bool,
     /// The step at which an entry starts again.
     restart: Option<u32>,
-    /// Whether all entries are starting for the first time.
-    is_first: bool,
 }
 
 impl Play<'_> {
@@ -59,7 +57,7 @@
         let start = Instant::now();
         let mut presences: Vec<Presence> = all.iter().map(presence).collect();
         let new = |is_first| SharedRetryBudget::new(SHARE, SLACK, WINDOW, is_first);
-        let mut budgets = vec![new(self.is_first); all.len()];
+        let mut budgets = vec![new(true); all.len()];
         let mut retries = Vec::new();
         for step in 0..STEPS {
             let now = start + STEP * step;
@@ -108,7 +106,6 @@
         reads: ALWAYS,
         hears: NOBODY_HEARS,
         restart: None,
-        is_first: true,
     }
     .run();
     assert!(most as f64 <= SLACK, "{most}");
@@ -124,7 +121,6 @@
         reads: ALWAYS,
         hears: NOBODY_HEARS,
         restart: None,
-        is_first: true,
     }
     .run();
     assert!(most as f64 <= SLACK, "{most}");
@@ -142,7 +138,6 @@
             reads: &|own, step| !is_out(own, step),
             hears: &|own, other, step| is_out(own, step) == is_out(other, step),
             restart: None,
-            is_first: true,
         }
         .run();
         assert!(most as f64 <= SLACK, "{cut_off:?}: {most}");
@@ -160,7 +155,6 @@
         reads: &|_, step| !is_away(step),
         hears: &|_, _, step| !is_away(step),
         restart: Some(20),
-        is_first: true,
     }
     .run();
     assert!(most as f64 <= SLACK, "{most}");
@@ -175,7 +169,6 @@
         reads: &|_, step| step == 0,
         hears: &|_, _, _| true,
         restart: None,
-        is_first: true,
     }
     .run();
     assert!(most as f64 <= SLACK, "{most}");
