--- a/tests/operations/main.rs
+++ b/tests/operations/main.rs
@@ -8,4 +8,5 @@
 mod pages;
 mod pauses;
 mod races;
+mod starts;
 mod support;
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -26,6 +26,7 @@
 mod raw;
 mod retries;
 mod soak;
+mod starts;
 mod store_era;
 mod stuck_watches;
 mod supervisor;
