Say in the log why a process of the router ended

Operators saw processes end by themselves and had nothing to tell the causes apart: an error of the start went to standard error alone, a stop did not say what asked for it, and a process that was killed wrote nothing, nor did its next start.

A process logs `router: starting` first, and `router: ended by an error` with the reason before it ends with code 1; `router: stopping` names SIGTERM, and `router: started` how long the settings and the whole start took. So a log that ends without `ended by an error` or `stopped` is that of a process that was killed. The last lines are flushed in all cases, not only after a stop.

--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -50,23 +50,38 @@
     Metrics(#[from] metrics_exporter_prometheus::BuildError),
 }
 
-/// Runs the daemon until it receives SIGTERM.
+/// Runs the daemon until it receives SIGTERM, and logs why it ends.
+///
+/// A process that is ended by a signal without a handler logs nothing.
 pub(crate) async fn run_router(
     settings_file: &Path,
     load_controls: Vec<LoadControl>,
 ) -> Result<(), RouterError> {
     log::init()?;
+    spdlog::info!("router: starting", kv: { pid = std::process::id() });
+    let ended = serve(settings_file, load_controls).await;
+    if let Err(e) = &ended {
+        spdlog::error!("router: ended by an error", kv: { why = e.to_string().as_str() });
+    }
+    log::flush(LOG_FLUSH_LIMIT);
+    ended
+}
+
+async fn serve(settings_file: &Path, load_controls: Vec<LoadControl>) -> Result<(), RouterError> {
+    let began_at = Instant::now();
     let metrics = metric::install()?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let settings = NodeSettings::load(settings_file)?;
+    let settings_ms = ms(began_at.elapsed());
     let router = Router::new(settings, load_controls, Instant::now());
     listen(&router, metrics).await?;
     spdlog::info!("router: started", kv: {
         entry = router.settings.entry.as_str(),
         data_centre = router.settings.data_centre.as_str(),
         callers = router.settings.caller_address.to_string().as_str(),
-        boot = router.boot.to_string().as_str(), first_start = router.settings.is_first_start
+        boot = router.boot.to_string().as_str(), first_start = router.settings.is_first_start,
+        settings_ms, took_ms = ms(began_at.elapsed())
     });
     loop {
         tokio::select! {
@@ -133,7 +148,9 @@
     let grace = router.settings.stop_grace;
     let ends_at = asked_at + grace.saturating_sub(STOP_MARGIN);
     router.lifecycle.drain_until(ends_at);
-    spdlog::info!("router: stopping", kv: { in_flight = router.lifecycle.in_flight() });
+    spdlog::info!("router: stopping", kv: {
+        why = "SIGTERM", in_flight = router.lifecycle.in_flight()
+    });
     controller::announce(router).await;
     let accepting = STALE_DIRECTORY_GRACE.min(grace.mul_f64(MAX_ACCEPTING_SHARE));
     tokio::time::sleep(accepting).await;
@@ -145,5 +162,4 @@
         open_connections = router.lifecycle.open_connections(),
         took_ms = ms(asked_at.elapsed())
     });
-    log::flush(LOG_FLUSH_LIMIT);
 }
