Handle signals before a daemon does anything else

SIGHUP, which the platform sends when the settings change, ended `route` if it came before its handler, and `entry` at any time, since that had handlers for SIGTERM and SIGINT alone. The handlers of `route` came after the arguments, the logger with its thread and the metrics.

`main` now prepares the runtime and the handlers for SIGHUP, SIGINT and SIGTERM before it parses the arguments, for both daemons in one place. `entry` checks its settings file on SIGHUP, as `route` does; both name the signal that stops them. A signal that comes while the start goes on is kept by its receiver.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -15,6 +15,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 
 use self::platform_config::Strictness;
+use crate::daemon::Daemon;
 use crate::prelude::*;
 use crate::router::LoadControl;
 use crate::settings::EntrySettings;
@@ -204,31 +205,28 @@
     }
 }
 
-/// Runs a command.
+/// Runs a command, with what was prepared for a daemon.
 ///
 /// # Errors
 ///
 /// Fails when the daemon cannot start, a file cannot be read or written, or no entry answers.
-pub fn run(cli: Cli) -> eyre::Result<ExitStatus> {
-    if let Command::Route {
-        config,
-        load_controls,
-    } = &cli.command
-    {
-        return route(config, load_controls);
-    }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
+pub fn run(cli: Cli, daemon: Option<Daemon>) -> eyre::Result<ExitStatus> {
     match cli.command {
         Command::Route {
             config,
             load_controls,
-        } => route(&config, &load_controls),
+        } => {
+            let daemon = daemon.map_or_else(Daemon::for_route, Ok)?;
+            let router = crate::router::run_router(&config, load_controls, daemon.signals);
+            daemon.runtime.block_on(router)?;
+            Ok(ExitStatus::Done)
+        }
         Command::Entry { config } => match EntrySettings::load(&config) {
             Ok(settings) => {
                 crate::logging::init(settings.log_level);
-                runtime.block_on(crate::entry::run_entry(settings))?;
+                let daemon = daemon.map_or_else(Daemon::for_entry, Ok)?;
+                let entry = crate::entry::run_entry(settings, &config, daemon.signals);
+                daemon.runtime.block_on(entry)?;
                 Ok(ExitStatus::Done)
             }
             Err(errors) => Ok(output::print_errors(&errors)),
@@ -241,7 +239,7 @@
             Ok(check(&file, kind, strictness))
         }
         Command::Apply { file, base, target } => {
-            runtime.block_on(apply::apply(&file, base.map(Revision), &target))
+            client_runtime()?.block_on(apply::apply(&file, base.map(Revision), &target))
         }
         Command::Diff {
             file,
@@ -260,15 +258,15 @@
             }
             (ConfigFormat::Config, Some(in_force)) => apply::diff_files(&file, &in_force, output),
             (ConfigFormat::Config, None) => {
-                runtime.block_on(apply::diff(&file, &base.entries, output))
+                client_runtime()?.block_on(apply::diff(&file, &base.entries, output))
             }
         },
-        Command::Status { target } => runtime.block_on(status::status(&target)),
+        Command::Status { target } => client_runtime()?.block_on(status::status(&target)),
         Command::Entries { workspace, target } => {
-            runtime.block_on(entries::entries(workspace.as_ref(), &target))
+            client_runtime()?.block_on(entries::entries(workspace.as_ref(), &target))
         }
         Command::Report(Report::Burn { svg, target }) => {
-            runtime.block_on(report::burn(&target, svg.as_deref()))
+            client_runtime()?.block_on(report::burn(&target, svg.as_deref()))
         }
         Command::Openapi => {
             print!("{}", crate::api::openapi_document());
@@ -277,13 +275,10 @@
     }
 }
 
-/// Runs the `route` daemon on a single thread, because its hosts have less than one core.
-fn route(config: &std::path::Path, load_controls: &[LoadControl]) -> eyre::Result<ExitStatus> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
+fn client_runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
         .enable_all()
-        .build()?;
-    runtime.block_on(crate::router::run_router(config, load_controls.to_vec()))?;
-    Ok(ExitStatus::Done)
+        .build()
 }
 
 fn check(file: &std::path::Path, kind: FileKind, strictness: Strictness) -> ExitStatus {
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,51 @@
+//! What a daemon sets up before anything else.
+
+mod signals;
+
+use std::ffi::OsStr;
+
+use tokio::runtime::{Builder, Runtime};
+
+pub(crate) use self::signals::{DaemonSignal, Signals};
+
+/// Holds the runtime of a daemon and the handlers of its signals.
+///
+/// A signal that arrives before its handler ends the process, so the handlers come first.
+pub struct Daemon {
+    pub(crate) runtime: Runtime,
+    pub(crate) signals: Signals,
+}
+
+impl Daemon {
+    /// Prepares the daemon that a subcommand runs; none if it runs no daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system has no descriptors or threads left.
+    pub fn prepare(subcommand: Option<&OsStr>) -> std::io::Result<Option<Self>> {
+        match subcommand.and_then(OsStr::to_str) {
+            Some("entry") => Self::for_entry().map(Some),
+            Some("route") => Self::for_route().map(Some),
+            Some(_) | None => Ok(None),
+        }
+    }
+
+    /// Prepares the `entry` daemon.
+    pub(crate) fn for_entry() -> std::io::Result<Self> {
+        Self::build(Builder::new_multi_thread())
+    }
+
+    /// Prepares the `route` daemon on a single thread, because its hosts have less than one core.
+    pub(crate) fn for_route() -> std::io::Result<Self> {
+        Self::build(Builder::new_current_thread())
+    }
+
+    fn build(mut builder: Builder) -> std::io::Result<Self> {
+        let runtime = builder.enable_all().build()?;
+        let signals = {
+            let _guard = runtime.enter();
+            Signals::install()?
+        };
+        Ok(Self { runtime, signals })
+    }
+}
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -1,9 +1,11 @@
 //! Starts and stops the daemon.
 
+use std::path::Path;
+
 use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::controller;
+use crate::daemon::{DaemonSignal, Signals};
 use crate::peer_link;
 use crate::prelude::*;
 use crate::settings::EntrySettings;
@@ -33,19 +35,18 @@
         /// The reason.
         source: std::io::Error,
     },
-    /// The signal handlers cannot be installed.
-    #[error("cannot install the signal handlers")]
-    Signals(#[from] std::io::Error),
     /// The metrics recorder cannot be installed.
     #[error("cannot install the metrics recorder")]
     Metrics(#[from] metrics_exporter_prometheus::BuildError),
 }
 
-/// Runs the daemon until it receives SIGTERM or SIGINT.
-pub(crate) async fn run_entry(settings: EntrySettings) -> Result<(), EntryError> {
+/// Runs the daemon until a signal asks it to stop.
+pub(crate) async fn run_entry(
+    settings: EntrySettings,
+    settings_file: &Path,
+    mut signals: Signals,
+) -> Result<(), EntryError> {
     let metrics = crate::metric::install()?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     let node = Node::new(settings, Instant::now());
     peer_link::listen(node.clone())
         .await
@@ -60,10 +61,13 @@
         node.settings.entry,
         node.settings.caller_address
     );
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let why = loop {
+        match signals.next().await {
+            DaemonSignal::Hangup => check_settings(settings_file),
+            why @ (DaemonSignal::Interrupt | DaemonSignal::Terminate) => break why,
+        }
+    };
+    spdlog::info!("entry: stopping on {}", why.as_str());
     drain(&node).await;
     let _ = server.close().await;
     spdlog::info!("entry: stopped");
@@ -97,6 +101,18 @@
     })
 }
 
+/// Checks the settings file and logs the result; the running process keeps all of its settings
+/// until it is restarted.
+fn check_settings(file: &Path) {
+    match EntrySettings::load(file) {
+        Ok(_) => spdlog::info!("entry: settings file is valid, restart to apply it"),
+        Err(errors) => spdlog::error!(
+            "entry: cannot load the settings file, {} error(s); see `check --kind settings`",
+            errors.len()
+        ),
+    }
+}
+
 /// Withdraws this entry from the address lists, serves callers that hold an old list, and waits
 /// for the requests in progress.
 async fn drain(node: &Arc<Node>) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod cli;
 mod client;
 mod controller;
+mod daemon;
 mod engine;
 mod entry;
 mod error;
@@ -28,4 +29,5 @@
 
 pub use api::openapi_document;
 pub use cli::{Cli, ExitStatus, run};
+pub use daemon::Daemon;
 pub use settings::{EntrySettings, SettingsError};
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -5,8 +5,8 @@
 
 use pistachioyard_platform::{NodeSettings, SettingsError};
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
 
+use crate::daemon::{DaemonSignal, Signals};
 use crate::prelude::*;
 use crate::router::http_server::{self, Service};
 use crate::router::log::ms;
@@ -39,9 +39,6 @@
         /// The underlying error.
         source: std::io::Error,
     },
-    /// The signal handlers cannot be installed.
-    #[error("cannot install the signal handlers: {0}")]
-    Signals(#[from] std::io::Error),
     /// The logger cannot be set up.
     #[error("cannot set up the logger: {0}")]
     Log(#[from] spdlog::Error),
@@ -50,16 +47,17 @@
     Metrics(#[from] metrics_exporter_prometheus::BuildError),
 }
 
-/// Runs the daemon until it receives SIGTERM, and logs why it ends.
+/// Runs the daemon until a signal asks it to stop, and logs why it ends.
 ///
 /// A process that is ended by a signal without a handler logs nothing.
 pub(crate) async fn run_router(
     settings_file: &Path,
     load_controls: Vec<LoadControl>,
+    signals: Signals,
 ) -> Result<(), RouterError> {
     log::init()?;
     spdlog::info!("router: starting", kv: { pid = std::process::id() });
-    let ended = serve(settings_file, load_controls).await;
+    let ended = serve(settings_file, load_controls, signals).await;
     if let Err(e) = &ended {
         spdlog::error!("router: ended by an error", kv: { why = e.to_string().as_str() });
     }
@@ -67,11 +65,13 @@
     ended
 }
 
-async fn serve(settings_file: &Path, load_controls: Vec<LoadControl>) -> Result<(), RouterError> {
+async fn serve(
+    settings_file: &Path,
+    load_controls: Vec<LoadControl>,
+    mut signals: Signals,
+) -> Result<(), RouterError> {
     let began_at = Instant::now();
     let metrics = metric::install()?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
     let settings = NodeSettings::load(settings_file)?;
     let settings_ms = ms(began_at.elapsed());
     let router = Router::new(settings, load_controls, Instant::now());
@@ -84,13 +84,14 @@
         settings_ms, took_ms = ms(began_at.elapsed())
     });
     loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => check_settings(&router, settings_file),
+        match signals.next().await {
+            DaemonSignal::Hangup => check_settings(&router, settings_file),
+            why @ (DaemonSignal::Interrupt | DaemonSignal::Terminate) => {
+                stop(&router, why).await;
+                return Ok(());
+            }
         }
     }
-    stop(&router).await;
-    Ok(())
 }
 
 async fn listen(
@@ -143,13 +144,13 @@
 ///
 /// Leaves the directory, keeps serving callers with a cached directory response for a
 /// while, then waits for the requests in progress until the grace period is nearly over.
-async fn stop(router: &Arc<Router>) {
+async fn stop(router: &Arc<Router>, why: DaemonSignal) {
     let asked_at = Instant::now();
     let grace = router.settings.stop_grace;
     let ends_at = asked_at + grace.saturating_sub(STOP_MARGIN);
     router.lifecycle.drain_until(ends_at);
     spdlog::info!("router: stopping", kv: {
-        why = "SIGTERM", in_flight = router.lifecycle.in_flight()
+        why = why.as_str(), in_flight = router.lifecycle.in_flight()
     });
     controller::announce(router).await;
     let accepting = STALE_DIRECTORY_GRACE.min(grace.mul_f64(MAX_ACCEPTING_SHARE));
