Tell by kind how much memory holds what others send

One that is killed for its memory leaves no line, and no metric told what its memory held, so that it could not be told from other ends.

The memory of answers becomes a share of a kind: `AnswerMemory` is now `MemoryShare`, and `src/memory/` holds the buffer and the held part, one type a file. Used bytes and refusals are exported by kind. The store's and the peers' answers share 0.15 of the machine's memory instead of 32 MB for each of three clients.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -7,7 +7,6 @@
 mod activity_tracker;
 mod admission;
 mod adoption;
-mod answer_memory;
 mod bound;
 mod burn;
 mod chain;
@@ -23,6 +22,7 @@
 mod lease;
 mod ledger;
 mod membership;
+mod memory_share;
 mod part_quarantine;
 mod pipeline;
 mod placement;
@@ -52,7 +52,6 @@
     ActiveConfig, ApplyDecision, ConfigAdoption, ConfigRejected, ConfigStatus, decide_apply,
     is_plausible_revision, next_accepted, text_digest,
 };
-pub use answer_memory::AnswerMemory;
 pub use bound::{throughput_bound, throughput_bound_with_links};
 pub use burn::{
     BURN_WINDOWS, BurnAlert, BurnCounter, BurnReport, BurnWindow, Measure, merge_counts,
@@ -84,6 +83,7 @@
     GOSSIP_FANOUT, GossipScope, GossipTarget, Heartbeat, LOAD_FANOUT, MAX_HEARTBEATS, Membership,
     responsible_entry, run_key,
 };
+pub use memory_share::MemoryShare;
 pub use part_quarantine::{
     LossCheck, PROOF_WRITING_TIME, PartConviction, PartFindings, PartQuarantine, PartVerdict,
     WritingTime,
--- a/crates/pistachioyard_policy/tests/answer_memory.rs
+++ b/crates/pistachioyard_policy/tests/memory_share.rs
@@ -1,8 +1,8 @@
-//! Tests that answers stay within the memory for them together.
+//! Tests that what others send stays within the memory for it together.
 
 use std::net::SocketAddr;
 
-use pistachioyard_policy::AnswerMemory;
+use pistachioyard_policy::MemoryShare;
 
 const MAX_BYTES: usize = 1_000_000;
 const PART: usize = 10_000;
@@ -12,7 +12,7 @@
 }
 
 /// Takes parts for a sender until it gets no more; returns the number of bytes.
-fn take_all(memory: &mut AnswerMemory, from: SocketAddr) -> usize {
+fn take_all(memory: &mut MemoryShare, from: SocketAddr) -> usize {
     let mut taken = 0;
     while memory.take(from, PART) {
         taken += PART;
@@ -23,7 +23,7 @@
 /// Guards against one endpoint without end that takes the memory for the answers of all.
 #[test]
 fn one_sender_leaves_room_for_others() {
-    let mut memory = AnswerMemory::new(MAX_BYTES);
+    let mut memory = MemoryShare::new(MAX_BYTES);
     let first = take_all(&mut memory, sender(1));
     assert!(first <= MAX_BYTES / 2, "{first}");
     let second = take_all(&mut memory, sender(2));
@@ -32,16 +32,17 @@
 
 #[test]
 fn all_senders_together_stay_within_the_memory() {
-    let mut memory = AnswerMemory::new(MAX_BYTES);
+    let mut memory = MemoryShare::new(MAX_BYTES);
     let taken: usize = (0..100).map(|n| take_all(&mut memory, sender(n))).sum();
     assert!(taken <= MAX_BYTES, "{taken}");
     assert_eq!(memory.used_bytes(), taken);
     assert!(!memory.take(sender(200), MAX_BYTES));
+    assert_eq!(memory.refusals(), 101);
 }
 
 #[test]
 fn memory_that_is_given_back_can_be_taken_again() {
-    let mut memory = AnswerMemory::new(MAX_BYTES);
+    let mut memory = MemoryShare::new(MAX_BYTES);
     let taken = take_all(&mut memory, sender(1));
     memory.give_back(sender(1), taken);
     assert_eq!(memory.used_bytes(), 0);
--- a/src/client.rs
+++ b/src/client.rs
@@ -13,14 +13,12 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use parking_lot::Mutex;
-use pistachioyard_policy::AnswerMemory;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::answer_buffer::{AnswerBuffer, HeldMemory, SharedAnswerMemory};
 use crate::error::{AnswerPart, CallError};
 use crate::final_response::{FinalResponse, status_lost};
+use crate::memory::{ByteBuffer, HeldMemory, MemoryKind, SharedMemory};
 use crate::prelude::*;
 
 /// The timeout of a connection attempt, in milliseconds.
@@ -32,7 +30,8 @@
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The maximum size of a response body that is read whole, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 8_000_000;
-/// The memory of all response bodies that a client reads whole at the same time, in bytes.
+/// The memory of all response bodies that a client without a share of its own reads whole at the
+/// same time, in bytes.
 const ANSWER_MEMORY_BYTES: usize = 32_000_000;
 
 /// Says whether connections are reused.
@@ -125,7 +124,7 @@
 #[derive(Clone)]
 pub(crate) struct HttpClient {
     inner: Client<HttpConnector, Full<Bytes>>,
-    memory: SharedAnswerMemory,
+    memory: Arc<SharedMemory>,
 }
 
 impl HttpClient {
@@ -149,10 +148,16 @@
         }
         Self {
             inner: builder.build(connector),
-            memory: Arc::new(Mutex::new(AnswerMemory::new(ANSWER_MEMORY_BYTES))),
+            memory: SharedMemory::new(MemoryKind::OwnCalls, ANSWER_MEMORY_BYTES),
         }
     }
 
+    /// Makes the client take the memory of response bodies from a share.
+    pub(crate) fn with_memory(mut self, memory: &Arc<SharedMemory>) -> Self {
+        self.memory = memory.clone();
+        self
+    }
+
     /// Sends a call and returns the response once its head has arrived. The body is not read.
     pub(crate) async fn open(&self, call: Call) -> Result<FinalResponse, CallError> {
         let to = call.to;
@@ -212,9 +217,9 @@
     to: SocketAddr,
     mut body: Incoming,
     max_bytes: usize,
-    memory: &SharedAnswerMemory,
+    memory: &Arc<SharedMemory>,
 ) -> Result<Bytes, CallError> {
-    let mut buf = AnswerBuffer::new(HeldMemory::new(memory.clone(), to));
+    let mut buf = ByteBuffer::new(HeldMemory::new(memory.clone(), to));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| CallError::AnswerLost { to })?;
         let Some(data) = frame.data_ref() else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,6 @@
 //! other subcommands check files or call the entries. `docs/design/overview.md` describes how the
 //! parts fit together.
 
-mod answer_buffer;
 mod api;
 mod burn;
 mod cli;
@@ -18,6 +17,7 @@
 mod ledger;
 mod lifecycle;
 mod logging;
+mod memory;
 mod metric;
 mod peer_link;
 mod platform;
--- a/src/router.rs
+++ b/src/router.rs
@@ -17,6 +17,7 @@
 mod load_control;
 mod log;
 mod losses;
+mod memory_shares;
 mod metric;
 mod parts;
 mod peer_probe;
@@ -51,6 +52,7 @@
 pub(crate) use crate::router::departures::ToldDeparture;
 use crate::router::endpoint_client::EndpointClient;
 use crate::router::losses::Losses;
+use crate::router::memory_shares::MemoryShares;
 use crate::router::permits::Permits;
 use crate::router::reach::{OwnReach, ToldReach};
 use crate::router::returns::Returns;
@@ -141,6 +143,8 @@
     pub(crate) peer_client: HttpClient,
     pub(crate) store: StoreClient,
     pub(crate) reports: filter::ReportCache,
+    /// The memory that what others send takes together.
+    pub(crate) memory: MemoryShares,
 }
 
 impl Router {
@@ -168,6 +172,7 @@
             settings.is_first_start,
             now,
         );
+        let memory = MemoryShares::new(settings.memory_bytes);
         Arc::new(Self {
             load_controls,
             boot,
@@ -208,10 +213,16 @@
             permits: Permits::default(),
             admission: Arc::default(),
             returns: Returns::default(),
-            client: EndpointClient::new(settings.caller_address.ip(), settings.memory_bytes),
-            peer_client: HttpClient::new(Some(settings.caller_address.ip()), Reuse::Pooled),
-            store: StoreClient::new(settings.caller_address.ip(), settings.store.address),
+            client: EndpointClient::new(settings.caller_address.ip(), memory.answers.clone()),
+            peer_client: HttpClient::new(Some(settings.caller_address.ip()), Reuse::Pooled)
+                .with_memory(&memory.own_calls),
+            store: StoreClient::new(
+                settings.caller_address.ip(),
+                settings.store.address,
+                &memory.own_calls,
+            ),
             reports: filter::ReportCache::default(),
+            memory,
             settings,
         })
     }
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -13,14 +13,14 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use pistachioyard_policy::{AnswerMemory, Reach, ReachTracker, Repeatability};
+use pistachioyard_policy::{Reach, ReachTracker, Repeatability};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
-use crate::answer_buffer::SharedAnswerMemory;
 use crate::client::{MAX_HEAD_BYTES, head_lost};
 use crate::error::CallError;
 use crate::final_response::FinalResponse;
+use crate::memory::SharedMemory;
 use crate::prelude::*;
 use crate::router::metric;
 
@@ -38,10 +38,6 @@
 /// The maximum size of a report or of the answer to an order, in bytes. A report has about a
 /// hundred bytes for each request that stalls.
 pub(crate) const MAX_REPORT_BYTES: usize = 1_000_000;
-/// The share of the machine's memory that the answers of all endpoints may take together.
-const ANSWER_MEMORY_SHARE: f64 = 0.25;
-/// The same where the settings do not say how much memory the machine has, in bytes.
-const DEFAULT_ANSWER_MEMORY_BYTES: usize = 64_000_000;
 /// The maximum number of idle connections per endpoint.
 const MAX_IDLE: usize = 64;
 
@@ -78,7 +74,7 @@
     pub(crate) reach_doubtful: Notify,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
     /// The memory that the answers of all endpoints take together.
-    pub(crate) memory: SharedAnswerMemory,
+    pub(crate) memory: Arc<SharedMemory>,
 }
 
 /// Holds the connection on which a response arrives.
@@ -88,18 +84,14 @@
 }
 
 impl EndpointClient {
-    /// Creates a client whose connections are bound to `local`, on a machine of `machine_bytes` of
-    /// memory, if that is known.
-    pub(crate) fn new(local: IpAddr, machine_bytes: Option<usize>) -> Self {
-        let max_bytes = machine_bytes.map_or(DEFAULT_ANSWER_MEMORY_BYTES, |machine_bytes| {
-            (machine_bytes as f64 * ANSWER_MEMORY_SHARE) as usize
-        });
+    /// Creates a client whose connections are bound to `local` and whose answers share `memory`.
+    pub(crate) fn new(local: IpAddr, memory: Arc<SharedMemory>) -> Self {
         Self {
             local,
             reach: Mutex::default(),
             reach_doubtful: Notify::new(),
             idle: Mutex::default(),
-            memory: Arc::new(Mutex::new(AnswerMemory::new(max_bytes))),
+            memory,
         }
     }
 
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -20,10 +20,10 @@
 
 pub(super) use self::repair::RepairResult;
 use super::PauseAction;
-use crate::answer_buffer::HeldMemory;
 use crate::client::{read_whole, too_long};
 use crate::error::{AnswerPart, CallError};
 use crate::final_response::FinalResponse;
+use crate::memory::HeldMemory;
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::endpoint_answer::AnswerTo;
--- /dev/null
+++ b/src/router/memory_shares.rs
@@ -0,0 +1,35 @@
+//! Divides the memory of the machine among what others send.
+
+use crate::memory::{MemoryKind, SharedMemory};
+use crate::prelude::*;
+
+/// The memory of a machine if the settings do not name it, in bytes.
+const DEFAULT_MACHINE_BYTES: usize = 256_000_000;
+/// The share of the machine's memory for the answers of endpoints.
+const ANSWERS_SHARE: f64 = 0.25;
+/// The share of the machine's memory for the answers of the store and of peers.
+const OWN_CALLS_SHARE: f64 = 0.15;
+
+/// Holds the shares of the memory, by what they are for.
+#[derive(Clone, Debug)]
+pub(crate) struct MemoryShares {
+    pub(crate) answers: Arc<SharedMemory>,
+    pub(crate) own_calls: Arc<SharedMemory>,
+}
+
+impl MemoryShares {
+    /// Divides the memory of a machine, if it is known.
+    pub(crate) fn new(machine_bytes: Option<usize>) -> Self {
+        let machine_bytes = machine_bytes.unwrap_or(DEFAULT_MACHINE_BYTES) as f64;
+        let share = |kind, share| SharedMemory::new(kind, (machine_bytes * share) as usize);
+        Self {
+            answers: share(MemoryKind::Answers, ANSWERS_SHARE),
+            own_calls: share(MemoryKind::OwnCalls, OWN_CALLS_SHARE),
+        }
+    }
+
+    /// Returns all shares.
+    pub(crate) fn all(&self) -> [&SharedMemory; 2] {
+        [&self.answers, &self.own_calls]
+    }
+}
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -198,6 +198,12 @@
     for (label, count) in URGENCY_LABELS.into_iter().zip(waiting) {
         gauge!("router_admission_waiting", "urgency" => label).set(count as f64);
     }
+    for share in router.memory.all() {
+        let kind = share.kind().as_str();
+        let (used_bytes, refusals) = share.usage();
+        gauge!("router_memory_used_bytes", "kind" => kind).set(used_bytes as f64);
+        counter!("router_memory_refusals_total", "kind" => kind).absolute(refusals);
+    }
     gauge!("router_log_lines_dropped").set(crate::router::log::dropped() as f64);
     handle.render()
 }
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -15,6 +15,7 @@
 
 use crate::client::{Answer, Call, HttpClient, Reuse};
 use crate::error::CallError;
+use crate::memory::SharedMemory;
 use crate::prelude::*;
 use crate::router::metric;
 
@@ -69,12 +70,13 @@
 }
 
 impl StoreClient {
-    /// Creates a client of the store at an address, whose connections are bound to `local`.
-    pub(crate) fn new(local: IpAddr, address: SocketAddr) -> Self {
+    /// Creates a client of the store at an address, whose connections are bound to `local` and whose
+    /// answers share `memory`.
+    pub(crate) fn new(local: IpAddr, address: SocketAddr, memory: &Arc<SharedMemory>) -> Self {
         Self {
             address,
-            pooled: HttpClient::new(Some(local), Reuse::Pooled),
-            fresh: HttpClient::new(Some(local), Reuse::Fresh),
+            pooled: HttpClient::new(Some(local), Reuse::Pooled).with_memory(memory),
+            fresh: HttpClient::new(Some(local), Reuse::Fresh).with_memory(memory),
             is_reachable: AtomicBool::new(true),
             last_failure: parking_lot::Mutex::new(None),
             era: watch::Sender::new(None),
