--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -16,6 +16,7 @@
 mod logs;
 mod long_heads;
 mod lost;
+mod memory;
 mod no_status;
 mod odd_answers;
 mod odd_entries;
