Log and count panics

Operators saw processes or parts of them end by themselves, and had nothing that tells a panic from a signal or the memory limit: a panic wrote its text to standard error, outside of the structured log and of the metrics.

Both daemons install it.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -44,6 +44,7 @@
 /// Runs the daemon until it receives SIGTERM or SIGINT.
 pub(crate) async fn run_entry(settings: EntrySettings) -> Result<(), EntryError> {
     let metrics = crate::metric::install()?;
+    crate::panic_hook::install(crate::metric::PANICS);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let node = Node::new(settings, Instant::now());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 mod lifecycle;
 mod logging;
 mod metric;
+mod panic_hook;
 mod peer_link;
 mod platform;
 mod prelude;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -16,6 +16,8 @@
     0.001, 0.005, 0.01, 0.02, 0.031, 0.05, 0.1, 0.3, 0.5, 1.0, 1.7, 5.0,
 ];
 
+/// The name of the counter of panics.
+pub(crate) const PANICS: &str = "pistachioyard_panics_total";
 const REQUESTS: &str = "pistachioyard_requests_total";
 const FIRST_TOKEN: &str = "pistachioyard_first_token_seconds";
 const BETWEEN_TOKENS: &str = "pistachioyard_between_tokens_seconds";
@@ -68,6 +70,7 @@
     describe_counter!(RETRIES, "Attempts that replaced an earlier one, by reason");
     describe_counter!(PEER_SENT, Unit::Bytes, "Bytes queued for peers");
     describe_counter!(PEER_RECEIVED, Unit::Bytes, "Bytes received from peers");
+    describe_counter!(PANICS, "Panics of the process's tasks");
     describe_gauge!(
         CONFIG_REVISION,
         "Configuration revision in force; 0 if there is none"
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -29,6 +29,9 @@
         .install_recorder()
 }
 
+/// The name of the counter of panics.
+pub(crate) const PANICS: &str = "router_panics_total";
+
 /// Counts a request by how it ended and records its duration.
 pub(crate) fn count_request(ended: &'static str, took: Duration) {
     counter!("router_requests_total", "ended" => ended).increment(1);
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -57,6 +57,7 @@
 ) -> Result<(), RouterError> {
     log::init()?;
     let metrics = metric::install()?;
+    crate::panic_hook::install(metric::PANICS);
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let settings = NodeSettings::load(settings_file)?;
