Start tasks again that end by themselves, and step aside if they keep ending

A long-lived task of the entry whose code panicked ended alone and silently, since the handles of `tokio::spawn` were dropped; the entry went on without it and said that it was ready. Shown by two tests of `tests/site/odd_numbers.rs`: after a panic of the placement no endpoint gets layers.

Change: `Supervisor` starts the tasks of `src/router/controller.rs`, the acceptors of each port, and those of the `entry` daemon. One that returns or panics before the process stops is logged, counted by name, and started again after a pause that the policy crate decides (`RestartBackoff`: 50 ms doubled up to 1 s, half of it jitter). Sockets are shared with the task, so they outlive it. From its third end in a row a task is failing until it has run for 5 s: its entry is unready, left out of the directory, and no candidate for the placement, as long as a live peer is sound; peers hear of it by gossip (left out of the datagram when false).

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -32,6 +32,7 @@
 mod quarantine;
 mod reach;
 mod request_limits;
+mod restart_backoff;
 mod retry_budget;
 mod retry_budgets;
 mod return_ledger;
@@ -107,6 +108,7 @@
 pub use request_limits::{
     BadRate, FleetPart, LimitChange, PermitAnswer, RequestLimits, RequestRate, ReturnSchedule,
 };
+pub use restart_backoff::RestartBackoff;
 pub use retry_budget::{RetryBudget, SharedRetryBudget};
 pub use retry_budgets::{RetryBudgets, RetryUsage};
 pub use return_ledger::{
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -19,14 +19,29 @@
 
 /// Starts all controllers.
 pub(crate) fn start(node: &Arc<Node>) {
-    tokio::spawn(config::run(node.clone()));
-    tokio::spawn(config::poll(node.clone()));
-    tokio::spawn(gossip::run(node.clone()));
-    tokio::spawn(hosts::run(node.clone()));
-    tokio::spawn(ledger_gc::run(node.clone()));
-    tokio::spawn(reports::run(node.clone()));
+    supervise(node, "admission", crate::filter::Admission::run);
+    supervise(node, "config_poll", config::poll);
+    supervise(node, "config_watch", config::run);
+    supervise(node, "gossip", gossip::run);
+    supervise(node, "hosts", hosts::run);
+    supervise(node, "ledger_gc", ledger_gc::run);
+    supervise(node, "reports", reports::run);
     let lease = Arc::new(lease::Lease::default());
-    tokio::spawn(lease::run(node.clone(), lease.clone()));
-    tokio::spawn(placement::run(node.clone(), lease));
-    tokio::spawn(crate::filter::Admission::run(node.clone()));
+    let held = lease.clone();
+    supervise(node, "lease", move |node| lease::run(node, held.clone()));
+    supervise(node, "placement", move |node| {
+        placement::run(node, lease.clone())
+    });
+}
+
+/// Starts a task of this entry, which is started again if it ends.
+pub(crate) fn supervise<F>(
+    node: &Arc<Node>,
+    task: &'static str,
+    run: impl Fn(Arc<Node>) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let state = node.clone();
+    node.tasks.spawn(task, move || run(state.clone()));
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -35,6 +35,7 @@
 use crate::prelude::*;
 use crate::service::ServiceClient;
 use crate::settings::EntrySettings;
+use crate::supervisor::Supervisor;
 
 /// The time without heartbeats after which a peer counts as lost, in milliseconds.
 const HEARTBEAT_TIMEOUT_MS: u64 = 1_000;
@@ -83,6 +84,7 @@
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) peers: PeerLinks,
     pub(crate) lifecycle: Arc<Lifecycle>,
+    pub(crate) tasks: Arc<Supervisor>,
     pub(crate) burn: BurnRecorder,
 }
 
@@ -96,6 +98,9 @@
         let boot = BootId::generate();
         let own = own_record(&settings, boot);
         let stale_after = settings.in_force.mul_f64(STALE_FRACTION);
+        let lifecycle = Arc::<Lifecycle>::default();
+        let stopping = lifecycle.clone();
+        let restarts = crate::metric::TASK_RESTARTS;
         Arc::new(Self {
             origin: now,
             engines: EngineClient::new(pooled),
@@ -117,7 +122,8 @@
             ledger: Arc::new(Ledger::new(platform.clone())),
             platform,
             peers: PeerLinks::default(),
-            lifecycle: Arc::default(),
+            lifecycle,
+            tasks: Supervisor::new(restarts, move || stopping.is_stopping()),
             burn: BurnRecorder::new(),
             settings,
         })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,9 @@
 mod router;
 mod service;
 mod settings;
+mod supervisor;
 
 pub use api::openapi_document;
 pub use cli::{Cli, ExitStatus, run};
 pub use settings::{EntrySettings, SettingsError};
+pub use supervisor::Supervisor;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -18,6 +18,8 @@
 
 /// The name of the counter of panics.
 pub(crate) const PANICS: &str = "pistachioyard_panics_total";
+/// The name of the counter of tasks that were started again, by task.
+pub(crate) const TASK_RESTARTS: &str = "pistachioyard_task_restarts_total";
 const REQUESTS: &str = "pistachioyard_requests_total";
 const FIRST_TOKEN: &str = "pistachioyard_first_token_seconds";
 const BETWEEN_TOKENS: &str = "pistachioyard_between_tokens_seconds";
@@ -70,6 +72,7 @@
     describe_counter!(RETRIES, "Attempts that replaced an earlier one, by reason");
     describe_counter!(PEER_SENT, Unit::Bytes, "Bytes queued for peers");
     describe_counter!(PEER_RECEIVED, Unit::Bytes, "Bytes received from peers");
+    describe_counter!(TASK_RESTARTS, "Tasks that were started again, by task");
     describe_counter!(PANICS, "Panics of the process's tasks");
     describe_gauge!(
         CONFIG_REVISION,
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -71,6 +71,8 @@
 
     /// Dials the selected peers that are not linked yet.
     pub(crate) fn dial_missing(&self, node: &Arc<Node>) {
+        // The task of a link may have ended without removing it.
+        self.dialed.lock().retain(|_, tx| !tx.is_closed());
         for address in select_peers(node) {
             let mut dialed = self.dialed.lock();
             if dialed.contains_key(&address) || dialed.len() >= MAX_DIALED {
@@ -135,29 +137,34 @@
 pub(crate) async fn listen(node: Arc<Node>) -> std::io::Result<()> {
     let listener = TcpListener::bind(node.settings.peer_address).await?;
     let permits = Arc::new(Semaphore::new(MAX_ACCEPTED));
-    tokio::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let Ok(permit) = permits.clone().try_acquire_owned() else {
-                        continue;
-                    };
-                    let node = node.clone();
-                    tokio::spawn(async move {
-                        accept(node, stream).await;
-                        drop(permit);
-                    });
-                }
-                Err(e) => {
-                    spdlog::warn!("peers: cannot accept a connection: {e}");
-                    tokio::time::sleep(Duration::from_millis(DIAL_TIMEOUT_MS)).await;
-                }
-            }
-        }
+    let listener = Arc::new(listener);
+    crate::controller::supervise(&node, "accept_peers", move |node| {
+        accept_links(node, listener.clone(), permits.clone())
     });
     Ok(())
 }
 
+async fn accept_links(node: Arc<Node>, listener: Arc<TcpListener>, permits: Arc<Semaphore>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let Ok(permit) = permits.clone().try_acquire_owned() else {
+                    continue;
+                };
+                let node = node.clone();
+                tokio::spawn(async move {
+                    accept(node, stream).await;
+                    drop(permit);
+                });
+            }
+            Err(e) => {
+                spdlog::warn!("peers: cannot accept a connection: {e}");
+                tokio::time::sleep(Duration::from_millis(DIAL_TIMEOUT_MS)).await;
+            }
+        }
+    }
+}
+
 async fn accept(node: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let timeout = Duration::from_millis(DIAL_TIMEOUT_MS);
--- a/src/router.rs
+++ b/src/router.rs
@@ -55,6 +55,7 @@
 use crate::router::reach::{OwnReach, ToldReach};
 use crate::router::returns::Returns;
 use crate::router::store_client::StoreClient;
+use crate::supervisor::Supervisor;
 
 /// How long a peer may be silent before it counts as lost; covers several gossip periods.
 const PEER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -83,6 +84,9 @@
     pub(crate) boot: BootId,
     pub(crate) started_at: Instant,
     pub(crate) lifecycle: Arc<Lifecycle>,
+    pub(crate) tasks: Arc<Supervisor>,
+    /// The peers that have told that a task of theirs keeps ending.
+    pub(crate) failing_peers: Mutex<BTreeSet<EntryId>>,
     pub(crate) config: RwLock<Option<ActiveConfig>>,
     pub(crate) endpoints: Mutex<EndpointRegistry>,
     pub(crate) load: Mutex<LoadTracker>,
@@ -168,11 +172,15 @@
             settings.is_first_start,
             now,
         );
+        let lifecycle = Arc::<Lifecycle>::default();
+        let stopping = lifecycle.clone();
         Arc::new(Self {
             load_controls,
             boot,
             started_at: now,
-            lifecycle: Arc::default(),
+            lifecycle,
+            tasks: Supervisor::new(metric::TASK_RESTARTS, move || stopping.is_stopping()),
+            failing_peers: Mutex::default(),
             config: RwLock::new(None),
             endpoints: Mutex::default(),
             load: Mutex::default(),
@@ -247,6 +255,21 @@
         !self.lifecycle.is_draining()
             && self.config.read().is_some()
             && self.endpoints.lock().ids().next().is_some()
+            && !self.yields_to_peers(Instant::now())
+    }
+
+    /// Returns whether a task of this entry keeps ending, so that its state may be stale, while a
+    /// live peer has no such fault.
+    fn yields_to_peers(&self, now: Instant) -> bool {
+        if !self.tasks.has_failing_task() {
+            return false;
+        }
+        let members = self.members.lock();
+        let failing = self.failing_peers.lock();
+        let own = &self.settings.entry;
+        let live = members.live(now);
+        live.iter()
+            .any(|record| record.entry != *own && !failing.contains(&record.entry))
     }
 
     /// Waits until a restarted entry knows what its peers know, for a short time after its start.
@@ -310,20 +333,22 @@
     /// Returns the addresses of up to `max` entries for callers in a data centre; in this entry's
     /// if it is not known.
     ///
-    /// Entries that are cut off from endpoints are left out while most others are not.
+    /// Entries that are cut off from endpoints, or have a task that keeps ending, are left out while
+    /// most others are not.
     pub(crate) fn caller_addresses(
         &self,
         asked_from: Option<&DataCentre>,
         max: usize,
         now: Instant,
     ) -> Vec<std::net::SocketAddr> {
-        let mut cut_off = self.peers_out_of_reach();
-        if self.count_out_of_reach() > 0 {
-            cut_off.insert(self.settings.entry.clone());
+        let mut unfit = self.peers_out_of_reach();
+        unfit.extend(self.failing_peers.lock().iter().cloned());
+        if self.count_out_of_reach() > 0 || self.tasks.has_failing_task() {
+            unfit.insert(self.settings.entry.clone());
         }
         let members = self.members.lock();
         let centre = asked_from.unwrap_or(&self.settings.data_centre);
-        let entries = members.entries_near(centre, &cut_off, max, now, &mut rand::rng());
+        let entries = members.entries_near(centre, &unfit, max, now, &mut rand::rng());
         entries.into_iter().map(|record| record.address).collect()
     }
 }
--- a/src/router/controller.rs
+++ b/src/router/controller.rs
@@ -28,17 +28,34 @@
 pub(crate) fn start(router: &Arc<Router>, peers: tokio::net::UdpSocket) {
     let peers = Arc::new(peers);
     router.permits.set_socket(peers.clone());
-    tokio::spawn(config::run(router.clone()));
-    tokio::spawn(convictions::run(router.clone()));
-    tokio::spawn(endpoints::run(router.clone()));
-    tokio::spawn(peers::listen(router.clone(), peers.clone()));
-    tokio::spawn(peers::gossip(router.clone(), peers));
-    tokio::spawn(peers::register(router.clone()));
-    tokio::spawn(placement::run(router.clone()));
-    tokio::spawn(peer_fallback::run(router.clone()));
-    tokio::spawn(reach::run(router.clone()));
-    tokio::spawn(suspects::run(router.clone()));
-    tokio::spawn(run_housekeeping(router.clone()));
+    supervise(router, "config", config::run);
+    supervise(router, "convictions", convictions::run);
+    supervise(router, "endpoints", endpoints::run);
+    let socket = peers.clone();
+    supervise(router, "gossip_receiver", move |router| {
+        peers::listen(router, socket.clone())
+    });
+    supervise(router, "gossip_sender", move |router| {
+        peers::gossip(router, peers.clone())
+    });
+    supervise(router, "housekeeping", run_housekeeping);
+    supervise(router, "peer_fallback", peer_fallback::run);
+    supervise(router, "placement", placement::run);
+    supervise(router, "reach", reach::run);
+    supervise(router, "registration", peers::register);
+    supervise(router, "suspects", suspects::run);
+}
+
+/// Starts a task of this entry, which is started again if it ends.
+pub(crate) fn supervise<F>(
+    router: &Arc<Router>,
+    task: &'static str,
+    run: impl Fn(Arc<Router>) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let state = router.clone();
+    router.tasks.spawn(task, move || run(state.clone()));
 }
 
 async fn run_housekeeping(router: Arc<Router>) {
--- a/src/router/controller/peers.rs
+++ b/src/router/controller/peers.rs
@@ -120,6 +120,7 @@
     for (record, _) in lost {
         load.forget_peer(&record.entry);
         router.peers_without_store.lock().remove(&record.entry);
+        router.failing_peers.lock().remove(&record.entry);
         router.peer_reach.lock().remove(&record.entry);
         router.forget_departures(&record.entry);
     }
--- a/src/router/controller/peers/datagram.rs
+++ b/src/router/controller/peers/datagram.rs
@@ -133,6 +133,7 @@
         returns: returns.into_iter().map(Into::into).collect(),
         quarantine,
         parts,
+        is_failing: router.tasks.has_failing_task(),
         load_only,
     };
     let mut datagram = Vec::new();
--- a/src/router/controller/peers/messages.rs
+++ b/src/router/controller/peers/messages.rs
@@ -75,6 +75,9 @@
     /// The findings about prompt parts; empty from entries that have none.
     #[serde(default)]
     pub(super) parts: PartReport,
+    /// Whether a task of the sender keeps ending, so that what it tells may be stale.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) is_failing: bool,
     /// Whether the lists of news are left out, so that the message tells only of the load.
     #[serde(default)]
     pub(super) load_only: bool,
--- a/src/router/controller/peers/receive.rs
+++ b/src/router/controller/peers/receive.rs
@@ -53,6 +53,13 @@
         router.config_outdated.notify_one();
     }
     confirm_copies(router, &gossip, sender, now);
+    {
+        let mut failing = router.failing_peers.lock();
+        match gossip.is_failing {
+            true => failing.insert(sender.entry.clone()),
+            false => failing.remove(&sender.entry),
+        };
+    }
     {
         let mut without_store = router.peers_without_store.lock();
         if gossip.reaches_store {
--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -82,7 +82,8 @@
 }
 
 /// Returns whether this entry should hold the lease: it is the first of the live entries
-/// that can reach the store and the endpoints, or the first of all live entries if none can.
+/// that can reach the store and the endpoints and have no task that keeps ending, or the first of
+/// all live entries if none can.
 ///
 /// Entries may briefly disagree on this; the lease admits only one of them.
 pub(crate) fn is_candidate(router: &Router, now: Instant) -> bool {
@@ -95,13 +96,15 @@
         .map(|record| &record.entry)
         .collect();
     let without_store = router.peers_without_store.lock();
-    let is_own_without_store = !router.store.is_reachable();
-    let is_own_out_of_reach = router.count_out_of_reach() > 0;
+    let failing = router.failing_peers.lock();
+    let is_own_hindered = !router.store.is_reachable()
+        || router.count_out_of_reach() > 0
+        || router.tasks.has_failing_task();
     let is_hindered = |entry: &EntryId| {
         if entry == own {
-            is_own_without_store || is_own_out_of_reach
+            is_own_hindered
         } else {
-            without_store.contains(entry) || out_of_reach.contains(entry)
+            without_store.contains(entry) || out_of_reach.contains(entry) || failing.contains(entry)
         }
     };
     let reaching = live.iter().filter(|entry| !is_hindered(entry)).min();
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -62,6 +62,19 @@
     Metrics(PrometheusHandle),
 }
 
+impl Service {
+    /// Returns the name of the task that accepts connections.
+    pub(crate) fn task(&self) -> &'static str {
+        match self {
+            Self::Callers => "accept_callers",
+            Self::Directory => "accept_directory",
+            Self::Readiness => "accept_readiness",
+            Self::Peers => "accept_peers",
+            Self::Metrics(_) => "accept_metrics",
+        }
+    }
+}
+
 /// Opens a listening socket on an address.
 pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
@@ -71,7 +84,7 @@
 }
 
 /// Accepts connections and serves them until the process stops.
-pub(crate) async fn accept(router: Arc<Router>, listener: TcpListener, service: Service) {
+pub(crate) async fn accept(router: Arc<Router>, listener: Arc<TcpListener>, service: Service) {
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -32,6 +32,9 @@
 /// The name of the counter of panics.
 pub(crate) const PANICS: &str = "router_panics_total";
 
+/// The name of the counter of tasks that were started again, by task.
+pub(crate) const TASK_RESTARTS: &str = "router_task_restarts_total";
+
 /// Counts a request by how it ended and records its duration.
 pub(crate) fn count_request(ended: &'static str, took: Duration) {
     counter!("router_requests_total", "ended" => ended).increment(1);
@@ -191,6 +194,8 @@
     gauge!("router_services_out_of_reach").set(router.count_out_of_reach() as f64);
     let parts = router.retries.lock().parts().unwrap_or_default();
     gauge!("router_retry_parts").set(parts as f64);
+    let failing = u8::from(router.tasks.has_failing_task());
+    gauge!("router_tasks_failing").set(f64::from(failing));
     gauge!("router_entries_live").set(router.live_entries(now) as f64);
     gauge!("router_config_version").set(router.version() as f64);
     gauge!("router_requests_in_flight").set(router.lifecycle.in_flight() as f64);
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -105,7 +105,10 @@
         };
         let listener =
             http_server::bind(address).map_err(|source| RouterError::Listen { address, source })?;
-        tokio::spawn(http_server::accept(router.clone(), listener, service));
+        let listener = Arc::new(listener);
+        controller::supervise(router, service.task(), move |router| {
+            http_server::accept(router, listener.clone(), service.clone())
+        });
     }
     controller::start(router, peers);
     Ok(())
