--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,14 +20,17 @@
 mod logging;
 mod memory;
 mod metric;
+mod panic_hook;
 mod peer_link;
 mod platform;
 mod prelude;
 mod router;
 mod service;
 mod settings;
+mod supervisor;
 
 pub use api::openapi_document;
 pub use cli::{Cli, ExitStatus, run};
 pub use daemon::Daemon;
 pub use settings::{EntrySettings, SettingsError};
+pub use supervisor::Supervisor;
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -72,6 +72,9 @@
 ) -> Result<(), RouterError> {
     let began_at = Instant::now();
     let metrics = metric::install()?;
+    crate::panic_hook::install(metric::PANICS);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let settings = NodeSettings::load(settings_file)?;
     let settings_ms = ms(began_at.elapsed());
     let router = Router::new(settings, load_controls, Instant::now());
@@ -120,7 +123,10 @@
         };
         let listener =
             http_server::bind(address).map_err(|source| RouterError::Listen { address, source })?;
-        tokio::spawn(http_server::accept(router.clone(), listener, service));
+        let listener = Arc::new(listener);
+        controller::supervise(router, service.task(), move |router| {
+            http_server::accept(router, listener.clone(), service.clone())
+        });
     }
     controller::start(router, peers);
     Ok(())
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -20,6 +20,7 @@
 mod no_status;
 mod odd_answers;
 mod odd_entries;
+mod odd_numbers;
 mod poison_again;
 mod poison_outage;
 mod poison_part;
