Let the site tests tell an end that was requested from one that was not

No test failed when an entry ended by itself: a child did not know whether its end had been asked for, and an entry that was started again looked like one that had never ended. A child now remembers SIGTERM and SIGKILL sent while it ran; Child::own_end returns the exit code or the signal of an end that neither explains.

Process::signal goes through the child, so that a SIGTERM sent there counts as a request as well.

--- a/crates/pistachioyard_standins/src/launch/child.rs
+++ b/crates/pistachioyard_standins/src/launch/child.rs
@@ -1,13 +1,15 @@
 //! Controls one child process.
 
+use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{Child as Process, ExitStatus};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use nix::errno::Errno;
 use nix::sys::signal::{self, Signal};
-use nix::sys::wait::{self, Id, WaitPidFlag};
+use nix::sys::wait::{self, Id, WaitPidFlag, WaitStatus};
 use nix::unistd::Pid;
 use tempfile::TempDir;
 
@@ -25,6 +27,8 @@
     name: String,
     process: Process,
     log: PathBuf,
+    /// Whether SIGTERM or SIGKILL was sent while the process ran.
+    is_end_requested: AtomicBool,
     _logs: Arc<TempDir>,
 }
 
@@ -34,6 +38,7 @@
             name: name.to_owned(),
             process,
             log,
+            is_end_requested: AtomicBool::new(false),
             _logs: logs,
         }
     }
@@ -110,6 +115,19 @@
         Ok(self.exit_status()?.is_none())
     }
 
+    /// Returns how the process ended by itself; none if it runs or its end was requested.
+    ///
+    /// A failure or another signal after a SIGTERM counts as an end by itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the state of the process cannot be read.
+    pub fn own_end(&mut self) -> Result<Option<ExitStatus>, LaunchError> {
+        let status = self.exit_status()?;
+        let is_requested = self.is_end_requested.load(Ordering::Relaxed);
+        Ok(status.filter(|status| !is_requested || !is_as_requested(*status)))
+    }
+
     /// Waits for the process to exit.
     ///
     /// # Errors
@@ -140,15 +158,24 @@
     }
 
     /// Signals the process unless it has ended, since its id may then have been reused.
-    fn send(&mut self, signal: Signal) -> Result<(), LaunchError> {
-        if !self.is_running()? {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be signalled.
+    pub fn send(&self, signal: Signal) -> Result<(), LaunchError> {
+        let flags = WaitPidFlag::WNOHANG | WaitPidFlag::WEXITED | WaitPidFlag::WNOWAIT;
+        if wait::waitid(Id::Pid(self.pid()), flags) != Ok(WaitStatus::StillAlive) {
             return Ok(());
         }
         signal::kill(self.pid(), signal).map_err(|errno| LaunchError::Signal {
             name: self.name.clone(),
             signal,
             errno,
-        })
+        })?;
+        if let Signal::SIGTERM | Signal::SIGKILL = signal {
+            self.is_end_requested.store(true, Ordering::Relaxed);
+        }
+        Ok(())
     }
 }
 
@@ -164,6 +191,12 @@
     }
 }
 
+/// Returns whether a status is that of a process which was told to end.
+fn is_as_requested(status: ExitStatus) -> bool {
+    let by_request = [Signal::SIGTERM as i32, Signal::SIGKILL as i32];
+    status.success() || status.signal().is_some_and(|by| by_request.contains(&by))
+}
+
 fn wait_error(name: &str, source: std::io::Error) -> LaunchError {
     LaunchError::Wait {
         name: name.to_owned(),
--- a/crates/pistachioyard_standins/tests/standins/launch.rs
+++ b/crates/pistachioyard_standins/tests/standins/launch.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use pistachioyard_standins::LaunchError;
 
 use crate::support::{Harness, TIMEOUT};
@@ -38,6 +39,26 @@
     assert!(refused.is_err());
 }
 
+#[tokio::test]
+async fn only_an_end_that_was_not_requested_is_an_own_end() {
+    let harness = Harness::new();
+    for (signals, is_own_end) in [
+        ([Signal::SIGTERM].as_slice(), false),
+        (&[Signal::SIGKILL], false),
+        (&[Signal::SIGHUP], true),
+        (&[Signal::SIGSTOP, Signal::SIGTERM, Signal::SIGKILL], false),
+    ] {
+        let (mut child, _) = harness.start("platform", &[]).await;
+        for signal in signals {
+            child.send(*signal).unwrap();
+        }
+        child.wait(TIMEOUT).await.unwrap();
+        child.kill().unwrap();
+        let status = child.own_end().unwrap();
+        assert_eq!(status.is_some(), is_own_end, "{signals:?}: {status:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_stand_in_ends_when_its_standard_input_closes() {
     let mut process = std::process::Command::new(crate::support::program())
--- a/tests/site/deployment.rs
+++ b/tests/site/deployment.rs
@@ -33,12 +33,8 @@
         "--store",
         &store.to_string(),
     ];
-    Process {
-        args: args.map(str::to_owned).to_vec(),
-        name,
-        program: standins.to_owned(),
-        child: None,
-    }
+    let args = args.map(str::to_owned).to_vec();
+    Process::new(name, standins.to_owned(), args)
 }
 
 /// Writes an entry's settings file and returns the entry, not yet started.
@@ -62,12 +58,8 @@
     if layout.has_load_controls {
         args.extend(["--load-control", "admission,departures,reading,returns"]);
     }
-    let process = Process {
-        name,
-        program: env!("CARGO_BIN_EXE_pistachioyard").into(),
-        args: args.into_iter().map(str::to_owned).collect(),
-        child: None,
-    };
+    let args = args.into_iter().map(str::to_owned).collect();
+    let process = Process::new(name, env!("CARGO_BIN_EXE_pistachioyard").into(), args);
     Entry { process, ip }
 }
 
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -19,6 +19,7 @@
 mod no_status;
 mod odd_answers;
 mod odd_entries;
+mod own_end;
 mod poison_again;
 mod poison_outage;
 mod poison_part;
--- a/tests/site/process.rs
+++ b/tests/site/process.rs
@@ -3,20 +3,34 @@
 use std::path::PathBuf;
 
 use nix::sys::signal::Signal;
-use nix::unistd::Pid;
 use pistachioyard_standins::{Child, Launcher};
 
+use super::own_end::OwnEnd;
+
 /// Holds a process that can be killed and started again.
 pub(crate) struct Process {
     pub(crate) name: String,
     pub(crate) program: PathBuf,
     pub(crate) args: Vec<String>,
     pub(crate) child: Option<Child>,
+    own_ends: Vec<OwnEnd>,
 }
 
 impl Process {
+    /// Returns a process that has not been started.
+    pub(crate) fn new(name: String, program: PathBuf, args: Vec<String>) -> Self {
+        Self {
+            name,
+            program,
+            args,
+            child: None,
+            own_ends: Vec::new(),
+        }
+    }
+
     /// Starts the process; kills the one that runs, if any.
     pub(crate) fn start(&mut self, launcher: &Launcher) {
+        self.record_own_end();
         self.child = None;
         let child = launcher.spawn(&self.name, &self.program, &self.args);
         self.child = Some(child.expect("the process starts"));
@@ -29,16 +43,37 @@
 
     /// Kills the process if it runs.
     pub(crate) fn kill(&mut self) {
+        self.record_own_end();
         if let Some(mut child) = self.child.take() {
             child.kill().expect("the process can be killed");
         }
     }
 
+    /// Returns all its ends so far that nothing requested.
+    pub(crate) fn own_ends(&mut self) -> &[OwnEnd] {
+        self.record_own_end();
+        &self.own_ends
+    }
+
+    /// Records the end of the child, if it has ended by itself and this is not yet recorded.
+    fn record_own_end(&mut self) {
+        let Some(child) = &mut self.child else {
+            return;
+        };
+        let id = child.id();
+        let status = child.own_end().expect("its state can be read");
+        if let Some(status) = status
+            && !self.own_ends.iter().any(|end| end.id == id)
+        {
+            let end = OwnEnd::new(&self.name, id, status, &child.log());
+            self.own_ends.push(end);
+        }
+    }
+
     /// Sends a signal to the process, which must run.
     pub(crate) fn signal(&self, signal: Signal) {
         let child = self.child.as_ref().expect("the process was started");
-        let pid = Pid::from_raw(child.id() as i32);
-        nix::sys::signal::kill(pid, signal).expect("the signal is sent");
+        child.send(signal).expect("the signal is sent");
     }
 
     /// Returns the output of the process so far.
--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -119,6 +119,7 @@
     recover(&mut site).await;
     check_runs(&site, &outcomes, seed).await;
     check_retries(&site, &repeatable, started_at.elapsed(), seed).await;
+    site.check_own_ends();
 }
 
 /// Holds the ids of the requests that may be repeated, by their services.
