--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -21,6 +21,7 @@
 mod odd_answers;
 mod odd_entries;
 mod odd_numbers;
+mod own_end;
 mod poison_again;
 mod poison_outage;
 mod poison_part;
