--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -48,8 +48,6 @@
 ) -> Result<(), EntryError> {
     let metrics = crate::metric::install()?;
     crate::panic_hook::install(crate::metric::PANICS);
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     let node = Node::new(settings, Instant::now());
     peer_link::listen(node.clone())
         .await
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -73,8 +73,6 @@
     let began_at = Instant::now();
     let metrics = metric::install()?;
     crate::panic_hook::install(metric::PANICS);
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
     let settings = NodeSettings::load(settings_file)?;
     let settings_ms = ms(began_at.elapsed());
     let router = Router::new(settings, load_controls, Instant::now());
