Build only what route needs where it is deployed

Cause: the build command compiled all of the program, 236 crates, though `route` uses neither dropshot nor its TLS (aws-lc-sys: C and assembler, with cmake as its second way), plotters or WebSockets.

The other commands move to src/cli/entry_commands, so that the code of `route` is the same in both builds and knows no feature.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,23 +1,14 @@
 //! The command-line interface of the daemon and the operators' client.
 
-mod apply;
-mod call;
-mod entries;
-mod file;
-mod output;
-mod platform_config;
-mod report;
-mod status;
+#[cfg(feature = "entry")]
+mod entry_commands;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{Args, Parser, Subcommand, ValueEnum};
+use clap::{Parser, Subcommand};
 
-use self::platform_config::Strictness;
-use crate::prelude::*;
 use crate::router::LoadControl;
-use crate::settings::EntrySettings;
 
 /// Routes requests through model pipelines.
 #[derive(Debug, Parser)]
@@ -33,12 +24,6 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Runs the daemon of an entry host: the /v1 API, which apply, status and others call.
-    Entry {
-        /// The settings file.
-        #[arg(long, value_name = "FILE")]
-        config: PathBuf,
-    },
     /// Runs the daemon on the operators' platform: an HTTP proxy from callers to endpoints.
     Route {
         /// The settings file, which the platform writes.
@@ -52,125 +37,9 @@
         #[arg(long = "load-control", value_enum, value_delimiter = ',')]
         load_controls: Vec<LoadControl>,
     },
-    /// Validates a settings file, an operators' file or a configuration without changing anything.
-    Check {
-        /// The file to validate.
-        file: PathBuf,
-        /// The kind of the file.
-        #[arg(long, value_enum, default_value_t = FileKind::Config)]
-        kind: FileKind,
-        /// Treats warnings as errors.
-        #[arg(long)]
-        strict: bool,
-    },
-    /// Applies an operators' file as a whole.
-    Apply {
-        /// The operators' file.
-        file: PathBuf,
-        /// The revision that the file is based on; the one in force by default.
-        #[arg(long)]
-        base: Option<u64>,
-        #[command(flatten)]
-        target: Target,
-    },
-    /// Shows how a file differs from the configuration in force.
-    Diff {
-        /// The operators' file or the configuration.
-        file: PathBuf,
-        /// The format of the files.
-        #[arg(long, value_enum, default_value_t = ConfigFormat::Config)]
-        kind: ConfigFormat,
-        #[command(flatten)]
-        base: DiffBase,
-        /// The output format.
-        #[arg(long, value_enum, default_value_t = Output::Table)]
-        output: Output,
-    },
-    /// Shows where the configuration is in force.
-    Status {
-        #[command(flatten)]
-        target: Target,
-    },
-    /// Shows which entries callers should use.
-    Entries {
-        /// The workspace whose entries are shown.
-        #[arg(long)]
-        workspace: Option<WorkspaceName>,
-        #[command(flatten)]
-        target: Target,
-    },
-    /// Reports what the entries have counted.
-    #[command(subcommand)]
-    Report(Report),
-    /// Prints the OpenAPI document of an entry.
-    Openapi,
-}
-
-/// The available reports.
-#[derive(Debug, Subcommand)]
-enum Report {
-    /// Shows the burn rates of the service levels and the error budgets that are left.
-    Burn {
-        /// Also writes the report as a chart to this SVG file.
-        #[arg(long, value_name = "FILE")]
-        svg: Option<PathBuf>,
-        #[command(flatten)]
-        target: Target,
-    },
-}
-
-/// Says which entries to call and how to print the result.
-#[derive(Args, Clone, Debug)]
-struct Target {
-    /// The caller address of an entry. Repeat the flag to name further entries, which are
-    /// called if the earlier ones fail.
-    #[arg(long = "entry", value_name = "ADDRESS", required = true)]
-    entries: Vec<std::net::SocketAddr>,
-    /// The output format.
-    #[arg(long, value_enum, default_value_t = Output::Table)]
-    output: Output,
-}
-
-/// Says what a file is compared with.
-#[derive(Args, Clone, Debug)]
-#[group(required = true, multiple = false)]
-struct DiffBase {
-    /// A file that holds the configuration in force.
-    #[arg(long, value_name = "FILE")]
-    in_force: Option<PathBuf>,
-    /// The caller address of an entry. Repeat the flag to name further entries, which are
-    /// called if the earlier ones fail.
-    #[arg(long = "entry", value_name = "ADDRESS")]
-    entries: Vec<std::net::SocketAddr>,
-}
-
-/// The formats of configurations.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
-enum ConfigFormat {
-    /// An operators' file, which configures all entries.
-    Config,
-    /// A configuration of the operators' platform, in JSON.
-    Platform,
-}
-
-/// The output format of results.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
-enum Output {
-    /// A table for people.
-    Table,
-    /// JSON for programs.
-    Json,
-}
-
-/// The kinds of files that can be validated.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
-enum FileKind {
-    /// An operators' file, which configures all entries.
-    Config,
-    /// A configuration of the operators' platform, in JSON.
-    Platform,
-    /// The settings file of one entry.
-    Settings,
+    #[cfg(feature = "entry")]
+    #[command(flatten)]
+    Entry(entry_commands::EntryCommand),
 }
 
 /// Says how a command ended; each variant has its own exit code.
@@ -210,70 +79,13 @@
 ///
 /// Fails when the daemon cannot start, a file cannot be read or written, or no entry answers.
 pub fn run(cli: Cli) -> eyre::Result<ExitStatus> {
-    if let Command::Route {
-        config,
-        load_controls,
-    } = &cli.command
-    {
-        return route(config, load_controls);
-    }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
     match cli.command {
         Command::Route {
             config,
             load_controls,
         } => route(&config, &load_controls),
-        Command::Entry { config } => match EntrySettings::load(&config) {
-            Ok(settings) => {
-                crate::logging::init(settings.log_level);
-                runtime.block_on(crate::entry::run_entry(settings))?;
-                Ok(ExitStatus::Done)
-            }
-            Err(errors) => Ok(output::print_errors(&errors)),
-        },
-        Command::Check { file, kind, strict } => {
-            let strictness = match strict {
-                true => Strictness::Warnings,
-                false => Strictness::Errors,
-            };
-            Ok(check(&file, kind, strictness))
-        }
-        Command::Apply { file, base, target } => {
-            runtime.block_on(apply::apply(&file, base.map(Revision), &target))
-        }
-        Command::Diff {
-            file,
-            kind,
-            base,
-            output,
-        } => match (kind, base.in_force) {
-            (ConfigFormat::Platform, Some(in_force)) => {
-                Ok(platform_config::diff(&file, &in_force, output))
-            }
-            (ConfigFormat::Platform, None) => {
-                eprintln!(
-                    "error: a configuration of the platform is compared with --in-force FILE"
-                );
-                Ok(ExitStatus::BadInput)
-            }
-            (ConfigFormat::Config, Some(in_force)) => apply::diff_files(&file, &in_force, output),
-            (ConfigFormat::Config, None) => {
-                runtime.block_on(apply::diff(&file, &base.entries, output))
-            }
-        },
-        Command::Status { target } => runtime.block_on(status::status(&target)),
-        Command::Entries { workspace, target } => {
-            runtime.block_on(entries::entries(workspace.as_ref(), &target))
-        }
-        Command::Report(Report::Burn { svg, target }) => {
-            runtime.block_on(report::burn(&target, svg.as_deref()))
-        }
-        Command::Openapi => {
-            print!("{}", crate::api::openapi_document());
-            Ok(ExitStatus::Done)
-        }
+        #[cfg(feature = "entry")]
+        Command::Entry(command) => entry_commands::run(command),
     }
 }
 
@@ -285,20 +97,3 @@
     runtime.block_on(crate::router::run_router(config, load_controls.to_vec()))?;
     Ok(ExitStatus::Done)
 }
-
-fn check(file: &std::path::Path, kind: FileKind, strictness: Strictness) -> ExitStatus {
-    match kind {
-        FileKind::Settings => match EntrySettings::load(file) {
-            Ok(_) => output::print_valid(file),
-            Err(errors) => output::print_errors(&errors),
-        },
-        FileKind::Config => match file::read_text(file) {
-            Ok(text) => match pistachioyard_wire::Config::parse(&text) {
-                Ok(_) => output::print_valid(file),
-                Err(errors) => output::print_errors(&errors),
-            },
-            Err(e) => output::print_errors(&[e]),
-        },
-        FileKind::Platform => platform_config::check(file, strictness),
-    }
-}
--- a/src/cli/report/table.rs
+++ b/src/cli/entry_commands/report/table.rs
@@ -7,7 +7,7 @@
 use pistachioyard_wire::{Objective, ServiceLevel};
 
 use super::FleetBurn;
-use crate::cli::output::format_table;
+use crate::cli::entry_commands::output::format_table;
 
 /// Renders the whole report.
 pub(super) fn render(report: &FleetBurn) -> String {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,27 +5,42 @@
 //! parts fit together.
 
 mod answer_buffer;
+#[cfg(feature = "entry")]
 mod api;
+#[cfg(feature = "entry")]
 mod burn;
 mod cli;
 mod client;
+#[cfg(feature = "entry")]
 mod controller;
+#[cfg(feature = "entry")]
 mod engine;
+#[cfg(feature = "entry")]
 mod entry;
 mod error;
+#[cfg(feature = "entry")]
 mod filter;
 mod final_response;
+#[cfg(feature = "entry")]
 mod ledger;
 mod lifecycle;
+#[cfg(feature = "entry")]
 mod logging;
+#[cfg(feature = "entry")]
 mod metric;
+#[cfg(feature = "entry")]
 mod peer_link;
+#[cfg(feature = "entry")]
 mod platform;
 mod prelude;
 mod router;
+#[cfg(feature = "entry")]
 mod service;
+#[cfg(feature = "entry")]
 mod settings;
 
+#[cfg(feature = "entry")]
 pub use api::openapi_document;
 pub use cli::{Cli, ExitStatus, run};
+#[cfg(feature = "entry")]
 pub use settings::{EntrySettings, SettingsError};
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -3,10 +3,12 @@
 pub(crate) use std::sync::Arc;
 pub(crate) use std::time::{Duration, Instant};
 
+#[cfg(feature = "entry")]
 pub(crate) use pistachioyard_wire::prelude::{
-    Attempt, BootId, DataCentre, EndpointId, EntryId, ModelName, Priority, RequestId, Revision,
-    StreamId, VersionName, WorkspaceName,
+    Attempt, DataCentre, ModelName, Priority, RequestId, StreamId, VersionName, WorkspaceName,
 };
+pub(crate) use pistachioyard_wire::prelude::{BootId, EndpointId, EntryId, Revision};
 pub(crate) use pistachioyard_wire::{Outcome, Problem, ProblemKind};
 
+#[cfg(feature = "entry")]
 pub(crate) use crate::entry::Node;
