--- a/tests/site/odd_numbers.rs
+++ b/tests/site/odd_numbers.rs
@@ -20,6 +20,13 @@
 /// How long a placement may take; a load takes 40 ms.
 const PLACEMENT_LIMIT: Duration = Duration::from_secs(10);
 
+/// Asserts that no task of the first entry has panicked.
+pub(super) async fn assert_no_panic(site: &Site) {
+    let metrics = site.fetch_metrics(&site.entries[0]).await;
+    let panics = metrics.lines().find(|l| l.starts_with("router_panics"));
+    assert_eq!(panics, Some("router_panics_total 0"));
+}
+
 async fn keep_alive_for(mut stream: TcpStream, seconds: u64) {
     while let Some((path, id)) = read_request(&mut stream).await {
         let answer = match path.as_str() {
@@ -67,6 +74,7 @@
             let expected = Exchange::Complete(200, b"ok".to_vec());
             assert_eq!(answer, expected, "{path}, kept for {seconds} s");
         }
+        assert_no_panic(&site).await;
     }
 }
 
@@ -102,6 +110,7 @@
     })
     .await;
     restart_engines(&mut site).await;
+    assert_no_panic(&site).await;
 }
 
 /// Returns how many configurations an entry has judged.
@@ -127,4 +136,5 @@
             .expect("the entry reads the configuration");
         restart_engines(&mut site).await;
     }
+    assert_no_panic(&site).await;
 }
