Leave layers beyond those of the model out of the placement

After a configuration had taken layers from a model, endpoints that were started again got no layers any more, at any entry that held the lease.

Cause: an endpoint goes on to hold and report the layers that it has loaded, and the placement uses them as indices into the layers of the model. Evidence: `tasks: panicked { place=.../card_placement.rs:286 why=index out of bounds: the len is 4 but the index is 4 }`.

Change: the registry hands the placement such a card as one that holds nothing of the model, so it is given layers anew. `loads_to_start` had the same cause and takes the same cards. The placement of the `entry` daemon cuts ranges already.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -353,7 +353,9 @@
                 card,
                 held: pending_order
                     .map(|(layers, _)| layers)
-                    .or(record.state.layers),
+                    .or(record.state.layers)
+                    // The model may have had more layers when the endpoint loaded them.
+                    .filter(|held| held.end() <= spec.layers),
                 takes_orders: pending_order.is_none()
                     && !record.state.is_moving
                     && !tracked.is_suspect(now)
--- a/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
@@ -3,10 +3,11 @@
 use std::time::{Duration, Instant};
 
 use pistachioyard_policy::{
-    EndpointChange, EndpointRegistry, EndpointReport, GossipReport, ProbeResult, SuspectReason,
+    EndpointChange, EndpointRegistry, EndpointReport, GossipReport, PipelineSpec, ProbeResult,
+    SuspectReason, plan_moves,
 };
 
-use super::fixture::{id, range, record, registry, spec};
+use super::fixture::{LAYERS, id, range, record, registry, spec};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -46,6 +47,23 @@
     );
 }
 
+/// Guards against a placement over layers that the model no longer has.
+#[test]
+fn an_endpoint_with_layers_beyond_those_of_the_model_holds_none_of_it() {
+    let now = Instant::now();
+    let registry = registry(now);
+    let service = "model".try_into().expect("the name is valid");
+    let held = |layers: u32| {
+        let spec = PipelineSpec { layers, ..spec() };
+        let cards = registry.cards(&service, &spec, now);
+        plan_moves(&spec, &cards, 1_000.0);
+        cards.first().map(|card| card.held)
+    };
+    let whole = held(LAYERS).flatten().expect("it holds layers");
+    assert_eq!(held(whole.end()), Some(Some(whole)));
+    assert_eq!(held(whole.end() - 1), Some(None));
+}
+
 /// Guards against a cut link between endpoints: the endpoint answers the router's probes, but
 /// other endpoints cannot reach it.
 #[test]
