Bound the time for which a load is waited for

After a configuration with a negative load time the placement sent one round of orders and no more.

Cause: the configured number became a `Duration` unchecked where an order had begun, and the panic ended the placement's task, for good before supervised tasks and once for each order since. Evidence: `tasks: panicked { why=cannot convert float seconds to Duration: value is negative }` below `handle_answer`.

Change: `PipelineSpec::load_time` converts it for every number there is: a negative one counts as none, and at most an hour is waited for. `pistachioyard check` names a negative load time already; the daemon goes on to adopt it, since the rest of such a configuration is sound.

--- a/crates/pistachioyard_policy/src/pipeline/spec.rs
+++ b/crates/pistachioyard_policy/src/pipeline/spec.rs
@@ -2,11 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use pistachioyard_wire::ModelName;
 
 use super::load::RequestSize;
 
+/// The longest time for which a load is waited for; added to a time, it never overflows.
+const MAX_LOAD_TIME: Duration = Duration::from_secs(60 * 60);
+
 /// Describes a kind of accelerator.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Card {
@@ -65,6 +69,14 @@
 }
 
 impl PipelineSpec {
+    /// Returns the time to load a number of layers while few loads run, up to
+    /// [`MAX_LOAD_TIME`]; a negative one counts as none.
+    pub fn load_time(&self, layers: u32) -> Duration {
+        let share = f64::from(layers) / f64::from(self.layers);
+        let load_s = (self.load_ms * share / 1e3).max(0.0);
+        Duration::try_from_secs_f64(load_s).map_or(MAX_LOAD_TIME, |time| time.min(MAX_LOAD_TIME))
+    }
+
     /// Returns the mean size of a request.
     pub fn mean_size(&self) -> RequestSize {
         RequestSize {
--- a/crates/pistachioyard_policy/tests/pipeline/placement.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/placement.rs
@@ -1,6 +1,6 @@
 //! Tests the placement of layers on cards.
 
-use pistachioyard_policy::{CardState, loads_to_start, plan_moves};
+use pistachioyard_policy::{CardState, PipelineSpec, loads_to_start, plan_moves};
 use pistachioyard_wire::LayerRange;
 
 use super::fixture::{LAYERS, RESERVED_TOKENS, apply_moves, cards, gaps, id, spec};
@@ -56,6 +56,21 @@
     })
 }
 
+#[test]
+fn the_time_of_a_load_is_bounded() {
+    let load_time = |load_ms: f64, layers: u32| {
+        let spec = PipelineSpec { load_ms, ..spec() };
+        spec.load_time(layers).as_secs_f64()
+    };
+    assert_eq!(load_time(8_000.0, LAYERS / 2), 4.0);
+    for load_ms in [-1.0, f64::MIN, f64::NEG_INFINITY, f64::NAN] {
+        assert_eq!(load_time(load_ms, LAYERS), 0.0, "{load_ms}");
+    }
+    for load_ms in [1e300, f64::MAX, f64::INFINITY] {
+        assert_eq!(load_time(load_ms, 1), 3_600.0, "{load_ms}");
+    }
+}
+
 /// When a card fails, its streams need another holder of every layer in their own data centre.
 /// Otherwise their paths can only be repaired over links between data centres, or all layers
 /// have to prefill the prompt again. Most cards must be redundant in this sense.
--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -110,8 +110,7 @@
     let now = Instant::now();
     match answer {
         Ok(OrderAnswer::Begun) => {
-            let share = f64::from(order.layers.len()) / f64::from(spec.layers);
-            let load = Duration::from_secs_f64(spec.load_ms * share / 1e3);
+            let load = spec.load_time(order.layers.len());
             let until = now + load * 2 + LOAD_SLACK;
             let mut endpoints = router.endpoints.lock();
             endpoints.note_order(&order.endpoint, order.layers, until, now);
