Bound the ages, counts and sizes that a peer tells

A datagram whose ages or sizes are near the largest numbers, as a faulty or foreign peer may send it, ended requests and the receiver of gossip in unoptimised builds. Optimised ones wrap round: an age of 2^64-1 ms is passed on as 0, so that a copy that nobody has confirmed counts as fresh.

Cause: `age_ms + 1` and sums of `u64` over what peers tell (datagram.rs:97, reading.rs:97), unchecked.

The format of the messages is the same.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -199,7 +199,7 @@
         if let Some(tracked) = self.by_id.get_mut(endpoint) {
             tracked.pending_order = Some((layers, until));
             let state = &mut tracked.record.state;
-            state.orders_begun += 1;
+            state.orders_begun = state.orders_begun.saturating_add(1);
             state.is_moving = true;
             // Layers that the order unloads get no new requests from now on.
             state.layers = state.layers.and_then(|held| intersection(held, layers));
--- a/src/router.rs
+++ b/src/router.rs
@@ -28,6 +28,7 @@
 mod returns;
 mod run;
 mod store_client;
+mod told_age;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/src/router/controller/peers/datagram.rs
+++ b/src/router/controller/peers/datagram.rs
@@ -8,7 +8,7 @@
 use super::short_keys::short_key;
 use crate::prelude::*;
 use crate::router::Router;
-use crate::router::log::ms;
+use crate::router::told_age::ToldAge;
 
 /// How long an entry must have run before it tells other data centres the load of its own; it has
 /// heard its peers there by then.
@@ -76,7 +76,7 @@
             orders_begun: record.state.orders_begun,
             started_unix_ms: record.state.started_unix_ms,
             slowdown: record.state.slowdown as f32,
-            age_ms: ms(age),
+            age_ms: ToldAge::of(age),
         })
         .collect();
     let leaving = endpoints
@@ -85,21 +85,21 @@
         .choose_multiple(&mut rand::rng(), max_items);
     let dead = endpoints
         .dead_runs(now)
-        // Rounded up, so that the news cannot get younger by being passed around.
-        .map(|(run, age)| (short_key(&run.endpoint), run.started_unix_ms, ms(age) + 1))
+        .map(|(run, age)| {
+            let age = ToldAge::rounded_up(age);
+            (short_key(&run.endpoint), run.started_unix_ms, age)
+        })
         .choose_multiple(&mut rand::rng(), MAX_ITEMS_PER_LIST);
     let limits = endpoints.limits().told(now);
     let limits = limits.map(|(run, rate, said_at)| LimitNotice {
         key: short_key(&run.endpoint),
         started_unix_ms: run.started_unix_ms,
         per_second: rate.map(RequestRate::per_second),
-        // Rounded up, so that a notice cannot get younger by being passed around.
-        age_ms: ms(now.saturating_duration_since(said_at)) + 1,
+        age_ms: ToldAge::rounded_up(now.saturating_duration_since(said_at)),
     });
     let limits = limits.choose_multiple(&mut rand::rng(), max_items);
-    // Rounded up, so that a confirmation cannot get younger by being passed around.
-    let endpoints_age_ms = ms(router.endpoints_freshness.lock().age(now)) + 1;
-    let endpoints_fresh = Some((digest, endpoints_age_ms));
+    let endpoints_age = router.endpoints_freshness.lock().age(now);
+    let endpoints_fresh = Some((digest, ToldAge::rounded_up(endpoints_age)));
     drop(endpoints);
     let load = load_to_tell(router, scope);
     let reading = reading_to_tell(router, scope);
@@ -118,7 +118,7 @@
         endpoints_revision: seen.revision,
         endpoints_era: seen.era,
         endpoints_fresh,
-        config_age_ms: Some(ms(router.config_freshness.lock().age(now)) + 1),
+        config_age_ms: Some(ToldAge::rounded_up(router.config_freshness.lock().age(now))),
         newest_fence: router.newest_fence(),
         load,
         departures: router.departures_to_tell(scope),
--- a/src/router/controller/peers/messages.rs
+++ b/src/router/controller/peers/messages.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::router::ToldDeparture;
+use crate::router::told_age::ToldAge;
 
 /// Holds the state that entries send to each other.
 #[derive(Deserialize, Serialize)]
@@ -21,13 +22,12 @@
     /// The era of that revision, if it is known.
     #[serde(default)]
     pub(super) endpoints_era: Option<StoreEra>,
-    /// The digest of the sender's list of endpoints, and the age in ms of its confirmation.
+    /// The digest of the sender's list of endpoints, and the age of its confirmation.
     #[serde(default)]
-    pub(super) endpoints_fresh: Option<(u64, u64)>,
-    /// The age in ms of the confirmation of the sender's configuration, whose version is in its
-    /// record.
+    pub(super) endpoints_fresh: Option<(u64, ToldAge)>,
+    /// The age of the confirmation of the sender's configuration, whose version is in its record.
     #[serde(default)]
-    pub(super) config_age_ms: Option<u64>,
+    pub(super) config_age_ms: Option<ToldAge>,
     /// The highest fencing token of the placement lease that the sender knows of, since the
     /// store may lose it.
     #[serde(default)]
@@ -57,9 +57,9 @@
     #[serde(default)]
     pub(super) leaving: Vec<(u32, Option<u64>)>,
     /// The runs of endpoints that refused a connection lately: short key, Unix time of the start in
-    /// ms, time since in ms.
+    /// ms, time since.
     #[serde(default)]
-    pub(super) dead: Vec<(u32, Option<u64>, u64)>,
+    pub(super) dead: Vec<(u32, Option<u64>, ToldAge)>,
     /// The limits that endpoints have named, and those that have ended lately.
     #[serde(default)]
     pub(super) limits: Vec<LimitNotice>,
@@ -93,7 +93,7 @@
     pub(super) orders_begun: u64,
     pub(super) started_unix_ms: Option<u64>,
     pub(super) slowdown: f32,
-    pub(super) age_ms: u64,
+    pub(super) age_ms: ToldAge,
 }
 
 /// Holds what an endpoint said of its limit.
@@ -104,7 +104,7 @@
     pub(super) started_unix_ms: Option<u64>,
     /// The requests a second that it takes from all entries; none if there is no limit any more.
     pub(super) per_second: Option<f64>,
-    pub(super) age_ms: u64,
+    pub(super) age_ms: ToldAge,
 }
 
 /// Holds what an entry tells of the returns to one service.
--- a/src/router/controller/peers/receive.rs
+++ b/src/router/controller/peers/receive.rs
@@ -15,6 +15,11 @@
 use crate::router::permits::PermitMessage;
 use crate::router::{Router, metric};
 
+/// The most requests that a peer has in progress at one endpoint; sums over all peers of a fleet
+/// stay far from overflowing.
+const MAX_TOLD_REQUESTS: u32 = 1 << 20;
+/// The most prompt tokens times layers that a peer has begun to read at one endpoint; likewise.
+const MAX_TOLD_READING: u64 = 1 << 48;
 /// How long a datagram may be on its way.
 const TRANSIT_TIME: Duration = Duration::from_millis(20);
 
@@ -104,19 +109,25 @@
     let load = gossip.load.map(|load| {
         let known = load.iter().filter_map(|(key, requests, token_layers)| {
             let endpoint = by_key.get(key)?.clone();
-            Some((endpoint, (*requests, f64::from(*token_layers))))
+            let requests = (*requests).min(MAX_TOLD_REQUESTS);
+            token_layers
+                .is_finite()
+                .then(|| (endpoint, (requests, f64::from(*token_layers))))
         });
         known.collect::<LoadShare>()
     });
     let reading = gossip.reading.iter();
     let reading: ReadingShare = reading
-        .filter_map(|(key, tokens)| Some((by_key.get(key)?.clone(), *tokens)))
+        .filter_map(|(key, tokens)| {
+            let endpoint = by_key.get(key)?.clone();
+            Some((endpoint, (*tokens).min(MAX_TOLD_READING)))
+        })
         .collect();
     for heard in &gossip.heard {
         let Some(endpoint) = by_key.get(&heard.key) else {
             continue;
         };
-        let Some(heard_at) = now.checked_sub(Duration::from_millis(heard.age_ms)) else {
+        let Some(heard_at) = now.checked_sub(heard.age_ms.duration()) else {
             continue;
         };
         let is_new = endpoints.apply_gossip(&GossipReport {
@@ -133,7 +144,7 @@
             spdlog::info!("endpoints: updated by a peer's report", kv: {
                 endpoint = endpoint.as_str(), from = sender.entry.as_str(),
                 layers = layers.as_str(), is_moving = heard.is_moving,
-                slowdown = heard.slowdown, age_ms = heard.age_ms
+                slowdown = heard.slowdown, age_ms = heard.age_ms.ms()
             });
             router.capacity_changed.notify_waiters();
         }
@@ -161,13 +172,13 @@
             receive_limit(router, endpoint, &notice, &sender.entry, now);
         }
     }
-    for (key, started_unix_ms, age_ms) in gossip.dead {
+    for (key, started_unix_ms, age) in gossip.dead {
         if let Some(endpoint) = by_key.get(&key).cloned() {
             let run = EndpointRun {
                 endpoint,
                 started_unix_ms,
             };
-            router.note_dead(&run, Duration::from_millis(age_ms), sender.entry.as_str());
+            router.note_dead(&run, age.duration(), sender.entry.as_str());
         }
     }
     for (key, started_unix_ms) in gossip.leaving {
@@ -186,18 +197,17 @@
 
 /// Confirms the copies of the store's objects that are the same as the sender's.
 fn confirm_copies(router: &Router, gossip: &Gossip, sender: &MemberRecord, now: Instant) {
-    let age = |age_ms: u64| Duration::from_millis(age_ms) + TRANSIT_TIME;
-    if let Some((digest, age_ms)) = gossip.endpoints_fresh
+    if let Some((digest, age)) = gossip.endpoints_fresh
         && digest == router.endpoints.lock().digest()
     {
         let mut freshness = router.endpoints_freshness.lock();
-        freshness.confirm_by_peer(age(age_ms), now);
+        freshness.confirm_by_peer(age.duration() + TRANSIT_TIME, now);
     }
-    if let Some(age_ms) = gossip.config_age_ms
+    if let Some(age) = gossip.config_age_ms
         && sender.revision.0 == router.version()
     {
         let mut freshness = router.config_freshness.lock();
-        freshness.confirm_by_peer(age(age_ms), now);
+        freshness.confirm_by_peer(age.duration() + TRANSIT_TIME, now);
     }
 }
 
@@ -272,7 +282,7 @@
         endpoint: endpoint.clone(),
         started_unix_ms: notice.started_unix_ms,
     };
-    let Some(said_at) = now.checked_sub(Duration::from_millis(notice.age_ms)) else {
+    let Some(said_at) = now.checked_sub(notice.age_ms.duration()) else {
         return;
     };
     match notice.per_second.map(RequestRate::try_from).transpose() {
--- a/src/router/permits.rs
+++ b/src/router/permits.rs
@@ -26,6 +26,7 @@
 use super::{PEER_TIMEOUT, Router, metric};
 use crate::prelude::*;
 use crate::router::log::ms;
+use crate::router::told_age::ToldAge;
 
 /// How long the responsible entry may take to answer; a host without a share of a processor left
 /// answers after up to a tenth of a second.
@@ -211,7 +212,7 @@
         let answer = match owner == self.settings.entry {
             true => self.hand_out_permit(run, now),
             false => {
-                let age_ms = ms(now.saturating_duration_since(said_at));
+                let age_ms = ToldAge::of(now.saturating_duration_since(said_at));
                 let ask = PermitBody::Ask {
                     endpoint: run.endpoint.clone(),
                     started_unix_ms: run.started_unix_ms,
@@ -290,8 +291,8 @@
                     endpoint,
                     started_unix_ms,
                 };
-                let age = Duration::from_millis(age_ms);
-                match (RequestRate::try_from(per_second), now.checked_sub(age)) {
+                let said_at = now.checked_sub(age_ms.duration());
+                match (RequestRate::try_from(per_second), said_at) {
                     (Ok(rate), Some(said_at)) => {
                         self.note_limit(&run, Some(rate), said_at, "peer");
                     }
--- a/src/router/permits/messages.rs
+++ b/src/router/permits/messages.rs
@@ -5,6 +5,7 @@
 
 use crate::prelude::*;
 use crate::router::log::ms;
+use crate::router::told_age::ToldAge;
 
 /// The major type of a CBOR array, in the upper three bits of the first byte. Gossip is a map.
 const CBOR_ARRAY: u8 = 4;
@@ -23,7 +24,7 @@
         started_unix_ms: Option<u64>,
         /// The limit that the sender knows of, and the age of that knowledge.
         per_second: f64,
-        age_ms: u64,
+        age_ms: ToldAge,
     },
     /// Grants a permit, or tells when there will be one.
     Answer { denied_ms: Option<u64> },
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -18,6 +18,7 @@
 mod lost;
 mod no_status;
 mod odd_answers;
+mod odd_datagrams;
 mod odd_entries;
 mod odd_numbers;
 mod poison_again;
