Tell a request that panicked from one whose caller has gone

A panic in a request's task drops its record, which logged and counted `ended=caller_gone`; seen for each of the panics in tests/site/odd_numbers.rs and odd_datagrams.rs. It is `panicked` now. A task that judges a lost answer and panics no longer keeps its run from being judged again. Neither has a test: no input that panics is known any more.

--- a/src/router/filter/record.rs
+++ b/src/router/filter/record.rs
@@ -186,6 +186,10 @@
 
 impl Drop for Record {
     fn drop(&mut self) {
-        self.end("caller_gone", 0, "");
+        let ended = match std::thread::panicking() {
+            true => "panicked",
+            false => "caller_gone",
+        };
+        self.end(ended, 0, "");
     }
 }
--- a/src/router/losses.rs
+++ b/src/router/losses.rs
@@ -70,7 +70,11 @@
         address: SocketAddr,
     ) -> FateFinder {
         let mut by_run = self.losses.by_run.lock();
-        if let Some(judged) = by_run.get(run) {
+        // A task that has panicked leaves its place behind, and will judge nothing.
+        let judged = by_run
+            .get(run)
+            .filter(|judged| judged.has_changed().is_ok());
+        if let Some(judged) = judged {
             return FateFinder(judged.clone());
         }
         let (tx, rx) = watch::channel(None);
