--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -19,6 +19,7 @@
 mod memory;
 mod no_status;
 mod odd_answers;
+mod odd_datagrams;
 mod odd_entries;
 mod odd_numbers;
 mod own_end;
