Try the steps of a start again instead of ending the router

Each step of the start of `route` returned an error that ended the process with code 1: a port that another socket had for 150 ms, an address that was not there yet, a settings file that was empty, half written or missing. The platform starts an ended process again, so a cause that lasts a few restarts is counted as a fault. The metrics port 9464, which no setting moves, kept an entry from serving at all. A SIGTERM that came meanwhile found a process that had ended with code 1.

A start now repeats until it succeeds: it reads the settings, then opens all sockets without which an entry does not serve, the callers' last. If one of them fails, all are closed again, so that connections are refused instead of waiting in a backlog, and readiness cannot say more than is there. The settings are read in each attempt, since they may name a wrong address and be rewritten. The pauses grow from 20 to 500 ms with jitter, without an end; the 1st, 2nd, 4th, 8th failure of each step is logged. SIGHUP ends the pause, SIGTERM and SIGINT end the process with code 0. The metrics are served once their port is free and nothing waits for them. The decision is `StartRetries` in the policy crate, the loop in `start` is for both daemons.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 mod router;
 mod service;
 mod settings;
+mod start;
 
 pub use api::openapi_document;
 pub use cli::{Cli, ExitStatus, run};
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -1,16 +1,18 @@
 //! Startup, settings checks and shutdown of the router daemon.
 
-use std::net::SocketAddr;
+mod listeners;
+
 use std::path::Path;
 
-use pistachioyard_platform::{NodeSettings, SettingsError};
-use tokio::net::UdpSocket;
+use pistachioyard_platform::NodeSettings;
+use tokio::sync::Notify;
 
+use self::listeners::{Listeners, serve_metrics};
 use crate::daemon::{DaemonSignal, Signals};
 use crate::prelude::*;
-use crate::router::http_server::{self, Service};
 use crate::router::log::ms;
 use crate::router::{LoadControl, Router, controller, log, metric};
+use crate::start::{self, StartError};
 
 /// How long new requests are still accepted after a stop was requested, for callers with a
 /// cached directory response; some callers cache it for three times its TTL.
@@ -22,23 +24,10 @@
 const STOP_MARGIN: Duration = Duration::from_millis(250);
 /// How long the last log lines may take to be written; an active reader takes a few ms.
 const LOG_FLUSH_LIMIT: Duration = Duration::from_millis(150);
-/// The port of the metrics server; `deploy/system.toml` has the same number.
-const METRICS_PORT: u16 = 9_464;
 
 /// Says why the daemon cannot start.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum RouterError {
-    /// The settings are invalid or cannot be read.
-    #[error(transparent)]
-    Settings(#[from] SettingsError),
-    /// A listening socket cannot be opened.
-    #[error("cannot listen on {address}: {source}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The underlying error.
-        source: std::io::Error,
-    },
     /// The logger cannot be set up.
     #[error("cannot set up the logger: {0}")]
     Log(#[from] spdlog::Error),
@@ -72,20 +61,34 @@
 ) -> Result<(), RouterError> {
     let began_at = Instant::now();
     let metrics = metric::install()?;
-    let settings = NodeSettings::load(settings_file)?;
-    let settings_ms = ms(began_at.elapsed());
-    let router = Router::new(settings, load_controls, Instant::now());
-    listen(&router, metrics).await?;
+    let hurry = Arc::new(Notify::new());
+    let start = start::repeat(&hurry, || open(settings_file));
+    let opened = match start::unless_stopped(&mut signals, &hurry, start).await {
+        Ok(opened) => opened,
+        Err(signal) => {
+            spdlog::info!("router: stopped during the start", kv: {
+                why = signal.as_str(), took_ms = ms(began_at.elapsed())
+            });
+            return Ok(());
+        }
+    };
+    let router = Router::new(opened.settings, load_controls, Instant::now());
+    opened.listeners.serve(&router);
+    tokio::spawn(serve_metrics(router.clone(), metrics, hurry.clone()));
     spdlog::info!("router: started", kv: {
         entry = router.settings.entry.as_str(),
         data_centre = router.settings.data_centre.as_str(),
         callers = router.settings.caller_address.to_string().as_str(),
         boot = router.boot.to_string().as_str(), first_start = router.settings.is_first_start,
-        settings_ms, took_ms = ms(began_at.elapsed())
+        settings_ms = ms(opened.settings_took), listeners_ms = ms(opened.listeners_took),
+        took_ms = ms(began_at.elapsed())
     });
     loop {
         match signals.next().await {
-            DaemonSignal::Hangup => check_settings(&router, settings_file),
+            DaemonSignal::Hangup => {
+                check_settings(&router, settings_file);
+                hurry.notify_waiters();
+            }
             why @ (DaemonSignal::Interrupt | DaemonSignal::Terminate) => {
                 stop(&router, why).await;
                 return Ok(());
@@ -94,36 +97,27 @@
     }
 }
 
-async fn listen(
-    router: &Arc<Router>,
-    metrics: metrics_exporter_prometheus::PrometheusHandle,
-) -> Result<(), RouterError> {
-    let settings = &router.settings;
-    let peer_address = settings.peer_address;
-    let peers = UdpSocket::bind(peer_address)
-        .await
-        .map_err(|source| RouterError::Listen {
-            address: peer_address,
-            source,
-        })?;
-    let metrics_address = SocketAddr::new(settings.caller_address.ip(), METRICS_PORT);
-    let servers = [
-        (Some(settings.caller_address), Service::Callers),
-        (Some(settings.ready_address), Service::Readiness),
-        (settings.directory_address, Service::Directory),
-        (Some(peer_address), Service::Peers),
-        (Some(metrics_address), Service::Metrics(metrics)),
-    ];
-    for (address, service) in servers {
-        let Some(address) = address else {
-            continue;
-        };
-        let listener =
-            http_server::bind(address).map_err(|source| RouterError::Listen { address, source })?;
-        tokio::spawn(http_server::accept(router.clone(), listener, service));
-    }
-    controller::start(router, peers);
-    Ok(())
+/// Holds what a start has read and opened, and how long that took in the last attempt.
+struct Opened {
+    settings: NodeSettings,
+    settings_took: Duration,
+    listeners: Listeners,
+    listeners_took: Duration,
+}
+
+/// Reads the settings and opens the sockets. Settings that name a wrong address may be rewritten
+/// too, so both are done in each attempt.
+fn open(settings_file: &Path) -> Result<Opened, StartError> {
+    let began_at = Instant::now();
+    let settings = NodeSettings::load(settings_file)?;
+    let settings_took = began_at.elapsed();
+    let listeners = Listeners::open(&settings)?;
+    Ok(Opened {
+        settings,
+        settings_took,
+        listeners,
+        listeners_took: began_at.elapsed().saturating_sub(settings_took),
+    })
 }
 
 /// Checks the settings file and logs the result; the running process keeps all of its
--- /dev/null
+++ b/src/start.rs
@@ -0,0 +1,71 @@
+//! Starts of the daemons, which go on until nothing holds them up.
+//!
+//! The platform counts a process that ends by itself as faulty, and what holds up a start may pass:
+//! another process has a port, an address is not there yet, or a file is not written yet.
+
+mod error;
+mod step;
+
+use std::pin::pin;
+
+use pistachioyard_policy::StartRetries;
+use tokio::sync::Notify;
+
+pub(crate) use self::error::StartError;
+pub(crate) use self::step::StartStep;
+use crate::daemon::{DaemonSignal, Signals};
+use crate::prelude::*;
+
+/// Repeats an attempt until it succeeds; `hurry` ends the pause between two attempts.
+pub(crate) async fn repeat<T>(
+    hurry: &Notify,
+    mut attempt: impl FnMut() -> Result<T, StartError>,
+) -> T {
+    let began_at = Instant::now();
+    let mut retries = StartRetries::default();
+    loop {
+        let e = match attempt() {
+            Ok(done) => {
+                if retries.failed_attempts() > 0 {
+                    spdlog::info!("start: went on after failed steps", kv: {
+                        failed_attempts = retries.failed_attempts(),
+                        took_ms = began_at.elapsed().as_millis() as u64
+                    });
+                }
+                return done;
+            }
+            Err(e) => e,
+        };
+        let retry = retries.fail(e.step(), &mut rand::rng());
+        if retry.is_logged {
+            spdlog::warn!("start: step failed", kv: {
+                step = e.step().as_str(), why = e.to_string().as_str(),
+                attempt = retry.attempt, retry_ms = retry.pause.as_millis() as u64
+            });
+        }
+        // Whether the pause is over or was cut short, the next attempt follows.
+        let _ = tokio::time::timeout(retry.pause, hurry.notified()).await;
+    }
+}
+
+/// Runs a start to its end. SIGHUP makes it try again at once.
+///
+/// # Errors
+///
+/// Returns the signal that asks the process to stop before the start has ended.
+pub(crate) async fn unless_stopped<T>(
+    signals: &mut Signals,
+    hurry: &Notify,
+    start: impl Future<Output = T>,
+) -> Result<T, DaemonSignal> {
+    let mut start = pin!(start);
+    loop {
+        tokio::select! {
+            done = &mut start => return Ok(done),
+            signal = signals.next() => match signal {
+                DaemonSignal::Hangup => hurry.notify_waiters(),
+                DaemonSignal::Interrupt | DaemonSignal::Terminate => return Err(signal),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/start/error.rs
@@ -0,0 +1,50 @@
+//! The errors of the steps of a start.
+
+use std::error::Error;
+use std::net::SocketAddr;
+
+use pistachioyard_platform::SettingsError;
+
+use super::StartStep;
+
+/// Says why a step of a start has failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum StartError {
+    /// The settings are invalid or cannot be read.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A listening socket cannot be opened.
+    #[error("cannot listen for {} on {address}: {source}", step.as_str())]
+    Listen {
+        /// What the socket is for.
+        step: StartStep,
+        /// The address.
+        address: SocketAddr,
+        /// The underlying error.
+        source: Box<dyn Error + Send + Sync>,
+    },
+}
+
+impl StartError {
+    /// Returns the error of a socket that cannot be opened.
+    pub(crate) fn listen(
+        step: StartStep,
+        address: SocketAddr,
+        source: impl Into<Box<dyn Error + Send + Sync>>,
+    ) -> Self {
+        let source = source.into();
+        Self::Listen {
+            step,
+            address,
+            source,
+        }
+    }
+
+    /// Returns the step that has failed.
+    pub(crate) fn step(&self) -> StartStep {
+        match self {
+            Self::Settings(_) => StartStep::Settings,
+            Self::Listen { step, .. } => *step,
+        }
+    }
+}
