Try the steps of the entry daemon's start again too

It opens both in the same loop as `route`, first that for callers, then that for peers, through which callers are sent here; until it has a configuration, callers get `no_config`. The operators' own settings file that is invalid still ends it with code 2, as before: nobody rewrites it.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -2,13 +2,17 @@
 
 use std::path::Path;
 
-use dropshot::{ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
+use dropshot::{BuildError, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::Notify;
 
+use crate::api::ApiContext;
 use crate::controller;
 use crate::daemon::{DaemonSignal, Signals};
 use crate::peer_link;
 use crate::prelude::*;
 use crate::settings::EntrySettings;
+use crate::start::{self, StartError, StartStep};
 
 /// The maximum body size that the HTTP server accepts, in bytes. It is well above the limit of the
 /// handlers, so that they can reject a body that is too large with a problem document.
@@ -19,22 +23,6 @@
 /// The reason why the daemon cannot run.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum EntryError {
-    /// The server cannot listen on the caller address.
-    #[error("cannot listen for callers on {address}: {why}")]
-    Listen {
-        /// The address.
-        address: std::net::SocketAddr,
-        /// The reason.
-        why: String,
-    },
-    /// The server cannot listen on the peer address.
-    #[error("cannot listen for peers on {address}")]
-    PeerListen {
-        /// The address.
-        address: std::net::SocketAddr,
-        /// The reason.
-        source: std::io::Error,
-    },
     /// The metrics recorder cannot be installed.
     #[error("cannot install the metrics recorder")]
     Metrics(#[from] metrics_exporter_prometheus::BuildError),
@@ -48,14 +36,15 @@
 ) -> Result<(), EntryError> {
     let metrics = crate::metric::install()?;
     let node = Node::new(settings, Instant::now());
-    peer_link::listen(node.clone())
-        .await
-        .map_err(|source| EntryError::PeerListen {
-            address: node.settings.peer_address,
-            source,
-        })?;
-    controller::start(&node);
-    let server = serve(&node, metrics)?;
+    let hurry = Notify::new();
+    let start = start(&node, &metrics, &hurry);
+    let server = match start::unless_stopped(&mut signals, &hurry, start).await {
+        Ok(server) => server,
+        Err(signal) => {
+            spdlog::info!("entry: stopped during the start on {}", signal.as_str());
+            return Ok(());
+        }
+    };
     spdlog::info!(
         "entry: {} serves callers on {}",
         node.settings.entry,
@@ -74,17 +63,33 @@
     Ok(())
 }
 
+/// Opens the server for callers, then the port for peers, through which callers are sent here.
+async fn start(
+    node: &Arc<Node>,
+    metrics: &PrometheusHandle,
+    hurry: &Notify,
+) -> HttpServer<ApiContext> {
+    let server = start::repeat(hurry, || serve(node, metrics.clone())).await;
+    let address = node.settings.peer_address;
+    let listener = start::repeat(hurry, || {
+        peer_link::bind(address).map_err(|e| StartError::listen(StartStep::Peers, address, e))
+    });
+    peer_link::accept_links(node.clone(), listener.await);
+    controller::start(node);
+    server
+}
+
 fn serve(
     node: &Arc<Node>,
-    metrics: metrics_exporter_prometheus::PrometheusHandle,
-) -> Result<HttpServer<crate::api::ApiContext>, EntryError> {
+    metrics: PrometheusHandle,
+) -> Result<HttpServer<ApiContext>, StartError> {
     let config = ConfigDropshot {
         bind_address: node.settings.caller_address,
         default_request_body_max_bytes: SERVER_BODY_BYTES,
         default_handler_task_mode: HandlerTaskMode::Detached,
         ..ConfigDropshot::default()
     };
-    let cx = crate::api::ApiContext {
+    let cx = ApiContext {
         node: node.clone(),
         metrics,
     };
@@ -95,9 +100,14 @@
     )
     .config(config)
     .start()
-    .map_err(|e| EntryError::Listen {
-        address: node.settings.caller_address,
-        why: e.to_string(),
+    .map_err(|e| {
+        let address = node.settings.caller_address;
+        match e {
+            BuildError::BindError { error, .. } => {
+                StartError::listen(StartStep::Callers, address, error)
+            }
+            e => StartError::listen(StartStep::Callers, address, e),
+        }
     })
 }
 
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -24,6 +24,8 @@
 const MAX_DIALED: usize = 8;
 /// The maximum number of accepted links; each may buffer one message.
 const MAX_ACCEPTED: usize = 256;
+/// The maximum number of connections waiting to be accepted.
+const BACKLOG: u32 = 1_024;
 /// The maximum number of messages that are queued on one link.
 const LINK_QUEUE: usize = 16;
 /// The timeout of dialing a peer or of the handshake with it, in milliseconds. Also the backoff
@@ -131,9 +133,16 @@
         .max_frame_size(Some(MAX_PEER_MESSAGE_BYTES))
 }
 
-/// Listens for links from peers.
-pub(crate) async fn listen(node: Arc<Node>) -> std::io::Result<()> {
-    let listener = TcpListener::bind(node.settings.peer_address).await?;
+/// Opens the socket on which peers connect.
+pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts links from peers.
+pub(crate) fn accept_links(node: Arc<Node>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(MAX_ACCEPTED));
     tokio::spawn(async move {
         loop {
@@ -155,7 +164,6 @@
             }
         }
     });
-    Ok(())
 }
 
 async fn accept(node: Arc<Node>, stream: TcpStream) {
