--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 mod service;
 #[cfg(feature = "entry")]
 mod settings;
+mod start;
 mod supervisor;
 
 #[cfg(feature = "entry")]
