Bound the bodies of all requests by the memory of the machine

Callers that sent bodies within the limit brought an entry over the memory of its machine, which kills it; callers saw broken connections, and operators a process that ended without a line.

Cause: `read_body` bounded each body, and nothing their sum. 120 bodies of 4 MB that had not ended took 526,790,656 bytes on a machine of 260 MB.

A body now takes memory from a share of 0.2 as it arrives, not by the length that the caller claims, and holds it until the request is done with it. One that would take more than what is left free after it is refused with `no_memory` (503, not run, come back in 0.5 to 1 s), so that small requests are served while large ones hold much. The rest of a refused body is read and dropped until the deadline: a connection that is closed while its caller still writes is reset, and the refusal would be lost.

`--test docs`, `--test openapi` and the tests of the wire crate pass.

--- a/crates/pistachioyard_wire/src/caller/problem.rs
+++ b/crates/pistachioyard_wire/src/caller/problem.rs
@@ -53,6 +53,8 @@
     WorkspaceLimit,
     /// No live endpoints cover all layers of the model, or none serves the service.
     NoCapacity,
+    /// The entry has no memory left for the body of the request.
+    NoMemory,
     /// The claim could not be recorded in the ledger, so the operation was not sent.
     LedgerUnavailable,
     /// The ledger page for the key is full.
@@ -73,7 +75,7 @@
 
 impl ProblemKind {
     /// All kinds, for tables and for metrics that are registered at startup.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::HeadTooLarge,
@@ -88,6 +90,7 @@
         Self::Overloaded,
         Self::WorkspaceLimit,
         Self::NoCapacity,
+        Self::NoMemory,
         Self::LedgerUnavailable,
         Self::LedgerFull,
         Self::RefusedByEndpoints,
@@ -116,6 +119,7 @@
             Self::NoConfig
             | Self::Stopping
             | Self::NoCapacity
+            | Self::NoMemory
             | Self::LedgerUnavailable
             | Self::LedgerFull
             | Self::RefusedByEndpoints => 503,
@@ -139,6 +143,7 @@
             Self::Overloaded => "overloaded",
             Self::WorkspaceLimit => "workspace_limit",
             Self::NoCapacity => "no_capacity",
+            Self::NoMemory => "no_memory",
             Self::LedgerUnavailable => "ledger_unavailable",
             Self::LedgerFull => "ledger_full",
             Self::RefusedByEndpoints => "refused_by_endpoints",
--- a/src/burn.rs
+++ b/src/burn.rs
@@ -194,6 +194,7 @@
         | ProblemKind::Stopping
         | ProblemKind::Overloaded
         | ProblemKind::NoCapacity
+        | ProblemKind::NoMemory
         | ProblemKind::LedgerUnavailable
         | ProblemKind::LedgerFull
         | ProblemKind::RefusedByEndpoints
--- a/src/memory/memory_kind.rs
+++ b/src/memory/memory_kind.rs
@@ -9,6 +9,8 @@
 pub(crate) enum MemoryKind {
     /// Answers of endpoints.
     Answers,
+    /// Bodies of requests.
+    Bodies,
     /// Answers of the store and of peers to this process's own calls.
     OwnCalls,
 }
@@ -18,6 +20,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Answers => "answers",
+            Self::Bodies => "bodies",
             Self::OwnCalls => "own_calls",
         }
     }
@@ -27,6 +30,7 @@
     pub(super) fn free_bytes(self) -> usize {
         match self {
             Self::Answers | Self::OwnCalls => FREE_ANSWER_BYTES,
+            Self::Bodies => 0,
         }
     }
 }
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -5,6 +5,7 @@
 //! shows the chain.
 
 mod admit;
+mod body;
 mod crash_check;
 mod identify;
 mod part_trial;
--- /dev/null
+++ b/src/router/filter/body.rs
@@ -0,0 +1,88 @@
+//! Reads the body of a request within the memory for all bodies.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::memory::{ByteBuffer, HeldMemory};
+use crate::prelude::*;
+use crate::router::Router;
+
+/// The retry delay for callers whose body finds no memory, in ms; about the time that a few
+/// requests take.
+const RETRY_AFTER_MS: u64 = 500;
+/// The largest share by which it is raised at random, so that large bodies do not all return at
+/// once.
+const RETRY_JITTER: f64 = 1.0;
+
+/// Says whose body is read, and how large it may be.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BodyTerms {
+    /// The address from which the request came.
+    pub(super) sender: SocketAddr,
+    /// The largest size of the body, in bytes.
+    pub(super) max_bytes: usize,
+    /// When the request's deadline passes.
+    pub(super) deadline: Instant,
+}
+
+/// Reads a body whole. The bytes hold their memory until the last copy is dropped.
+pub(super) async fn read_body(
+    router: &Router,
+    mut body: Incoming,
+    terms: BodyTerms,
+) -> Result<Bytes, Problem> {
+    let held = HeldMemory::new(router.memory.bodies.clone(), terms.sender);
+    let mut buf = ByteBuffer::new(held);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| {
+            let detail = format!("cannot read the body: {e}");
+            Problem::new(ProblemKind::BadRequest, Outcome::NotRun, detail)
+        })?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if buf.len() + data.len() > terms.max_bytes {
+            return Err(too_large(terms.max_bytes));
+        }
+        if !buf.push(data) {
+            let read_bytes = buf.len() + data.len();
+            drop(buf);
+            tokio::spawn(discard(body, terms, read_bytes));
+            return Err(no_memory(read_bytes));
+        }
+    }
+    Ok(buf.freeze())
+}
+
+/// Reads the rest of a body that is refused. A caller that still sends it would lose the answer
+/// with its connection.
+async fn discard(mut body: Incoming, terms: BodyTerms, mut read_bytes: usize) {
+    let reading = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            read_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if read_bytes > terms.max_bytes {
+                return;
+            }
+        }
+    };
+    // The connection of a caller that does not end its body in time is closed.
+    let _ = tokio::time::timeout_at(terms.deadline.into(), reading).await;
+}
+
+fn too_large(limit: usize) -> Problem {
+    let detail = format!("the body exceeds the limit of {limit} bytes");
+    Problem::new(ProblemKind::BodyTooLarge, Outcome::NotRun, detail)
+}
+
+fn no_memory(read_bytes: usize) -> Problem {
+    let detail = format!(
+        "the requests in progress leave no memory for more than {read_bytes} bytes of a body; the \
+         request was not run, retry later or use another entry"
+    );
+    let jitter = 1.0 + RETRY_JITTER * rand::random::<f64>();
+    Problem::new(ProblemKind::NoMemory, Outcome::NotRun, detail)
+        .with_retry_after_ms((RETRY_AFTER_MS as f64 * jitter) as u64)
+}
--- a/src/router/filter/identify.rs
+++ b/src/router/filter/identify.rs
@@ -1,18 +1,20 @@
 //! Identifies a request: its route, workspace, deadline and body.
 
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::OnceLock;
 
 use http::Request;
 use http::request::Parts;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use pistachioyard_platform::{CallerHead, decode_caller_head};
 use pistachioyard_policy::{Route, RouteTable, Workspace};
 use pistachioyard_wire::RequestDigest;
 
 use super::Call;
+use super::body::{BodyTerms, read_body};
 use super::record::Record;
 use crate::prelude::*;
+use crate::router::http_server::SenderAddress;
 use crate::router::{ActiveConfig, Router};
 
 /// The retry delay for callers while this process has no configuration yet, in ms; the store
@@ -21,6 +23,9 @@
 /// The size of a head that is accepted whatever the limit is, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 
+/// Stands for all senders whose address is not known.
+const UNKNOWN_SENDER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Identifies a request and reads its body.
 pub(crate) async fn identify(
     router: &Router,
@@ -41,8 +46,13 @@
     let route = find_route(&config.table, &head, &parts)?;
     record.set_route(&route);
     let workspace = find_workspace(&config.table, &route, &head)?;
-    let body = read_body(&config.table, body).await?;
     let deadline = request_deadline(&route, &head, arrived_at);
+    let terms = BodyTerms {
+        sender: sender(&parts),
+        max_bytes: config.table.limits.max_body_bytes,
+        deadline,
+    };
+    let body = read_body(router, body, terms).await?;
     Ok(build_call(
         parts, head, body, config, route, workspace, arrived_at, deadline,
     ))
@@ -152,27 +162,10 @@
     Ok(found.cloned())
 }
 
-async fn read_body(table: &RouteTable, body: Incoming) -> Result<bytes::Bytes, Problem> {
-    let limit = table.limits.max_body_bytes;
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => {
-            let detail = format!("the body exceeds the limit of {limit} bytes");
-            Err(Problem::new(
-                ProblemKind::BodyTooLarge,
-                Outcome::NotRun,
-                detail,
-            ))
-        }
-        Err(e) => {
-            let detail = format!("cannot read the body: {e}");
-            Err(Problem::new(
-                ProblemKind::BadRequest,
-                Outcome::NotRun,
-                detail,
-            ))
-        }
-    }
+/// Returns the address from which a request came; the server adds it to each.
+fn sender(parts: &Parts) -> SocketAddr {
+    let sender = parts.extensions.get::<SenderAddress>();
+    sender.map_or(UNKNOWN_SENDER, |sender| sender.0)
 }
 
 fn request_deadline(route: &Route, head: &CallerHead, arrived_at: Instant) -> Instant {
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -1,6 +1,7 @@
 //! The HTTP servers for callers, the directory, readiness, peers and metrics.
 
 mod activity;
+mod sender_address;
 mod tracked_stream;
 
 use std::convert::Infallible;
@@ -21,6 +22,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use self::activity::{ActiveBody, ConnectionActivity, idle_limit};
+pub(crate) use self::sender_address::SenderAddress;
 use self::tracked_stream::TrackedStream;
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
@@ -89,10 +91,10 @@
 }
 
 async fn serve(router: Arc<Router>, stream: TcpStream, service: Service) {
-    if stream.set_nodelay(true).is_err() {
+    let (Ok(()), Ok(address)) = (stream.set_nodelay(true), stream.peer_addr()) else {
         // The peer has already closed the connection.
         return;
-    }
+    };
     let limits = router.active_config().map(|active| active.table.limits);
     let max_head = limits.map_or(0, |limits| limits.max_header_bytes);
     let is_caller = matches!(service, Service::Callers);
@@ -101,7 +103,8 @@
     let activity = ConnectionActivity::new(Instant::now());
     let (state, counted) = (router.clone(), activity.clone());
     let stream = TrackedStream::new(stream, activity.clone());
-    let handler = service_fn(move |req| {
+    let handler = service_fn(move |mut req: Request<Incoming>| {
+        req.extensions_mut().insert(SenderAddress(address));
         let request = counted.begin();
         let router = state.clone();
         let service = service.clone();
--- a/src/router/memory_shares.rs
+++ b/src/router/memory_shares.rs
@@ -7,6 +7,8 @@
 const DEFAULT_MACHINE_BYTES: usize = 256_000_000;
 /// The share of the machine's memory for the answers of endpoints.
 const ANSWERS_SHARE: f64 = 0.25;
+/// The share of the machine's memory for the bodies of requests.
+const BODIES_SHARE: f64 = 0.2;
 /// The share of the machine's memory for the answers of the store and of peers.
 const OWN_CALLS_SHARE: f64 = 0.15;
 
@@ -14,6 +16,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct MemoryShares {
     pub(crate) answers: Arc<SharedMemory>,
+    pub(crate) bodies: Arc<SharedMemory>,
     pub(crate) own_calls: Arc<SharedMemory>,
 }
 
@@ -24,12 +27,13 @@
         let share = |kind, share| SharedMemory::new(kind, (machine_bytes * share) as usize);
         Self {
             answers: share(MemoryKind::Answers, ANSWERS_SHARE),
+            bodies: share(MemoryKind::Bodies, BODIES_SHARE),
             own_calls: share(MemoryKind::OwnCalls, OWN_CALLS_SHARE),
         }
     }
 
     /// Returns all shares.
-    pub(crate) fn all(&self) -> [&SharedMemory; 2] {
-        [&self.answers, &self.own_calls]
+    pub(crate) fn all(&self) -> [&SharedMemory; 3] {
+        [&self.answers, &self.bodies, &self.own_calls]
     }
 }
