Bound the heads of all requests by the memory of the machine

Callers that sent heads within the limit brought an entry over the memory of its machine, which kills it.

Cause: hyper's buffer may grow to 64 KB for each connection, whatever the number of connections. 3,500 heads of 60 KB that did not end took 324,489,216 bytes on a machine of 260 MB. The same buffer grew while a body arrived.

At most 8 KB less a byte are read at once, which keeps the buffer at 8 KB while a body arrives. A request stays in progress on its connection while the rest of its refused body is dropped, so that this is no head.

--- a/src/memory/memory_kind.rs
+++ b/src/memory/memory_kind.rs
@@ -3,6 +3,8 @@
 /// The number of bytes that each answer may take without a part of the memory, so that answers of
 /// usual size never lack it.
 const FREE_ANSWER_BYTES: usize = 16 * 1024;
+/// The same for the buffer of each connection, so that heads of usual size never lack it.
+const FREE_HEAD_BYTES: usize = 16 * 1024;
 
 /// Says what memory is held for; each kind has a share of its own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -11,6 +13,8 @@
     Answers,
     /// Bodies of requests.
     Bodies,
+    /// Heads of requests.
+    Heads,
     /// Answers of the store and of peers to this process's own calls.
     OwnCalls,
 }
@@ -21,6 +25,7 @@
         match self {
             Self::Answers => "answers",
             Self::Bodies => "bodies",
+            Self::Heads => "heads",
             Self::OwnCalls => "own_calls",
         }
     }
@@ -31,6 +36,7 @@
         match self {
             Self::Answers | Self::OwnCalls => FREE_ANSWER_BYTES,
             Self::Bodies => 0,
+            Self::Heads => FREE_HEAD_BYTES,
         }
     }
 }
--- a/src/router/filter/body.rs
+++ b/src/router/filter/body.rs
@@ -1,7 +1,5 @@
 //! Reads the body of a request within the memory for all bodies.
 
-use std::net::SocketAddr;
-
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -9,6 +7,7 @@
 use crate::memory::{ByteBuffer, HeldMemory};
 use crate::prelude::*;
 use crate::router::Router;
+use crate::router::http_server::RequestOrigin;
 
 /// The retry delay for callers whose body finds no memory, in ms; about the time that a few
 /// requests take.
@@ -18,10 +17,10 @@
 const RETRY_JITTER: f64 = 1.0;
 
 /// Says whose body is read, and how large it may be.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub(super) struct BodyTerms {
-    /// The address from which the request came.
-    pub(super) sender: SocketAddr,
+    /// The connection on which the request came.
+    pub(super) origin: RequestOrigin,
     /// The largest size of the body, in bytes.
     pub(super) max_bytes: usize,
     /// When the request's deadline passes.
@@ -34,7 +33,7 @@
     mut body: Incoming,
     terms: BodyTerms,
 ) -> Result<Bytes, Problem> {
-    let held = HeldMemory::new(router.memory.bodies.clone(), terms.sender);
+    let held = HeldMemory::new(router.memory.bodies.clone(), terms.origin.address);
     let mut buf = ByteBuffer::new(held);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| {
@@ -58,7 +57,7 @@
 }
 
 /// Reads the rest of a body that is refused. A caller that still sends it would lose the answer
-/// with its connection.
+/// with its connection. The request stays in progress there, so that its body is no head.
 async fn discard(mut body: Incoming, terms: BodyTerms, mut read_bytes: usize) {
     let reading = async {
         while let Some(Ok(frame)) = body.frame().await {
@@ -70,6 +69,7 @@
     };
     // The connection of a caller that does not end its body in time is closed.
     let _ = tokio::time::timeout_at(terms.deadline.into(), reading).await;
+    drop(terms.origin.in_progress);
 }
 
 fn too_large(limit: usize) -> Problem {
--- a/src/router/filter/identify.rs
+++ b/src/router/filter/identify.rs
@@ -1,6 +1,5 @@
 //! Identifies a request: its route, workspace, deadline and body.
 
-use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::OnceLock;
 
 use http::Request;
@@ -14,7 +13,7 @@
 use super::body::{BodyTerms, read_body};
 use super::record::Record;
 use crate::prelude::*;
-use crate::router::http_server::SenderAddress;
+use crate::router::http_server::RequestOrigin;
 use crate::router::{ActiveConfig, Router};
 
 /// The retry delay for callers while this process has no configuration yet, in ms; the store
@@ -23,9 +22,6 @@
 /// The size of a head that is accepted whatever the limit is, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 
-/// Stands for all senders whose address is not known.
-const UNKNOWN_SENDER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
-
 /// Identifies a request and reads its body.
 pub(crate) async fn identify(
     router: &Router,
@@ -33,7 +29,7 @@
     arrived_at: Instant,
     record: &mut Record,
 ) -> Result<Call, Problem> {
-    let (parts, body) = req.into_parts();
+    let (mut parts, body) = req.into_parts();
     let head = decode_caller_head(&parts)
         .map_err(|e| Problem::new(ProblemKind::BadRequest, Outcome::NotRun, e.to_string()))?;
     record.set_request_id(&head.request_id);
@@ -47,8 +43,9 @@
     record.set_route(&route);
     let workspace = find_workspace(&config.table, &route, &head)?;
     let deadline = request_deadline(&route, &head, arrived_at);
+    let origin = parts.extensions.remove::<RequestOrigin>();
     let terms = BodyTerms {
-        sender: sender(&parts),
+        origin: origin.expect("the server adds it to each request"),
         max_bytes: config.table.limits.max_body_bytes,
         deadline,
     };
@@ -162,12 +159,6 @@
     Ok(found.cloned())
 }
 
-/// Returns the address from which a request came; the server adds it to each.
-fn sender(parts: &Parts) -> SocketAddr {
-    let sender = parts.extensions.get::<SenderAddress>();
-    sender.map_or(UNKNOWN_SENDER, |sender| sender.0)
-}
-
 fn request_deadline(route: &Route, head: &CallerHead, arrived_at: Instant) -> Instant {
     let timeout = head.deadline.unwrap_or(route.timeout);
     arrived_at + timeout.min(route.timeout)
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -1,7 +1,7 @@
 //! The HTTP servers for callers, the directory, readiness, peers and metrics.
 
 mod activity;
-mod sender_address;
+mod request_origin;
 mod tracked_stream;
 
 use std::convert::Infallible;
@@ -22,8 +22,9 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use self::activity::{ActiveBody, ConnectionActivity, idle_limit};
-pub(crate) use self::sender_address::SenderAddress;
+pub(crate) use self::request_origin::RequestOrigin;
 use self::tracked_stream::TrackedStream;
+use crate::memory::HeldMemory;
 use crate::prelude::*;
 use crate::router::answer::{self, AnswerBody};
 use crate::router::controller::{STATE_PATH, encode_state};
@@ -102,10 +103,14 @@
     let _open = may_serve.then(|| router.lifecycle.open_connection());
     let activity = ConnectionActivity::new(Instant::now());
     let (state, counted) = (router.clone(), activity.clone());
-    let stream = TrackedStream::new(stream, activity.clone());
+    let held = HeldMemory::new(router.memory.heads.clone(), address);
+    let stream = TrackedStream::new(stream, activity.clone(), held);
     let handler = service_fn(move |mut req: Request<Incoming>| {
-        req.extensions_mut().insert(SenderAddress(address));
-        let request = counted.begin();
+        let request = Arc::new(counted.begin());
+        req.extensions_mut().insert(RequestOrigin {
+            address,
+            in_progress: request.clone(),
+        });
         let router = state.clone();
         let service = service.clone();
         async move {
--- a/src/router/http_server/activity.rs
+++ b/src/router/http_server/activity.rs
@@ -14,6 +14,15 @@
 /// The idle limit before the first configuration is adopted.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
+/// Says which part of a request has arrived.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum ReadPart {
+    /// Bytes of the next request's head.
+    Head,
+    /// Bytes of the body of the request in progress.
+    Body,
+}
+
 /// Tracks the requests on one connection.
 #[derive(Debug)]
 pub(super) struct ConnectionActivity {
@@ -69,9 +78,14 @@
         }
     }
 
-    /// Records that bytes of the caller arrived.
-    pub(super) fn note_read(&self, now: Instant) {
-        self.state.lock().last_read_at = now;
+    /// Records that bytes of the caller arrived; returns what they belong to.
+    pub(super) fn note_read(&self, now: Instant) -> ReadPart {
+        let mut state = self.state.lock();
+        state.last_read_at = now;
+        match state.in_progress {
+            0 => ReadPart::Head,
+            _ => ReadPart::Body,
+        }
     }
 
     /// Waits until part of a request's head has been waiting for the rest for `limit`, counted
@@ -101,7 +115,7 @@
 
 /// Counts a request as in progress until it is dropped.
 #[derive(Debug)]
-pub(super) struct ActiveRequest(Arc<ConnectionActivity>);
+pub(crate) struct ActiveRequest(Arc<ConnectionActivity>);
 
 impl Drop for ActiveRequest {
     fn drop(&mut self) {
@@ -114,12 +128,12 @@
 /// Holds a response body, and its request as in progress until the body was sent.
 pub(super) struct ActiveBody {
     body: AnswerBody,
-    _request: ActiveRequest,
+    _request: Arc<ActiveRequest>,
 }
 
 impl ActiveBody {
     /// Creates the body of a response to a request in progress.
-    pub(super) fn new(body: AnswerBody, request: ActiveRequest) -> Self {
+    pub(super) fn new(body: AnswerBody, request: Arc<ActiveRequest>) -> Self {
         Self {
             body,
             _request: request,
--- a/src/router/http_server/tracked_stream.rs
+++ b/src/router/http_server/tracked_stream.rs
@@ -1,25 +1,75 @@
-//! A connection that records when bytes arrive.
+//! A connection that records when bytes arrive, within the memory for heads.
 
-use std::io::{IoSlice, Result};
+use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 
-use super::activity::ConnectionActivity;
+use super::activity::{ConnectionActivity, ReadPart};
+use crate::memory::HeldMemory;
 use crate::prelude::*;
 
-/// Passes bytes on and records the arrival of those that callers send.
+/// The maximum number of bytes that are read at once. Hyper doubles its buffer of 8 KB after a read
+/// that fills it.
+const MAX_READ_BYTES: u64 = 8 * 1024 - 1;
+/// The multiple of a head's size that its buffer may have, since it grows by doubling.
+const BUFFER_FACTOR: usize = 2;
+
+/// Signals that the heads of all requests leave no memory for more of this one; closes the
+/// connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the heads of all requests leave no memory for more of this one")]
+struct NoHeadMemory;
+
+/// Passes bytes on, records the arrival of those that callers send, and takes memory for heads.
 pub(super) struct TrackedStream {
-    stream: TcpStream,
+    stream: Take<TcpStream>,
     activity: Arc<ConnectionActivity>,
+    /// The memory of the connection's buffer, which does not shrink.
+    held: HeldMemory,
+    /// The size of the longest head that has arrived so far, in bytes.
+    longest_head: usize,
+    /// The number of requests that had begun when the last bytes of a head arrived.
+    requests: u64,
+    /// The number of bytes of the next head that have arrived.
+    head_bytes: usize,
 }
 
 impl TrackedStream {
-    /// Creates the stream of a connection with this activity.
-    pub(super) fn new(stream: TcpStream, activity: Arc<ConnectionActivity>) -> Self {
-        Self { stream, activity }
+    /// Creates the stream of a connection with this activity, whose heads take memory from `held`.
+    pub(super) fn new(
+        stream: TcpStream,
+        activity: Arc<ConnectionActivity>,
+        held: HeldMemory,
+    ) -> Self {
+        Self {
+            stream: stream.take(MAX_READ_BYTES),
+            activity,
+            held,
+            longest_head: 0,
+            requests: 0,
+            head_bytes: 0,
+        }
+    }
+
+    fn socket(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.stream.get_mut())
+    }
+
+    /// Takes memory for bytes that have arrived while no request is in progress.
+    fn take_head_memory(&mut self, bytes: usize) -> Result<()> {
+        let requests = self.activity.requests();
+        if requests != self.requests {
+            (self.requests, self.head_bytes) = (requests, 0);
+        }
+        self.head_bytes += bytes;
+        self.longest_head = self.longest_head.max(self.head_bytes);
+        match self.held.resize(self.longest_head * BUFFER_FACTOR) {
+            true => Ok(()),
+            false => Err(Error::new(ErrorKind::OutOfMemory, NoHeadMemory)),
+        }
     }
 }
 
@@ -30,9 +80,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
+        // The limit holds for one read; it is never used up.
+        self.stream.set_limit(MAX_READ_BYTES);
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.activity.note_read(Instant::now());
+        let bytes = buf.filled().len() - before;
+        if bytes > 0 && self.activity.note_read(Instant::now()) == ReadPart::Head {
+            self.take_head_memory(bytes)?;
         }
         read
     }
@@ -44,15 +97,15 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        self.socket().poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        self.socket().poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        self.socket().poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -60,10 +113,10 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.socket().poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 }
