Give the memory of a body that stalls back at its deadline

A caller that sent most of a body and then nothing got no answer at its route's timeout, and its request kept its memory for as long as the caller kept its connection: the idle limit does not apply while a request is in progress, and reading a body had no limit. With the share for bodies, such callers would keep it from all others.

--- a/src/router/filter/body.rs
+++ b/src/router/filter/body.rs
@@ -27,7 +27,11 @@
     pub(super) deadline: Instant,
 }
 
-/// Reads a body whole. The bytes hold their memory until the last copy is dropped.
+/// The status of a request whose body did not arrive before its deadline. On this platform 504 does
+/// not tell a caller that nothing ran.
+const LATE_BODY_STATUS: u16 = 408;
+
+/// Reads a body whole before the deadline. The bytes hold their memory until the last copy is dropped.
 pub(super) async fn read_body(
     router: &Router,
     mut body: Incoming,
@@ -35,7 +39,12 @@
 ) -> Result<Bytes, Problem> {
     let held = HeldMemory::new(router.memory.bodies.clone(), terms.origin.address);
     let mut buf = ByteBuffer::new(held);
-    while let Some(frame) = body.frame().await {
+    let deadline = tokio::time::Instant::from(terms.deadline);
+    loop {
+        let frame = tokio::time::timeout_at(deadline, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| late(buf.len()))? else {
+            return Ok(buf.freeze());
+        };
         let frame = frame.map_err(|e| {
             let detail = format!("cannot read the body: {e}");
             Problem::new(ProblemKind::BadRequest, Outcome::NotRun, detail)
@@ -53,7 +62,6 @@
             return Err(no_memory(read_bytes));
         }
     }
-    Ok(buf.freeze())
 }
 
 /// Reads the rest of a body that is refused. A caller that still sends it would lose the answer
@@ -72,6 +80,15 @@
     drop(terms.origin.in_progress);
 }
 
+fn late(read_bytes: usize) -> Problem {
+    let detail = format!(
+        "only {read_bytes} bytes of the body arrived before the deadline; the request was not run"
+    );
+    let mut problem = Problem::new(ProblemKind::DeadlinePassed, Outcome::NotRun, detail);
+    problem.status = LATE_BODY_STATUS;
+    problem
+}
+
 fn too_large(limit: usize) -> Problem {
     let detail = format!("the body exceeds the limit of {limit} bytes");
     Problem::new(ProblemKind::BodyTooLarge, Outcome::NotRun, detail)
--- a/tests/site/memory.rs
+++ b/tests/site/memory.rs
@@ -37,6 +37,10 @@
 const CONNECTS: usize = 200;
 /// The number of small requests that are sent beside the large ones.
 const SMALL_REQUESTS: usize = 20;
+/// The timeout of the routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
+/// How much later than its timeout a request may be answered.
+const SLACK: Duration = Duration::from_millis(500);
 /// How long the large requests may take to arrive, and the memory for them to come back.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -199,6 +203,26 @@
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
 }
 
+/// Guards against bodies that do not end and keep their memory for as long as their callers stay.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_stalls_keeps_its_memory_no_longer_than_its_deadline() {
+    let site = start().await;
+    let to = site.entries[0].caller_address();
+    let id = new_request_id();
+    let mut stream = TcpStream::connect(to).await.expect("the entry accepts");
+    let head = format!("{}Content-Length: 4\r\n\r\nbod", head(to, &id));
+    let written = stream.write_all(head.as_bytes()).await;
+    written.expect("the entry takes the head");
+    let mut answer = vec![0; MAX_ANSWER_BYTES];
+    let read = tokio::time::timeout(ROUTE_TIMEOUT + SLACK, stream.read(&mut answer)).await;
+    let read_bytes = read.expect("it is answered in time").expect("it is open");
+    let answer = String::from_utf8_lossy(&answer[..read_bytes]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(answer.contains("\"not_run\""), "{answer}");
+    assert_eq!(site.count_runs().await.get(&id), None, "{id} has run");
+    await_unused(&site, "bodies").await;
+}
+
 /// Guards against heads that together fill the memory, each within its limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_long_heads_at_once_do_not_fill_the_memory() {
