--- a/tests/site/memory.rs
+++ b/tests/site/memory.rs
@@ -14,6 +14,7 @@
 
 use super::caller::new_request_id;
 use super::layout::Layout;
+use super::raw::RawConnection;
 use super::support::{KEY, Site};
 
 /// The memory of the smallest machine that an entry is meant for, in bytes.
@@ -37,6 +38,8 @@
 const CONNECTS: usize = 200;
 /// The number of small requests that are sent beside the large ones.
 const SMALL_REQUESTS: usize = 20;
+/// The size of an answer that is within the limit for answers, in bytes.
+const LARGE_ANSWER_BYTES: usize = 3_900_000;
 /// The timeout of the routes.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
 /// How much later than its timeout a request may be answered.
@@ -129,6 +132,16 @@
     .expect("the memory comes back");
 }
 
+/// Returns how many requests the first entry has ended.
+async fn count_ended(site: &Site) -> u64 {
+    let metrics = site.fetch_metrics(&site.entries[0]).await;
+    let series = metrics.lines().filter_map(|line| {
+        let value = line.strip_prefix("router_requests_total{")?;
+        value.split_whitespace().last()?.parse::<u64>().ok()
+    });
+    series.sum()
+}
+
 /// Small requests of all kinds are served.
 async fn check_small_requests(site: &Site, to: SocketAddr) {
     for _ in 0..SMALL_REQUESTS {
@@ -223,6 +236,32 @@
     await_unused(&site, "bodies").await;
 }
 
+/// Guards against answers that wait for callers which do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_answers_that_are_not_read_do_not_fill_the_memory() {
+    let site = start().await;
+    let to = site.entries[0].caller_address();
+    let before = count_ended(&site).await;
+    let size = LARGE_ANSWER_BYTES.to_string();
+    let sending = (0..LARGE_CALLERS).map(|_| async {
+        let mut caller = RawConnection::open_with_small_buffer(to).await;
+        let extra = [("X-Answer-Bytes", size.as_str())];
+        let id = new_request_id();
+        assert!(caller.write("/lookup/a", &id, &extra).await);
+        caller
+    });
+    let callers = join_all(sending).await;
+    wait_until(TIMEOUT, "the answers", || async {
+        count_ended(&site).await >= before + LARGE_CALLERS as u64
+    })
+    .await
+    .expect("each request is answered");
+    check_small_requests(&site, to).await;
+    check_peak(&site);
+    drop(callers);
+    await_unused(&site, "answers").await;
+}
+
 /// Guards against heads that together fill the memory, each within its limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_long_heads_at_once_do_not_fill_the_memory() {
