--- a/tests/site/memory.rs
+++ b/tests/site/memory.rs
@@ -14,6 +14,7 @@
 
 use super::caller::new_request_id;
 use super::layout::Layout;
+use super::raw::RawConnection;
 use super::support::{KEY, Site};
 
 /// The memory of the smallest machine that an entry is meant for, in bytes.
@@ -37,6 +38,12 @@
 const CONNECTS: usize = 200;
 /// The number of small requests that are sent beside the large ones.
 const SMALL_REQUESTS: usize = 20;
+/// The size of an answer that is within the limit for answers, in bytes.
+const LARGE_ANSWER_BYTES: usize = 3_900_000;
+/// The timeout of the routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
+/// How much later than its timeout a request may be answered.
+const SLACK: Duration = Duration::from_millis(500);
 /// How long the large requests may take to arrive, and the memory for them to come back.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -125,6 +132,16 @@
     .expect("the memory comes back");
 }
 
+/// Returns how many requests the first entry has ended.
+async fn count_ended(site: &Site) -> u64 {
+    let metrics = site.fetch_metrics(&site.entries[0]).await;
+    let series = metrics.lines().filter_map(|line| {
+        let value = line.strip_prefix("router_requests_total{")?;
+        value.split_whitespace().last()?.parse::<u64>().ok()
+    });
+    series.sum()
+}
+
 /// Small requests of all kinds are served.
 async fn check_small_requests(site: &Site, to: SocketAddr) {
     for _ in 0..SMALL_REQUESTS {
@@ -199,6 +216,52 @@
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
 }
 
+/// Guards against bodies that do not end and keep their memory for as long as their callers stay.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_stalls_keeps_its_memory_no_longer_than_its_deadline() {
+    let site = start().await;
+    let to = site.entries[0].caller_address();
+    let id = new_request_id();
+    let mut stream = TcpStream::connect(to).await.expect("the entry accepts");
+    let head = format!("{}Content-Length: 4\r\n\r\nbod", head(to, &id));
+    let written = stream.write_all(head.as_bytes()).await;
+    written.expect("the entry takes the head");
+    let mut answer = vec![0; MAX_ANSWER_BYTES];
+    let read = tokio::time::timeout(ROUTE_TIMEOUT + SLACK, stream.read(&mut answer)).await;
+    let read_bytes = read.expect("it is answered in time").expect("it is open");
+    let answer = String::from_utf8_lossy(&answer[..read_bytes]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(answer.contains("\"not_run\""), "{answer}");
+    assert_eq!(site.count_runs().await.get(&id), None, "{id} has run");
+    await_unused(&site, "bodies").await;
+}
+
+/// Guards against answers that wait for callers which do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_answers_that_are_not_read_do_not_fill_the_memory() {
+    let site = start().await;
+    let to = site.entries[0].caller_address();
+    let before = count_ended(&site).await;
+    let size = LARGE_ANSWER_BYTES.to_string();
+    let sending = (0..LARGE_CALLERS).map(|_| async {
+        let mut caller = RawConnection::open_with_small_buffer(to).await;
+        let extra = [("X-Answer-Bytes", size.as_str())];
+        let id = new_request_id();
+        assert!(caller.write("/lookup/a", &id, &extra).await);
+        caller
+    });
+    let callers = join_all(sending).await;
+    wait_until(TIMEOUT, "the answers", || async {
+        count_ended(&site).await >= before + LARGE_CALLERS as u64
+    })
+    .await
+    .expect("each request is answered");
+    check_small_requests(&site, to).await;
+    check_peak(&site);
+    drop(callers);
+    await_unused(&site, "answers").await;
+}
+
 /// Guards against heads that together fill the memory, each within its limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn many_long_heads_at_once_do_not_fill_the_memory() {
