Move the kept connections and the limits of the soak into files of their own

Nothing else changes: the same seeds draw the same faults and pass the same checks; the choice of the seeds is a function, for a second test.

--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -14,9 +14,9 @@
 
 mod builds;
 mod deadly;
+mod kept;
+mod limits;
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::IpAddr;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -29,11 +29,11 @@
 use super::caller::{Failure, Outcome, new_request_id};
 use super::cut::Cut;
 use super::layout::Layout;
-use super::limited::{SETTLE_TIME, now_ms};
-use super::raw::{Exchange, RawConnection};
 use super::support::Site;
 use builds::{mix_builds, other_binary};
 use deadly::send_deadly;
+use kept::KeptConnections;
+use limits::{Limited, check_limits, limit_endpoints};
 
 /// Seeds that have failed, each with the cause.
 const REGRESSION_SEEDS: [(u64, &str); 0] = [];
@@ -67,23 +67,23 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn soak() {
     let seconds = Duration::from_secs(env_number("SOAK_SECONDS", CI_SECONDS));
-    let first = env_number("SOAK_SEED", 1);
-    let is_single = std::env::var("SOAK_SEED").is_ok();
-    let count = if is_single {
-        1
-    } else {
-        env_number("SOAK_SEEDS", CI_SEEDS)
-    };
-    let regressions = REGRESSION_SEEDS.iter().map(|(seed, _)| *seed);
-    for seed in regressions
-        .filter(|_| !is_single)
-        .chain(first..first + count)
-    {
+    for seed in seeds() {
         println!("soak: seed {seed}");
         run(seed, seconds).await;
     }
 }
 
+/// Returns the seeds to run.
+fn seeds() -> Vec<u64> {
+    let first = env_number("SOAK_SEED", 1);
+    if std::env::var("SOAK_SEED").is_ok() {
+        return vec![first];
+    }
+    let regressions = REGRESSION_SEEDS.iter().map(|(seed, _)| *seed);
+    let count = env_number("SOAK_SEEDS", CI_SEEDS);
+    regressions.chain(first..first + count).collect()
+}
+
 async fn run(seed: u64, seconds: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let entries = env_number("SOAK_ENTRIES", ENTRIES) as usize;
@@ -129,105 +129,6 @@
     lookups: Vec<String>,
 }
 
-/// Makes some endpoints name a limit from the start; returns it, and when they named it first.
-async fn limit_endpoints(site: &Site, rng: &mut ChaCha8Rng) -> Limited {
-    let rate = [0.5, 2.0, 5.0][rng.random_range(0..3)];
-    let count = rng.random_range(0..=site.endpoints.len());
-    let endpoints: Vec<usize> = (0..count).collect();
-    site.set_limits(&endpoints, &[&rate.to_string()]).await;
-    Limited {
-        endpoints,
-        rate,
-        since_ms: now_ms(),
-        excused: BTreeSet::new(),
-        rules: Vec::new(),
-    }
-}
-
-/// Checks that the limited endpoints which have run all the time got no more than their limit, and
-/// ends the limits.
-async fn check_limits(site: &mut Site, mut limited: Limited) {
-    let endpoints = site.endpoints.iter_mut().enumerate();
-    let ended: Vec<usize> = endpoints
-        .filter_map(|(index, endpoint)| (!endpoint.process.is_running()).then_some(index))
-        .collect();
-    limited.endpoints.retain(|index| !ended.contains(index));
-    let from_ms = limited.since_ms + SETTLE_TIME.as_millis() as u64;
-    let Limited {
-        endpoints,
-        rate,
-        excused,
-        ..
-    } = &limited;
-    site.check_windows_without(endpoints, *rate, from_ms, excused)
-        .await;
-    site.set_limits(&limited.endpoints, &[]).await;
-}
-
-/// Holds the endpoints that name a limit and have not been killed since.
-struct Limited {
-    endpoints: Vec<usize>,
-    rate: f64,
-    since_ms: u64,
-    /// The entries that were restarted, paused or cut off, which the rule excuses.
-    excused: BTreeSet<IpAddr>,
-    /// The rules of the proxy in force, since each new list replaces the last one.
-    rules: Vec<FaultRule>,
-}
-
-impl Limited {
-    /// Adds rules of the proxy to those in force.
-    async fn add_rules(&mut self, site: &Site, rules: Vec<FaultRule>) {
-        self.rules.extend(rules);
-        site.set_proxy_faults(&self.rules).await;
-    }
-}
-
-/// Holds connections of callers, one to each entry, which are used until they end.
-#[derive(Default)]
-struct KeptConnections {
-    open: BTreeMap<usize, RawConnection>,
-}
-
-impl KeptConnections {
-    /// Sends a request on the connection to each entry, and opens those that have ended.
-    async fn send(&mut self, site: &Site) -> Vec<Outcome> {
-        let mut sent = Vec::new();
-        for entry in 0..site.entries.len() {
-            let to = site.entries[entry].caller_address();
-            let connection = match self.open.remove(&entry) {
-                Some(connection) => Some(connection),
-                None => RawConnection::try_open(to).await,
-            };
-            sent.push(async move {
-                let mut connection = connection?;
-                let id = new_request_id();
-                if !connection.write("/record/a", &id, &[]).await {
-                    return None;
-                }
-                let (result, left) = match connection.read().await {
-                    Exchange::Complete(200, _) => (Ok(()), Some(connection)),
-                    Exchange::Complete(status @ (408 | 421 | 429 | 503), _) => {
-                        (Err(Failure::NotRun(status)), Some(connection))
-                    }
-                    Exchange::Complete(status, _) => {
-                        let why = format!("status {status}");
-                        (Err(Failure::Unknown(why)), Some(connection))
-                    }
-                    Exchange::Cut(why) => (Err(Failure::Unknown(why)), None),
-                };
-                Some((entry, Outcome { id, result }, left))
-            });
-        }
-        let mut outcomes = Vec::new();
-        for (entry, outcome, left) in join_all(sent).await.into_iter().flatten() {
-            self.open.extend(left.map(|connection| (entry, connection)));
-            outcomes.push(outcome);
-        }
-        outcomes
-    }
-}
-
 /// Injects one random fault, or adds a route.
 async fn inject_fault(site: &mut Site, limited: &mut Limited, rng: &mut ChaCha8Rng) {
     let entry = rng.random_range(0..site.entries.len());
