Soak starts, signals and held requests, in which no entry may end by itself

The soak had no supervisor like their platform's, sent no signals to entries that start, and wait_until hid how often one was started.

EntrySupervisor starts an ended entry again after 100 ms and kills one whose VmHWM exceeds the memory in its settings, which counts as an end by itself. The new test soak::no_entry_ends_by_itself draws its whole plan from the seed and prints it: SIGHUP in series at a start and in service, SIGTERM at a start and twice, restarts, one of the five TCP ports or the UDP port held for 100 to 400 ms after a start, the settings file missing, empty or half written for as long, 100 callers whose bodies of 4 MB lack a byte, 3,500 endless heads, configurations in series, a store that is down. They overlap under load, and callers keep their connections. It names each end, its time, the tail of the log and the faults at that entry, checks that the site serves within RECOVERY_TIMEOUT, and counts ends by kind over all seeds.

Signals are sent 1 ms after a process has reached its main at the earliest: the runtime of Rust catches SIGSEGV just before, which /proc/PID/status shows. What is sent earlier no program can catch, and the test leaves it out.

--- a/crates/pistachioyard_standins/src/launch/child.rs
+++ b/crates/pistachioyard_standins/src/launch/child.rs
@@ -115,6 +115,11 @@
         Ok(self.exit_status()?.is_none())
     }
 
+    /// Returns whether SIGTERM or SIGKILL was sent to the process while it ran.
+    pub fn is_end_requested(&self) -> bool {
+        self.is_end_requested.load(Ordering::Relaxed)
+    }
+
     /// Returns how the process ended by itself; none if it runs or its end was requested.
     ///
     /// A failure or another signal after a SIGTERM counts as an end by itself.
@@ -124,8 +129,7 @@
     /// Fails when the state of the process cannot be read.
     pub fn own_end(&mut self) -> Result<Option<ExitStatus>, LaunchError> {
         let status = self.exit_status()?;
-        let is_requested = self.is_end_requested.load(Ordering::Relaxed);
-        Ok(status.filter(|status| !is_requested || !is_as_requested(*status)))
+        Ok(status.filter(|status| !self.is_end_requested() || !is_as_requested(*status)))
     }
 
     /// Waits for the process to exit.
--- a/tests/site/deployment.rs
+++ b/tests/site/deployment.rs
@@ -48,8 +48,8 @@
     let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
     let name = format!("entry-{index}");
     let file = files.join(format!("{name}.toml"));
-    std::fs::write(&file, settings(&name, data_centre, ip, store, layout))
-        .expect("the settings file can be written");
+    let settings = settings(&name, data_centre, ip, store, layout);
+    std::fs::write(&file, &settings).expect("the settings file can be written");
     let mut args = vec![
         "route",
         "--config",
@@ -60,7 +60,11 @@
     }
     let args = args.into_iter().map(str::to_owned).collect();
     let process = Process::new(name, env!("CARGO_BIN_EXE_pistachioyard").into(), args);
-    Entry { process, ip }
+    Entry {
+        process,
+        ip,
+        settings,
+    }
 }
 
 fn settings(
--- a/tests/site/endless.rs
+++ b/tests/site/endless.rs
@@ -29,14 +29,8 @@
 impl Site {
     /// Returns the most memory that the first entry has held since its start, in bytes.
     pub(crate) fn peak_memory_bytes(&self) -> u64 {
-        let child = self.entries[0].process.child.as_ref();
-        let pid = child.expect("the process was started").id();
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
-        let status = status.expect("the state of a child can be read");
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let peak = peak.and_then(|peak| peak.trim().strip_suffix("kB"));
-        let peak = peak.expect("the state has a peak in kB").trim();
-        peak.parse::<u64>().expect("the peak is a number") * 1_024
+        let peak = self.entries[0].process.peak_memory_bytes();
+        peak.expect("the state of a running child has a peak")
     }
 }
 
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod endless;
 mod endpoints;
+mod entry_supervisor;
 mod faults;
 mod layout;
 mod leaving;
--- a/tests/site/own_end.rs
+++ b/tests/site/own_end.rs
@@ -1,7 +1,7 @@
 //! Ends of processes that nothing requested.
 
 use std::fmt;
-use std::process::ExitStatus;
+use std::time::Instant;
 
 use super::support::Site;
 
@@ -13,20 +13,23 @@
 pub(crate) struct OwnEnd {
     pub(crate) name: String,
     pub(crate) id: u32,
-    /// The exit code or the signal.
-    pub(crate) status: ExitStatus,
+    /// The exit code, the signal, or the limit that it exceeded.
+    pub(crate) why: String,
+    /// When it was seen.
+    pub(crate) seen_at: Instant,
     /// The last lines of its log.
     pub(crate) log: String,
 }
 
 impl OwnEnd {
-    pub(crate) fn new(name: &str, id: u32, status: ExitStatus, log: &str) -> Self {
+    pub(crate) fn new(name: &str, id: u32, why: String, log: &str) -> Self {
         let lines: Vec<&str> = log.lines().collect();
         let first = lines.len().saturating_sub(SHOWN_LINES);
         Self {
             name: name.to_owned(),
             id,
-            status,
+            why,
+            seen_at: Instant::now(),
             log: lines[first..].join("\n"),
         }
     }
@@ -35,12 +38,9 @@
 impl fmt::Display for OwnEnd {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
-            name,
-            id,
-            status,
-            log,
+            name, id, why, log, ..
         } = self;
-        write!(f, "{name} ({id}) ended by itself, {status}:\n{log}")
+        write!(f, "{name} ({id}) ended by itself, {why}:\n{log}")
     }
 }
 
--- a/tests/site/process.rs
+++ b/tests/site/process.rs
@@ -1,6 +1,6 @@
 //! A process of a site.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use nix::sys::signal::Signal;
 use pistachioyard_standins::{Child, Launcher};
@@ -55,8 +55,49 @@
         &self.own_ends
     }
 
+    /// Returns and forgets its ends that nothing requested, for a caller that reports them.
+    pub(crate) fn take_own_ends(&mut self) -> Vec<OwnEnd> {
+        self.record_own_end();
+        std::mem::take(&mut self.own_ends)
+    }
+
+    /// Hands the process over to a supervisor; what is left has its name and does not run.
+    pub(crate) fn hand_over(&mut self) -> Self {
+        let left = Self::new(self.name.clone(), self.program.clone(), self.args.clone());
+        std::mem::replace(self, left)
+    }
+
+    /// Returns the most memory that it has held since its start, in bytes; none if it has ended.
+    pub(crate) fn peak_memory_bytes(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let peak = peak.trim().strip_suffix("kB")?.trim().parse::<u64>();
+        Some(peak.expect("the peak is a number") * 1_024)
+    }
+
+    /// Kills the process if it has held more memory than its machine has; this counts as an end by
+    /// itself.
+    pub(crate) fn limit_memory(&mut self, machine_bytes: u64) {
+        let peak = self.peak_memory_bytes();
+        if let Some(peak) = peak.filter(|peak| *peak > machine_bytes) {
+            let child = self.running_child();
+            let log = format!("{}\n{peak} bytes of {machine_bytes}", child.log());
+            let (id, why) = (child.id(), "over the memory of its machine".to_owned());
+            self.own_ends.push(OwnEnd::new(&self.name, id, why, &log));
+            self.running_child().kill().expect("it can be killed");
+        }
+    }
+
+    /// Returns the settings file of an entry.
+    pub(crate) fn settings_file(&self) -> &Path {
+        Path::new(&self.args[2])
+    }
+
     /// Records the end of the child, if it has ended by itself and this is not yet recorded.
-    fn record_own_end(&mut self) {
+    pub(crate) fn record_own_end(&mut self) {
         let Some(child) = &mut self.child else {
             return;
         };
@@ -65,7 +106,7 @@
         if let Some(status) = status
             && !self.own_ends.iter().any(|end| end.id == id)
         {
-            let end = OwnEnd::new(&self.name, id, status, &child.log());
+            let end = OwnEnd::new(&self.name, id, status.to_string(), &child.log());
             self.own_ends.push(end);
         }
     }
--- a/tests/site/soak.rs
+++ b/tests/site/soak.rs
@@ -8,14 +8,21 @@
 //! Deadly requests crash endpoints meanwhile. With `SOAK_OTHER_BINARY`, every second entry runs that
 //! build of the router, and an entry that is started again changes its build, as in an upgrade.
 //!
+//! A second test injects faults at starts, signals and requests that never become whole; in it, no
+//! entry may end by itself.
+//!
 //! `SOAK_SEEDS=50 SOAK_SECONDS=12 cargo test --test site soak -- --nocapture` runs more
 //! seeds; `SOAK_SEED=N` runs one, and `SOAK_ENTRIES=24` runs it with more entries. Seeds that have
 //! failed are kept in [`REGRESSION_SEEDS`].
 
 mod builds;
 mod deadly;
+mod ends;
+mod explained_end;
+mod held;
 mod kept;
 mod limits;
+mod plan;
 
 use std::time::Duration;
 
@@ -32,6 +39,7 @@
 use super::support::Site;
 use builds::{mix_builds, other_binary};
 use deadly::send_deadly;
+use explained_end::count_by_kinds;
 use kept::KeptConnections;
 use limits::{Limited, check_limits, limit_endpoints};
 
@@ -73,6 +81,17 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn no_entry_ends_by_itself() {
+    let seconds = Duration::from_secs(env_number("SOAK_SECONDS", CI_SECONDS));
+    let mut ends = Vec::new();
+    for seed in seeds() {
+        ends.extend(ends::run(seed, seconds).await);
+    }
+    let kinds = count_by_kinds(&ends);
+    assert!(ends.is_empty(), "{} ends by itself: {kinds:#?}", ends.len());
+}
+
 /// Returns the seeds to run.
 fn seeds() -> Vec<u64> {
     let first = env_number("SOAK_SEED", 1);
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -44,6 +44,8 @@
 pub(crate) struct Entry {
     pub(crate) process: Process,
     pub(crate) ip: std::net::IpAddr,
+    /// The whole content of its settings file at the start of the site.
+    pub(crate) settings: String,
 }
 
 impl Entry {
