Bound the bodies of all requests of `entry`

The same cause as in `route`: each body was bounded, and nothing their sum. 300 callers with most of a body of 1.4 MB each brought `entry` to 624,644,096 bytes (x86_64, debug build); the smallest machine that an entry is meant for has 260 MB.

Bodies now take memory as they arrive from 32 MB, as the answers of its clients do, since its settings name no memory. One that finds no room is refused with `no_memory`, and the rest of it is read and dropped, eight at a time. The body of an operation is passed on without a copy.

Most of what is left are the read buffers of the server, up to 400 KB for each connection, which dropshot does not let be set: more callers still fill more memory (`docs/design/memory.md`).

--- a/crates/pistachioyard_wire/src/caller/operation.rs
+++ b/crates/pistachioyard_wire/src/caller/operation.rs
@@ -1,5 +1,6 @@
 //! Operations on plain services and their outcomes.
 
+use bytes::Bytes;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -20,7 +21,7 @@
     /// The idempotency key, which identifies the operation across all repetitions.
     pub key: Option<OperationKey>,
     /// The body, which is passed to the service unchanged.
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 /// The outcome of an operation.
--- a/src/api.rs
+++ b/src/api.rs
@@ -8,7 +8,9 @@
 
 use dropshot::ApiDescription;
 use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::Semaphore;
 
+use crate::memory::{MemoryKind, SharedMemory};
 use crate::prelude::*;
 
 /// Holds the state that the handlers share.
@@ -17,6 +19,22 @@
     pub(crate) node: Arc<Node>,
     /// The handle that renders the metrics.
     pub(crate) metrics: PrometheusHandle,
+    /// The memory of the bodies of all requests.
+    bodies: Arc<SharedMemory>,
+    /// The permits to read the rest of refused bodies.
+    discards: Arc<Semaphore>,
+}
+
+impl ApiContext {
+    /// Creates the state of a server that has no requests yet.
+    pub(crate) fn new(node: Arc<Node>, metrics: PrometheusHandle) -> Self {
+        Self {
+            node,
+            metrics,
+            bodies: SharedMemory::new(MemoryKind::Bodies, body::BODY_MEMORY_BYTES),
+            discards: Arc::new(Semaphore::new(body::MAX_DISCARDS)),
+        }
+    }
 }
 
 /// Registers all handlers.
--- a/src/api/caller.rs
+++ b/src/api/caller.rs
@@ -77,7 +77,7 @@
 #[endpoint { method = POST, path = "/v1/generate" }]
 async fn generate(rqctx: RequestContext<ApiContext>, body: StreamingBody) -> HandlerResult {
     let node = &rqctx.context().node;
-    let outcome = match read_body(body).await {
+    let outcome = match read_body(&rqctx, body).await {
         Ok(body) => filter::generate(node, &body).await,
         Err(problem) => {
             filter::generate_refused(node, &[], &problem);
@@ -123,7 +123,7 @@
     let node = &rqctx.context().node;
     let path = path.into_inner();
     let query = query.into_inner();
-    let body = match read_body(body).await {
+    let body = match read_body(&rqctx, body).await {
         Ok(body) => body,
         Err(problem) => {
             filter::operation_refused(node, header(&rqctx, "x-workspace"), &problem);
--- a/src/api/operator.rs
+++ b/src/api/operator.rs
@@ -28,7 +28,7 @@
 async fn apply(rqctx: RequestContext<ApiContext>, body: StreamingBody) -> HandlerResult {
     let node = &rqctx.context().node;
     let answer = async {
-        let body = read_body(body).await?;
+        let body = read_body(&rqctx, body).await?;
         let req: ApplyRequest = serde_json::from_slice(&body).map_err(|e| {
             crate::filter::bad_request(format!("the body is not an apply request: {e}"))
         })?;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -80,10 +80,7 @@
         default_handler_task_mode: HandlerTaskMode::Detached,
         ..ConfigDropshot::default()
     };
-    let cx = crate::api::ApiContext {
-        node: node.clone(),
-        metrics,
-    };
+    let cx = crate::api::ApiContext::new(node.clone(), metrics);
     ServerBuilder::new(
         crate::api::describe(),
         cx,
--- a/src/filter/identify.rs
+++ b/src/filter/identify.rs
@@ -1,5 +1,6 @@
 //! The first filter: parses a request and checks that the configuration allows it.
 
+use bytes::Bytes;
 use pistachioyard_policy::{ActiveConfig, serving_version};
 use pistachioyard_wire::{
     CallName, CallPolicy, GenerateRequest, OperationKey, OperationRequest, ServiceName,
@@ -71,7 +72,7 @@
     /// The header `idempotency-key`.
     pub(crate) key: Option<&'a str>,
     /// The body.
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Bytes,
 }
 
 /// Validates an operation; returns it and whether its call is idempotent.
--- a/src/filter/operate.rs
+++ b/src/filter/operate.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use pistachioyard_policy::ClaimState;
 use pistachioyard_wire::{
     EntryState, OperationKey, OperationOutcome, OperationRequest, RequestDigest,
@@ -210,7 +209,7 @@
     address: SocketAddr,
 ) -> Result<ServiceAnswer, CallError> {
     let timeout = Duration::from_millis(SERVICE_TIMEOUT_MS);
-    let body = Bytes::from(req.body.clone());
+    let body = req.body.clone();
     let answer = node
         .services
         .call(address, &req.call, req.key, body, timeout)
