--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -90,10 +90,7 @@
         default_handler_task_mode: HandlerTaskMode::Detached,
         ..ConfigDropshot::default()
     };
-    let cx = ApiContext {
-        node: node.clone(),
-        metrics,
-    };
+    let cx = ApiContext::new(node.clone(), metrics);
     ServerBuilder::new(
         crate::api::describe(),
         cx,
