Log that an entry has started before

A process that was killed writes nothing, so its end showed in no log of its own host but by what is missing.

The next process finds the earlier one's registration when it writes its own. It logs `peers: entry started again` with the earlier boot and the time between the two starts; no call to the store is added.

--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -88,6 +88,7 @@
         Err(StoreError::Fault(StoreAnswerError::Conflict)) => {
             match router.store.read(ENTRY_KIND, &name).await {
                 Ok(old) => {
+                    log_earlier_start(&old.value, &own);
                     let call = StoreCall::replace(ENTRY_KIND, &name, old.value.revision, spec);
                     router.store.object(&call).await
                 }
@@ -109,6 +110,28 @@
     }
 }
 
+/// Logs that the store has the registration of an earlier process of this entry, and how long ago
+/// that process started.
+fn log_earlier_start(old: &Object, own: &MemberRecord) {
+    // A malformed registration is logged when all are read.
+    let Ok(earlier) = serde_json::from_value::<MemberRecord>(old.spec.clone()) else {
+        return;
+    };
+    if earlier.boot == own.boot {
+        return;
+    }
+    let started_ms = |boot: BootId| {
+        let (seconds, nanos) = boot.0.get_timestamp()?.to_unix();
+        Some(seconds * 1_000 + u64::from(nanos) / 1_000_000)
+    };
+    let between = started_ms(own.boot).zip(started_ms(earlier.boot));
+    let age_ms = between.map(|(own, earlier)| own.saturating_sub(earlier));
+    spdlog::info!("peers: entry started again", kv: {
+        earlier_boot = earlier.boot.to_string().as_str(),
+        age_ms = age_ms.unwrap_or_default()
+    });
+}
+
 /// Tells whether this entry's own registration is in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum OwnRegistration {
--- a/tests/site/starts.rs
+++ b/tests/site/starts.rs
@@ -142,6 +142,19 @@
     assert!(process.log().contains("router: stopped during the start"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_logs_that_it_has_started_before() {
+    let mut site = Site::start(1).await;
+    let line = "peers: entry started again";
+    assert!(!site.entries[0].process.log().contains(line));
+    site.restart_entries();
+    wait_until(START_TIMEOUT, line, || async {
+        site.entries[0].process.log().contains(line)
+    })
+    .await
+    .expect("the line is logged");
+}
+
 /// A signal that comes before its handler ends the process.
 #[tokio::test(flavor = "multi_thread")]
 async fn signals_are_handled_before_anything_else_is_started() {
