Test that SIGHUP during a start tries again at once

The pause between two attempts grows to half a second; SIGHUP ends it, since the settings or what they name have changed. The test asks for 64 attempts in 10 s, which take 14 s or more without the signals.

--- a/tests/site/starts.rs
+++ b/tests/site/starts.rs
@@ -155,6 +155,23 @@
     .expect("the line is logged");
 }
 
+/// Without the signals, 64 attempts take longer than the time that is waited for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hangup_during_the_start_tries_again_at_once() {
+    let mut site = Site::start(1).await;
+    site.entries[0].process.kill();
+    let _held = hold_tcp(site.own_address(ENTRY_PORTS[0]));
+    site.start_held_up("held").await;
+    let process = &site.entries[0].process;
+    wait_until(START_TIMEOUT, "the attempts", || {
+        process.signal(Signal::SIGHUP);
+        let has_tried = process.log().contains("attempt=64");
+        async move { has_tried }
+    })
+    .await
+    .expect("each signal is followed by an attempt");
+}
+
 /// A signal that comes before its handler ends the process.
 #[tokio::test(flavor = "multi_thread")]
 async fn signals_are_handled_before_anything_else_is_started() {
