Hold signals back until their handlers are there

Cause: between main and the handlers the runtime is built, which takes milliseconds on a busy machine. main now blocks SIGHUP, SIGINT and SIGTERM first, one system call, and takes them once the handlers are there; a signal that comes meanwhile waits.

What is left is the time before main, which no program can shorten by its own code.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,7 +10,8 @@
 
 /// Holds the runtime of a daemon and the handlers of its signals.
 ///
-/// A signal that arrives before its handler ends the process, so the handlers come first.
+/// A signal that arrives before its handler ends the process, so signals wait until the handlers are
+/// there.
 pub struct Daemon {
     pub(crate) runtime: Runtime,
     pub(crate) signals: Signals,
@@ -41,11 +42,14 @@
     }
 
     fn build(mut builder: Builder) -> std::io::Result<Self> {
+        let handled = DaemonSignal::all();
+        handled.thread_block()?;
         let runtime = builder.enable_all().build()?;
         let signals = {
             let _guard = runtime.enter();
             Signals::install()?
         };
+        handled.thread_unblock()?;
         Ok(Self { runtime, signals })
     }
 }
--- a/src/daemon/signals.rs
+++ b/src/daemon/signals.rs
@@ -1,5 +1,6 @@
 //! The signals that a daemon handles.
 
+use nix::sys::signal::{SigSet, Signal as SystemSignal};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Names a signal that a daemon handles.
@@ -14,6 +15,17 @@
 }
 
 impl DaemonSignal {
+    /// Returns all of them as a set of the system.
+    pub(super) fn all() -> SigSet {
+        [
+            SystemSignal::SIGHUP,
+            SystemSignal::SIGINT,
+            SystemSignal::SIGTERM,
+        ]
+        .into_iter()
+        .collect()
+    }
+
     /// Returns the usual name of the signal.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
