Name the step that held up a start when it has succeeded

The line for a start that went on did not say whether it was that of the entry or of its metrics, which are served in the background. It is now `start: step succeeded` with the step that had failed last.

--- a/src/start.rs
+++ b/src/start.rs
@@ -23,12 +23,13 @@
 ) -> T {
     let began_at = Instant::now();
     let mut retries = StartRetries::default();
+    let mut failed: Option<StartStep> = None;
     loop {
         let e = match attempt() {
             Ok(done) => {
-                if retries.failed_attempts() > 0 {
-                    spdlog::info!("start: went on after failed steps", kv: {
-                        failed_attempts = retries.failed_attempts(),
+                if let Some(step) = failed {
+                    spdlog::info!("start: step succeeded", kv: {
+                        step = step.as_str(), failed_attempts = retries.failed_attempts(),
                         took_ms = began_at.elapsed().as_millis() as u64
                     });
                 }
@@ -36,6 +37,7 @@
             }
             Err(e) => e,
         };
+        failed = Some(e.step());
         let retry = retries.fail(e.step(), &mut rand::rng());
         if retry.is_logged {
             spdlog::warn!("start: step failed", kv: {
