Ask for the planned stop in the site tests through the process

The signal is the same one at the same moment; the test checks what it checked, and no end by itself on top.

--- a/tests/site/faults.rs
+++ b/tests/site/faults.rs
@@ -66,16 +66,10 @@
     let delay = async {
         tokio::time::sleep(Duration::from_millis(100)).await;
     };
-    // Signals the process by its id, since the streams borrow the site.
-    let pid = site.entries[0]
-        .process
-        .child
-        .as_ref()
-        .map(pistachioyard_standins::Child::id);
     let signal = async {
         delay.await;
-        let pid = nix::unistd::Pid::from_raw(pid.expect("the entry runs") as i32);
-        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).expect("the signal is sent");
+        let entry = &site_ref.entries[0];
+        entry.process.signal(nix::sys::signal::Signal::SIGTERM);
     };
     let (streams, ()) = tokio::join!(streams, signal);
     for result in streams {
