--- a/tests/site/entry_supervisor.rs
+++ b/tests/site/entry_supervisor.rs
@@ -28,10 +28,21 @@
 /// Holds the processes of a site's entries and starts them again when they end.
 pub(crate) struct EntrySupervisor {
     entries: Vec<Arc<Supervised>>,
-    task: tokio::task::JoinHandle<()>,
+    task: tokio::task::JoinHandle<Summary>,
     stop: Arc<AtomicBool>,
 }
 
+/// Says what a supervisor has seen.
+#[derive(Debug, Default)]
+pub(crate) struct Summary {
+    /// The number of starts of entries.
+    pub(crate) starts: u64,
+    /// The most memory that an entry has held, in bytes.
+    pub(crate) peak_bytes: u64,
+    /// All ends that nothing requested.
+    pub(crate) own_ends: Vec<OwnEnd>,
+}
+
 struct Supervised {
     process: Mutex<Process>,
     /// The process id of the last start.
@@ -107,17 +118,16 @@
         .await
     }
 
-    /// Stops the restarts, gives the processes back and returns all ends that nothing requested.
-    pub(crate) async fn stop(self, site: &mut Site) -> Vec<OwnEnd> {
+    /// Stops the restarts and gives the processes back.
+    pub(crate) async fn stop(self, site: &mut Site) -> Summary {
         self.stop.store(true, Ordering::Relaxed);
-        self.task.await.expect("the supervisor does not panic");
-        let mut ends = Vec::new();
+        let mut summary = self.task.await.expect("the supervisor does not panic");
         for (entry, supervised) in site.entries.iter_mut().zip(self.entries) {
             let mut process = supervised.lock().hand_over();
-            ends.extend(process.take_own_ends());
+            summary.own_ends.extend(process.take_own_ends());
             entry.process = process;
         }
-        ends
+        summary
     }
 }
 
@@ -192,12 +202,15 @@
     launcher: Launcher,
     machine_bytes: u64,
     stop: Arc<AtomicBool>,
-) {
+) -> Summary {
+    let mut summary = Summary::default();
     let mut ended_at: Vec<Option<Instant>> = entries.iter().map(|_| None).collect();
     while !stop.load(Ordering::Relaxed) {
         tokio::time::sleep(SUPERVISION_INTERVAL).await;
         for (entry, ended_at) in entries.iter().zip(&mut ended_at) {
             let mut process = entry.lock();
+            let peak_bytes = process.peak_memory_bytes().unwrap_or_default();
+            summary.peak_bytes = summary.peak_bytes.max(peak_bytes);
             process.limit_memory(machine_bytes);
             match *ended_at {
                 None if !process.is_running() => {
@@ -210,9 +223,11 @@
                     drop(process);
                     entry.started.send_replace(pid);
                     *ended_at = None;
+                    summary.starts += 1;
                 }
                 None | Some(_) => {}
             }
         }
     }
+    summary
 }
--- a/tests/site/soak/ends.rs
+++ b/tests/site/soak/ends.rs
@@ -75,14 +75,17 @@
     tokio::join!(join_all(faults), load);
     let started = supervisor.await_starts(RESTART_TIMEOUT).await;
     let recovered = tokio::time::timeout(RECOVERY_TIMEOUT, site.await_service()).await;
-    let ends = supervisor.stop(&mut site).await;
+    let summary = supervisor.stop(&mut site).await;
     let injected = injected.into_inner().expect("no holder panics");
     println!(
-        "soak: seed {seed}: {} faults, {} ends by itself",
+        "soak: seed {seed}: {} faults, {} starts, at most {} bytes held, {} ends by itself",
         injected.len(),
-        ends.len()
+        summary.starts,
+        summary.peak_bytes,
+        summary.own_ends.len()
     );
-    let ends: Vec<_> = ends
+    let ends: Vec<_> = summary
+        .own_ends
         .into_iter()
         .map(|end| explain(seed, end, &injected, started_at))
         .inspect(|end| println!("{end}"))
