--- a/tests/site/faults.rs
+++ b/tests/site/faults.rs
@@ -68,9 +68,8 @@
     };
     let signal = async {
         delay.await;
-        site_ref.entries[0]
-            .process
-            .signal(nix::sys::signal::Signal::SIGTERM);
+        let entry = &site_ref.entries[0];
+        entry.process.signal(nix::sys::signal::Signal::SIGTERM);
     };
     let (streams, ()) = tokio::join!(streams, signal);
     for result in streams {
