--- a/src/memory/byte_buffer.rs
+++ b/src/memory/byte_buffer.rs
@@ -5,7 +5,8 @@
 use super::HeldMemory;
 use super::held_memory::PART_BYTES;
 
-/// The factor by which a buffer grows at least; smaller steps leave more of the heap unused.
+/// The factor by which a buffer grows at least. A smaller one leaves more freed blocks behind, which
+/// the allocator keeps.
 const GROWTH_FACTOR: usize = 2;
 
 /// Collects the body of a request or an answer.
