Do not end by a signal that means nothing to a daemon

SIGUSR1 and SIGUSR2 end it too.

All three get handlers with the others, so that the write fails as one to a full device does, which the log counts as a dropped line. x86_64, debug build: starts::a_log_that_reaches_its_size_limit_does_not_end_an_entry failed before in 2 of 2 runs (the entry ended and did not serve), passes in 3 of 3. SIGUSR1 and SIGUSR2 have no test of their own.

--- a/src/daemon/signals.rs
+++ b/src/daemon/signals.rs
@@ -3,6 +3,14 @@
 use nix::sys::signal::{SigSet, Signal as SystemSignal};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// The signals that would end a process without a handler and mean nothing to a daemon. A write
+/// beyond the limit for a file's size raises SIGXFSZ; the write fails, as one to a full device does.
+const IGNORED: [SystemSignal; 3] = [
+    SystemSignal::SIGUSR1,
+    SystemSignal::SIGUSR2,
+    SystemSignal::SIGXFSZ,
+];
+
 /// Names a signal that a daemon handles.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum DaemonSignal {
@@ -15,7 +23,7 @@
 }
 
 impl DaemonSignal {
-    /// Returns all of them as a set of the system.
+    /// Returns those for which a daemon installs handlers, the ones that it ignores included.
     pub(super) fn all() -> SigSet {
         [
             SystemSignal::SIGHUP,
@@ -23,6 +31,7 @@
             SystemSignal::SIGTERM,
         ]
         .into_iter()
+        .chain(IGNORED)
         .collect()
     }
 
@@ -45,7 +54,12 @@
 
 impl Signals {
     /// Installs the handlers, in the context of a runtime.
+    ///
+    /// A handler that is installed stays, so the signals that mean nothing to a daemon do not end it.
     pub(crate) fn install() -> std::io::Result<Self> {
+        for ignored in IGNORED {
+            signal(SignalKind::from_raw(ignored as i32))?;
+        }
         Ok(Self {
             hangup: signal(SignalKind::hangup())?,
             interrupt: signal(SignalKind::interrupt())?,
--- a/tests/site/starts.rs
+++ b/tests/site/starts.rs
@@ -16,6 +16,10 @@
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// The number of starts that are looked at for the order of their first system calls.
 const STARTS: usize = 20;
+/// The size of the files that the entry with a limit may write, in bytes.
+const MAX_LOG_BYTES: usize = 512;
+/// Runs a program with that limit, which the shell counts in blocks of 512 bytes.
+const LIMITED_FILES: &str = "ulimit -f 1; exec \"$0\" \"$@\"";
 /// The line that a start logs when it is held up.
 const HELD_UP: &str = "start: step failed";
 
@@ -208,3 +212,23 @@
     let line = status.lines().find_map(|line| line.strip_prefix(name));
     line.map(str::trim)
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_that_reaches_its_size_limit_does_not_end_an_entry() {
+    let mut site = Site::start(1).await;
+    let launcher = site.launcher.clone();
+    let process = &mut site.entries[0].process;
+    let (program, args) = process.command();
+    process.args = vec!["-c".to_owned(), LIMITED_FILES.to_owned()];
+    process.args.push(program.display().to_string());
+    process.args.extend(args);
+    process.program = "sh".into();
+    process.start(&launcher);
+    let met = wait_until(START_TIMEOUT, "a full log", || {
+        let is_met = !process.is_running() || process.log().len() >= MAX_LOG_BYTES;
+        async move { is_met }
+    });
+    met.await.expect("the log reaches its limit");
+    site.await_service().await;
+    assert!(site.entries[0].process.is_running(), "it ended by itself");
+}
