Bound the read buffers of connections to endpoints

Each connection to an endpoint read up to hyper's default of 417,792 bytes ahead. It now reads 64 KB ahead, the limit for heads, so what a caller does not read stays at its endpoint.

--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -235,6 +235,7 @@
     }
     let handshake = http1::Builder::new()
         .max_header_size(MAX_HEAD_BYTES)
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream));
     let Ok((mut sender, connection)) = handshake.await else {
         return Err(not_sent);
--- a/tests/site/memory.rs
+++ b/tests/site/memory.rs
@@ -40,6 +40,14 @@
 const SMALL_REQUESTS: usize = 20;
 /// The size of an answer that is within the limit for answers, in bytes.
 const LARGE_ANSWER_BYTES: usize = 3_900_000;
+/// The number of callers that do not read their streams.
+const STREAM_CALLERS: usize = 400;
+/// The number of events of their streams, more than are sent to a caller that does not read.
+const STREAM_EVENTS: u64 = 200;
+/// The size of an event that is within the limit for events, in bytes.
+const LARGE_EVENT_BYTES: usize = 100_000;
+/// How long the endpoints send events that are not read.
+const STREAM_TIME: Duration = Duration::from_secs(5);
 /// The timeout of the routes.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
 /// How much later than its timeout a request may be answered.
@@ -294,3 +302,41 @@
     drop(callers);
     await_unused(&site, "heads").await;
 }
+
+/// Guards against events that wait for callers which do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_are_not_read_do_not_fill_the_memory() {
+    let site = Site::start_with(Layout {
+        memory_mb: Some(MACHINE_BYTES / 1_000_000),
+        events: STREAM_EVENTS,
+        ..Layout::default()
+    })
+    .await;
+    site.adopt_config_with(|spec| {
+        for service in spec["services"].as_array_mut().into_iter().flatten() {
+            service["max_connections"] = (10 * STREAM_CALLERS).into();
+            if service.get("engine").is_some() {
+                service["engine"]["slots"] = (10 * STREAM_CALLERS).into();
+            }
+        }
+    })
+    .await;
+    let to = site.entries[0].caller_address();
+    let size = LARGE_EVENT_BYTES.to_string();
+    let sending = (0..STREAM_CALLERS).map(|n| {
+        let extra = [
+            ("X-Answer-Bytes", size.as_str()),
+            ("X-Token-Usage", "100,20"),
+        ];
+        async move {
+            let mut caller = RawConnection::open_with_small_buffer(to).await;
+            let path = format!("/draft/{n}");
+            assert!(caller.write(&path, &new_request_id(), &extra).await);
+            caller
+        }
+    });
+    let callers: Vec<_> = iter(sending).buffer_unordered(CONNECTS).collect().await;
+    tokio::time::sleep(STREAM_TIME).await;
+    check_peak(&site);
+    drop(callers);
+}
