Test the record of own ends with a signal that a starter does not ignore

Cause: nohup starts its programs with SIGHUP ignored, the stand-in inherits that, and the SIGHUP of the test does not end it. Shown: 1 of 1 run by nohup fails, 40 of 40 without it pass. The test sends SIGUSR1 instead, which ends a stand-in in the same way, so it asks for the same: an end by a signal that nobody requested is recorded. By nohup it passes 1 of 1, with the 24 other tests of the file.

--- a/crates/pistachioyard_standins/tests/standins/launch.rs
+++ b/crates/pistachioyard_standins/tests/standins/launch.rs
@@ -45,7 +45,7 @@
     for (signals, is_own_end) in [
         ([Signal::SIGTERM].as_slice(), false),
         (&[Signal::SIGKILL], false),
-        (&[Signal::SIGHUP], true),
+        (&[Signal::SIGUSR1], true),
         (&[Signal::SIGSTOP, Signal::SIGTERM, Signal::SIGKILL], false),
     ] {
         let (mut child, _) = harness.start("platform", &[]).await;
