Log the path of the settings file at the start

A start that waits for a settings file said that there is no such file, and not which one: an operator could not tell a file that is missing from one that is elsewhere. `router: starting` names the path now.

--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -45,7 +45,9 @@
     signals: Signals,
 ) -> Result<(), RouterError> {
     log::init()?;
-    spdlog::info!("router: starting", kv: { pid = std::process::id() });
+    spdlog::info!("router: starting", kv: {
+        pid = std::process::id(), settings_file = settings_file.to_string_lossy().as_ref()
+    });
     let ended = serve(settings_file, load_controls, signals).await;
     if let Err(e) = &ended {
         spdlog::error!("router: ended by an error", kv: { why = e.to_string().as_str() });
