--- a/tests/site/process.rs
+++ b/tests/site/process.rs
@@ -41,6 +41,14 @@
         (self.program.clone(), self.args.clone())
     }
 
+    /// Makes a shell run a script at the next start; `$0` is the program, and `args` follow.
+    pub(crate) fn run_in_shell(&mut self, script: &str, args: Vec<String>) {
+        let program = self.program.display().to_string();
+        self.args = vec!["-c".to_owned(), script.to_owned(), program];
+        self.args.extend(args);
+        self.program = "sh".into();
+    }
+
     /// Kills the process if it runs.
     pub(crate) fn kill(&mut self) {
         self.record_own_end();
--- a/tests/site/starts.rs
+++ b/tests/site/starts.rs
@@ -20,6 +20,8 @@
 const MAX_LOG_BYTES: usize = 512;
 /// Runs a program with that limit, which the shell counts in blocks of 512 bytes.
 const LIMITED_FILES: &str = "ulimit -f 1; exec \"$0\" \"$@\"";
+/// Runs a program whose settings file the platform names, as `docs/OPERATIONS.md` describes.
+const NAMED_SETTINGS: &str = "PISTACHIOYARD_NODE_FILE=\"$1\" exec \"$0\" route";
 /// The line that a start logs when it is held up.
 const HELD_UP: &str = "start: step failed";
 
@@ -218,11 +220,8 @@
     let mut site = Site::start(1).await;
     let launcher = site.launcher.clone();
     let process = &mut site.entries[0].process;
-    let (program, args) = process.command();
-    process.args = vec!["-c".to_owned(), LIMITED_FILES.to_owned()];
-    process.args.push(program.display().to_string());
-    process.args.extend(args);
-    process.program = "sh".into();
+    let (_, args) = process.command();
+    process.run_in_shell(LIMITED_FILES, args);
     process.start(&launcher);
     let met = wait_until(START_TIMEOUT, "a full log", || {
         let is_met = !process.is_running() || process.log().len() >= MAX_LOG_BYTES;
@@ -232,3 +231,17 @@
     site.await_service().await;
     assert!(site.entries[0].process.is_running(), "it ended by itself");
 }
+
+/// Guards against starts that wait for a settings file at a path where nobody writes one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_starts_on_the_settings_file_that_the_platform_names() {
+    let mut site = Site::start(1).await;
+    let launcher = site.launcher.clone();
+    let file = site.settings_file().display().to_string();
+    let process = &mut site.entries[0].process;
+    process.run_in_shell(NAMED_SETTINGS, vec![file]);
+    process.start(&launcher);
+    site.await_service().await;
+    let process = &mut site.entries[0].process;
+    assert!(process.is_running(), "it ended by itself");
+}
