Read the settings file that the platform names

Change: an argument goes first, then the variable, then the default. A file that is named and missing is waited for, since the default may be another process's.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use pistachioyard_platform::{SETTINGS_FILE_VARIABLE, SettingsFile};
 
 use crate::daemon::Daemon;
 use crate::router::LoadControl;
@@ -27,13 +28,10 @@
 enum Command {
     /// Runs the daemon on the operators' platform: an HTTP proxy from callers to endpoints.
     Route {
-        /// The settings file, which the platform writes.
-        #[arg(
-            long,
-            value_name = "FILE",
-            default_value = "/etc/pistachioyard/local.toml"
-        )]
-        config: PathBuf,
+        /// The settings file; by default the one that the platform names in
+        /// PISTACHIOYARD_NODE_FILE, or else /etc/pistachioyard/local.toml.
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
         /// The decisions under load that are switched on.
         #[arg(long = "load-control", value_enum, value_delimiter = ',')]
         load_controls: Vec<LoadControl>,
@@ -86,7 +84,8 @@
             load_controls,
         } => {
             let daemon = daemon.map_or_else(Daemon::for_route, Ok)?;
-            let router = crate::router::run_router(&config, load_controls, daemon.signals);
+            let file = SettingsFile::choose(config, std::env::var_os(SETTINGS_FILE_VARIABLE));
+            let router = crate::router::run_router(&file, load_controls, daemon.signals);
             daemon.runtime.block_on(router)?;
             Ok(ExitStatus::Done)
         }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -4,7 +4,7 @@
 
 use std::path::Path;
 
-use pistachioyard_platform::NodeSettings;
+use pistachioyard_platform::{NodeSettings, SettingsFile};
 use tokio::sync::Notify;
 
 use self::listeners::{Listeners, serve_metrics};
@@ -40,15 +40,16 @@
 ///
 /// A process that is ended by a signal without a handler logs nothing.
 pub(crate) async fn run_router(
-    settings_file: &Path,
+    settings_file: &SettingsFile,
     load_controls: Vec<LoadControl>,
     signals: Signals,
 ) -> Result<(), RouterError> {
     log::init()?;
     spdlog::info!("router: starting", kv: {
-        pid = std::process::id(), settings_file = settings_file.to_string_lossy().as_ref()
+        pid = std::process::id(), settings_file = settings_file.path().to_string_lossy().as_ref(),
+        named_by = settings_file.source().as_str()
     });
-    let ended = serve(settings_file, load_controls, signals).await;
+    let ended = serve(settings_file.path(), load_controls, signals).await;
     if let Err(e) = &ended {
         spdlog::error!("router: ended by an error", kv: { why = e.to_string().as_str() });
     }
