--- a/tests/deployed_build.rs
+++ b/tests/deployed_build.rs
@@ -10,6 +10,10 @@
 /// The crates that run a compiler for C or assembler.
 const FOREIGN_COMPILERS: [&str; 2] = ["cc", "cmake"];
 
+/// The packages that the linker needs on a clean machine. `gcc` only recommends the second one, which
+/// holds the start files of programs.
+const LINKER_PACKAGES: [&str; 2] = ["gcc", "libc6-dev"];
+
 /// Runs cargo in the repository and returns its output.
 fn cargo(args: &[&str]) -> String {
     let out = Command::new(env!("CARGO"))
@@ -23,6 +27,11 @@
     String::from_utf8(out.stdout).expect("cargo writes text")
 }
 
+fn deploy() -> toml::Table {
+    let text = include_str!("../deploy/system.toml");
+    text.parse().expect("the deploy file is TOML")
+}
+
 /// Returns the flags of the build command that choose the package and its features.
 fn selection(deploy: &toml::Table) -> Vec<&str> {
     let mut words = deploy["build"].as_str().expect("a command").split(' ');
@@ -69,9 +78,7 @@
 
 #[test]
 fn the_deployed_program_compiles_no_c_or_assembler() {
-    let deploy: toml::Table = include_str!("../deploy/system.toml")
-        .parse()
-        .expect("the deploy file is TOML");
+    let deploy = deploy();
     let selection = selection(&deploy);
     for target in TARGETS {
         let compiled = compiled_crates(&selection, target);
@@ -98,3 +105,14 @@
         assert!(foreign.is_empty(), "{target} compiles {foreign:?}");
     }
 }
+
+/// Guards against a build that fails where recommended packages are not installed.
+#[test]
+fn the_deploy_file_names_the_packages_of_the_linker() {
+    let deploy = deploy();
+    let packages = deploy["packages"].as_array().expect("a list");
+    for needed in LINKER_PACKAGES {
+        let is_named = packages.iter().any(|name| name.as_str() == Some(needed));
+        assert!(is_named, "{needed} is not named");
+    }
+}
