Start without the settings that an entry can assume

A bound, `region` or `heartbeat_ms` that was absent, an empty `directory`, or a number of another kind made the whole settings file unusable, and a start that goes on for ever made out of it an entry that never serves; a negative retry share was taken silently. Cause: the file was decoded at once, with all fields required alike. Change: fields are read one by one. node, zone, ip, port_range, listen.front, listen.ready and platform.address are required, and the error names the one that is missing; `region` is not read, since nothing uses it; all others get a strict value when absent, empty, of another kind or out of range (docs/design/assumed-settings.md). Each is told by the line `router: setting assumed`, at the start and at SIGHUP's check, and counted in `router_settings_assumed`. The assumed memory has one copy, in the settings.

--- a/src/router/memory_shares.rs
+++ b/src/router/memory_shares.rs
@@ -5,8 +5,6 @@
 use crate::memory::{MemoryKind, SharedMemory};
 use crate::prelude::*;
 
-/// The memory of a machine if the settings do not name it, in bytes.
-const DEFAULT_MACHINE_BYTES: usize = 256_000_000;
 /// The share of the memory beside connections for the answers of endpoints.
 const ANSWERS_SHARE: f64 = 0.25;
 /// The share of the memory beside connections for the bodies of requests.
@@ -26,9 +24,8 @@
 }
 
 impl MemoryShares {
-    /// Divides what the connections of a machine leave of its memory, if that is known.
-    pub(crate) fn new(machine_bytes: Option<usize>, max_descriptors: usize) -> Self {
-        let machine_bytes = machine_bytes.unwrap_or(DEFAULT_MACHINE_BYTES);
+    /// Divides what the connections of a machine leave of its memory.
+    pub(crate) fn new(machine_bytes: usize, max_descriptors: usize) -> Self {
         let left = bytes_beside_connections(machine_bytes, max_descriptors) as f64;
         let share = |kind, share| SharedMemory::new(kind, (left * share) as usize);
         Self {
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -196,6 +196,7 @@
     gauge!("router_retry_parts").set(parts as f64);
     let failing = u8::from(router.tasks.has_failing_task());
     gauge!("router_tasks_failing").set(f64::from(failing));
+    gauge!("router_settings_assumed").set(router.settings.assumed.len() as f64);
     gauge!("router_entries_live").set(router.live_entries(now) as f64);
     gauge!("router_config_version").set(router.version() as f64);
     gauge!("router_requests_in_flight").set(router.lifecycle.in_flight() as f64);
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -77,6 +77,7 @@
         }
     };
     let router = Router::new(opened.settings, load_controls, Instant::now());
+    log_assumed(&router.settings);
     opened.listeners.serve(&router);
     tokio::spawn(serve_metrics(router.clone(), metrics, hurry.clone()));
     spdlog::info!("router: started", kv: {
@@ -124,14 +125,27 @@
     })
 }
 
+/// Logs each setting that the settings file does not give in a usable form.
+fn log_assumed(settings: &NodeSettings) {
+    for setting in &settings.assumed {
+        spdlog::warn!("router: setting assumed", kv: {
+            field = setting.field, why = setting.why.as_str(),
+            assumed = setting.value.to_string().as_str()
+        });
+    }
+}
+
 /// Checks the settings file and logs the result; the running process keeps all of its
 /// settings until it is restarted.
 fn check_settings(router: &Router, settings_file: &Path) {
     match NodeSettings::load(settings_file) {
-        Ok(settings) => spdlog::info!("router: settings file is valid, restart to apply it", kv: {
-            store = settings.store.address.to_string().as_str(),
-            store_before = router.settings.store.address.to_string().as_str()
-        }),
+        Ok(settings) => {
+            log_assumed(&settings);
+            spdlog::info!("router: settings file is valid, restart to apply it", kv: {
+                store = settings.store.address.to_string().as_str(),
+                store_before = router.settings.store.address.to_string().as_str()
+            });
+        }
         Err(e) => spdlog::error!("router: cannot load the settings file", kv: {
             why = e.to_string().as_str()
         }),
--- a/tests/site/starts.rs
+++ b/tests/site/starts.rs
@@ -22,6 +22,10 @@
 const LIMITED_FILES: &str = "ulimit -f 1; exec \"$0\" \"$@\"";
 /// Runs a program whose settings file the platform names, as `docs/OPERATIONS.md` describes.
 const NAMED_SETTINGS: &str = "PISTACHIOYARD_NODE_FILE=\"$1\" exec \"$0\" route";
+/// The lines of the settings file of a site that an entry can assume.
+const ASSUMABLE: [&str; 4] = ["bootstrap", "directory", "heartbeat_ms", "region"];
+/// The number of settings that an entry assumes without them, bounds and limits.
+const ASSUMED: usize = 11;
 /// The line that a start logs when it is held up.
 const HELD_UP: &str = "start: step failed";
 
@@ -245,3 +249,38 @@
     let process = &mut site.entries[0].process;
     assert!(process.is_running(), "it ended by itself");
 }
+
+/// Guards against an entry that never serves for settings that it can assume.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_serves_without_the_settings_that_it_can_assume() {
+    let mut site = Site::start(1).await;
+    let launcher = site.launcher.clone();
+    let text = &site.entries[0].settings;
+    let (before, bounds) = text.split_once("[bounds]").expect("the file has bounds");
+    let (_, after) = bounds
+        .split_once("[platform]")
+        .expect("the file has a store");
+    let is_kept = |line: &&str| !ASSUMABLE.iter().any(|field| line.starts_with(field));
+    let kept: Vec<&str> = before.lines().filter(is_kept).collect();
+    let text = format!("{}\n[platform]{after}", kept.join("\n"));
+    std::fs::write(site.settings_file(), text).expect("the settings can be written");
+    let earlier = site.entries[0].process.log().len();
+    site.entries[0].process.start(&launcher);
+    site.await_service().await;
+    let entry = &site.entries[0];
+    let count = |line: &str| entry.process.log()[earlier..].matches(line).count();
+    assert_eq!(count("router: setting assumed"), ASSUMED);
+    assert_eq!(
+        count("{ field=bounds.budget_slack why=absent assumed=0 }"),
+        1
+    );
+    let metrics = site.fetch_metrics(entry).await;
+    let gauge = format!("router_settings_assumed {ASSUMED}");
+    assert!(metrics.lines().any(|line| line == gauge), "{metrics}");
+    entry.process.signal(Signal::SIGHUP);
+    wait_until(START_TIMEOUT, "the check", || async {
+        count("router: setting assumed") == 2 * ASSUMED
+    })
+    .await
+    .expect("the check names what it assumes");
+}
