Test that entries serve whatever order a site starts in

`Site::start_with` started store, configuration, endpoints and entries in one order. It is split in steps (`prepare`, `start_store`, `start_endpoints`, `start_entries`) that a test can reorder; what it waits for at the end is as before.

`start_orders::` starts a site of two entries in all 12 orders in which the configuration follows the store, 1.5 s between the parts, and with a store that answers 429, 500 or 503, hangs, is cut off or loses its answers for 2.5 s at the start of the entries, that comes back from an empty copy, and with a first configuration that entries reject. Within `recovery_s` after the last part every entry is to be ready and to serve a request of each of four routes, and then to adopt a further change within `catch_up_s`.

The bound is 12 s.

--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -31,6 +31,7 @@
 mod raw;
 mod retries;
 mod soak;
+mod start_orders;
 mod starts;
 mod store_era;
 mod stuck_watches;
--- /dev/null
+++ b/tests/site/start_orders.rs
@@ -0,0 +1,212 @@
+//! The parts of a site start in any order, and what is wrong at the start of the entries passes.
+
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use futures_util::stream::{self, StreamExt};
+use http::Method;
+use parking_lot::Mutex;
+use pistachioyard_standins::{FaultKind, FaultRule, wait_until};
+use serde_json::{Value, json};
+
+use super::caller::Failure;
+use super::layout::Layout;
+use super::support::{Entry, Site};
+
+/// Until when every entry serves again after the last part is there; `recovery_s` of the operators.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
+/// How long an entry may take to know a change; `catch_up_s` of the operators.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(4);
+/// The time between the starts of two parts, in which the earlier ones fail and back off.
+const PART_DELAY: Duration = Duration::from_millis(1_500);
+/// How long something is wrong at the start of the entries.
+const FAULT_TIME: Duration = Duration::from_millis(2_500);
+/// The number of sites that run at the same time.
+const SITES_AT_ONCE: usize = 4;
+
+/// Names what starts by itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Part {
+    Config,
+    Endpoints,
+    Entries,
+    Store,
+}
+
+impl Site {
+    async fn add_part(&mut self, part: Part) {
+        match part {
+            Part::Config => assert!(self.apply_config().await, "the store accepts it"),
+            Part::Endpoints => self.start_endpoints(),
+            Part::Entries => self.start_entries(),
+            Part::Store => self.start_store().await,
+        }
+    }
+
+    /// Returns a site of two entries of which these parts have been started.
+    async fn start_parts(parts: &[Part]) -> Self {
+        let mut site = Self::prepare(Layout {
+            entries: 2,
+            ..Layout::default()
+        });
+        for part in parts {
+            site.add_part(*part).await;
+        }
+        site
+    }
+
+    /// Sets the fault of the connections of all entries to the store; none clears it.
+    async fn set_store_cut(&self, kind: Option<FaultKind>) {
+        let rules = kind.map(|kind| FaultRule {
+            from: None,
+            to: Some(self.proxied_store),
+            kind,
+        });
+        self.set_proxy_faults(rules.as_slice()).await;
+    }
+
+    /// Sends a request of each kind; returns the first that was not answered as it should be.
+    async fn check_each_kind(&self, entry: &Entry) -> Result<(), (&'static str, Failure)> {
+        let to = entry.caller_address();
+        for path in ["/record/a", "/lookup/a", "/feed/a"] {
+            let outcome = self.check_plain(to, path).await;
+            outcome.result.map_err(|failure| (path, failure))?;
+        }
+        let result = self.check_stream(to).await;
+        result.map_err(|failure| ("/draft/a", failure))
+    }
+
+    /// Waits until an entry is ready and serves each kind; returns what it lacks at the limit.
+    async fn await_each_kind(&self, entry: &Entry) -> Option<String> {
+        let last = Mutex::new(String::new());
+        let is_served = || async {
+            let ready = self.call(entry.ready_address(), Method::GET, "/ready", Value::Null);
+            let (ready, served) = (ready.await, self.check_each_kind(entry).await);
+            *last.lock() = format!("ready: {ready:?}, served: {served:?}");
+            ready == Some(200) && served.is_ok()
+        };
+        let served = wait_until(RECOVERY_LIMIT, &entry.process.name, is_served);
+        served.await.err().map(|_| last.into_inner())
+    }
+
+    /// Checks that every entry is ready and serves each kind of request in time, and then adopts a
+    /// further change of the configuration.
+    async fn check_recovery(&self, what: &str) {
+        let began = Instant::now();
+        let missing = join_all(self.entries.iter().map(|entry| self.await_each_kind(entry)));
+        let missing: Vec<_> = missing.await.into_iter().flatten().collect();
+        println!("{what}: {} ms", began.elapsed().as_millis());
+        assert!(missing.is_empty(), "{what}: {missing:?}");
+        let path = self.add_route().await.expect("the store accepts it");
+        let entries = self.entries.iter();
+        let known = join_all(
+            entries.map(|entry| self.await_path(entry.caller_address(), &path, CATCH_UP_LIMIT)),
+        );
+        let known = known.await;
+        assert!(
+            known.iter().all(|known| *known),
+            "{what}: {path}: {known:?}"
+        );
+    }
+}
+
+/// Returns all orders of the parts in which the configuration follows the store.
+fn orders() -> Vec<Vec<Part>> {
+    let mut orders = vec![Vec::new()];
+    for part in [Part::Store, Part::Config, Part::Endpoints, Part::Entries] {
+        let longer = orders.iter().flat_map(|order: &Vec<Part>| {
+            let store = order.iter().position(|other| *other == Part::Store);
+            let first = match part {
+                Part::Config => store.map_or(0, |at| at + 1),
+                _ => 0,
+            };
+            (first..=order.len()).map(move |at| {
+                let mut order = order.clone();
+                order.insert(at, part);
+                order
+            })
+        });
+        orders = longer.collect();
+    }
+    orders
+}
+
+/// Guards against an entry that never serves because something it needs came after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_serve_whatever_order_the_parts_of_a_site_start_in() {
+    let orders = orders();
+    assert_eq!(orders.len(), 12);
+    stream::iter(orders)
+        .for_each_concurrent(SITES_AT_ONCE, |order| async move {
+            let (first, later) = order.split_first().expect("an order has parts");
+            let mut site = Site::start_parts(&[*first]).await;
+            for part in later {
+                tokio::time::sleep(PART_DELAY).await;
+                site.add_part(*part).await;
+            }
+            site.check_recovery(&format!("{order:?}")).await;
+        })
+        .await;
+}
+
+/// Guards against an entry that gives up on a store which refuses all calls at its start.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_serve_after_a_store_that_refused_them_at_their_start() {
+    join_all([429, 500, 503].map(|status| async move {
+        let mut site = Site::start_parts(&[Part::Store, Part::Config, Part::Endpoints]).await;
+        site.set_store_fault(status).await;
+        site.start_entries();
+        tokio::time::sleep(FAULT_TIME).await;
+        site.set_store_fault(0).await;
+        site.check_recovery(&format!("status {status}")).await;
+    }))
+    .await;
+}
+
+/// Guards against an entry that waits for an answer which never comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_serve_after_a_store_that_did_not_answer_at_their_start() {
+    let kinds = [FaultKind::Stall, FaultKind::Cut, FaultKind::CutFromTarget];
+    join_all(kinds.map(|kind| async move {
+        let mut site = Site::start_parts(&[Part::Store, Part::Config, Part::Endpoints]).await;
+        let what = format!("{kind:?}");
+        site.set_store_cut(Some(kind)).await;
+        site.start_entries();
+        tokio::time::sleep(FAULT_TIME).await;
+        site.set_store_cut(None).await;
+        site.check_recovery(&what).await;
+    }))
+    .await;
+}
+
+/// Guards against an entry that waits for what a store had before it came back from a copy without
+/// the configuration and the endpoints.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_serve_after_a_store_that_came_back_from_a_copy_at_their_start() {
+    join_all([false, true].map(|silent| async move {
+        let mut site = Site::start_parts(&[Part::Store]).await;
+        site.control_store("copy", json!({})).await;
+        site.add_part(Part::Config).await;
+        site.add_part(Part::Endpoints).await;
+        tokio::time::sleep(PART_DELAY).await;
+        site.start_entries();
+        let restore = json!({ "away_ms": 1_500, "silent": silent });
+        site.control_store("restore", restore).await;
+        assert!(site.apply_config().await, "the store accepts it");
+        site.check_recovery(&format!("copy, silent: {silent}"))
+            .await;
+    }))
+    .await;
+}
+
+/// Guards against an entry that takes no configuration after one that it has rejected.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_serve_after_a_first_configuration_that_they_reject() {
+    let mut site = Site::start_parts(&[Part::Store, Part::Endpoints]).await;
+    let remove = |spec: &mut Value| spec["services"] = json!("none");
+    assert!(site.apply_config_with(remove).await, "the store accepts it");
+    site.start_entries();
+    tokio::time::sleep(FAULT_TIME).await;
+    assert!(site.apply_config().await, "the store accepts it");
+    site.check_recovery("rejected first").await;
+}
--- a/tests/site/support.rs
+++ b/tests/site/support.rs
@@ -57,7 +57,7 @@
         SocketAddr::new(self.ip, ENTRY_PORTS[2])
     }
 
-    fn ready_address(&self) -> SocketAddr {
+    pub(crate) fn ready_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, ENTRY_PORTS[1])
     }
 
@@ -71,7 +71,8 @@
     pub(crate) launcher: Launcher,
     _pool: AddressPool,
     _files: TempDir,
-    _store_and_proxy: Vec<Child>,
+    pub(crate) store_process: Process,
+    _proxy_process: Child,
     pub(crate) store: SocketAddr,
     /// The address on which the entries reach the store.
     pub(crate) proxied_store: SocketAddr,
@@ -96,25 +97,28 @@
 
     /// Starts a site and waits until its entries serve requests.
     pub(crate) async fn start_with(layout: Layout) -> Self {
+        let mut site = Self::prepare(layout);
+        site.start_store().await;
+        assert!(
+            site.apply_config().await,
+            "the store accepts the configuration"
+        );
+        site.start_endpoints();
+        site.start_entries();
+        site.await_service().await;
+        site
+    }
+
+    /// Returns a site of which only the proxy runs.
+    pub(crate) fn prepare(layout: Layout) -> Self {
         let launcher = Launcher::new().expect("the launcher can be set up");
         let pool = AddressPool::new().expect("addresses are free");
         let next = || pool.next_address().expect("an address is free");
         let standins = standins_binary();
         let (store, proxied_store, proxy) = (next(), next(), next());
-        let mut store_and_proxy = vec![
-            launcher
-                .spawn(
-                    "store",
-                    &standins,
-                    [
-                        "--exit-with-stdin",
-                        "site-store",
-                        "--listen",
-                        &store.to_string(),
-                    ],
-                )
-                .expect("the store starts"),
-        ];
+        let store_args = ["--exit-with-stdin", "site-store", "--listen"].map(str::to_owned);
+        let store_args = store_args.into_iter().chain([store.to_string()]).collect();
+        let store_process = Process::new("store".to_owned(), standins.clone(), store_args);
         let mut routes = vec![format!("{proxied_store}={store}")];
         let mut endpoints = Vec::new();
         for data_centre in layout.data_centres {
@@ -150,20 +154,19 @@
         for route in &routes {
             args.extend(["--route", route]);
         }
-        store_and_proxy.push(
-            launcher
-                .spawn("proxy", &standins, args)
-                .expect("the proxy starts"),
-        );
+        let proxy_process = launcher
+            .spawn("proxy", &standins, args)
+            .expect("the proxy starts");
         let files = tempfile::tempdir().expect("a directory can be created");
         let entries = (0..layout.entries)
             .map(|index| entry(files.path(), index, next().ip(), proxied_store, &layout))
             .collect();
-        let mut site = Self {
+        Self {
             launcher,
             _pool: pool,
             _files: files,
-            _store_and_proxy: store_and_proxy,
+            store_process,
+            _proxy_process: proxy_process,
             store,
             proxied_store,
             proxy,
@@ -177,20 +180,27 @@
             layout,
             version: AtomicU64::new(0),
             routes: AtomicU64::new(0),
-        };
-        site.await_store().await;
-        assert!(
-            site.apply_config().await,
-            "the store accepts the configuration"
-        );
-        for endpoint in &mut site.endpoints {
-            endpoint.process.start(&site.launcher);
         }
-        for entry in &mut site.entries {
-            entry.process.start(&site.launcher);
+    }
+
+    /// Starts the store, empty, and waits until it answers; kills the one that runs, if any.
+    pub(crate) async fn start_store(&mut self) {
+        self.store_process.start(&self.launcher);
+        self.await_store().await;
+    }
+
+    /// Starts all endpoints.
+    pub(crate) fn start_endpoints(&mut self) {
+        for endpoint in &mut self.endpoints {
+            endpoint.process.start(&self.launcher);
+        }
+    }
+
+    /// Starts all entries.
+    pub(crate) fn start_entries(&mut self) {
+        for entry in &mut self.entries {
+            entry.process.start(&self.launcher);
         }
-        site.await_service().await;
-        site
     }
 
     async fn await_store(&self) {
@@ -224,9 +234,7 @@
         for entry in &mut self.entries {
             entry.process.kill();
         }
-        for entry in &mut self.entries {
-            entry.process.start(&self.launcher);
-        }
+        self.start_entries();
     }
 
     /// Waits, for some gossip periods at most, until every entry counts `count` live entries.
