Raise the fencing token when endpoints have seen a higher one

Cause: endpoints refuse orders with a lower fencing token than they have seen, and do not name it. All orders are refused, and nothing raised the token; `entry` takes it from the reports of engines, which do not have it here. Change: a holder whose order is refused for its token takes the lease again with a token that is 1 ahead, then 16, 256, up to 2^20. The first step passes no later holder's token, and one that sees another holder begins anew. Only who holds the lease raises.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -17,6 +17,7 @@
 mod departure;
 mod endpoint_registry;
 mod fair_queue;
+mod fence_lead;
 mod fleet;
 mod freshness;
 mod keyed_retry_budgets;
@@ -75,6 +76,7 @@
     ProbeResult, RunState, SuspectReason, ToldProbe,
 };
 pub use fair_queue::{DrainRate, FairQueue, QueueFull, QueuedRequest};
+pub use fence_lead::FenceLead;
 pub use fleet::{EndpointView, FleetView};
 pub use freshness::Freshness;
 pub use keyed_retry_budgets::KeyedRetryBudgets;
--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -50,6 +50,7 @@
         return;
     };
     let pipelines = active.table.pipelines();
+    let mut any_fenced = None;
     for (service, spec) in pipelines {
         let settle_time = router
             .settings
@@ -71,9 +72,15 @@
             moves
         };
         if !moves.is_empty() {
-            orders::send_all(router, spec, &moves, fence).await;
+            let refused = orders::send_all(router, spec, &moves, fence).await;
+            any_fenced = Some(refused || any_fenced == Some(true));
         }
     }
+    match any_fenced {
+        Some(true) => lease.raise_above(router, fence),
+        Some(false) => lease.note_accepted(),
+        None => {}
+    }
 }
 
 fn plan(spec: &PipelineSpec, cards: &[CardState]) -> Vec<pistachioyard_policy::LayerMove> {
--- a/src/router/controller/placement/lease.rs
+++ b/src/router/controller/placement/lease.rs
@@ -10,8 +10,8 @@
 
 use pistachioyard_platform::{ObjectKind, StoreAnswerError, StoreCall};
 use pistachioyard_policy::{
-    EraLease, HeldLease, LeaseAction, LeaseRecord, StorePosition, decide_lease, is_later_era,
-    raise_fence,
+    EraLease, FenceLead, HeldLease, LeaseAction, LeaseRecord, StorePosition, decide_lease,
+    is_later_era, raise_fence,
 };
 use pistachioyard_wire::Fence;
 
@@ -40,6 +40,8 @@
     next_attempt_at: Option<Instant>,
     /// The position of the lease object's last change, and when this process first saw it.
     last_read: Option<(StorePosition, Instant)>,
+    /// How far the next token is ahead of one whose orders were refused.
+    lead: FenceLead,
 }
 
 impl Lease {
@@ -61,6 +63,26 @@
         self.valid_fence(router, ORDER_MARGIN).is_some()
     }
 
+    /// Records that an endpoint refused an order since it has seen a higher token than `fence`.
+    ///
+    /// It may be that of a lost lease, so the lease is acquired anew with a higher one.
+    pub(super) fn raise_above(&mut self, router: &Router, fence: Fence) {
+        // Without the store, this entry may not be the one that is to send orders.
+        if self.valid_fence(router, Duration::ZERO) != Some(fence) {
+            return;
+        }
+        let seen = self.lead.raise(fence);
+        spdlog::warn!("lease: endpoints have seen a higher token, raising it", kv: {
+            fence = fence.0, above = seen.0
+        });
+        router.note_fence(seen);
+    }
+
+    /// Records that no order was refused for its token.
+    pub(super) fn note_accepted(&mut self) {
+        self.lead.reset();
+    }
+
     /// Returns the fencing token if the lease is valid for at least `margin` from now.
     fn valid_fence(&self, router: &Router, margin: Duration) -> Option<Fence> {
         let (era, newest_fence) = (router.store.era(), router.newest_fence());
@@ -120,6 +142,7 @@
             LeaseAction::Take(next) | LeaseAction::Renew(next) => next,
             LeaseAction::Wait { ms } => {
                 self.held = None;
+                self.lead.reset();
                 let wait = Duration::from_millis(ms).min(MAX_WAIT);
                 self.next_attempt_at = Some(Instant::now() + wait);
                 return Ok(());
--- a/src/router/controller/placement/orders.rs
+++ b/src/router/controller/placement/orders.rs
@@ -21,45 +21,47 @@
 /// endpoint's record in the store lags behind.
 const LOAD_SLACK: Duration = Duration::from_millis(3_000);
 
-/// Sends all due orders concurrently.
+/// Sends all due orders concurrently; returns whether an endpoint refused one since it has seen a
+/// higher fencing token.
 pub(super) async fn send_all(
     router: &Arc<Router>,
     spec: &PipelineSpec,
     moves: &[LayerMove],
     fence: Fence,
-) {
-    join_all(
-        moves
-            .iter()
-            .map(|order| send_with_retry(router, spec, order, fence)),
-    )
-    .await;
+) -> bool {
+    let sent = moves
+        .iter()
+        .map(|order| send_with_retry(router, spec, order, fence));
+    join_all(sent).await.contains(&true)
 }
 
+/// Sends an order; returns whether it was refused since the endpoint has seen a higher fencing token.
 async fn send_with_retry(
     router: &Arc<Router>,
     spec: &PipelineSpec,
     order: &LayerMove,
     fence: Fence,
-) {
+) -> bool {
     // An endpoint that refuses because it has begun other orders is asked for its state, and
     // gets the order once more if that state still fits.
     for _ in 0..MAX_TRIES {
         let record = router.endpoints.lock().get(&order.endpoint).cloned();
         let Some(record) = record else {
-            return;
+            return false;
         };
         let answer = send_order(router, &record, order, fence).await;
         let is_conflict = matches!(answer, Ok(OrderAnswer::Conflict));
+        let is_fenced = matches!(answer, Ok(OrderAnswer::Fenced));
         handle_answer(router, spec, order, &record, answer).await;
         let now_held = router.endpoints.lock().get(&order.endpoint).map(|record| {
             let state = &record.state;
             (state.layers, state.is_moving)
         });
         if !is_conflict || now_held != Some((record.state.layers, false)) {
-            return;
+            return is_fenced;
         }
     }
+    false
 }
 
 async fn send_order(
--- a/tests/site/start_orders.rs
+++ b/tests/site/start_orders.rs
@@ -21,6 +21,8 @@
 const PART_DELAY: Duration = Duration::from_millis(1_500);
 /// How long something is wrong at the start of the entries.
 const FAULT_TIME: Duration = Duration::from_millis(2_500);
+/// A fencing token of orders that were given before the entries started.
+const EARLIER_FENCE: u64 = 40;
 /// The number of sites that run at the same time.
 const SITES_AT_ONCE: usize = 4;
 
@@ -210,3 +212,19 @@
     assert!(site.apply_config().await, "the store accepts it");
     site.check_recovery("rejected first").await;
 }
+
+/// Guards against an entry whose orders are all refused, since endpoints have seen a higher fencing
+/// token than the store names.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_place_layers_on_endpoints_that_have_seen_a_higher_token() {
+    let mut site = Site::start_parts(&[Part::Store, Part::Config, Part::Endpoints]).await;
+    tokio::time::sleep(PART_DELAY).await;
+    for endpoint in site.endpoints.iter().filter(|endpoint| !endpoint.is_plain) {
+        let order = json!({ "from": 0, "to": 4, "fence": EARLIER_FENCE });
+        let begun = site.call(endpoint.address, Method::POST, "/order", order);
+        assert_eq!(begun.await, Some(202));
+    }
+    tokio::time::sleep(PART_DELAY).await;
+    site.start_entries();
+    site.check_recovery("higher token").await;
+}
