Follow a store whose revisions have begun anew

Cause: a store that has started again empty gives out lower revisions in the same era, and a record of a lower revision counts as an older copy. The list that follows the 410 was ignored. Change: lists are linearizable, so one that is of an earlier position than what was known before it began shows a new history; the positions of the earlier one are forgotten, as is how far the own watch has seen. A new line tells it. The users' pages say that the store loses nothing that it has acknowledged, so this is what an entry does if that fails.

--- a/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
@@ -21,6 +21,24 @@
         newer.into_iter().any(|at| record.changed_at.is_before(at))
     }
 
+    /// Returns the latest known position in the store.
+    pub fn latest_position(&self) -> StorePosition {
+        let changed = self.by_id.values().map(|tracked| tracked.record.changed_at);
+        let deleted = self.deleted.values().map(|(at, _)| *at);
+        let latest = |one: StorePosition, other| if one.is_before(other) { other } else { one };
+        changed
+            .chain(deleted)
+            .fold(StorePosition::default(), latest)
+    }
+
+    /// Forgets all positions in the store, whose revisions have begun anew.
+    pub fn forget_positions(&mut self) {
+        self.deleted.clear();
+        for tracked in self.by_id.values_mut() {
+            tracked.record.changed_at = StorePosition::default();
+        }
+    }
+
     /// Removes an endpoint whose record is gone; returns whether it was removed at once.
     ///
     /// Right after an outage of the store, a record can be missing although its endpoint
--- a/crates/pistachioyard_policy/src/store_position.rs
+++ b/crates/pistachioyard_policy/src/store_position.rs
@@ -68,6 +68,14 @@
         self.newest.era = self.newest.era.max(seen.era);
     }
 
+    /// Records a list of a store whose revisions have begun anew.
+    pub fn restart(&mut self, listed: StorePosition) {
+        *self = Self {
+            newest: listed,
+            ahead: None,
+        };
+    }
+
     /// Returns whether to list again, because a peer has known of a newer change for longer
     /// than `max_lag`, or of a later era.
     pub fn check(&mut self, peer: StorePosition, now: Instant, max_lag: Duration) -> bool {
--- a/crates/pistachioyard_policy/tests/pipeline/revisions.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/revisions.rs
@@ -122,3 +122,24 @@
         assert_eq!(registry.get(&id("sound")).is_some(), is_kept, "{started:?}");
     }
 }
+
+/// A store that has started again with less gives out lower revisions, whose records count.
+#[test]
+fn a_record_counts_after_the_revisions_have_begun_anew() {
+    let now = Instant::now();
+    let mut registry = EndpointRegistry::default();
+    registry.apply(record_at(at(1, 500), false), now);
+    registry.remove(&id("two"), Some(at(1, 700)), None, now);
+    assert_eq!(registry.latest_position(), at(1, 700));
+    registry.forget_positions();
+    assert_eq!(
+        registry.apply(record_at(at(1, 5), true), now),
+        EndpointChange::Leaves
+    );
+    assert_eq!(registry.latest_position(), at(1, 5));
+    let two = EndpointRecord {
+        changed_at: at(1, 6),
+        ..record("two", 2, Some(range(0, 8)))
+    };
+    assert_eq!(registry.apply(two, now), EndpointChange::Joined);
+}
--- a/crates/pistachioyard_policy/tests/store_position.rs
+++ b/crates/pistachioyard_policy/tests/store_position.rs
@@ -106,3 +106,15 @@
     assert!(!at(Some(1), 7).is_unchanged(at(Some(1), 8)));
     assert!(!at(Some(1), 7).is_unchanged(at(Some(2), 7)));
 }
+
+/// Revisions that begin anew must not look like ones that were seen long ago.
+#[test]
+fn a_peer_that_is_ahead_of_revisions_which_began_anew_is_noticed() {
+    let start = Instant::now();
+    let mut lag = WatchLag::default();
+    lag.note(at(Some(1), 500));
+    lag.restart(at(Some(1), 10));
+    assert_eq!(lag.newest(), at(Some(1), 10));
+    assert!(!lag.check(at(Some(1), 11), start, MAX_LAG));
+    assert!(lag.check(at(Some(1), 11), start + MAX_LAG * 2, MAX_LAG));
+}
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -49,8 +49,17 @@
 
 async fn read(router: &Arc<Router>) -> Result<StorePosition, StoreError> {
     let began = Instant::now();
+    let known = router.endpoints.lock().latest_position();
     let InEra { value: page, era } = router.store.list_in_time(ENDPOINT_KIND).await?;
     router.endpoints_freshness.lock().confirm(began);
+    let seen = StorePosition {
+        era,
+        revision: page.revision,
+    };
+    // A list that began after a change has it, unless the store has started again with less.
+    if seen.is_before(known) {
+        forget_positions(router, seen, known);
+    }
     note_position(router, era, 0);
     let mut listed = BTreeSet::new();
     for object in &page.objects {
@@ -58,10 +67,6 @@
         apply(router, object, era);
     }
     let known: Vec<EndpointId> = router.endpoints.lock().ids().cloned().collect();
-    let seen = StorePosition {
-        era,
-        revision: page.revision,
-    };
     for endpoint in known.iter().filter(|e| !listed.contains(e.as_str())) {
         remove(router, endpoint, Some(seen), retain_until(router));
     }
@@ -107,6 +112,15 @@
     Ok(StorePosition { era, revision })
 }
 
+/// Forgets what the revisions of an earlier history say, so that the records of the new one count.
+fn forget_positions(router: &Router, seen: StorePosition, known: StorePosition) {
+    spdlog::warn!("endpoints: the store's revisions have begun anew", kv: {
+        revision = seen.revision, before = known.revision
+    });
+    router.endpoints.lock().forget_positions();
+    router.endpoints_lag.lock().restart(seen);
+}
+
 /// Records the position of a change, for comparison with the peers.
 fn note_position(router: &Router, era: Option<StoreEra>, revision: u64) {
     let seen = StorePosition { era, revision };
--- a/tests/site/store_era.rs
+++ b/tests/site/store_era.rs
@@ -18,7 +18,7 @@
 
 impl Site {
     /// Writes objects that no entry reads.
-    async fn raise_revision(&self, count: usize) {
+    pub(crate) async fn raise_revision(&self, count: usize) {
         for n in 0..count {
             let body = json!({ "spec": n });
             let status = self
--- a/tests/site/stuck_watches.rs
+++ b/tests/site/stuck_watches.rs
@@ -25,7 +25,7 @@
 impl Site {
     /// Makes an endpoint say in the store that it leaves, and checks that it gets no request later
     /// than the limit after that.
-    async fn check_drain(&self) {
+    pub(crate) async fn check_drain(&self) {
         let leaving = self.plain_endpoint();
         let name = &self.endpoints[leaving].process.name;
         self.control(leaving, "draining", Value::Null).await;
