Place layers while an endpoint keeps starting

Cause: while no endpoint holds layers, the placement waits until none has joined for 1.6 heartbeats, and each start counts as joining. One endpoint that starts again sooner, or many that join one by one, put it off without an end. Change: the first endpoint that joined waits for four such times at most (1.9 s with a heartbeat of 300 ms). The test of the registry failed before (waits through all 100 joins, 40 s) and passes, with the 68 others of `pipeline`.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod reach;
 mod record;
+mod start_up;
 mod tracked;
 
 use std::collections::BTreeMap;
@@ -367,24 +368,6 @@
         cards.collect()
     }
 
-    /// Returns whether a service is still starting up: none of its endpoints holds layers, and
-    /// the newest joined less than `settle` ago.
-    ///
-    /// Placing layers now would crowd them onto the few endpoints that joined first.
-    pub fn is_starting_up(&self, service: &ServiceName, settle: Duration, now: Instant) -> bool {
-        let of_service = self.by_id.values().filter(|t| t.record.service == *service);
-        let is_new =
-            |tracked: &TrackedEndpoint| now.saturating_duration_since(tracked.joined_at) < settle;
-        let mut any_new = false;
-        for tracked in of_service {
-            if tracked.record.state.layers.is_some() || tracked.pending_order.is_some() {
-                return false;
-            }
-            any_new |= is_new(tracked);
-        }
-        any_new
-    }
-
     /// Returns the number of known endpoints and the number of usable ones.
     pub fn counts(&self, now: Instant) -> (usize, usize) {
         let tracked = self.by_id.values();
--- a/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/endpoints.rs
@@ -10,6 +10,8 @@
 use super::fixture::{LAYERS, id, range, record, registry, spec};
 
 const MS: Duration = Duration::from_millis(1);
+/// Until when a system serves again; `recovery_s` of the operators.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(12);
 
 #[test]
 fn a_suspect_is_ejected_until_it_answers_a_probe() {
@@ -236,6 +238,22 @@
     assert!(!registry.is_starting_up(&service, 1_900 * MS, now + 3_500 * MS));
 }
 
+/// Guards against a service that is never placed since endpoints keep joining or starting again.
+#[test]
+fn endpoints_that_keep_joining_are_not_waited_for_without_end() {
+    let start = Instant::now();
+    let service = "model".try_into().expect("the name is valid");
+    let mut registry = EndpointRegistry::default();
+    let mut waited = 0;
+    for n in 0..100_u16 {
+        let now = start + 400 * MS * u32::from(n);
+        registry.apply(record(&format!("e{n}"), 1 + n, None), now);
+        waited += u32::from(registry.is_starting_up(&service, 480 * MS, now));
+    }
+    // They join for 40 s.
+    assert!(400 * MS * waited < RECOVERY_LIMIT / 2, "{waited}");
+}
+
 /// An older copy of the store brings back records of runs that have ended, of endpoints that
 /// another one has replaced at its address, and from before an endpoint was leaving.
 #[test]
--- a/tests/site/start_orders.rs
+++ b/tests/site/start_orders.rs
@@ -25,6 +25,9 @@
 const EARLIER_FENCE: u64 = 40;
 /// The number of changes that a store has had before it starts again.
 const EARLIER_CHANGES: usize = 2_000;
+/// The time between two starts of an endpoint that ends again and again; shorter than entries wait
+/// for others that start.
+const RESTART_PERIOD: Duration = Duration::from_millis(350);
 /// The number of sites that run at the same time.
 const SITES_AT_ONCE: usize = 4;
 
@@ -272,3 +275,23 @@
     site.start_entries();
     site.check_recovery("higher token").await;
 }
+
+/// Guards against a service that is never placed, since one of its endpoints keeps starting again.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_place_layers_beside_an_endpoint_that_keeps_starting() {
+    let mut site = Site::start_parts(&[Part::Store, Part::Config, Part::Entries]).await;
+    let mut restarting = site.endpoints.remove(0);
+    assert!(!restarting.is_plain, "it is to hold layers");
+    let launcher = site.launcher.clone();
+    let restarts = async {
+        loop {
+            restarting.process.start(&launcher);
+            tokio::time::sleep(RESTART_PERIOD).await;
+        }
+    };
+    site.start_endpoints();
+    tokio::select! {
+        () = restarts => {}
+        () = site.check_recovery("an endpoint that keeps starting") => {}
+    }
+}
