Measure how long the runtime's thread goes without waiting

Callers of an entry whose only thread works on see silence: no answers, no gossip, no readiness, and nothing told an own long step from a machine that is busy or frozen.

The runtime's park and unpark hooks measure each turn, elapsed and as processor time of the thread: two reads of the monotonic clock and one of the thread's processor clock for each wait, no further wake-ups. A turn of 60 ms or more, half of the time within which an event is passed on, makes a log line, at most one a second. Route renders both times as histograms of a fixed size, with the longest ones as gauges; entry only logs.

A turn holds many steps while tasks are ready all the time, since the hooks are not called when the runtime polls its sockets between two tasks.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -44,6 +44,9 @@
 mod start_retries;
 mod store_position;
 mod stream_guard;
+mod time_histogram;
+mod turn;
+mod turn_history;
 mod watch_pace;
 
 pub use activity_tracker::ActivityTracker;
@@ -124,4 +127,7 @@
 pub use start_retries::{StartRetries, StartRetry};
 pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
+pub use time_histogram::TimeHistogram;
+pub use turn::Turn;
+pub use turn_history::{LongTurn, TurnHistory};
 pub use watch_pace::WatchRole;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,20 +1,24 @@
 //! What a daemon sets up before anything else.
 
 mod signals;
+mod turn_meter;
 
 use std::ffi::OsStr;
+use std::sync::Arc;
 
 use tokio::runtime::{Builder, Runtime};
 
 pub(crate) use self::signals::{DaemonSignal, Signals};
+pub(crate) use self::turn_meter::TurnMeter;
 
-/// Holds the runtime of a daemon and the handlers of its signals.
+/// Holds the runtime of a daemon, the handlers of its signals and the times of its turns.
 ///
 /// A signal that arrives before its handler ends the process, so signals wait until the handlers are
 /// there.
 pub struct Daemon {
     pub(crate) runtime: Runtime,
     pub(crate) signals: Signals,
+    pub(crate) turns: Arc<TurnMeter>,
 }
 
 impl Daemon {
@@ -44,12 +48,18 @@
     fn build(mut builder: Builder) -> std::io::Result<Self> {
         let handled = DaemonSignal::all();
         handled.thread_block()?;
+        let turns = Arc::new(TurnMeter::default());
+        turns.observe(&mut builder);
         let runtime = builder.enable_all().build()?;
         let signals = {
             let _guard = runtime.enter();
             Signals::install()?
         };
         handled.thread_unblock()?;
-        Ok(Self { runtime, signals })
+        Ok(Self {
+            runtime,
+            signals,
+            turns,
+        })
     }
 }
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -15,7 +15,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use metrics_exporter_prometheus::PrometheusHandle;
 use pistachioyard_platform::{
     DIRECTORY_PATH, READY_PATH, decode_directory_query, encode_directory_answer,
 };
@@ -29,8 +28,9 @@
 use crate::router::answer::{self, AnswerBody};
 use crate::router::controller::{STATE_PATH, encode_state};
 use crate::router::log::ms;
+use crate::router::metric::Exporter;
 use crate::router::peer_probe::PROBE_PATH;
-use crate::router::{Router, filter, metric, relay_hop};
+use crate::router::{Router, filter, relay_hop};
 
 /// The maximum number of connections waiting to be accepted; exceeds the number of callers.
 const BACKLOG: u32 = 1_024;
@@ -62,7 +62,7 @@
     /// This entry's state and probes, and requests that are passed on, for its peers.
     Peers,
     /// The Prometheus metrics.
-    Metrics(PrometheusHandle),
+    Metrics(Exporter),
 }
 
 impl Service {
@@ -207,10 +207,9 @@
                 StatusCode::SERVICE_UNAVAILABLE
             })
         }
-        Service::Metrics(handle) => answer::text(
-            "text/plain; version=0.0.4",
-            metric::render(&router, &handle),
-        ),
+        Service::Metrics(metrics) => {
+            answer::text("text/plain; version=0.0.4", metrics.render(&router))
+        }
         Service::Peers if req.uri().path() == STATE_PATH => match encode_state(&router) {
             Some(state) => answer::text("application/cbor", state),
             None => answer::status(StatusCode::SERVICE_UNAVAILABLE),
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -6,9 +6,10 @@
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
-use pistachioyard_policy::{RunFate, StartAt};
+use pistachioyard_policy::{RunFate, StartAt, TurnHistory};
 use pistachioyard_wire::ServiceName;
 
+use crate::daemon::TurnMeter;
 use crate::prelude::*;
 use crate::router::Router;
 
@@ -18,23 +19,19 @@
 /// The labels of urgencies, which bound the number of series.
 const URGENCY_LABELS: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7+"];
 
-/// Installs the process-wide metrics recorder.
-///
-/// # Errors
-///
-/// Returns an error if another recorder is already installed.
-pub(crate) fn install() -> Result<PrometheusHandle, BuildError> {
-    PrometheusBuilder::new()
-        .set_buckets(&LATENCY_BUCKETS_SECONDS)?
-        .install_recorder()
-}
-
 /// The name of the counter of panics.
 pub(crate) const PANICS: &str = "router_panics_total";
 
 /// The name of the counter of tasks that were started again, by task.
 pub(crate) const TASK_RESTARTS: &str = "router_task_restarts_total";
 
+/// Holds where the metrics of this process are read.
+#[derive(Clone, Debug)]
+pub(crate) struct Exporter {
+    handle: PrometheusHandle,
+    turns: Arc<TurnMeter>,
+}
+
 /// Counts a request by how it ended and records its duration.
 pub(crate) fn count_request(ended: &'static str, took: Duration) {
     counter!("router_requests_total", "ended" => ended).increment(1);
@@ -183,35 +180,65 @@
     counter!("router_relays_total").increment(1);
 }
 
-/// Updates the gauges and renders all series.
-pub(crate) fn render(router: &Router, handle: &PrometheusHandle) -> String {
-    let now = Instant::now();
-    let (known, usable) = router.endpoints.lock().counts(now);
-    gauge!("router_endpoints_known").set(known as f64);
-    gauge!("router_endpoints_usable").set(usable as f64);
-    let limited = router.endpoints.lock().limits().count();
-    gauge!("router_endpoints_limited").set(limited as f64);
-    gauge!("router_services_out_of_reach").set(router.count_out_of_reach() as f64);
-    let parts = router.retries.lock().parts().unwrap_or_default();
-    gauge!("router_retry_parts").set(parts as f64);
-    let failing = u8::from(router.tasks.has_failing_task());
-    gauge!("router_tasks_failing").set(f64::from(failing));
-    gauge!("router_entries_live").set(router.live_entries(now) as f64);
-    gauge!("router_config_version").set(router.version() as f64);
-    gauge!("router_requests_in_flight").set(router.lifecycle.in_flight() as f64);
-    let mut waiting = [0; URGENCY_LABELS.len()];
-    for (urgency, count) in router.waiting_by_urgency() {
-        waiting[usize::from(urgency).min(URGENCY_LABELS.len() - 1)] += count;
-    }
-    for (label, count) in URGENCY_LABELS.into_iter().zip(waiting) {
-        gauge!("router_admission_waiting", "urgency" => label).set(count as f64);
-    }
-    for share in router.memory.all() {
-        let kind = share.kind().as_str();
-        let (used_bytes, refusals) = share.usage();
-        gauge!("router_memory_used_bytes", "kind" => kind).set(used_bytes as f64);
-        counter!("router_memory_refusals_total", "kind" => kind).absolute(refusals);
+/// Installs the process-wide metrics recorder.
+///
+/// # Errors
+///
+/// Returns an error if another recorder is already installed.
+pub(crate) fn install(turns: Arc<TurnMeter>) -> Result<Exporter, BuildError> {
+    let handle = PrometheusBuilder::new()
+        .set_buckets(&LATENCY_BUCKETS_SECONDS)?
+        .install_recorder()?;
+    Ok(Exporter { handle, turns })
+}
+
+impl Exporter {
+    /// Updates the gauges and renders all series.
+    pub(crate) fn render(&self, router: &Router) -> String {
+        let now = Instant::now();
+        let (known, usable) = router.endpoints.lock().counts(now);
+        gauge!("router_endpoints_known").set(known as f64);
+        gauge!("router_endpoints_usable").set(usable as f64);
+        let limited = router.endpoints.lock().limits().count();
+        gauge!("router_endpoints_limited").set(limited as f64);
+        gauge!("router_services_out_of_reach").set(router.count_out_of_reach() as f64);
+        let parts = router.retries.lock().parts().unwrap_or_default();
+        gauge!("router_retry_parts").set(parts as f64);
+        let failing = u8::from(router.tasks.has_failing_task());
+        gauge!("router_tasks_failing").set(f64::from(failing));
+        gauge!("router_entries_live").set(router.live_entries(now) as f64);
+        gauge!("router_config_version").set(router.version() as f64);
+        gauge!("router_requests_in_flight").set(router.lifecycle.in_flight() as f64);
+        let mut waiting = [0; URGENCY_LABELS.len()];
+        for (urgency, count) in router.waiting_by_urgency() {
+            waiting[usize::from(urgency).min(URGENCY_LABELS.len() - 1)] += count;
+        }
+        for (label, count) in URGENCY_LABELS.into_iter().zip(waiting) {
+            gauge!("router_admission_waiting", "urgency" => label).set(count as f64);
+        }
+        for share in router.memory.all() {
+            let kind = share.kind().as_str();
+            let (used_bytes, refusals) = share.usage();
+            gauge!("router_memory_used_bytes", "kind" => kind).set(used_bytes as f64);
+            counter!("router_memory_refusals_total", "kind" => kind).absolute(refusals);
+        }
+        let turns = self.turns.history();
+        gauge!("router_longest_turn_seconds").set(turns.took().longest().as_secs_f64());
+        gauge!("router_longest_turn_cpu_seconds").set(turns.cpu().longest().as_secs_f64());
+        gauge!("router_log_lines_dropped").set(crate::router::log::dropped() as f64);
+        self.handle.render() + &render_turns(&turns)
     }
-    gauge!("router_log_lines_dropped").set(crate::router::log::dropped() as f64);
-    handle.render()
+}
+
+/// Renders the turns, which are recorded at each wait and so not kept one by one.
+fn render_turns(turns: &TurnHistory) -> String {
+    let took = turns.took().render(
+        "router_turn_seconds",
+        "Time between two waits of the thread",
+    );
+    let cpu = turns.cpu().render(
+        "router_turn_cpu_seconds",
+        "Processor time between two waits",
+    );
+    took + &cpu
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 
 use self::listeners::{Listeners, serve_metrics};
-use crate::daemon::{DaemonSignal, Signals};
+use crate::daemon::{DaemonSignal, Signals, TurnMeter};
 use crate::prelude::*;
 use crate::router::log::ms;
 use crate::router::{LoadControl, Router, controller, log, metric};
@@ -43,13 +43,14 @@
     settings_file: &SettingsFile,
     load_controls: Vec<LoadControl>,
     signals: Signals,
+    turns: Arc<TurnMeter>,
 ) -> Result<(), RouterError> {
     log::init()?;
     spdlog::info!("router: starting", kv: {
         pid = std::process::id(), settings_file = settings_file.path().to_string_lossy().as_ref(),
         named_by = settings_file.source().as_str()
     });
-    let ended = serve(settings_file.path(), load_controls, signals).await;
+    let ended = serve(settings_file.path(), load_controls, signals, turns).await;
     if let Err(e) = &ended {
         spdlog::error!("router: ended by an error", kv: { why = e.to_string().as_str() });
     }
@@ -61,9 +62,10 @@
     settings_file: &Path,
     load_controls: Vec<LoadControl>,
     mut signals: Signals,
+    turns: Arc<TurnMeter>,
 ) -> Result<(), RouterError> {
     let began_at = Instant::now();
-    let metrics = metric::install()?;
+    let metrics = metric::install(turns)?;
     crate::panic_hook::install(metric::PANICS);
     let hurry = Arc::new(Notify::new());
     let start = start::repeat(&hurry, || open(settings_file));
--- a/src/router/run/listeners.rs
+++ b/src/router/run/listeners.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 
-use metrics_exporter_prometheus::PrometheusHandle;
 use pistachioyard_platform::NodeSettings;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 
 use crate::prelude::*;
 use crate::router::http_server::{self, Service};
+use crate::router::metric::Exporter;
 use crate::router::{Router, controller};
 use crate::start::{self, StartError, StartStep};
 
@@ -70,11 +70,7 @@
 }
 
 /// Serves the metrics once their port can be opened; an entry serves without them.
-pub(super) async fn serve_metrics(
-    router: Arc<Router>,
-    metrics: PrometheusHandle,
-    hurry: Arc<Notify>,
-) {
+pub(super) async fn serve_metrics(router: Arc<Router>, metrics: Exporter, hurry: Arc<Notify>) {
     let address = SocketAddr::new(router.settings.caller_address.ip(), METRICS_PORT);
     let listener = start::repeat(&hurry, || bind(StartStep::Metrics, address)).await;
     supervise_server(&router, listener, Service::Metrics(metrics));
