Index the endpoints by address, and their deletions by time

Its one thread compared each record with all others: for an address that has a new owner, after a return of the store for a later run, and for each deletion with all that are remembered.

The registry finds the endpoints at an address by an index, and old deletions by their time, so a record costs the same beside 10,000 others as beside 10.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -5,15 +5,18 @@
 //! would do more harm than good: each layer has few replicas, so some layers would be left
 //! without a usable endpoint. See `docs/design/operators-platform.md`.
 
+mod address_index;
 mod answers;
 mod deaths;
 mod deletion;
+mod deletions;
 mod digest;
 mod limits;
 mod notices;
 mod reach;
 mod record;
 mod tracked;
+mod update;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -23,8 +26,9 @@
 
 use crate::pipeline::{CardState, LoadTracker, PipelineSpec, StageOffer};
 use crate::request_limits::RequestLimits;
-use crate::store_position::StorePosition;
+use address_index::AddressIndex;
 pub use deaths::ToldProbe;
+use deletions::Deletions;
 pub use notices::EndpointRun;
 use notices::RunNotices;
 pub use record::{EndpointChange, EndpointRecord, EndpointReport, GossipReport, RunState};
@@ -36,9 +40,6 @@
 /// The slowdown above which the layers need a replica on another card, because the stage
 /// takes longer than the rest of its path.
 const REPLACE_SLOWDOWN: f64 = 3.0;
-/// How far a record in the store can lag behind the endpoint's own reports: a heartbeat in
-/// transit plus the pause between two watches.
-const MAX_RECORD_LAG: Duration = Duration::from_millis(1_000);
 /// How much newer a peer's report must be than the last direct report to replace it.
 const MIN_GOSSIP_LEAD: Duration = Duration::from_millis(50);
 
@@ -46,8 +47,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointRegistry {
     by_id: BTreeMap<EndpointId, TrackedEndpoint>,
-    /// Where records were deleted, and when this was learned.
-    deleted: BTreeMap<EndpointId, (StorePosition, Instant)>,
+    addresses: AddressIndex,
+    deletions: Deletions,
     notices: RunNotices,
     limits: RequestLimits,
     /// The digest of the records; none if they have changed since it was computed.
@@ -55,67 +56,6 @@
 }
 
 impl EndpointRegistry {
-    /// Applies a record read from the store, or a peer's copy of one, and returns what changed.
-    ///
-    /// A page or copy that is older than what is known would bring back an endpoint that is
-    /// leaving or gone.
-    pub fn apply(&mut self, record: EndpointRecord, now: Instant) -> EndpointChange {
-        if self.is_outdated(&record) {
-            return EndpointChange::Outdated;
-        }
-        self.digest = None;
-        self.deleted.remove(&record.endpoint);
-        self.by_id
-            .retain(|_, tracked| !record.takes_address_of(&tracked.record));
-        let Some(tracked) = self.by_id.get_mut(&record.endpoint) else {
-            let tracked = TrackedEndpoint::new(record, now);
-            self.by_id.insert(tracked.record.endpoint.clone(), tracked);
-            return EndpointChange::Joined;
-        };
-        tracked.renewed_at = now;
-        tracked.grace_until = None;
-        let old = std::mem::replace(&mut tracked.record, record);
-        let new = &tracked.record;
-        if old.state.started_unix_ms != new.state.started_unix_ms || old.address != new.address {
-            *tracked = TrackedEndpoint::new(tracked.record.clone(), now);
-            return EndpointChange::Restarted;
-        }
-        let state = &mut tracked.record.state;
-        state.orders_begun = old.state.orders_begun;
-        state.slowdown = old.state.slowdown;
-        // A record can be older than the endpoint's last report.
-        let has_recent_report = tracked
-            .reported_at
-            .is_some_and(|at| now.saturating_duration_since(at) < MAX_RECORD_LAG);
-        if has_recent_report && state.layers.is_none() && !old.state.is_moving {
-            state.layers = old.state.layers;
-        }
-        tracked.clear_settled_order(now);
-        match () {
-            () if tracked.record.is_leaving && !old.is_leaving => EndpointChange::Leaves,
-            () if tracked.record.state.layers != old.state.layers => EndpointChange::Layers,
-            () => EndpointChange::Renewed,
-        }
-    }
-
-    /// Applies a report that came from the endpoint itself.
-    pub fn apply_report(&mut self, endpoint: &EndpointId, report: EndpointReport, now: Instant) {
-        let Some(tracked) = self.by_id.get_mut(endpoint) else {
-            return;
-        };
-        let state = &mut tracked.record.state;
-        let is_restarted = state.started_unix_ms != report.started_unix_ms;
-        if is_restarted || state.orders_begun <= report.orders_begun {
-            let card = report.card.clone().or_else(|| state.card.clone());
-            *state = EndpointReport { card, ..report };
-            tracked.reported_at = Some(now);
-            if is_restarted {
-                tracked.pending_order = None;
-            }
-            tracked.clear_settled_order(now);
-        }
-    }
-
     /// Returns the records of all known endpoints.
     pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.by_id.values().map(|tracked| &tracked.record)
@@ -138,8 +78,7 @@
 
     /// Returns the record of the endpoint at an address.
     pub fn by_address(&self, address: SocketAddr) -> Option<&EndpointRecord> {
-        let records = self.by_id.values().map(|tracked| &tracked.record);
-        records.into_iter().find(|record| record.address == address)
+        self.addresses.at(address).find_map(|at| self.get(at))
     }
 
     /// Returns the time since an endpoint's record was last read from the store.
--- a/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
@@ -1,6 +1,6 @@
 //! Removes endpoints whose records are gone, and ignores records that are older than that.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use pistachioyard_wire::EndpointId;
 
@@ -9,14 +9,11 @@
 use super::tracked::TrackedEndpoint;
 use crate::store_position::StorePosition;
 
-/// How long the deletion of a record is remembered; longer than copies of it go around.
-const DELETION_RETENTION: Duration = Duration::from_secs(60);
-
 impl EndpointRegistry {
     /// Returns whether a record is older than what is known of its endpoint.
     pub(super) fn is_outdated(&self, record: &EndpointRecord) -> bool {
         let known = self.get(&record.endpoint).map(|known| known.changed_at);
-        let deleted = self.deleted.get(&record.endpoint).map(|(at, _)| *at);
+        let deleted = self.deletions.position(&record.endpoint);
         let newer = known.into_iter().chain(deleted);
         newer.into_iter().any(|at| record.changed_at.is_before(at))
     }
@@ -36,10 +33,9 @@
         now: Instant,
     ) -> bool {
         self.digest = None;
-        self.deleted
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < DELETION_RETENTION);
+        self.deletions.expire(now);
         if let Some(at) = deleted_at {
-            self.deleted.insert(endpoint.clone(), (at, now));
+            self.deletions.note(endpoint, at, now);
         }
         let Some(tracked) = self.by_id.get_mut(endpoint) else {
             return false;
@@ -49,7 +45,7 @@
                 tracked.grace_until.get_or_insert(until);
                 false
             }
-            Some(_) | None => self.by_id.remove(endpoint).is_some(),
+            Some(_) | None => self.forget(endpoint),
         }
     }
 
@@ -59,7 +55,11 @@
         self.digest = None;
         let is_gone =
             |tracked: &TrackedEndpoint| tracked.grace_until.is_some_and(|until| now >= until);
-        let gone = self.by_id.extract_if(.., |_, tracked| is_gone(tracked));
-        gone.map(|(endpoint, _)| endpoint).collect()
+        let gone = self.by_id.iter().filter(|(_, tracked)| is_gone(tracked));
+        let gone: Vec<EndpointId> = gone.map(|(endpoint, _)| endpoint.clone()).collect();
+        for endpoint in &gone {
+            self.forget(endpoint);
+        }
+        gone
     }
 }
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -129,7 +129,7 @@
             return;
         }
     };
-    if is_just_returned(router) && is_outdated(router, &record) {
+    if is_just_returned(router) && router.endpoints.lock().shows_older_copy(&record) {
         spdlog::info!("endpoints: ignoring a record from an older copy", kv: {
             endpoint = record.endpoint.as_str(), revision = object.revision
         });
@@ -145,13 +145,6 @@
     since.is_some_and(|since| since.elapsed() < REREGISTRATION_GRACE)
 }
 
-fn is_outdated(router: &Router, record: &EndpointRecord) -> bool {
-    let endpoints = router.endpoints.lock();
-    endpoints
-        .records()
-        .any(|known| record.is_outdated_by(known))
-}
-
 /// Applies an endpoint's record from the store, or a copy of it from a peer.
 pub(super) fn apply_record(router: &Router, record: EndpointRecord, from: &'static str) {
     let endpoint = record.endpoint.clone();
