Serve, log and stop without a thread for the log

Callers saw an entry end by itself with code 101 on a machine that had no thread left: at its start, or during a planned stop.

Cause: spdlog's thread pool starts its thread with a call that panics, and so did the flush at the end. Both took a condition that passes for the end of the process. A recorder for metrics that cannot be installed ended it with code 1.

The log has a queue of its own now. Its thread is started with a call that can fail, and again each half second until it succeeds; until then the lines are written without a thread, as far as standard output takes them at once. The flush waits on the queue and needs no thread. Neither the logger nor the recorder ends an entry, so `route` and `entry` have no error of their own left.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -86,7 +86,7 @@
             let daemon = daemon.map_or_else(Daemon::for_route, Ok)?;
             let file = SettingsFile::choose(config, std::env::var_os(SETTINGS_FILE_VARIABLE));
             let router = crate::router::run_router(&file, load_controls, daemon.signals);
-            daemon.runtime.block_on(router)?;
+            daemon.runtime.block_on(router);
             Ok(ExitStatus::Done)
         }
         #[cfg(feature = "entry")]
--- a/src/cli/entry_commands.rs
+++ b/src/cli/entry_commands.rs
@@ -161,7 +161,7 @@
                 crate::logging::init(settings.log_level);
                 let daemon = daemon.map_or_else(Daemon::for_entry, Ok)?;
                 let entry = crate::entry::run_entry(settings, &config, daemon.signals);
-                daemon.runtime.block_on(entry)?;
+                daemon.runtime.block_on(entry);
                 Ok(ExitStatus::Done)
             }
             Err(errors) => Ok(output::print_errors(&errors)),
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -20,21 +20,9 @@
 /// The time for the last bytes of responses to be sent before the process ends, in milliseconds.
 const FLUSH_MS: u64 = 200;
 
-/// The reason why the daemon cannot run.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum EntryError {
-    /// The metrics recorder cannot be installed.
-    #[error("cannot install the metrics recorder")]
-    Metrics(#[from] metrics_exporter_prometheus::BuildError),
-}
-
 /// Runs the daemon until a signal asks it to stop.
-pub(crate) async fn run_entry(
-    settings: EntrySettings,
-    settings_file: &Path,
-    mut signals: Signals,
-) -> Result<(), EntryError> {
-    let metrics = crate::metric::install()?;
+pub(crate) async fn run_entry(settings: EntrySettings, settings_file: &Path, mut signals: Signals) {
+    let metrics = crate::metric::install();
     crate::panic_hook::install(crate::metric::PANICS);
     let node = Node::new(settings, Instant::now());
     let hurry = Notify::new();
@@ -43,7 +31,7 @@
         Ok(server) => server,
         Err(signal) => {
             spdlog::info!("entry: stopped during the start on {}", signal.as_str());
-            return Ok(());
+            return;
         }
     };
     spdlog::info!(
@@ -61,7 +49,6 @@
     drain(&node).await;
     let _ = server.close().await;
     spdlog::info!("entry: stopped");
-    Ok(())
 }
 
 /// Opens the server for callers, then the port for peers, through which callers are sent here.
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -46,14 +46,22 @@
     "stage_lost",
 ];
 
-/// Installs the recorder of this process and creates every series.
-pub(crate) fn install() -> Result<PrometheusHandle, BuildError> {
-    let handle = PrometheusBuilder::new()
-        .set_buckets(&LATENCY_BUCKETS_SECONDS)?
-        .install_recorder()?;
+/// Installs the recorder of this process and creates every series. If that fails, it is logged, and
+/// no series are served.
+pub(crate) fn install() -> PrometheusHandle {
+    let handle = install_recorder().unwrap_or_else(|e| {
+        spdlog::error!("entry: no metrics: {e}");
+        PrometheusBuilder::new().build_recorder().handle()
+    });
     describe();
     register();
-    Ok(handle)
+    handle
+}
+
+fn install_recorder() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new()
+        .set_buckets(&LATENCY_BUCKETS_SECONDS)?
+        .install_recorder()
 }
 
 fn describe() {
--- a/src/router/log.rs
+++ b/src/router/log.rs
@@ -4,48 +4,86 @@
 //! output never blocks a request. Lines that arrive while the queue is full are dropped
 //! and counted in [`dropped`]. `docs/OPERATIONS.md` lists the lines.
 
-use std::num::NonZeroUsize;
-use std::sync::atomic::{AtomicU64, Ordering};
+mod line_queue;
+mod output;
 
-use spdlog::sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink};
-use spdlog::terminal_style::StyleMode;
-use spdlog::{LevelFilter, Logger, ThreadPool};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use spdlog::{LevelFilter, Logger};
+
+use self::line_queue::LineQueue;
 use crate::prelude::*;
 
-/// The maximum number of lines waiting to be written; about one second's worth under load.
-const MAX_QUEUED_LINES: usize = 4_096;
+/// The name of the thread that writes.
+const WRITER: &str = "log";
+/// How long lines wait at most while there is no thread that writes them, and how long until the
+/// next attempt to start it.
+const WRITER_RETRY: Duration = Duration::from_millis(500);
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
-/// Installs the process-wide default logger.
-///
-/// # Errors
-///
-/// Returns an error if the writer thread cannot be started.
-pub(crate) fn init() -> Result<(), spdlog::Error> {
-    let stdout = StdStreamSink::builder()
-        .std_stream(StdStream::Stdout)
-        .style_mode(StyleMode::Never)
-        .build_arc()?;
-    let capacity = NonZeroUsize::new(MAX_QUEUED_LINES).unwrap_or(NonZeroUsize::MIN);
-    let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
-    let queue = AsyncPoolSink::builder()
-        .sink(stdout)
-        .thread_pool(pool)
-        .overflow_policy(OverflowPolicy::DropIncoming)
-        .build_arc()?;
-    let logger = Logger::builder()
-        .sink(queue)
-        .level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Info))
-        .flush_level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Warn))
-        // The sink reports a line that does not fit into the queue as an error.
-        .error_handler(|_| {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
+/// Writes the process's log.
+pub(crate) struct Log {
+    queue: Arc<LineQueue>,
+    has_writer: AtomicBool,
+}
+
+impl Log {
+    /// Installs the process-wide default logger. Its lines are written once [`Self::write`] runs.
+    pub(crate) fn install() -> Arc<Self> {
+        let queue = Arc::new(LineQueue::default());
+        let logger = Logger::builder()
+            .sink(queue.clone())
+            .level_filter(LevelFilter::MoreSevereEqual(spdlog::Level::Info))
+            .build_arc();
+        match logger {
+            Ok(logger) => drop(spdlog::swap_default_logger(logger)),
+            // The logger that is there before writes to the same place.
+            Err(e) => spdlog::error!("router: cannot set up the logger", kv: {
+                why = e.to_string().as_str()
+            }),
+        }
+        Arc::new(Self {
+            queue,
+            has_writer: AtomicBool::new(false),
         })
-        .build_arc()?;
-    spdlog::set_default_logger(logger);
-    Ok(())
+    }
+
+    /// Starts the thread that writes. As long as the system has none, the lines are written from
+    /// here, as far as standard output takes them at once.
+    pub(crate) async fn write(self: Arc<Self>) {
+        let mut failed_attempts = 0_u64;
+        while let Err(e) = self.start_writer() {
+            if failed_attempts == 0 {
+                spdlog::warn!("router: no thread for the log", kv: {
+                    why = e.to_string().as_str(), retry_ms = ms(WRITER_RETRY)
+                });
+            }
+            failed_attempts += 1;
+            self.queue.write_until(Instant::now());
+            tokio::time::sleep(WRITER_RETRY).await;
+        }
+        if failed_attempts > 0 {
+            spdlog::info!("router: log has its thread", kv: { failed_attempts });
+        }
+    }
+
+    fn start_writer(&self) -> std::io::Result<()> {
+        let queue = self.queue.clone();
+        let writer = std::thread::Builder::new().name(WRITER.to_owned());
+        writer.spawn(move || queue.write_forever())?;
+        self.has_writer.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Writes the queued lines before the process exits, for at most `limit`.
+    pub(crate) fn flush(&self, limit: Duration) {
+        let until = Instant::now() + limit;
+        match self.has_writer.load(Ordering::Relaxed) {
+            true => self.queue.wait_until_empty(until),
+            false => self.queue.write_until(until),
+        }
+    }
 }
 
 /// Returns the number of lines dropped since the process started.
@@ -53,30 +91,8 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
-/// Writes the queued lines before the process exits, for at most `limit`.
-///
-/// The default logger is replaced first, since spdlog would otherwise wait for its queue
-/// without a limit on exit, even for a reader that has stalled.
-pub(crate) fn flush(limit: Duration) {
-    let silent = match Logger::builder().build_arc() {
-        Ok(silent) => silent,
-        Err(e) => {
-            spdlog::error!("router: cannot flush the log", kv: { why = e.to_string().as_str() });
-            return;
-        }
-    };
-    let logger = spdlog::swap_default_logger(silent);
-    let (tx, rx) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        for sink in logger.sinks() {
-            // A failure cannot be logged, since the log itself is being flushed.
-            let _ = sink.flush_on_exit();
-        }
-        // The receiver is gone once the limit has passed.
-        let _ = tx.send(());
-    });
-    // A timeout is ignored, since the process exits either way.
-    let _ = rx.recv_timeout(limit);
+fn count_dropped() {
+    DROPPED.fetch_add(1, Ordering::Relaxed);
 }
 
 /// Converts a duration to whole milliseconds.
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -18,12 +18,15 @@
 /// The labels of urgencies, which bound the number of series.
 const URGENCY_LABELS: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7+"];
 
-/// Installs the process-wide metrics recorder.
-///
-/// # Errors
-///
-/// Returns an error if another recorder is already installed.
-pub(crate) fn install() -> Result<PrometheusHandle, BuildError> {
+/// Installs the process-wide metrics recorder. If that fails, it is logged, and no series are served.
+pub(crate) fn install() -> PrometheusHandle {
+    install_recorder().unwrap_or_else(|e| {
+        spdlog::error!("router: no metrics", kv: { why = e.to_string().as_str() });
+        PrometheusBuilder::new().build_recorder().handle()
+    })
+}
+
+fn install_recorder() -> Result<PrometheusHandle, BuildError> {
     PrometheusBuilder::new()
         .set_buckets(&LATENCY_BUCKETS_SECONDS)?
         .install_recorder()
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -10,8 +10,8 @@
 use self::listeners::{Listeners, serve_metrics};
 use crate::daemon::{DaemonSignal, Signals};
 use crate::prelude::*;
-use crate::router::log::ms;
-use crate::router::{LoadControl, Router, controller, log, metric};
+use crate::router::log::{Log, ms};
+use crate::router::{LoadControl, Router, controller, metric};
 use crate::start::{self, StartError};
 
 /// How long new requests are still accepted after a stop was requested, for callers with a
@@ -25,45 +25,27 @@
 /// How long the last log lines may take to be written; an active reader takes a few ms.
 const LOG_FLUSH_LIMIT: Duration = Duration::from_millis(150);
 
-/// Says why the daemon cannot start.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum RouterError {
-    /// The logger cannot be set up.
-    #[error("cannot set up the logger: {0}")]
-    Log(#[from] spdlog::Error),
-    /// The metrics recorder cannot be installed.
-    #[error("cannot install the metrics recorder: {0}")]
-    Metrics(#[from] metrics_exporter_prometheus::BuildError),
-}
-
-/// Runs the daemon until a signal asks it to stop, and logs why it ends.
+/// Runs the daemon until a signal asks it to stop.
 ///
 /// A process that is ended by a signal without a handler logs nothing.
 pub(crate) async fn run_router(
     settings_file: &SettingsFile,
     load_controls: Vec<LoadControl>,
     signals: Signals,
-) -> Result<(), RouterError> {
-    log::init()?;
+) {
+    let log = Log::install();
+    tokio::spawn(log.clone().write());
     spdlog::info!("router: starting", kv: {
         pid = std::process::id(), settings_file = settings_file.path().to_string_lossy().as_ref(),
         named_by = settings_file.source().as_str()
     });
-    let ended = serve(settings_file.path(), load_controls, signals).await;
-    if let Err(e) = &ended {
-        spdlog::error!("router: ended by an error", kv: { why = e.to_string().as_str() });
-    }
-    log::flush(LOG_FLUSH_LIMIT);
-    ended
+    serve(settings_file.path(), load_controls, signals).await;
+    log.flush(LOG_FLUSH_LIMIT);
 }
 
-async fn serve(
-    settings_file: &Path,
-    load_controls: Vec<LoadControl>,
-    mut signals: Signals,
-) -> Result<(), RouterError> {
+async fn serve(settings_file: &Path, load_controls: Vec<LoadControl>, mut signals: Signals) {
     let began_at = Instant::now();
-    let metrics = metric::install()?;
+    let metrics = metric::install();
     crate::panic_hook::install(metric::PANICS);
     let hurry = Arc::new(Notify::new());
     let start = start::repeat(&hurry, || open(settings_file));
@@ -73,7 +55,7 @@
             spdlog::info!("router: stopped during the start", kv: {
                 why = signal.as_str(), took_ms = ms(began_at.elapsed())
             });
-            return Ok(());
+            return;
         }
     };
     let router = Router::new(opened.settings, load_controls, Instant::now());
@@ -95,7 +77,7 @@
             }
             why @ (DaemonSignal::Interrupt | DaemonSignal::Terminate) => {
                 stop(&router, why).await;
-                return Ok(());
+                return;
             }
         }
     }
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -30,6 +30,7 @@
 mod process;
 mod raw;
 mod retries;
+mod scarce;
 mod soak;
 mod starts;
 mod store_era;
--- /dev/null
+++ b/tests/site/scarce.rs
@@ -0,0 +1,55 @@
+//! Entries whose system has no threads.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use pistachioyard_standins::wait_until;
+
+use super::support::Site;
+
+/// How long a start may take to succeed or to log what holds it up.
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long an entry may take to end after SIGTERM.
+const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+/// Runs a program that cannot start a thread, since no address space has room for such a stack.
+const NO_THREADS: &str = "RUST_MIN_STACK=1152921504606846976 exec \"$0\" \"$@\"";
+/// The lines that say whether a start was held up.
+const OUTCOMES: [&str; 2] = ["start: step failed", "router: started"];
+
+impl Site {
+    /// Starts the first entry through a shell script and returns how it ended after SIGTERM, with
+    /// its log.
+    async fn stop_after_start(&mut self, script: &str) -> (Option<i32>, String) {
+        let launcher = self.launcher.clone();
+        let process = &mut self.entries[0].process;
+        let earlier = process.log().len();
+        process.kill();
+        let (program, args) = process.command();
+        process.run_in_shell(script, args.clone());
+        process.start(&launcher);
+        (process.program, process.args) = (program, args);
+        let met = wait_until(START_TIMEOUT, "an outcome of the start", || {
+            let log = process.log().split_off(earlier);
+            let is_met = !process.is_running() || OUTCOMES.iter().any(|line| log.contains(line));
+            async move { is_met }
+        });
+        met.await.expect("the start succeeds or is held up");
+        if process.is_running() {
+            process.signal(Signal::SIGTERM);
+        }
+        let ended = process.running_child().wait(STOP_TIMEOUT).await;
+        let code = ended.expect("the entry ends").code();
+        (code, process.log().split_off(earlier))
+    }
+}
+
+/// Guards against a log that takes a lack of threads for the end of the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_without_threads_serves_logs_and_stops() {
+    let mut site = Site::start(1).await;
+    let (code, log) = site.stop_after_start(NO_THREADS).await;
+    assert_eq!(code, Some(0), "{log}");
+    for line in ["router: started", "router: stopping", "router: stopped"] {
+        assert!(log.contains(line), "no `{line}` in {log}");
+    }
+}
