Wait for descriptors before the runtime is set up

Callers saw an entry that ended by itself within milliseconds of its start on a machine with few descriptors, and again at each restart.

Cause: the runtime and the handlers of signals were set up once, before the start that repeats, and tokio's signal driver panics when it finds no descriptors. A condition that passes was taken for the end of the process.

The set-up is repeated with the pauses of every other step, after a check that the system has what it needs; a panic in between is caught. While it waits, signals are blocked and taken by sigwait: SIGTERM and SIGINT end the process with code 0, SIGHUP tries again at once.

--- a/src/daemon/signals.rs
+++ b/src/daemon/signals.rs
@@ -1,8 +1,14 @@
 //! The signals that a daemon handles.
 
-use nix::sys::signal::{SigSet, Signal as SystemSignal};
+use nix::errno::Errno;
+use nix::sys::signal::{SigEvent, SigSet, SigevNotify, Signal as SystemSignal};
+use nix::sys::timer::{Expiration, Timer, TimerSetTimeFlags};
+use nix::time::ClockId;
+use nix::unistd::alarm;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::prelude::*;
+
 /// The signals that would end a process without a handler and mean nothing to a daemon. A write
 /// beyond the limit for a file's size raises SIGXFSZ; the write fails, as one to a full device does.
 const IGNORED: [SystemSignal; 3] = [
@@ -11,6 +17,9 @@
     SystemSignal::SIGXFSZ,
 ];
 
+/// The pause where the system refuses a timer, in seconds.
+const ALARM_SECONDS: u32 = 1;
+
 /// Names a signal that a daemon handles.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum DaemonSignal {
@@ -35,6 +44,29 @@
         .collect()
     }
 
+    /// Waits for one of the signals before there are handlers; none comes within the pause.
+    ///
+    /// The signals must be blocked. It needs no descriptor and no thread: SIGALRM ends the pause, and
+    /// stays blocked, since one may come after another signal has ended the wait.
+    pub(super) fn wait_blocked(pause: Duration) -> Result<Option<Self>, Errno> {
+        let mut signals = Self::all();
+        signals.add(SystemSignal::SIGALRM);
+        signals.thread_block()?;
+        let _timer = match start_timer(pause) {
+            Ok(timer) => Some(timer),
+            Err(_) => {
+                alarm::set(ALARM_SECONDS);
+                None
+            }
+        };
+        Ok(match signals.wait()? {
+            SystemSignal::SIGHUP => Some(Self::Hangup),
+            SystemSignal::SIGINT => Some(Self::Interrupt),
+            SystemSignal::SIGTERM => Some(Self::Terminate),
+            _ => None,
+        })
+    }
+
     /// Returns the usual name of the signal.
     pub(crate) fn as_str(self) -> &'static str {
         match self {
@@ -45,6 +77,17 @@
     }
 }
 
+fn start_timer(pause: Duration) -> Result<Timer, Errno> {
+    let notify = SigevNotify::SigevSignal {
+        signal: SystemSignal::SIGALRM,
+        si_value: 0,
+    };
+    let mut timer = Timer::new(ClockId::CLOCK_MONOTONIC, SigEvent::new(notify))?;
+    let expiration = Expiration::OneShot(pause.into());
+    timer.set(expiration, TimerSetTimeFlags::empty())?;
+    Ok(timer)
+}
+
 /// Receives the signals to a daemon.
 pub(crate) struct Signals {
     hangup: Signal,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,7 +46,7 @@
 #[cfg(feature = "entry")]
 pub use api::openapi_document;
 pub use cli::{Cli, ExitStatus, run};
-pub use daemon::Daemon;
+pub use daemon::{Daemon, StoppedEarly};
 #[cfg(feature = "entry")]
 pub use settings::{EntrySettings, SettingsError};
 pub use supervisor::Supervisor;
--- a/src/start.rs
+++ b/src/start.rs
@@ -3,50 +3,37 @@
 //! The platform counts a process that ends by itself as faulty, and what holds up a start may pass:
 //! another process has a port, an address is not there yet, or a file is not written yet.
 
+mod attempts;
 mod error;
 mod step;
 
 use std::pin::pin;
 
-use pistachioyard_policy::StartRetries;
 use tokio::sync::Notify;
 
+pub(crate) use self::attempts::Attempts;
 pub(crate) use self::error::StartError;
 pub(crate) use self::step::StartStep;
 use crate::daemon::{DaemonSignal, Signals};
-use crate::prelude::*;
 
 /// Repeats an attempt until it succeeds; `hurry` ends the pause between two attempts.
 pub(crate) async fn repeat<T>(
     hurry: &Notify,
     mut attempt: impl FnMut() -> Result<T, StartError>,
 ) -> T {
-    let began_at = Instant::now();
-    let mut retries = StartRetries::default();
-    let mut failed: Option<StartStep> = None;
+    let mut attempts = Attempts::begin();
     loop {
-        let e = match attempt() {
+        match attempt() {
             Ok(done) => {
-                if let Some(step) = failed {
-                    spdlog::info!("start: step succeeded", kv: {
-                        step = step.as_str(), failed_attempts = retries.failed_attempts(),
-                        took_ms = began_at.elapsed().as_millis() as u64
-                    });
-                }
+                attempts.succeed();
                 return done;
             }
-            Err(e) => e,
-        };
-        failed = Some(e.step());
-        let retry = retries.fail(e.step(), &mut rand::rng());
-        if retry.is_logged {
-            spdlog::warn!("start: step failed", kv: {
-                step = e.step().as_str(), why = e.to_string().as_str(),
-                attempt = retry.attempt, retry_ms = retry.pause.as_millis() as u64
-            });
+            Err(e) => {
+                let pause = attempts.fail(&e);
+                // Whether the pause is over or was cut short, the next attempt follows.
+                let _ = tokio::time::timeout(pause, hurry.notified()).await;
+            }
         }
-        // Whether the pause is over or was cut short, the next attempt follows.
-        let _ = tokio::time::timeout(retry.pause, hurry.notified()).await;
     }
 }
 
--- a/src/start/error.rs
+++ b/src/start/error.rs
@@ -13,6 +13,12 @@
     /// The settings are invalid or cannot be read.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The runtime or the handlers of signals cannot be set up.
+    #[error("cannot set up the runtime: {0}")]
+    Runtime(#[from] std::io::Error),
+    /// The system refused something in the middle of the set-up of the runtime.
+    #[error("the set-up of the runtime panicked")]
+    RuntimePanicked,
     /// A listening socket cannot be opened.
     #[error("cannot listen for {} on {address}: {source}", step.as_str())]
     Listen {
@@ -43,6 +49,7 @@
     /// Returns the step that has failed.
     pub(crate) fn step(&self) -> StartStep {
         match self {
+            Self::Runtime(_) | Self::RuntimePanicked => StartStep::Runtime,
             Self::Settings(_) => StartStep::Settings,
             Self::Listen { step, .. } => *step,
         }
--- a/src/start/step.rs
+++ b/src/start/step.rs
@@ -15,6 +15,8 @@
     Peers,
     /// Listening for checks of readiness.
     Readiness,
+    /// Setting up the runtime and the handlers of signals.
+    Runtime,
     /// Reading the settings file.
     Settings,
 }
@@ -29,6 +31,7 @@
             Self::Metrics => "metrics",
             Self::Peers => "peers",
             Self::Readiness => "readiness",
+            Self::Runtime => "runtime",
             Self::Settings => "settings",
         }
     }
--- a/tests/site/scarce.rs
+++ b/tests/site/scarce.rs
@@ -1,4 +1,4 @@
-//! Entries whose system has no threads.
+//! Entries whose system has few descriptors or no threads.
 
 use std::time::Duration;
 
@@ -11,6 +11,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long an entry may take to end after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+/// The lowest limit with which the system loads the program, and one with which it serves.
+const DESCRIPTORS: std::ops::RangeInclusive<u32> = 4..=16;
 /// Runs a program that cannot start a thread, since no address space has room for such a stack.
 const NO_THREADS: &str = "RUST_MIN_STACK=1152921504606846976 exec \"$0\" \"$@\"";
 /// The lines that say whether a start was held up.
@@ -43,6 +45,22 @@
     }
 }
 
+/// Guards against set-up that takes a lack of descriptors for the end of the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_descriptors_do_not_end_an_entry() {
+    let mut site = Site::start(1).await;
+    let mut failed = Vec::new();
+    for limit in DESCRIPTORS {
+        let script = format!("ulimit -n {limit}; exec \"$0\" \"$@\"");
+        let (code, log) = site.stop_after_start(&script).await;
+        if code != Some(0) {
+            let last = log.lines().last().unwrap_or_default().to_owned();
+            failed.push((limit, code, last));
+        }
+    }
+    assert!(failed.is_empty(), "ended by themselves: {failed:#?}");
+}
+
 /// Guards against a log that takes a lack of threads for the end of the process.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_without_threads_serves_logs_and_stops() {
