--- a/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
@@ -5,6 +5,7 @@
 use pistachioyard_wire::EndpointId;
 
 use super::EndpointRegistry;
+use super::deletions::Deletions;
 use super::record::EndpointRecord;
 use super::tracked::TrackedEndpoint;
 use crate::store_position::StorePosition;
@@ -21,7 +22,7 @@
     /// Returns the latest known position in the store.
     pub fn latest_position(&self) -> StorePosition {
         let changed = self.by_id.values().map(|tracked| tracked.record.changed_at);
-        let deleted = self.deleted.values().map(|(at, _)| *at);
+        let deleted = self.deletions.positions();
         let latest = |one: StorePosition, other| if one.is_before(other) { other } else { one };
         changed
             .chain(deleted)
@@ -30,7 +31,7 @@
 
     /// Forgets all positions in the store, whose revisions have begun anew.
     pub fn forget_positions(&mut self) {
-        self.deleted.clear();
+        self.deletions = Deletions::default();
         for tracked in self.by_id.values_mut() {
             tracked.record.changed_at = StorePosition::default();
         }
--- a/crates/pistachioyard_policy/src/endpoint_registry/deletions.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/deletions.rs
@@ -24,6 +24,11 @@
         self.by_id.get(endpoint).map(|(at, _)| *at)
     }
 
+    /// Returns all positions at which records were deleted.
+    pub(super) fn positions(&self) -> impl Iterator<Item = StorePosition> {
+        self.by_id.values().map(|(at, _)| *at)
+    }
+
     /// Records a deletion.
     pub(super) fn note(&mut self, endpoint: &EndpointId, at: StorePosition, now: Instant) {
         self.forget(endpoint);
--- a/crates/pistachioyard_policy/src/endpoint_registry/update.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/update.rs
@@ -11,6 +11,7 @@
 /// How far a record in the store can lag behind the endpoint's own reports: a heartbeat in
 /// transit plus the pause between two watches.
 const MAX_RECORD_LAG: Duration = Duration::from_millis(1_000);
+
 impl EndpointRegistry {
     /// Applies a record read from the store, or a peer's copy of one, and returns what changed.
     ///
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -180,16 +180,20 @@
     counter!("router_relays_total").increment(1);
 }
 
-/// Installs the process-wide metrics recorder.
-///
-/// # Errors
-///
-/// Returns an error if another recorder is already installed.
-pub(crate) fn install(turns: Arc<TurnMeter>) -> Result<Exporter, BuildError> {
-    let handle = PrometheusBuilder::new()
+/// Installs the process-wide metrics recorder. If that fails, it is logged, and only the turns are
+/// served.
+pub(crate) fn install(turns: Arc<TurnMeter>) -> Exporter {
+    let handle = install_recorder().unwrap_or_else(|e| {
+        spdlog::error!("router: no metrics", kv: { why = e.to_string().as_str() });
+        PrometheusBuilder::new().build_recorder().handle()
+    });
+    Exporter { handle, turns }
+}
+
+fn install_recorder() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new()
         .set_buckets(&LATENCY_BUCKETS_SECONDS)?
-        .install_recorder()?;
-    Ok(Exporter { handle, turns })
+        .install_recorder()
 }
 
 impl Exporter {
