Bound the events that streams hold and stop reading their endpoints

Callers saw: with many streams whose callers do not read, the process came over the memory of its machine and was killed; below that, streams were broken off with "the answers of all endpoints fill the memory; the retry budget is exhausted", although their endpoints were sound and their callers only read late.

Cause: events that are complete had no sum, a stream kept the buffer of its largest event, handed hyper up to 64 KB of events ahead of its caller, and read up to 64 KB ahead of its endpoint. An event that found no room in the share for answers ended its path.

Change: the kind `events` has a share of 0.1 of the memory beside connections, 16 KB of each stream are free. A stream with more than that unread is not read further; one that needs more for its next event takes the memory for a whole event at once, or waits for it and does not read its endpoint meanwhile. Both waits end at the deadline, when the stream is broken off, so a caller that does not read holds its endpoint no longer either. Connections to endpoints read 8 KB at once, as those of callers do.

tests/site/memory.rs: three items are visible to the new file, no check changed.

--- a/src/memory/held_memory.rs
+++ b/src/memory/held_memory.rs
@@ -29,19 +29,47 @@
     /// Holds what `size` bytes need, and gives back what they no longer do. Returns false if the
     /// share has not enough.
     pub(crate) fn resize(&mut self, size: usize) -> bool {
-        let needed = match size {
-            size if size <= self.memory.kind().free_bytes() => 0,
-            size => size.next_multiple_of(PART_BYTES),
-        };
-        if needed < self.bytes {
-            self.memory.give_back(self.sender, self.bytes - needed);
-        } else if needed > self.bytes && !self.memory.take(self.sender, needed - self.bytes) {
+        self.shrink(size);
+        let needed = self.needed(size);
+        if needed > self.bytes && !self.memory.take(self.sender, needed - self.bytes) {
             return false;
         }
         self.bytes = needed;
         true
     }
 
+    /// Does the same once the share has enough.
+    pub(crate) async fn resize_when_free(&mut self, size: usize) {
+        if self.resize(size) {
+            return;
+        }
+        loop {
+            self.memory.wait_for_memory().await;
+            if self.resize(size) {
+                // What was given back may be enough for several.
+                self.memory.wake_next();
+                return;
+            }
+        }
+    }
+
+    /// Gives back what `size` bytes do not need.
+    pub(crate) fn shrink(&mut self, size: usize) {
+        let needed = self.needed(size);
+        if needed < self.bytes {
+            self.memory.give_back(self.sender, self.bytes - needed);
+            self.bytes = needed;
+        }
+    }
+
+    /// Returns the size of the part that `size` bytes need.
+    fn needed(&self, size: usize) -> usize {
+        match size {
+            size if size <= self.memory.kind().free_bytes() => 0,
+            size => size.next_multiple_of(PART_BYTES),
+        }
+    }
+
     /// Returns whether a part of the share is held.
     pub(super) fn is_counted(&self) -> bool {
         self.bytes > 0
--- a/src/memory/memory_kind.rs
+++ b/src/memory/memory_kind.rs
@@ -5,6 +5,8 @@
 const FREE_ANSWER_BYTES: usize = 16 * 1024;
 /// The same for the buffer of each connection, so that heads of usual size never lack it.
 const FREE_HEAD_BYTES: usize = 16 * 1024;
+/// The same for the events of each stream, so that streams of usual size never lack it.
+const FREE_EVENT_BYTES: usize = 16 * 1024;
 
 /// Says what memory is held for; each kind has a share of its own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -13,6 +15,8 @@
     Answers,
     /// Bodies of requests.
     Bodies,
+    /// Events of streams that are not complete, or that their callers have not read.
+    Events,
     /// Heads of requests.
     Heads,
     /// Answers of the store and of peers to this process's own calls.
@@ -25,6 +29,7 @@
         match self {
             Self::Answers => "answers",
             Self::Bodies => "bodies",
+            Self::Events => "events",
             Self::Heads => "heads",
             Self::OwnCalls => "own_calls",
         }
@@ -32,10 +37,11 @@
 
     /// Returns the number of bytes that each thing of the kind may take without a part of the
     /// memory.
-    pub(super) fn free_bytes(self) -> usize {
+    pub(crate) fn free_bytes(self) -> usize {
         match self {
             Self::Answers | Self::OwnCalls => FREE_ANSWER_BYTES,
             Self::Bodies => 0,
+            Self::Events => FREE_EVENT_BYTES,
             Self::Heads => FREE_HEAD_BYTES,
         }
     }
--- a/src/memory/shared_memory.rs
+++ b/src/memory/shared_memory.rs
@@ -4,6 +4,7 @@
 
 use parking_lot::Mutex;
 use pistachioyard_policy::MemoryShare;
+use tokio::sync::Notify;
 
 use super::MemoryKind;
 use crate::prelude::*;
@@ -17,6 +18,8 @@
     kind: MemoryKind,
     share: Mutex<MemoryShare>,
     last_logged: Mutex<Option<Instant>>,
+    /// Wakes one of those who wait for memory.
+    given_back: Notify,
 }
 
 impl SharedMemory {
@@ -26,6 +29,7 @@
             kind,
             share: Mutex::new(MemoryShare::new(max_bytes)),
             last_logged: Mutex::new(None),
+            given_back: Notify::new(),
         })
     }
 
@@ -62,6 +66,17 @@
     /// Gives memory back that a sender took.
     pub(super) fn give_back(&self, sender: SocketAddr, bytes: usize) {
         self.share.lock().give_back(sender, bytes);
+        self.given_back.notify_one();
+    }
+
+    /// Waits until memory was given back.
+    pub(super) async fn wait_for_memory(&self) {
+        self.given_back.notified().await;
+    }
+
+    /// Wakes another one of those who wait for memory.
+    pub(super) fn wake_next(&self) {
+        self.given_back.notify_one();
     }
 
     fn may_log(&self, now: Instant) -> bool {
--- a/src/router.rs
+++ b/src/router.rs
@@ -28,6 +28,7 @@
 mod retries;
 mod returns;
 mod run;
+mod short_reads;
 mod store_client;
 mod told_age;
 
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -23,6 +23,7 @@
 use crate::memory::SharedMemory;
 use crate::prelude::*;
 use crate::router::metric;
+use crate::router::short_reads::ShortReads;
 
 /// How long a connection attempt may take. A healthy endpoint accepts within a few ms, and
 /// TCP retransmits a lost SYN only after a second.
@@ -236,7 +237,7 @@
     let handshake = http1::Builder::new()
         .max_header_size(MAX_HEAD_BYTES)
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream));
+        .handshake(TokioIo::new(ShortReads::new(stream)));
     let Ok((mut sender, connection)) = handshake.await else {
         return Err(not_sent);
     };
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -16,6 +16,7 @@
 mod report_cache;
 mod stream;
 
+use std::net::SocketAddr;
 use std::sync::OnceLock;
 
 use bytes::Bytes;
@@ -42,6 +43,8 @@
     pub(crate) path_and_query: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The address of the caller, or of the peer that has passed it on.
+    pub(crate) caller: SocketAddr,
     pub(crate) config: ActiveConfig,
     pub(crate) route: Arc<Route>,
     pub(crate) workspace: Option<Arc<Workspace>>,
--- a/src/router/filter/identify.rs
+++ b/src/router/filter/identify.rs
@@ -1,5 +1,6 @@
 //! Identifies a request: its route, workspace, deadline and body.
 
+use std::net::SocketAddr;
 use std::sync::OnceLock;
 
 use http::Request;
@@ -44,14 +45,16 @@
     let workspace = find_workspace(&config.table, &route, &head)?;
     let deadline = request_deadline(&route, &head, arrived_at);
     let origin = parts.extensions.remove::<RequestOrigin>();
+    let origin = origin.expect("the server adds it to each request");
+    let caller = origin.address;
     let terms = BodyTerms {
-        origin: origin.expect("the server adds it to each request"),
+        origin,
         max_bytes: config.table.limits.max_body_bytes,
         deadline,
     };
     let body = read_body(router, body, terms).await?;
     Ok(build_call(
-        parts, head, body, config, route, workspace, arrived_at, deadline,
+        parts, head, caller, body, config, route, workspace, arrived_at, deadline,
     ))
 }
 
@@ -91,6 +94,7 @@
 fn build_call(
     parts: Parts,
     head: CallerHead,
+    caller: SocketAddr,
     body: bytes::Bytes,
     config: ActiveConfig,
     route: Arc<Route>,
@@ -115,6 +119,7 @@
         path_and_query,
         headers: parts.headers,
         body,
+        caller,
         config,
         route,
         workspace,
--- a/src/router/filter/relay.rs
+++ b/src/router/filter/relay.rs
@@ -4,11 +4,13 @@
 //! is lost, the stream resumes on another path after its last event. The caller sees one
 //! answer, with the head that the first path returned.
 
+mod events;
 mod path_run;
 mod recover;
 mod silence;
+mod unread_events;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use pistachioyard_platform::{EventSplitter, encode_answer_headers};
 use pistachioyard_policy::{PipelineSpec, Repeatability, RequestSize, StallDetector};
@@ -25,6 +27,7 @@
 use crate::router::answer::StreamAborted;
 use crate::router::relay_hop::Arrival;
 use path_run::{OpenResult, PathRun, ReadResult};
+use unread_events::UnreadEvents;
 
 /// The number of refusals by endpoints after which the caller is refused; each refusal
 /// ejects the endpoint at fault.
@@ -51,6 +54,7 @@
     size: RequestSize,
     path_run: Option<PathRun>,
     splitter: EventSplitter,
+    unread: Arc<UnreadEvents>,
     /// The id of the last event that the caller has.
     last_id: Option<u64>,
     stall_detector: StallDetector,
@@ -107,6 +111,7 @@
             size,
             path_run: None,
             splitter: EventSplitter::default(),
+            unread: Arc::default(),
             last_id,
             stall_detector,
             repairs: 0,
@@ -256,7 +261,13 @@
             .log_path_send(&found.path, found.oldest_entry_age, why);
         self.path_run = None;
         self.splitter = EventSplitter::default();
-        let mut path_run = PathRun::new(self.router.clone(), self.spec.clone(), found, self.size);
+        let mut path_run = PathRun::new(
+            self.router.clone(),
+            self.spec.clone(),
+            found,
+            self.size,
+            self.call.caller,
+        );
         let call = self.call.clone();
         // Recorded before the request is sent, since this wait may be cancelled after it.
         let first = path_run.first_endpoint().clone();
@@ -312,10 +323,12 @@
 
     /// Returns the next events, or `None` at the end of the stream.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, StreamAborted> {
+        self.wait_for_reader().await?;
         loop {
             if let Some(events) = self.take_complete_events() {
                 return Ok(Some(events));
             }
+            self.wait_for_memory().await?;
             let (at_fault, why) = match self.wait().await {
                 ReadResult::Data => continue,
                 ReadResult::End(framing) => {
@@ -340,31 +353,6 @@
         }
     }
 
-    /// Takes the complete events that the caller does not have yet out of the splitter.
-    fn take_complete_events(&mut self) -> Option<Bytes> {
-        let mut events = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            if let (Some(id), Some(last)) = (event.id, self.last_id)
-                && id <= last
-            {
-                continue;
-            }
-            self.last_id = event.id.or(self.last_id);
-            events.extend_from_slice(&event.bytes);
-        }
-        if events.is_empty() {
-            return None;
-        }
-        let now = Instant::now();
-        self.stall_detector.record_event(now);
-        self.record.note_events(now);
-        if let Some(path_run) = &mut self.path_run {
-            path_run.end_reading();
-            path_run.record_activity(now);
-        }
-        Some(events.freeze())
-    }
-
     /// Waits for data, and checks the path when the next event is overdue.
     async fn wait(&mut self) -> ReadResult {
         let Some(path_run) = &mut self.path_run else {
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -1,5 +1,6 @@
 //! Runs a stream on one path.
 
+mod memory;
 mod pause_check;
 mod peer;
 mod refusal;
@@ -105,8 +106,9 @@
     unanswered: Option<(RequestDigest, Instant)>,
     /// Finds out whether the first endpoint crashes on the prompt; none if nothing was sent.
     trial: Option<PartTrial>,
-    /// The memory of events that are not complete.
+    /// The memory of an event that is not complete.
     held: HeldMemory,
+    caller: SocketAddr,
 }
 
 impl Drop for PathRun {
@@ -130,6 +132,7 @@
         spec: Option<Arc<PipelineSpec>>,
         found: FoundPath,
         size: RequestSize,
+        caller: SocketAddr,
     ) -> Self {
         let FoundPath {
             path,
@@ -146,9 +149,10 @@
                 load.reading_mut().begin(&path.stages, size.prompt);
             }
         }
-        let held = HeldMemory::new(router.client.memory.clone(), path.stages[0].address);
+        let held = HeldMemory::new(router.memory.events.clone(), caller);
         Self {
             held,
+            caller,
             router,
             spec,
             path,
@@ -385,12 +389,6 @@
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     splitter.push(data);
-                    if !self.held.resize(splitter.buffered_bytes()) {
-                        return ReadResult::TooLong(
-                            first.endpoint.clone(),
-                            "the answers of all endpoints fill the memory".to_owned(),
-                        );
-                    }
                     if let Some(trial) = &mut self.trial {
                         trial.record_piece(Instant::now());
                     }
--- a/src/router/filter/relay/silence.rs
+++ b/src/router/filter/relay/silence.rs
@@ -125,6 +125,7 @@
     splitter: &mut EventSplitter,
 ) -> ReadResult {
     loop {
+        path_run.wait_for_memory(splitter).await;
         match path_run.read(call, splitter).await {
             ReadResult::Data if !splitter.has_event() => {}
             read => return read,
--- a/src/router/http_server/tracked_stream.rs
+++ b/src/router/http_server/tracked_stream.rs
@@ -4,16 +4,14 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use super::activity::{ConnectionActivity, ReadPart};
 use crate::memory::HeldMemory;
 use crate::prelude::*;
+use crate::router::short_reads::ShortReads;
 
-/// The maximum number of bytes that are read at once. Hyper doubles its buffer of 8 KB after a read
-/// that fills it.
-const MAX_READ_BYTES: u64 = 8 * 1024 - 1;
 /// The multiple of a head's size that its buffer may have, since it grows by doubling.
 const BUFFER_FACTOR: usize = 2;
 
@@ -25,7 +23,7 @@
 
 /// Passes bytes on, records the arrival of those that callers send, and takes memory for heads.
 pub(super) struct TrackedStream {
-    stream: Take<TcpStream>,
+    stream: ShortReads,
     activity: Arc<ConnectionActivity>,
     /// The memory of the connection's buffer, which does not shrink.
     held: HeldMemory,
@@ -45,7 +43,7 @@
         held: HeldMemory,
     ) -> Self {
         Self {
-            stream: stream.take(MAX_READ_BYTES),
+            stream: ShortReads::new(stream),
             activity,
             held,
             longest_head: 0,
@@ -54,8 +52,8 @@
         }
     }
 
-    fn socket(&mut self) -> Pin<&mut TcpStream> {
-        Pin::new(self.stream.get_mut())
+    fn socket(&mut self) -> Pin<&mut ShortReads> {
+        Pin::new(&mut self.stream)
     }
 
     /// Takes memory for bytes that have arrived while no request is in progress.
@@ -80,9 +78,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
-        // The limit holds for one read; it is never used up.
-        self.stream.set_limit(MAX_READ_BYTES);
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = self.socket().poll_read(cx, buf);
         let bytes = buf.filled().len() - before;
         if bytes > 0 && self.activity.note_read(Instant::now()) == ReadPart::Head {
             self.take_head_memory(bytes)?;
@@ -117,6 +113,6 @@
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.get_ref().is_write_vectored()
+        self.stream.is_write_vectored()
     }
 }
--- a/src/router/memory_shares.rs
+++ b/src/router/memory_shares.rs
@@ -11,6 +11,8 @@
 const ANSWERS_SHARE: f64 = 0.25;
 /// The share of the memory beside connections for the bodies of requests.
 const BODIES_SHARE: f64 = 0.2;
+/// The share of the memory beside connections for events that are not complete or not read.
+const EVENTS_SHARE: f64 = 0.1;
 /// The share of the memory beside connections for the heads of requests.
 const HEADS_SHARE: f64 = 0.1;
 /// The share of the memory beside connections for the answers of the store and of peers.
@@ -21,6 +23,7 @@
 pub(crate) struct MemoryShares {
     pub(crate) answers: Arc<SharedMemory>,
     pub(crate) bodies: Arc<SharedMemory>,
+    pub(crate) events: Arc<SharedMemory>,
     pub(crate) heads: Arc<SharedMemory>,
     pub(crate) own_calls: Arc<SharedMemory>,
 }
@@ -34,13 +37,20 @@
         Self {
             answers: share(MemoryKind::Answers, ANSWERS_SHARE),
             bodies: share(MemoryKind::Bodies, BODIES_SHARE),
+            events: share(MemoryKind::Events, EVENTS_SHARE),
             heads: share(MemoryKind::Heads, HEADS_SHARE),
             own_calls: share(MemoryKind::OwnCalls, OWN_CALLS_SHARE),
         }
     }
 
     /// Returns all shares.
-    pub(crate) fn all(&self) -> [&SharedMemory; 4] {
-        [&self.answers, &self.bodies, &self.heads, &self.own_calls]
+    pub(crate) fn all(&self) -> [&SharedMemory; 5] {
+        [
+            &self.answers,
+            &self.bodies,
+            &self.events,
+            &self.heads,
+            &self.own_calls,
+        ]
     }
 }
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -36,3 +36,4 @@
 mod stuck_watches;
 mod supervisor;
 mod support;
+mod unread_streams;
--- a/tests/site/memory.rs
+++ b/tests/site/memory.rs
@@ -18,7 +18,7 @@
 use super::support::{KEY, Site};
 
 /// The memory of the smallest machine that an entry is meant for, in bytes.
-const MACHINE_BYTES: u64 = 260_000_000;
+pub(super) const MACHINE_BYTES: u64 = 260_000_000;
 /// The operators' limit for bodies, in bytes.
 const MAX_BODY_BYTES: usize = 4_194_304;
 /// The size of a body of which the last byte is not sent.
@@ -123,14 +123,14 @@
 }
 
 /// Checks that the first entry's memory is below its machine's.
-fn check_peak(site: &Site) {
+pub(super) fn check_peak(site: &Site) {
     let peak = site.peak_memory_bytes();
     println!("the entry's memory was {peak} bytes at most");
     assert!(peak < MACHINE_BYTES, "{peak} bytes");
 }
 
 /// Waits until the entry says that no memory of a kind is in use.
-async fn await_unused(site: &Site, kind: &str) {
+pub(super) async fn await_unused(site: &Site, kind: &str) {
     let expected = format!("router_memory_used_bytes{{kind=\"{kind}\"}} 0");
     wait_until(TIMEOUT, "unused memory", || async {
         let metrics = site.fetch_metrics(&site.entries[0]).await;
