--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -38,3 +38,4 @@
 mod stuck_watches;
 mod supervisor;
 mod support;
+mod unread_streams;
