Give streams that are read late the operators' time for a stream

What it guards against is streams broken off for a lack of memory, so its routes have the 20 s that the operators state for streams.

--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -71,8 +71,11 @@
         let host = host.unwrap_or_default();
         let mut head = format!(
             "POST {path} HTTP/1.1\r\nHost: {host}\r\nX-Attempt-Id: {id}\r\n\
-             Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 8000\r\nContent-Length: 4\r\n"
+             Authorization: Bearer {KEY}\r\nContent-Length: 4\r\n"
         );
+        if !extra.iter().any(|(name, _)| *name == "X-Deadline-Ms") {
+            head.push_str("X-Deadline-Ms: 8000\r\n");
+        }
         for (name, value) in extra {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
--- a/tests/site/unread_streams.rs
+++ b/tests/site/unread_streams.rs
@@ -27,6 +27,8 @@
 const CONNECTS: usize = 200;
 /// The number of small requests of each kind that are sent beside the streams.
 const SMALL_REQUESTS: usize = 20;
+/// The operators' time for a stream, in milliseconds.
+const STREAM_LIMIT_MS: u64 = 20_000;
 /// How long streams are not read.
 const UNREAD_TIME: Duration = Duration::from_secs(3);
 /// How long callers that read late do not read.
@@ -41,6 +43,9 @@
     })
     .await;
     site.adopt_config_with(|spec| {
+        for route in spec["routes"].as_array_mut().into_iter().flatten() {
+            route["timeout_ms"] = STREAM_LIMIT_MS.into();
+        }
         for service in spec["services"].as_array_mut().into_iter().flatten() {
             service["max_connections"] = (10 * CALLERS).into();
             if service.get("engine").is_some() {
@@ -55,8 +60,13 @@
 /// Starts streams of large events and does not read them.
 async fn open_streams(to: SocketAddr, callers: usize) -> Vec<RawConnection> {
     let size = EVENT_BYTES.to_string();
+    let deadline = STREAM_LIMIT_MS.to_string();
     let sending = (0..callers).map(|n| {
-        let extra = [("X-Answer-Bytes", size.as_str()), ("X-Token-Usage", TOKENS)];
+        let extra = [
+            ("X-Answer-Bytes", size.as_str()),
+            ("X-Deadline-Ms", deadline.as_str()),
+            ("X-Token-Usage", TOKENS),
+        ];
         async move {
             let mut caller = RawConnection::open_with_small_buffer(to).await;
             let path = format!("/draft/{n}");
