Wait in `entry` for a settings file that cannot be read

Callers saw an `entry` that ended by itself with code 2 when it was started with nine descriptors, or before its settings file was there.

A file that cannot be read is a step of the start now, repeated until it succeeds or SIGTERM comes.

LoneEntry starts through a shell now, which replaces itself by the program; what it checks is unchanged.

--- a/src/cli/entry_commands.rs
+++ b/src/cli/entry_commands.rs
@@ -156,16 +156,14 @@
 /// Fails when the daemon cannot start, a file cannot be read or written, or no entry answers.
 pub(super) fn run(command: EntryCommand, daemon: Option<Daemon>) -> eyre::Result<ExitStatus> {
     match command {
-        EntryCommand::Entry { config } => match EntrySettings::load(&config) {
-            Ok(settings) => {
-                crate::logging::init(settings.log_level);
-                let daemon = daemon.map_or_else(Daemon::for_entry, Ok)?;
-                let entry = crate::entry::run_entry(settings, &config, daemon.signals);
-                daemon.runtime.block_on(entry);
-                Ok(ExitStatus::Done)
+        EntryCommand::Entry { config } => {
+            let daemon = daemon.map_or_else(Daemon::for_entry, Ok)?;
+            let entry = crate::entry::run_entry(&config, daemon.signals);
+            match daemon.runtime.block_on(entry) {
+                Ok(()) => Ok(ExitStatus::Done),
+                Err(errors) => Ok(output::print_errors(&errors)),
             }
-            Err(errors) => Ok(output::print_errors(&errors)),
-        },
+        }
         EntryCommand::Check { file, kind, strict } => {
             let strictness = match strict {
                 true => Strictness::Warnings,
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -11,7 +11,7 @@
 use crate::daemon::{DaemonSignal, Signals};
 use crate::peer_link;
 use crate::prelude::*;
-use crate::settings::EntrySettings;
+use crate::settings::{EntrySettings, SettingsError};
 use crate::start::{self, StartError, StartStep};
 
 /// The maximum body size that the HTTP server accepts, in bytes. It is well above the limit of the
@@ -21,17 +21,33 @@
 const FLUSH_MS: u64 = 200;
 
 /// Runs the daemon until a signal asks it to stop.
-pub(crate) async fn run_entry(settings: EntrySettings, settings_file: &Path, mut signals: Signals) {
+///
+/// # Errors
+///
+/// Returns the errors of a settings file that is invalid.
+pub(crate) async fn run_entry(
+    settings_file: &Path,
+    mut signals: Signals,
+) -> Result<(), Vec<SettingsError>> {
+    let hurry = Notify::new();
+    let read = start::repeat(&hurry, || read_settings(settings_file));
+    let settings = match start::unless_stopped(&mut signals, &hurry, read).await {
+        Ok(settings) => settings?,
+        Err(signal) => {
+            log_early_stop(signal);
+            return Ok(());
+        }
+    };
+    crate::logging::init(settings.log_level);
     let metrics = crate::metric::install();
     crate::panic_hook::install(crate::metric::PANICS);
     let node = Node::new(settings, Instant::now());
-    let hurry = Notify::new();
     let start = start(&node, &metrics, &hurry);
     let server = match start::unless_stopped(&mut signals, &hurry, start).await {
         Ok(server) => server,
         Err(signal) => {
-            spdlog::info!("entry: stopped during the start on {}", signal.as_str());
-            return;
+            log_early_stop(signal);
+            return Ok(());
         }
     };
     spdlog::info!(
@@ -49,6 +65,23 @@
     drain(&node).await;
     let _ = server.close().await;
     spdlog::info!("entry: stopped");
+    Ok(())
+}
+
+fn log_early_stop(signal: DaemonSignal) {
+    spdlog::info!("entry: stopped during the start on {}", signal.as_str());
+}
+
+/// Reads the settings. A file that cannot be read is tried again; one that is invalid is not, since
+/// an operator has written it.
+fn read_settings(file: &Path) -> Result<Result<EntrySettings, Vec<SettingsError>>, StartError> {
+    match EntrySettings::load(file) {
+        Err(errors) => match &errors[..] {
+            [e @ SettingsError::Unreadable { .. }] => Err(StartError::Unreadable(e.clone())),
+            _ => Ok(Err(errors)),
+        },
+        Ok(settings) => Ok(Ok(settings)),
+    }
 }
 
 /// Opens the server for callers, then the port for peers, through which callers are sent here.
--- a/src/start/error.rs
+++ b/src/start/error.rs
@@ -19,6 +19,10 @@
     /// The system refused something in the middle of the set-up of the runtime.
     #[error("the set-up of the runtime panicked")]
     RuntimePanicked,
+    /// The settings file of an entry daemon cannot be read.
+    #[cfg(feature = "entry")]
+    #[error(transparent)]
+    Unreadable(crate::settings::SettingsError),
     /// A listening socket cannot be opened.
     #[error("cannot listen for {} on {address}: {source}", step.as_str())]
     Listen {
@@ -51,6 +55,8 @@
         match self {
             Self::Runtime(_) | Self::RuntimePanicked => StartStep::Runtime,
             Self::Settings(_) => StartStep::Settings,
+            #[cfg(feature = "entry")]
+            Self::Unreadable(_) => StartStep::Settings,
             Self::Listen { step, .. } => *step,
         }
     }
--- a/tests/operations/starts.rs
+++ b/tests/operations/starts.rs
@@ -10,6 +10,16 @@
 /// How long the entry may take to log what is expected.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The lowest limit with which the system loads the program, and one with which it serves.
+const DESCRIPTORS: std::ops::RangeInclusive<u32> = 4..=16;
+/// Runs a program that cannot start a thread, since no address space has room for such a stack.
+const NO_THREADS: &str = "RUST_MIN_STACK=1152921504606846976 exec \"$0\" \"$@\"";
+/// Runs a program whose settings file, its third argument, comes a second after its start.
+const LATE_FILE: &str =
+    "mv \"$3\" \"$3.late\"; (sleep 1; mv \"$3.late\" \"$3\") & exec \"$0\" \"$@\"";
+/// The lines that say whether a start was held up.
+const OUTCOMES: [&str; 2] = ["start: step failed", "serves callers on"];
+
 /// Holds an entry whose platform does not answer; it serves nothing but runs.
 struct LoneEntry {
     child: Child,
@@ -22,6 +32,14 @@
 impl LoneEntry {
     /// Starts an entry after `prepare` was called with its addresses for callers and peers.
     fn start<T>(prepare: impl FnOnce(SocketAddr, SocketAddr) -> T) -> (Self, T) {
+        Self::start_in_shell("exec \"$0\" \"$@\"", prepare)
+    }
+
+    /// Does the same through a shell script; `$0` is the program, and its arguments follow.
+    fn start_in_shell<T>(
+        script: &str,
+        prepare: impl FnOnce(SocketAddr, SocketAddr) -> T,
+    ) -> (Self, T) {
         let pool = AddressPool::new().expect("addresses are free");
         let next = || pool.next_address().expect("an address is free");
         let (callers, peers, platform) = (next(), next(), next());
@@ -34,10 +52,11 @@
         );
         std::fs::write(&file, text).expect("the settings can be written");
         let launcher = Launcher::new().expect("the launcher can be set up");
-        let program = env!("CARGO_BIN_EXE_pistachioyard").as_ref();
+        let program = env!("CARGO_BIN_EXE_pistachioyard");
         let file = file.to_str().expect("the path is UTF-8");
+        let args = ["-c", script, program, "entry", "--config", file];
         let child = launcher
-            .spawn("entry", program, ["entry", "--config", file])
+            .spawn("entry", "sh".as_ref(), args)
             .expect("the entry starts");
         let entry = Self {
             child,
@@ -63,6 +82,22 @@
         self.child.is_running().expect("its state can be read")
     }
 
+    /// Waits until the start has succeeded or is held up, and returns how the entry ends after
+    /// SIGTERM, with its log.
+    async fn stop_after_start(&mut self) -> (Option<i32>, String) {
+        let met = wait_until(TIMEOUT, "an outcome of the start", || {
+            let log = self.child.log();
+            let is_met = !self.is_running() || OUTCOMES.iter().any(|line| log.contains(line));
+            async move { is_met }
+        });
+        met.await.expect("the start succeeds or is held up");
+        if self.is_running() {
+            self.signal(Signal::SIGTERM);
+        }
+        let ended = self.child.wait(TIMEOUT).await;
+        (ended.expect("the entry ends").code(), self.child.log())
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
         nix::sys::signal::kill(pid, signal).expect("the signal is sent");
@@ -102,3 +137,36 @@
     let ended = entry.child.wait(TIMEOUT).await;
     assert_eq!(ended.expect("the entry ends").code(), Some(0));
 }
+
+/// Guards against set-up that takes a lack of descriptors for the end of the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn few_descriptors_do_not_end_an_entry_daemon() {
+    let mut failed = Vec::new();
+    for limit in DESCRIPTORS {
+        let script = format!("ulimit -n {limit}; exec \"$0\" \"$@\"");
+        let (mut entry, ()) = LoneEntry::start_in_shell(&script, |_, _| ());
+        let (code, log) = entry.stop_after_start().await;
+        if code != Some(0) {
+            let last = log.lines().last().unwrap_or_default().to_owned();
+            failed.push((limit, code, last));
+        }
+    }
+    assert!(failed.is_empty(), "ended by themselves: {failed:#?}");
+}
+
+/// Guards against a runtime that takes a lack of threads for the end of the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_daemon_waits_for_threads() {
+    let (mut entry, ()) = LoneEntry::start_in_shell(NO_THREADS, |_, _| ());
+    let (code, log) = entry.stop_after_start().await;
+    assert_eq!(code, Some(0), "{log}");
+    assert!(log.contains("start: step failed { step=runtime"), "{log}");
+}
+
+/// Guards against a settings file that comes late and ends the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_daemon_waits_for_its_settings_file() {
+    let (mut entry, ()) = LoneEntry::start_in_shell(LATE_FILE, |_, _| ());
+    entry.await_line("start: step failed { step=settings").await;
+    entry.await_line("entry: one serves callers on").await;
+}
