Test a blocked log without a thread and connections without descriptors

Two guards for code that is there: a reader of the log that has stopped delays no request and no stop while the log has no thread, and connections that take the last descriptors do not end an entry.

--- a/tests/site/logs.rs
+++ b/tests/site/logs.rs
@@ -14,16 +14,29 @@
 const CONCURRENT_REQUESTS: usize = 16;
 /// The limit for one request; the service itself takes 10 ms.
 const MAX_REQUEST_TIME: Duration = Duration::from_secs(2);
+/// A variable with which no thread can be started, since no address space has room for its stack.
+const NO_THREADS: (&str, &str) = ("RUST_MIN_STACK", "1152921504606846976");
 
-/// A blocked reader of standard output delays neither requests nor a stop, and dropped log
-/// lines are counted.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_blocked_reader_of_the_log_delays_nothing() {
+    check_blocked_reader(&[]).await;
+}
+
+/// Guards against lines that wait for their reader in the thread that serves requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_blocked_reader_of_a_log_without_a_thread_delays_nothing() {
+    check_blocked_reader(&[NO_THREADS]).await;
+}
+
+/// Checks that a blocked reader of standard output delays neither requests nor a stop, and that
+/// dropped log lines are counted.
+async fn check_blocked_reader(variables: &[(&str, &str)]) {
     let mut site = Site::start(2).await;
     let (program, args) = site.entries[1].process.command();
     site.entries[1].process.kill();
     let mut blocked = tokio::process::Command::new(program)
         .args(args)
+        .envs(variables.iter().copied())
         .stdout(Stdio::piped())
         .kill_on_drop(true)
         .spawn()
@@ -47,11 +60,11 @@
     let pid = nix::unistd::Pid::from_raw(blocked.id().expect("the process runs") as i32);
     nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).expect("the signal is sent");
     wait_until(Duration::from_secs(6), "the entry to exit", || {
-        let ended = blocked
-            .try_wait()
-            .expect("the process can be polled")
-            .is_some();
-        async move { ended }
+        let ended = blocked.try_wait().expect("the process can be polled");
+        if let Some(ended) = ended {
+            assert_eq!(ended.code(), Some(0));
+        }
+        async move { ended.is_some() }
     })
     .await
     .expect("the entry exits within its grace period");
--- a/tests/site/scarce.rs
+++ b/tests/site/scarce.rs
@@ -15,6 +15,10 @@
 const DESCRIPTORS: std::ops::RangeInclusive<u32> = 4..=16;
 /// Runs a program that cannot start a thread, since no address space has room for such a stack.
 const NO_THREADS: &str = "RUST_MIN_STACK=1152921504606846976 exec \"$0\" \"$@\"";
+/// Runs a program that can hold some connections.
+const FEW_CONNECTIONS: &str = "ulimit -n 48; exec \"$0\" \"$@\"";
+/// More connections than that.
+const CONNECTIONS: usize = 64;
 /// The lines that say whether a start was held up.
 const OUTCOMES: [&str; 2] = ["start: step failed", "router: started"];
 
@@ -71,3 +75,31 @@
         assert!(log.contains(line), "no `{line}` in {log}");
     }
 }
+
+/// Guards against connections that take an entry's last descriptors and end it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_without_descriptors_do_not_end_an_entry() {
+    let mut site = Site::start(1).await;
+    let launcher = site.launcher.clone();
+    let process = &mut site.entries[0].process;
+    process.kill();
+    let (_, args) = process.command();
+    process.run_in_shell(FEW_CONNECTIONS, args);
+    process.start(&launcher);
+    site.await_service().await;
+    let to = site.entries[0].caller_address();
+    let connect = |_| std::net::TcpStream::connect(to).expect("the system accepts");
+    let connections: Vec<_> = (0..CONNECTIONS).map(connect).collect();
+    let refused = "http: cannot accept";
+    let process = &site.entries[0].process;
+    let met = wait_until(START_TIMEOUT, refused, || async {
+        process.log().contains(refused)
+    });
+    met.await.expect("the descriptors run out");
+    drop(connections);
+    site.await_service().await;
+    let process = &mut site.entries[0].process;
+    process.signal(Signal::SIGTERM);
+    let ended = process.running_child().wait(STOP_TIMEOUT).await;
+    assert_eq!(ended.expect("the entry ends").code(), Some(0));
+}
