Follow a store that names an earlier era than before

Cause: an answer of an earlier era than the known one was refused as one from before a return, whenever its call was sent, so a store whose eras have begun anew was never heard again. Lists and watches begin anew in any other era, not only in a later one. Answers that were sent before a return are refused as before. The users' pages promise a store that loses nothing; as with lower revisions, this is what an entry does if that fails.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -43,6 +43,7 @@
 mod run_fate;
 mod stall_detector;
 mod start_retries;
+mod store_era;
 mod store_position;
 mod stream_guard;
 mod watch_pace;
@@ -124,6 +125,7 @@
 pub use run_fate::RunFate;
 pub use stall_detector::{PauseCheck, PauseVerdict, StallDetector};
 pub use start_retries::{StartRetries, StartRetry};
-pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era};
+pub use store_era::{EraNews, EraTracker};
+pub use store_position::{StoreEra, StorePosition, WatchLag, is_later_era, is_other_era};
 pub use stream_guard::{DropReason, GuardFault, GuardVerdict, StreamGuard};
 pub use watch_pace::WatchRole;
--- a/crates/pistachioyard_policy/src/store_position.rs
+++ b/crates/pistachioyard_policy/src/store_position.rs
@@ -19,6 +19,13 @@
     now.zip(before).is_some_and(|(now, before)| now > before)
 }
 
+/// Tells whether two answers of a store are of different eras, so that a list has to be read again.
+///
+/// An unknown era is taken for the same one.
+pub fn is_other_era(now: Option<StoreEra>, before: Option<StoreEra>) -> bool {
+    now.zip(before).is_some_and(|(now, before)| now != before)
+}
+
 /// Holds a revision and the era that it is of, if that is known.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StorePosition {
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -2,7 +2,7 @@
 
 use pistachioyard_platform::{CONFIG_KIND, CONFIG_NAME, Object, StoreAnswerError, decode_config};
 
-use pistachioyard_policy::{StorePosition, is_later_era};
+use pistachioyard_policy::{StorePosition, is_other_era};
 
 use super::watch_pace::{self, WatchPace};
 use super::{expiry, jittered};
@@ -71,7 +71,7 @@
         () = expiry::expired(&router.config_freshness, CONFIG_KIND, limit) => read(router).await,
         page = router.store.watch(CONFIG_KIND, after.revision, wait) => {
             let InEra { value: page, era } = page?;
-            if is_later_era(era, after.era) {
+            if is_other_era(era, after.era) {
                 return read(router).await;
             }
             for change in page.changes.iter().filter(|change| !change.deleted) {
@@ -83,7 +83,7 @@
             Ok(StorePosition { era, revision })
         }
         () = outdated(router) => read(router).await,
-        () = router.store.wait_for_later_era(after.era) => read(router).await,
+        () = router.store.wait_for_other_era(after.era) => read(router).await,
     }
 }
 
--- a/src/router/controller/convictions.rs
+++ b/src/router/controller/convictions.rs
@@ -5,7 +5,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use pistachioyard_platform::{Object, ObjectKind, StoreAnswerError, StoreCall};
-use pistachioyard_policy::is_later_era;
+use pistachioyard_policy::is_other_era;
 use pistachioyard_wire::{PartMark, PartReport, PromptPart, QuarantineMark, RequestDigest};
 use serde::{Deserialize, Serialize};
 
@@ -68,7 +68,7 @@
     let mut stored = None;
     let mut era = router.store.era();
     loop {
-        if is_later_era(router.store.era(), era) {
+        if is_other_era(router.store.era(), era) {
             // The copy may lack convictions.
             stored = None;
         }
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use pistachioyard_platform::{ENDPOINT_KIND, Object, StoreAnswerError, decode_endpoint};
-use pistachioyard_policy::{EndpointChange, EndpointRecord, StoreEra, StorePosition, is_later_era};
+use pistachioyard_policy::{EndpointChange, EndpointRecord, StoreEra, StorePosition, is_other_era};
 
 use super::watch_pace::{self, WatchPace};
 use super::{expiry, jittered};
@@ -49,7 +49,7 @@
 
 async fn read(router: &Arc<Router>) -> Result<StorePosition, StoreError> {
     let began = Instant::now();
-    let known = router.endpoints.lock().latest_position();
+    let known = latest_position(router);
     let InEra { value: page, era } = router.store.list_in_time(ENDPOINT_KIND).await?;
     router.endpoints_freshness.lock().confirm(began);
     let seen = StorePosition {
@@ -88,9 +88,9 @@
         page = router.store.watch(ENDPOINT_KIND, after.revision, wait) => page?,
         // A peer has seen a newer change, so this watch may be on a dead connection.
         () = router.endpoints_outdated.notified() => return read(router).await,
-        () = router.store.wait_for_later_era(after.era) => return read(router).await,
+        () = router.store.wait_for_other_era(after.era) => return read(router).await,
     };
-    if is_later_era(era, after.era) {
+    if is_other_era(era, after.era) {
         return read(router).await;
     }
     for change in &page.changes {
@@ -112,6 +112,17 @@
     Ok(StorePosition { era, revision })
 }
 
+/// Returns the latest position at which the store is known to have been.
+fn latest_position(router: &Router) -> StorePosition {
+    let records = router.endpoints.lock().latest_position();
+    let watched = router.endpoints_lag.lock().newest();
+    if records.is_before(watched) {
+        watched
+    } else {
+        records
+    }
+}
+
 /// Forgets what the revisions of an earlier history say, so that the records of the new one count.
 fn forget_positions(router: &Router, seen: StorePosition, known: StorePosition) {
     spdlog::warn!("endpoints: the store's revisions have begun anew", kv: {
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -1,7 +1,7 @@
 //! Registrations of entries in the store, through which they discover each other.
 
 use pistachioyard_platform::{Object, ObjectKind, StoreAnswerError, StoreCall};
-use pistachioyard_policy::is_later_era;
+use pistachioyard_policy::is_other_era;
 use pistachioyard_wire::{EntryState, MemberRecord};
 
 use crate::prelude::*;
@@ -36,7 +36,7 @@
         if !is_registered {
             is_registered = register_once(&router).await;
         }
-        let has_returned = is_later_era(router.store.era(), era);
+        let has_returned = is_other_era(router.store.era(), era);
         era = router.store.era();
         // A stale list is sufficient, since it only bootstraps discovery; after the store's
         // return it may still show the registration that is gone.
@@ -56,7 +56,7 @@
         rounds += 1;
         tokio::select! {
             () = tokio::time::sleep(jittered(pause)) => {}
-            () = router.store.wait_for_later_era(era) => {
+            () = router.store.wait_for_other_era(era) => {
                 rounds = 0;
                 tokio::time::sleep(jittered(SYNC_PAUSES[0])).await;
             }
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -10,7 +10,7 @@
     ListPage, Object, ObjectKind, StoreAnswerError, StoreCall, WatchPage, decode_era, decode_list,
     decode_object, decode_watch,
 };
-use pistachioyard_policy::{StoreEra, is_later_era};
+use pistachioyard_policy::{EraNews, EraTracker, StoreEra, is_other_era};
 use tokio::sync::watch;
 
 use crate::client::{Answer, Call, HttpClient, Reuse};
@@ -63,7 +63,8 @@
     is_reachable: AtomicBool,
     /// When a call last failed.
     last_failure: parking_lot::Mutex<Option<Instant>>,
-    /// The latest era that an answer named.
+    eras: parking_lot::Mutex<EraTracker>,
+    /// The known era.
     era: watch::Sender<Option<StoreEra>>,
     /// When an answer first told that the store came back from an older copy.
     last_return: parking_lot::Mutex<Option<Instant>>,
@@ -79,6 +80,7 @@
             fresh: HttpClient::new(Some(local), Reuse::Fresh).with_memory(memory),
             is_reachable: AtomicBool::new(true),
             last_failure: parking_lot::Mutex::new(None),
+            eras: parking_lot::Mutex::default(),
             era: watch::Sender::new(None),
             last_return: parking_lot::Mutex::new(None),
         }
@@ -99,16 +101,16 @@
         self.is_reachable.load(Ordering::Relaxed)
     }
 
-    /// Returns the latest known era of the store.
+    /// Returns the known era of the store.
     pub(crate) fn era(&self) -> Option<StoreEra> {
         *self.era.borrow()
     }
 
-    /// Waits until the store is in a later era than `seen`.
-    pub(crate) async fn wait_for_later_era(&self, seen: Option<StoreEra>) {
+    /// Waits until the store is in another era than `seen`.
+    pub(crate) async fn wait_for_other_era(&self, seen: Option<StoreEra>) {
         let mut era = self.era.subscribe();
         // The sender lives as long as this client, so the channel is not closed.
-        let _ = era.wait_for(|now| is_later_era(*now, seen)).await;
+        let _ = era.wait_for(|now| is_other_era(*now, seen)).await;
     }
 
     /// Lists all objects of a kind; the revision is that of the first page.
@@ -220,6 +222,7 @@
             http_call = http_call.json(body);
         }
         let timeout = CALL_TIMEOUT + Duration::from_millis(call.wait_ms);
+        let sent_at = Instant::now();
         let answer = client.send(http_call, timeout).await;
         let refused = answer.as_ref().ok().and_then(|answer| {
             let status = answer.status.as_u16();
@@ -230,32 +233,37 @@
             Err(e) => e.to_string(),
         });
         let value = answer?;
-        let era = self.note_era(&value)?;
+        let era = self.note_era(&value, sent_at)?;
         Ok(InEra { value, era })
     }
 
     /// Records the era of an answer and returns it; an answer of an earlier era is an error.
-    fn note_era(&self, answer: &Answer) -> Result<Option<StoreEra>, StoreError> {
+    fn note_era(&self, answer: &Answer, sent_at: Instant) -> Result<Option<StoreEra>, StoreError> {
         let named = decode_era(&answer.headers).unwrap_or_else(|e| {
             spdlog::debug!("store: ignoring the era", kv: { why = e.to_string().as_str() });
             None
         });
-        let mut known = None;
+        let now = Instant::now();
+        // Held to the end, so that what waits for an era sees them in order.
+        let mut eras = self.eras.lock();
+        let news = eras.note(named, sent_at, now);
+        let known = eras.known();
+        let era = known.map_or(0, |era| era.0);
+        match news {
+            EraNews::Same => {}
+            EraNews::Later => spdlog::warn!("store: came back from an older copy", kv: { era }),
+            EraNews::WentBack => spdlog::warn!("store: its eras have begun anew", kv: { era }),
+            EraNews::Outdated => check_era(named, known)?,
+        }
+        if let EraNews::Later | EraNews::WentBack = news {
+            // Set before the era, since those that it wakes read it.
+            *self.last_return.lock() = Some(now);
+        }
         self.era.send_if_modified(|era| {
-            known = *era;
-            if is_later_era(named, known) {
-                // Set before the era, since those that it wakes read it.
-                *self.last_return.lock() = Some(Instant::now());
-            }
-            if named > known {
-                *era = named;
-            }
-            named > known
+            let is_changed = *era != known;
+            *era = known;
+            is_changed
         });
-        check_era(named, known)?;
-        if let (true, Some(StoreEra(era))) = (is_later_era(named, known), named) {
-            spdlog::warn!("store: came back from an older copy", kv: { era });
-        }
         Ok(named.or(known))
     }
 
--- a/tests/site/start_orders.rs
+++ b/tests/site/start_orders.rs
@@ -228,6 +228,31 @@
     restart_store_empty(false, true).await;
 }
 
+/// Guards against an entry that refuses all answers of a store that has started again, since they
+/// name an earlier era than those before.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_follow_a_store_that_starts_again_in_an_earlier_era() {
+    join_all([false, true].map(|restarts_entries| async move {
+        let parts = [Part::Store, Part::Config, Part::Endpoints, Part::Entries];
+        let mut site = Site::start_parts(&parts).await;
+        site.control_store("copy", json!({})).await;
+        site.control_store("restore", json!({})).await;
+        site.check_recovery("before the store starts again").await;
+        site.start_store().await;
+        if restarts_entries {
+            site.entries[1].process.kill();
+            let launcher = site.launcher.clone();
+            site.entries[1].process.start(&launcher);
+        }
+        tokio::time::sleep(PART_DELAY).await;
+        assert!(site.apply_config().await, "the store accepts it");
+        let what = format!("an earlier era, an entry restarted: {restarts_entries}");
+        site.check_recovery(&what).await;
+        site.check_drain().await;
+    }))
+    .await;
+}
+
 /// Guards against an entry that waits for what a store had before it came back from a copy without
 /// the configuration and the endpoints.
 #[tokio::test(flavor = "multi_thread")]
