Test that entries serve after all machines but the store start again

The store then lists runs of endpoints and entries that have ended, and the lease of one of them. In both orders, and with the store cut off from the entries until last, every entry serves each kind of request within `recovery_s` (12 s).

--- a/tests/site/start_orders.rs
+++ b/tests/site/start_orders.rs
@@ -285,6 +285,47 @@
     site.check_recovery("rejected first").await;
 }
 
+/// Guards against an entry that waits for runs of endpoints and entries which the store still lists
+/// and which ended with their machines.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_serve_after_all_machines_but_the_store_have_started_again() {
+    let orders = [
+        [Part::Entries, Part::Endpoints],
+        [Part::Endpoints, Part::Entries],
+    ];
+    let cases = orders.map(|order| [(order, false), (order, true)]);
+    join_all(
+        cases
+            .into_iter()
+            .flatten()
+            .map(|(order, is_cut)| async move {
+                let parts = [Part::Store, Part::Config, Part::Endpoints, Part::Entries];
+                let mut site = Site::start_parts(&parts).await;
+                site.check_recovery("before the machines start again").await;
+                for entry in &mut site.entries {
+                    entry.process.kill();
+                }
+                for endpoint in &mut site.endpoints {
+                    endpoint.process.kill();
+                }
+                if is_cut {
+                    site.set_store_cut(Some(FaultKind::Cut)).await;
+                }
+                for part in order {
+                    tokio::time::sleep(PART_DELAY).await;
+                    site.add_part(part).await;
+                }
+                if is_cut {
+                    tokio::time::sleep(PART_DELAY).await;
+                    site.set_store_cut(None).await;
+                }
+                let what = format!("{order:?}, store cut off: {is_cut}");
+                site.check_recovery(&what).await;
+            }),
+    )
+    .await;
+}
+
 /// Guards against an entry whose orders are all refused, since endpoints have seen a higher fencing
 /// token than the store names.
 #[tokio::test(flavor = "multi_thread")]
