Decode the lists of the store and the configuration from their text

Callers saw: an answer of the store within its limit of 8 MB could take several times the memory of the machine while it was decoded, so the process was killed and, after its restart, killed again by the same list.

Cause: the content of each object was decoded as values of any kind, which take up to a hundred times their text, and the record of an endpoint once more through a flattened field. All objects of a list were held in that form at once, each refused item with its reason, and the configuration was kept as values beside its table, copied while adopted.

Change: the content of an object stays text until its own type is decoded from it. A check that allocates nothing keeps what was refused as undecodable (nesting, numbers) refused. Items are read one by one, the first 8 reasons are kept and all are counted. The configuration is kept as text for peers.

A content that names one field twice is refused now; before, the last one held.

--- a/src/router.rs
+++ b/src/router.rs
@@ -77,7 +77,7 @@
 pub(crate) struct ActiveConfig {
     pub(crate) table: Arc<RouteTable>,
     /// The content that the table was built from, for peers that cannot reach the store.
-    pub(crate) source: Arc<serde_json::Value>,
+    pub(crate) source: Arc<str>,
     pub(crate) adopted_at: Instant,
 }
 
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -4,6 +4,8 @@
 
 use pistachioyard_policy::{StorePosition, is_later_era};
 
+use serde_json::value::RawValue;
+
 use super::watch_pace::{self, WatchPace};
 use super::{expiry, jittered};
 use crate::prelude::*;
@@ -105,7 +107,7 @@
 }
 
 /// Adopts a configuration if it is valid and newer; otherwise the active one stays.
-pub(super) fn adopt_source(router: &Router, source: &serde_json::Value, from: &'static str) {
+pub(super) fn adopt_source(router: &Router, source: &RawValue, from: &'static str) {
     let table = match decode_config(source) {
         Ok(table) => table,
         Err(e) => {
@@ -131,7 +133,7 @@
     });
     *config = Some(ActiveConfig {
         table: Arc::new(table),
-        source: Arc::new(source.clone()),
+        source: Arc::from(source.get()),
         adopted_at: Instant::now(),
     });
     drop(config);
--- a/src/router/controller/convictions.rs
+++ b/src/router/controller/convictions.rs
@@ -106,7 +106,7 @@
 }
 
 fn decode(object: &Object) -> Option<Conviction> {
-    match Conviction::deserialize(&object.spec) {
+    match object.decode::<Conviction>() {
         Ok(conviction) => Some(conviction),
         Err(e) => {
             spdlog::warn!("quarantine: ignoring a malformed conviction", kv: {
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -119,7 +119,7 @@
         era,
         revision: object.revision,
     };
-    let record = match decode_endpoint(&object.name, &object.spec, changed_at) {
+    let record = match decode_endpoint(&object.name, &*object.spec, changed_at) {
         Ok(record) => record,
         Err(e) => {
             spdlog::warn!("endpoints: ignoring an invalid record", kv: {
--- a/src/router/controller/peer_fallback.rs
+++ b/src/router/controller/peer_fallback.rs
@@ -12,6 +12,7 @@
 use pistachioyard_policy::EndpointRecord;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use super::{config, endpoints, jittered};
 use crate::client::{Call, HttpClient, Reuse};
@@ -111,7 +112,9 @@
 }
 
 fn apply_state(router: &Arc<Router>, state: State) {
-    let config = state.config.map(|text| serde_json::from_str(&text));
+    let config = state
+        .config
+        .map(|text| serde_json::from_str::<Box<RawValue>>(&text));
     match config {
         Some(Ok(source)) => config::adopt_source(router, &source, "peer"),
         Some(Err(e)) => {
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -114,7 +114,7 @@
 /// that process started.
 fn log_earlier_start(old: &Object, own: &MemberRecord) {
     // A malformed registration is logged when all are read.
-    let Ok(earlier) = serde_json::from_value::<MemberRecord>(old.spec.clone()) else {
+    let Ok(earlier) = old.decode::<MemberRecord>() else {
         return;
     };
     if earlier.boot == own.boot {
@@ -159,7 +159,7 @@
     {
         let mut members = router.members.lock();
         for object in page.objects {
-            match serde_json::from_value::<MemberRecord>(object.spec) {
+            match object.decode::<MemberRecord>() {
                 Ok(record) => {
                     let is_lost = members.state_of(&record.entry, now) == EntryState::Lost;
                     if is_lost && members.record_of(&record.entry).is_none() {
--- a/src/router/controller/placement/lease.rs
+++ b/src/router/controller/placement/lease.rs
@@ -102,9 +102,7 @@
             Err(StoreError::Fault(StoreAnswerError::NotFound)) => (None, router.store.era()),
             Err(e) => return Err(e),
         };
-        let record: Option<LeaseRecord> = current
-            .as_ref()
-            .and_then(|object| serde_json::from_value(object.spec.clone()).ok());
+        let record: Option<LeaseRecord> = current.as_ref().and_then(|object| object.decode().ok());
         if let Some(record) = &record {
             router.note_fence(record.fence);
         }
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -167,7 +167,7 @@
         let call = StoreCall::list(kind, after, stale);
         let InEra { value, era } = self.send(client, &call).await?;
         let value = decode_list(value.status, &value.body)?;
-        log_undecoded(kind, &value.undecoded);
+        log_undecoded(kind, value.undecoded_count, &value.undecoded);
         Ok(InEra { value, era })
     }
 
@@ -182,7 +182,7 @@
         let call = StoreCall::watch(kind, after_revision, wait_ms);
         let InEra { value, era } = self.send(self.client(), &call).await?;
         let value = decode_watch(value.status, &value.body)?;
-        log_undecoded(kind, &value.undecoded);
+        log_undecoded(kind, value.undecoded_count, &value.undecoded);
         Ok(InEra { value, era })
     }
 
@@ -284,10 +284,10 @@
 }
 
 /// Logs that objects of a page were skipped.
-fn log_undecoded(kind: ObjectKind, undecoded: &[StoreAnswerError]) {
+fn log_undecoded(kind: ObjectKind, count: usize, undecoded: &[StoreAnswerError]) {
     if let Some(first) = undecoded.first() {
         spdlog::warn!("store: ignoring objects that cannot be decoded", kv: {
-            kind = kind.0, count = undecoded.len(), why = first.to_string().as_str()
+            kind = kind.0, count, why = first.to_string().as_str()
         });
     }
 }
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -11,6 +11,7 @@
 mod endpoints;
 mod entry_supervisor;
 mod faults;
+mod large_lists;
 mod layout;
 mod leaving;
 mod limited;
