Read only settings files that are regular and small

With a pipe that nobody writes for its settings file, `route` logged nothing, opened no port and was still there 6 s after SIGTERM; an entry in service that got SIGHUP did not log the end of its check. `entry` waited in the same way. A file of 600,000 tables was decoded with 1,044 MB, and /dev/zero was read until memory was refused (1,067 MB with an address space of 2 GB). Cause: the start and the check read whatever the path names, to its end, in the thread that handles signals and requests. Change: `read_settings_file`, for both daemons, opens regular files only and reads 256 KB at most; others count as unreadable, so a start waits for a better one. Not covered: a file that is replaced by a pipe between the look at it and its opening, and a file system that does not answer.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,6 +11,7 @@
 use std::path::Path;
 
 pub use error::SettingsError;
+use pistachioyard_platform::read_settings_file;
 use pistachioyard_policy::ChoicePolicy;
 use raw::RawSettings;
 
@@ -54,7 +55,7 @@
     ///
     /// Returns all errors that were found.
     pub fn load(path: &Path) -> Result<Self, Vec<SettingsError>> {
-        let text = std::fs::read_to_string(path).map_err(|e| {
+        let text = read_settings_file(path).map_err(|e| {
             vec![SettingsError::Unreadable {
                 path: path.display().to_string(),
                 why: e.to_string(),
--- a/tests/operations/starts.rs
+++ b/tests/operations/starts.rs
@@ -17,6 +17,9 @@
 /// Runs a program whose settings file, its third argument, comes a second after its start.
 const LATE_FILE: &str =
     "mv \"$3\" \"$3.late\"; (sleep 1; mv \"$3.late\" \"$3\") & exec \"$0\" \"$@\"";
+/// The same with a pipe, which nobody writes, in its place until then.
+const LATE_FILE_AFTER_PIPE: &str = "mv \"$3\" \"$3.late\"; mkfifo \"$3\"; \
+                                    (sleep 1; mv \"$3.late\" \"$3\") & exec \"$0\" \"$@\"";
 /// The lines that say whether a start was held up.
 const OUTCOMES: [&str; 2] = ["start: step failed", "serves callers on"];
 
@@ -170,3 +173,11 @@
     entry.await_line("start: step failed { step=settings").await;
     entry.await_line("entry: one serves callers on").await;
 }
+
+/// Guards against a read that waits for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_daemon_does_not_wait_for_a_pipe_nobody_writes() {
+    let (mut entry, ()) = LoneEntry::start_in_shell(LATE_FILE_AFTER_PIPE, |_, _| ());
+    entry.await_line("start: step failed { step=settings").await;
+    entry.await_line("entry: one serves callers on").await;
+}
--- a/tests/site/starts.rs
+++ b/tests/site/starts.rs
@@ -26,6 +26,8 @@
 const ASSUMABLE: [&str; 4] = ["bootstrap", "directory", "heartbeat_ms", "region"];
 /// The number of settings that an entry assumes without them, bounds and limits.
 const ASSUMED: usize = 11;
+/// How long an entry that serves may take to end after SIGTERM.
+const STOP_TIMEOUT: Duration = Duration::from_secs(20);
 /// The line that a start logs when it is held up.
 const HELD_UP: &str = "start: step failed";
 
@@ -284,3 +286,31 @@
     .await
     .expect("the check names what it assumes");
 }
+
+/// Guards against a read that waits for ever in the only thread, also for SIGTERM.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_settings_file_that_is_a_pipe_nobody_writes_stops_no_entry() {
+    let mut site = Site::start(1).await;
+    let file = site.settings_file();
+    let text = std::fs::read_to_string(&file).expect("the settings can be read");
+    std::fs::remove_file(&file).expect("the settings can be removed");
+    let made = std::process::Command::new("mkfifo").arg(&file).status();
+    assert!(made.expect("the program runs").success());
+    let line = "router: cannot load the settings file";
+    site.entries[0].process.signal(Signal::SIGHUP);
+    wait_until(START_TIMEOUT, line, || async {
+        site.entries[0].process.log().contains(line)
+    })
+    .await
+    .expect("the check ends");
+    site.await_service().await;
+    site.entries[0].process.kill();
+    site.start_held_up("a pipe").await;
+    std::fs::remove_file(&file).expect("the pipe can be removed");
+    std::fs::write(&file, text).expect("the settings can be written");
+    site.await_service().await;
+    let process = &mut site.entries[0].process;
+    process.signal(Signal::SIGTERM);
+    let ended = process.running_child().wait(STOP_TIMEOUT).await;
+    assert_eq!(ended.expect("the entry ends").code(), Some(0));
+}
