Place layers while another service is out of reach everywhere

Cause: an entry that does not reach all endpoints of a service leaves the placement of all services to one that does; if none does, nobody places anything. Change: while no live peer reaches all services, the first of the entries places those within its reach. An entry that reaches no service with layers takes no lease, as before, nor does one with a sound live peer. Open: an entry that is cut off from its peers and from one of two services with layers, but not from the store, may now keep the lease.

--- a/src/router/controller/placement.rs
+++ b/src/router/controller/placement.rs
@@ -38,9 +38,14 @@
     let Some(active) = router.active_config() else {
         return;
     };
-    // What this entry takes for lost is only out of its reach, so another one decides.
+    let mut pipelines: Vec<_> = active.table.pipelines().collect();
     if router.count_out_of_reach() > 0 {
-        return;
+        // What this entry takes for lost may only be out of its reach, so one that reaches all
+        // decides.
+        pipelines.retain(|(service, _)| !router.is_out_of_reach(service));
+        if pipelines.is_empty() || !is_candidate(router, Instant::now()) {
+            return;
+        }
     }
     // The holder keeps the lease, so that a returning entry does not force a handover.
     if !lease.is_held(router) && !is_candidate(router, Instant::now()) {
@@ -49,7 +54,6 @@
     let Some(fence) = lease.fence(router).await else {
         return;
     };
-    let pipelines = active.table.pipelines();
     let mut any_fenced = None;
     for (service, spec) in pipelines {
         let settle_time = router
--- a/tests/site/start_orders.rs
+++ b/tests/site/start_orders.rs
@@ -326,6 +326,57 @@
     .await;
 }
 
+/// Guards against a service that is never placed, since all endpoints of another one have ended or
+/// are out of the reach of all entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_place_layers_while_another_service_is_out_of_reach() {
+    let mut site = Site::start_parts(&[Part::Store, Part::Config, Part::Entries]).await;
+    let (mut plain, engines) = std::mem::take(&mut site.endpoints)
+        .into_iter()
+        .partition(|endpoint| endpoint.is_plain);
+    std::mem::swap(&mut site.endpoints, &mut plain);
+    site.start_endpoints();
+    join_all(site.entries.iter().map(|entry| async {
+        let to = entry.caller_address();
+        let served = || async { site.check_plain(to, "/lookup/a").await.result.is_ok() };
+        let served = wait_until(RECOVERY_LIMIT, &entry.process.name, served).await;
+        served.expect("the service without layers is served");
+    }))
+    .await;
+    let cut = site.endpoints.iter().map(|endpoint| FaultRule {
+        from: None,
+        to: Some(endpoint.advertised),
+        kind: FaultKind::CutNew,
+    });
+    let cut: Vec<FaultRule> = cut.collect();
+    site.set_proxy_faults(&cut).await;
+    for endpoint in &mut site.endpoints {
+        endpoint.process.kill();
+    }
+    join_all(site.entries.iter().map(|entry| async {
+        let is_noticed = || async {
+            let _ = site.check_plain(entry.caller_address(), "/lookup/a").await;
+            entry.process.log().contains("reach: service out of reach")
+        };
+        let noticed = wait_until(RECOVERY_LIMIT, &entry.process.name, is_noticed).await;
+        noticed.expect("the entry notices that the service is out of reach");
+    }))
+    .await;
+    site.endpoints = engines;
+    site.start_endpoints();
+    let began = Instant::now();
+    for entry in &site.entries {
+        let is_served = || async { site.check_stream(entry.caller_address()).await.is_ok() };
+        let left = RECOVERY_LIMIT.saturating_sub(began.elapsed());
+        let served = wait_until(left, &entry.process.name, is_served).await;
+        served.expect("the service within reach is served");
+    }
+    println!(
+        "another service out of reach: {} ms",
+        began.elapsed().as_millis()
+    );
+}
+
 /// Guards against an entry whose orders are all refused, since endpoints have seen a higher fencing
 /// token than the store names.
 #[tokio::test(flavor = "multi_thread")]
