Sum up the metrics while nobody reads them

The recorder keeps each value of a histogram until the metrics are read, and nothing else summed them up: an entry whose port 9464 nobody reads grows with each request, at last over the memory of its machine, and the first reader then waits for all of them in one step.

A supervised task of route and entry sums the values up each second.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -42,6 +42,10 @@
     let metrics = crate::metric::install();
     crate::panic_hook::install(crate::metric::PANICS);
     let node = Node::new(settings, Instant::now());
+    let recorder = metrics.clone();
+    controller::supervise(&node, "metrics_upkeep", move |_| {
+        crate::metrics_upkeep::run(recorder.clone())
+    });
     let start = start(&node, &metrics, &hurry);
     let server = match start::unless_stopped(&mut signals, &hurry, start).await {
         Ok(server) => server,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod memory;
 #[cfg(feature = "entry")]
 mod metric;
+mod metrics_upkeep;
 mod panic_hook;
 #[cfg(feature = "entry")]
 mod peer_link;
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -197,6 +197,11 @@
 }
 
 impl Exporter {
+    /// Keeps the memory of the recorder bounded.
+    pub(crate) async fn keep_up(self) {
+        crate::metrics_upkeep::run(self.handle).await;
+    }
+
     /// Updates the gauges and renders all series.
     pub(crate) fn render(&self, router: &Router) -> String {
         let now = Instant::now();
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -67,6 +67,10 @@
     let router = Router::new(opened.settings, load_controls, Instant::now());
     log_assumed(&router.settings);
     opened.listeners.serve(&router);
+    let exporter = metrics.clone();
+    controller::supervise(&router, "metrics_upkeep", move |_| {
+        exporter.clone().keep_up()
+    });
     tokio::spawn(serve_metrics(router.clone(), metrics, hurry.clone()));
     spdlog::info!("router: started", kv: {
         entry = router.settings.entry.as_str(),
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -40,4 +40,5 @@
 mod stuck_watches;
 mod supervisor;
 mod support;
+mod unread_metrics;
 mod unread_streams;
