Write the log of the set-up without waiting for its reader

`route` that finds too few descriptors while nobody reads its output stayed in the write of `start: step failed`: it did not try again once there were descriptors, and was still there 5 s after SIGTERM, with standard output or standard error full. Cause: these lines went to spdlog's default logger, which waits for the reader, while the signals are held back; the queue came only with the runtime. Change: the queue is installed before the set-up, and each failed attempt writes what standard output takes at once. Lines of the set-up of `route` are on standard output now, with all others.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,6 +16,7 @@
 pub use self::stopped_early::StoppedEarly;
 pub(crate) use self::turn_meter::TurnMeter;
 use crate::prelude::*;
+use crate::router::Log;
 use crate::start::{Attempts, StartError};
 
 /// The number of pairs of descriptors that a runtime with its signal driver needs.
@@ -58,19 +59,23 @@
 
     /// Prepares the `entry` daemon.
     pub(crate) fn for_entry() -> Result<Self, StoppedEarly> {
-        Self::build(Builder::new_multi_thread(), fit_workers)
+        Self::build(Builder::new_multi_thread(), fit_workers, &|| {})
     }
 
     /// Prepares the `route` daemon on a single thread, because its hosts have less than one core.
     pub(crate) fn for_route() -> Result<Self, StoppedEarly> {
-        Self::build(Builder::new_current_thread(), |_| check_descriptors())
+        // Signals are held back during the set-up, so no line may wait for its reader.
+        let log = Log::install();
+        let check = |_: &mut Builder| check_descriptors();
+        Self::build(Builder::new_current_thread(), check, &|| log.write_ready())
     }
 
     /// Repeats the set-up, each time after a check that the system has what it needs: without, it
-    /// would panic.
+    /// would panic. `write_lines` writes what was logged.
     fn build(
         mut builder: Builder,
         check: fn(&mut Builder) -> std::io::Result<()>,
+        write_lines: &dyn Fn(),
     ) -> Result<Self, StoppedEarly> {
         let turns = Arc::new(TurnMeter::default());
         turns.observe(builder.enable_all());
@@ -85,7 +90,11 @@
                         turns,
                     });
                 }
-                Err(e) => StoppedEarly::unless_over(attempts.fail(&e))?,
+                Err(e) => {
+                    let pause = attempts.fail(&e);
+                    write_lines();
+                    StoppedEarly::unless_over(pause).inspect_err(|_| write_lines())?;
+                }
             }
         }
     }
--- a/src/router.rs
+++ b/src/router.rs
@@ -36,6 +36,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 pub(crate) use load_control::LoadControl;
+pub(crate) use log::Log;
 use parking_lot::{Mutex, RwLock};
 use pistachioyard_platform::NodeSettings;
 use pistachioyard_policy::{
--- a/src/router/log.rs
+++ b/src/router/log.rs
@@ -7,6 +7,7 @@
 mod line_queue;
 mod output;
 
+use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use spdlog::{LevelFilter, Logger};
@@ -21,6 +22,7 @@
 const WRITER_RETRY: Duration = Duration::from_millis(500);
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+static INSTALLED: OnceLock<Arc<Log>> = OnceLock::new();
 
 /// Writes the process's log.
 pub(crate) struct Log {
@@ -29,8 +31,13 @@
 }
 
 impl Log {
-    /// Installs the process-wide default logger. Its lines are written once [`Self::write`] runs.
+    /// Installs the process-wide default logger, unless it is installed. Its lines are written by
+    /// [`Self::write_ready`], and once [`Self::write`] runs.
     pub(crate) fn install() -> Arc<Self> {
+        INSTALLED.get_or_init(Self::create).clone()
+    }
+
+    fn create() -> Arc<Self> {
         let queue = Arc::new(LineQueue::default());
         let logger = Logger::builder()
             .sink(queue.clone())
@@ -60,7 +67,7 @@
                 });
             }
             failed_attempts += 1;
-            self.queue.write_until(Instant::now());
+            self.write_ready();
             tokio::time::sleep(WRITER_RETRY).await;
         }
         if failed_attempts > 0 {
@@ -68,6 +75,11 @@
         }
     }
 
+    /// Writes the lines that standard output takes at once, as long as there is no thread for them.
+    pub(crate) fn write_ready(&self) {
+        self.queue.write_until(Instant::now());
+    }
+
     fn start_writer(&self) -> std::io::Result<()> {
         let queue = self.queue.clone();
         let writer = std::thread::Builder::new().name(WRITER.to_owned());
--- a/tests/site/scarce.rs
+++ b/tests/site/scarce.rs
@@ -1,8 +1,10 @@
 //! Entries whose system has few descriptors or no threads.
 
+use std::process::Stdio;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
+use nix::unistd::Pid;
 use pistachioyard_standins::wait_until;
 
 use super::support::Site;
@@ -19,6 +21,12 @@
 const FEW_CONNECTIONS: &str = "ulimit -n 48; exec \"$0\" \"$@\"";
 /// More connections than that.
 const CONNECTIONS: usize = 64;
+/// Runs a program that finds too few descriptors for its runtime.
+const FEW_DESCRIPTORS: &str = "ulimit -n 6; exec \"$0\" \"$@\"";
+/// How long a program that writes without end may take to fill a pipe.
+const FILL_TIME: Duration = Duration::from_millis(500);
+/// How long a program may take from its `main` to the wait for descriptors.
+const SET_UP_TIME: Duration = Duration::from_millis(500);
 /// The lines that say whether a start was held up.
 const OUTCOMES: [&str; 2] = ["start: step failed", "router: started"];
 
@@ -103,3 +111,45 @@
     let ended = process.running_child().wait(STOP_TIMEOUT).await;
     assert_eq!(ended.expect("the entry ends").code(), Some(0));
 }
+
+/// Returns whether a process ignores SIGPIPE, as a program of Rust does from before its `main`.
+fn has_begun(id: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let ignored = status.lines().find_map(|line| line.strip_prefix("SigIgn:"));
+    let ignored = ignored.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+    ignored.is_some_and(|mask| mask & 1 << (Signal::SIGPIPE as u32 - 1) != 0)
+}
+
+/// Guards against a start that waits for the reader of its output with all signals held back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_blocked_reader_does_not_hold_up_a_stop_while_descriptors_are_waited_for() {
+    let mut site = Site::start(1).await;
+    site.entries[0].process.kill();
+    let (program, args) = site.entries[0].process.command();
+    let (_reader, writer) = std::io::pipe().expect("a pipe can be opened");
+    let output = || Stdio::from(writer.try_clone().expect("the pipe can be shared"));
+    let _filler = tokio::process::Command::new("yes")
+        .stdout(output())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the program runs");
+    tokio::time::sleep(FILL_TIME).await;
+    let mut entry = tokio::process::Command::new("sh")
+        .args(["-c", FEW_DESCRIPTORS])
+        .arg(program)
+        .args(args)
+        .stdout(output())
+        .stderr(output())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the entry starts");
+    let id = entry.id().expect("the entry runs");
+    let met = wait_until(START_TIMEOUT, "its main", || async { has_begun(id) });
+    met.await.expect("the entry begins");
+    tokio::time::sleep(SET_UP_TIME).await;
+    let pid = Pid::from_raw(id as i32);
+    nix::sys::signal::kill(pid, Signal::SIGTERM).expect("the signal is sent");
+    let ended = tokio::time::timeout(STOP_TIMEOUT, entry.wait()).await;
+    let ended = ended.expect("the stop is not held up");
+    assert_eq!(ended.expect("the entry ends").code(), Some(0));
+}
