Do not end by further signals that mean nothing to a daemon

Cause: three such signals were handled, and each other one that ends a process by default still did; a SIGALRM of the wait for descriptors that comes late was one of them. Change: both daemons handle nine of them. Measured (x86_64, debug build): starts::a_stray_signal_does_not_end_an_entry failed before ("ended by [SIGALRM, SIGIO, SIGPROF, SIGPWR, SIGVTALRM, SIGXCPU]"), and all of starts:: and scarce:: pass now. SIGQUIT still ends a daemon with a core, as operators expect; real-time signals and SIGSTKFLT are not handled.

--- a/src/daemon/signals.rs
+++ b/src/daemon/signals.rs
@@ -11,9 +11,15 @@
 
 /// The signals that would end a process without a handler and mean nothing to a daemon. A write
 /// beyond the limit for a file's size raises SIGXFSZ; the write fails, as one to a full device does.
-const IGNORED: [SystemSignal; 3] = [
+const IGNORED: [SystemSignal; 9] = [
+    SystemSignal::SIGALRM,
+    SystemSignal::SIGIO,
+    SystemSignal::SIGPROF,
+    SystemSignal::SIGPWR,
     SystemSignal::SIGUSR1,
     SystemSignal::SIGUSR2,
+    SystemSignal::SIGVTALRM,
+    SystemSignal::SIGXCPU,
     SystemSignal::SIGXFSZ,
 ];
 
@@ -46,12 +52,9 @@
 
     /// Waits for one of the signals before there are handlers; none comes within the pause.
     ///
-    /// The signals must be blocked. It needs no descriptor and no thread: SIGALRM ends the pause, and
-    /// stays blocked, since one may come after another signal has ended the wait.
+    /// The signals must be blocked. It needs no descriptor and no thread: SIGALRM, one of them, ends
+    /// the pause.
     pub(super) fn wait_blocked(pause: Duration) -> Result<Option<Self>, Errno> {
-        let mut signals = Self::all();
-        signals.add(SystemSignal::SIGALRM);
-        signals.thread_block()?;
         let _timer = match start_timer(pause) {
             Ok(timer) => Some(timer),
             Err(_) => {
@@ -59,7 +62,7 @@
                 None
             }
         };
-        Ok(match signals.wait()? {
+        Ok(match Self::all().wait()? {
             SystemSignal::SIGHUP => Some(Self::Hangup),
             SystemSignal::SIGINT => Some(Self::Interrupt),
             SystemSignal::SIGTERM => Some(Self::Terminate),
--- a/tests/site/starts.rs
+++ b/tests/site/starts.rs
@@ -14,6 +14,8 @@
 
 /// How long a start that is held up may take to log it, and to go on afterwards.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a signal may take to end a process that does not handle it.
+const SIGNAL_TIME: Duration = Duration::from_millis(200);
 /// The number of starts that are looked at for the order of their first system calls.
 const STARTS: usize = 20;
 /// The size of the files that the entry with a limit may write, in bytes.
@@ -28,6 +30,19 @@
 const ASSUMED: usize = 11;
 /// How long an entry that serves may take to end after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+/// Signals that end a process which does not handle them, and that ask a daemon for nothing.
+const STRAY_SIGNALS: [Signal; 10] = [
+    Signal::SIGALRM,
+    Signal::SIGIO,
+    Signal::SIGPIPE,
+    Signal::SIGPROF,
+    Signal::SIGPWR,
+    Signal::SIGUSR1,
+    Signal::SIGUSR2,
+    Signal::SIGVTALRM,
+    Signal::SIGXCPU,
+    Signal::SIGXFSZ,
+];
 /// The line that a start logs when it is held up.
 const HELD_UP: &str = "start: step failed";
 
@@ -314,3 +329,24 @@
     let ended = process.running_child().wait(STOP_TIMEOUT).await;
     assert_eq!(ended.expect("the entry ends").code(), Some(0));
 }
+
+/// Guards against an end by a signal that asks a daemon for nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stray_signal_does_not_end_an_entry() {
+    let mut site = Site::start(1).await;
+    let launcher = site.launcher.clone();
+    let mut ended = Vec::new();
+    for signal in STRAY_SIGNALS {
+        let process = &mut site.entries[0].process;
+        process.signal(signal);
+        let gone = tokio::time::timeout(SIGNAL_TIME, process.running_child().wait(START_TIMEOUT));
+        if gone.await.is_ok() {
+            ended.push(signal);
+            process.take_own_ends();
+            process.start(&launcher);
+            site.await_service().await;
+        }
+    }
+    assert!(ended.is_empty(), "ended by {ended:?}");
+    site.await_service().await;
+}
