--- a/crates/pistachioyard_standins/src/site/store.rs
+++ b/crates/pistachioyard_standins/src/site/store.rs
@@ -5,22 +5,28 @@
 //! `PUT /control/restore` makes the store come back from it in a new era, which every answer
 //! names. `PUT /control/odd` with a list of texts puts each, as it is, in front of the entries of
 //! workers in all lists, and in front of their changes. `PUT /control/hang` makes watches hang, and the next
-//! lists of a kind. `GET /control/lists` returns the number of lists of each kind.
+//! lists of a kind. `PUT /control/haste` makes it answer without letting watches wait.
+//! `GET /control/lists` returns the number of lists of each kind, `GET /control/calls` that of all
+//! calls.
+
+mod haste;
+mod orders;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::time::Duration;
 
 use ::http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use self::haste::Haste;
+use self::orders::{CopyOrder, HangOrder, RestoreOrder};
 use super::http::{Body, full_body, json_response, read_json, serve, status_only};
 
 /// The maximum number of events kept for watches.
@@ -36,38 +42,6 @@
     pub listen: SocketAddr,
 }
 
-/// Says what a copy of the objects contains.
-#[derive(Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct CopyOrder {
-    /// The kinds that are left out, as in a copy from before they were written.
-    without: Vec<String>,
-}
-
-/// Says how the store comes back from the copy.
-#[derive(Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct RestoreOrder {
-    /// How long the store is away before, in milliseconds.
-    away_ms: u64,
-    /// Whether calls get no answer while the store is away; otherwise they get 503.
-    silent: bool,
-    /// How long the store delays the answers to watches afterwards, in milliseconds.
-    watches_wait_ms: u64,
-}
-
-/// Says which calls get no answer although the store serves all others.
-#[derive(Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct HangOrder {
-    /// How long no watch is answered, those that wait already included, in milliseconds.
-    watches_ms: u64,
-    /// The kind of the lists that are not answered.
-    kind: String,
-    /// The number of these lists.
-    lists: u64,
-}
-
 #[derive(Clone, Default)]
 struct Objects {
     revision: u64,
@@ -91,6 +65,9 @@
     copy: Mutex<Objects>,
     changed: Notify,
     fault: AtomicU16,
+    haste: Mutex<Haste>,
+    /// The number of calls, without those that control the store.
+    calls: AtomicU64,
     /// The number of lists of each kind.
     lists: Mutex<BTreeMap<String, u64>>,
     /// Whether calls get no answer.
@@ -119,14 +96,25 @@
     if let Some(action) = path.strip_prefix("/control/") {
         return store.control(action, body).await;
     }
+    store.calls.fetch_add(1, Ordering::SeqCst);
     if let Some(answer) = store.fault_answer().await {
         return answer;
     }
+    let haste = *store.haste.lock();
+    if haste == Haste::RisingEra {
+        store.state.lock().era += 1;
+    }
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (&parts.method, segments.as_slice()) {
         (&Method::GET, ["objects", kind]) => match query_u64(&query, "watch") {
             Some(after) => store.watch(kind, after, query_u64(&query, "wait_ms")).await,
-            None => store.list(kind).await,
+            None => {
+                let page = haste.list(&store.state.lock(), query_text(&query, "after"));
+                match page {
+                    Some(page) => page,
+                    None => store.list(kind).await,
+                }
+            }
         },
         (&Method::GET, ["objects", kind, name]) => store.state.lock().read(kind, name),
         (&Method::POST, ["objects", kind]) => {
@@ -139,9 +127,13 @@
     }
 }
 
+fn query_text<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut parts = query.split('&');
+    parts.find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
+}
+
 fn query_u64(query: &str, name: &str) -> Option<u64> {
-    let value = |part: &str| part.strip_prefix(name)?.strip_prefix('=')?.parse().ok();
-    query.split('&').find_map(value)
+    query_text(query, name)?.parse().ok()
 }
 
 impl Store {
@@ -163,12 +155,23 @@
                 Ok(order) => self.hang(order),
                 Err(e) => return json_response(StatusCode::BAD_REQUEST, &json!(e.to_string())),
             },
+            "haste" => match serde_json::from_value(body) {
+                Ok(haste) => {
+                    *self.haste.lock() = haste;
+                    self.changed.notify_waiters();
+                }
+                Err(e) => return json_response(StatusCode::BAD_REQUEST, &json!(e.to_string())),
+            },
             "odd" => {
                 let texts = body.as_array().into_iter().flatten();
                 let texts = texts.filter_map(|text| text.as_str().map(str::to_owned));
                 self.state.lock().odd = texts.collect();
             }
             "lists" => return json_response(StatusCode::OK, &json!(*self.lists.lock())),
+            "calls" => {
+                let calls = self.calls.load(Ordering::SeqCst);
+                return json_response(StatusCode::OK, &json!(calls));
+            }
             _ => return status_only(StatusCode::NOT_FOUND),
         }
         status_only(StatusCode::OK)
@@ -249,6 +252,10 @@
             if let Some(answer) = self.fault_answer().await {
                 return answer;
             }
+            let haste = *self.haste.lock();
+            if let Some(answer) = haste.watch(&self.state.lock(), kind, after) {
+                return answer;
+            }
             let is_over = Instant::now() >= deadline;
             if let Some(answer) = self.state.lock().changes(kind, after, is_over) {
                 return answer;
--- /dev/null
+++ b/tests/site/hasty_store.rs
@@ -0,0 +1,119 @@
+//! A store whose answers leave the next call to be made at once.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::layout::Layout;
+use super::memory::{MACHINE_BYTES, check_peak};
+use super::support::Site;
+
+/// The most calls of an entry a second: 2,000 reads a second of the platform's store, divided
+/// among the 118 entries of the largest deployment.
+const MAX_CALLS_PER_S: f64 = 2_000.0 / 118.0;
+/// The most lines of an entry's log a second, two a call.
+const MAX_LINES_PER_S: f64 = 2.0 * MAX_CALLS_PER_S;
+/// How long an entry may take to use up the calls that it may make at once.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+/// How long calls and lines are counted.
+const COUNT_TIME: Duration = Duration::from_secs(4);
+/// The time within which a change must be known; the sum of the bound on a change of the
+/// configuration and of what a busy machine adds.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(4);
+
+impl Site {
+    async fn count_store_calls(&self) -> f64 {
+        let calls = self.client.get_json::<u64>(self.store, "/control/calls");
+        calls.await.expect("the store counts its calls") as f64
+    }
+
+    fn count_lines(&self) -> f64 {
+        self.entries[0].process.log().lines().count() as f64
+    }
+}
+
+/// Checks the pace of an entry whose store answers in this way. `is_told` says whether the answers
+/// still tell of changes.
+async fn check_pace(haste: &str, is_told: bool) {
+    let site = Site::start_with(Layout {
+        memory_mb: Some(MACHINE_BYTES / 1_000_000),
+        ..Layout::default()
+    })
+    .await;
+    site.control_store("haste", json!(haste)).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let (calls, lines) = (site.count_store_calls().await, site.count_lines());
+    tokio::time::sleep(COUNT_TIME).await;
+    let calls = (site.count_store_calls().await - calls) / COUNT_TIME.as_secs_f64();
+    let lines = (site.count_lines() - lines) / COUNT_TIME.as_secs_f64();
+    let to = site.entries[0].caller_address();
+    let mut is_known = true;
+    if is_told {
+        let path = site.add_route().await.expect("the store takes the change");
+        is_known = site.await_path(to, &path, CHANGE_TIMEOUT).await;
+    }
+    let is_served = site.check_plain(to, "/record/a").await.result;
+    println!("{haste}: {calls:.1} calls/s, {lines:.1} lines/s, known: {is_known}, {is_served:?}");
+    assert!(calls <= MAX_CALLS_PER_S, "{haste}: {calls} calls a second");
+    assert!(lines <= MAX_LINES_PER_S, "{haste}: {lines} lines a second");
+    assert!(is_known, "{haste}: a change was not known in time");
+    assert_eq!(is_served, Ok(()), "{haste}");
+    check_peak(&site);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn watches_that_are_answered_at_once_do_not_set_the_pace() {
+    check_pace("at_once", true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_that_are_told_again_and_again_do_not_set_the_pace() {
+    check_pace("same_events", true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_invalid_changes_do_not_fill_the_log() {
+    check_pace("many_invalid", false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_deletions_of_what_is_not_known_do_not_fill_the_log() {
+    check_pace("many_deleted", false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_that_cannot_be_decoded_do_not_set_the_pace() {
+    check_pace("undecodable", true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn revisions_that_rise_with_each_answer_do_not_set_the_pace() {
+    check_pace("rising_revision", false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn eras_that_rise_with_each_answer_do_not_set_the_pace() {
+    check_pace("rising_era", true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_history_that_is_always_gone_does_not_set_the_pace() {
+    check_pace("history_gone", true).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_that_has_the_same_page_for_ever_does_not_set_the_pace() {
+    check_pace("same_page", false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_without_an_end_does_not_set_the_pace() {
+    check_pace("endless_pages", false).await;
+}
+
+/// Guards against a list that counts as complete although it goes on after a page that does not
+/// name where, so that all endpoints on later pages count as gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_that_does_not_tell_where_it_goes_on_removes_no_endpoint() {
+    check_pace("nameless_page", false).await;
+}
