Pace the reads of the store by the entry, not by its answers

Callers of a machine whose store lets no watch wait share its processor with a loop that reads as fast as the store answers, and other entries find the store's 2,000 reads a second used up. Cause: config.rs waited between reads in large fleets only, a lost history led to the next read at once, and an era that changes with each answer began every list anew. Now StoreClient itself takes each watch and list of a kind from a CallPacer: eight at once, then one each 300 ms, and further pages of lists likewise. A wait that is given up takes nothing, so cancelled reads put no other off.

--- a/crates/pistachioyard_policy/src/lib.rs
+++ b/crates/pistachioyard_policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod adoption;
 mod bound;
 mod burn;
+mod call_pacer;
 mod chain;
 mod config_check;
 mod connection_reserve;
@@ -64,6 +65,7 @@
 pub use burn::{
     BURN_WINDOWS, BurnAlert, BurnCounter, BurnReport, BurnWindow, Measure, merge_counts,
 };
+pub use call_pacer::CallPacer;
 pub use chain::{
     Chain, ChainQuery, ChoicePolicy, NoChain, choose_chain, choose_chain_by, free_slots,
 };
--- a/src/router.rs
+++ b/src/router.rs
@@ -30,6 +30,7 @@
 mod run;
 mod short_reads;
 mod store_client;
+mod store_pace;
 mod told_age;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -151,6 +151,11 @@
     counter!("router_store_calls_total", "answered" => answered).increment(1);
 }
 
+/// Counts a read of a kind that had to wait, since the store's answers leave no pause.
+pub(crate) fn count_paced_read(kind: &'static str) {
+    counter!("router_store_reads_paced_total", "kind" => kind).increment(1);
+}
+
 /// Counts an order sent to an endpoint.
 pub(crate) fn count_order() {
     counter!("router_orders_total").increment(1);
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -18,6 +18,7 @@
 use crate::memory::SharedMemory;
 use crate::prelude::*;
 use crate::router::metric;
+use crate::router::store_pace::StorePace;
 
 /// How long the store may take to answer, in addition to the wait time of a long poll. The
 /// store usually answers within 4 ms, and within a few hundred ms while it is slow.
@@ -59,6 +60,7 @@
     address: SocketAddr,
     pooled: HttpClient,
     fresh: HttpClient,
+    pace: StorePace,
     /// Whether the last call was answered; the statuses 429 and 5xx count as unanswered.
     is_reachable: AtomicBool,
     /// When a call last failed.
@@ -78,6 +80,7 @@
             address,
             pooled: HttpClient::new(Some(local), Reuse::Pooled).with_memory(memory),
             fresh: HttpClient::new(Some(local), Reuse::Fresh).with_memory(memory),
+            pace: StorePace::default(),
             is_reachable: AtomicBool::new(true),
             last_failure: parking_lot::Mutex::new(None),
             eras: parking_lot::Mutex::default(),
@@ -119,6 +122,7 @@
         kind: ObjectKind,
         stale: bool,
     ) -> Result<InEra<ListPage>, StoreError> {
+        self.pace.wait_for_read(kind).await;
         self.list_over(self.client(), kind, stale).await
     }
 
@@ -128,8 +132,9 @@
         &self,
         kind: ObjectKind,
     ) -> Result<InEra<ListPage>, StoreError> {
+        self.pace.wait_for_read(kind).await;
         let is_pooled = self.is_reachable();
-        let first = self.list(kind, false);
+        let first = self.list_over(self.client(), kind, false);
         tokio::pin!(first);
         if !is_pooled {
             return first.await;
@@ -151,6 +156,7 @@
     ) -> Result<InEra<ListPage>, StoreError> {
         let mut list = self.list_page(client, kind, None, stale).await?;
         while let Some(after) = list.value.continue_after.take() {
+            self.pace.wait_for_page().await;
             let page = self.list_page(client, kind, Some(&after), stale).await?;
             check_era(list.era, page.era)?;
             list.value.objects.extend(page.value.objects);
@@ -180,6 +186,7 @@
         after_revision: u64,
         wait: Duration,
     ) -> Result<InEra<WatchPage>, StoreError> {
+        self.pace.wait_for_read(kind).await;
         let wait_ms = super::log::ms(wait);
         let call = StoreCall::watch(kind, after_revision, wait_ms);
         let InEra { value, era } = self.send(self.client(), &call).await?;
