Bound the pages of a list, and take none for whole that goes on

What callers saw: beside a store whose list has always another page, the entry grew to 1,908 MB in 8 s and would be ended on a machine of 260 MB, without a line; and after a page whose last object has no name all endpoints on later pages counted as gone, so each request got 503. Cause: list_over read pages as long as the store has more, and decode_list answered 'no more' when it could not tell where the list goes on.

--- a/crates/pistachioyard_standins/src/site/store/haste.rs
+++ b/crates/pistachioyard_standins/src/site/store/haste.rs
@@ -9,7 +9,7 @@
 /// The number of events of an answer that has many.
 const MANY_EVENTS: usize = 5_000;
 /// The size of each object of a list that has no end, in bytes.
-const LARGE_OBJECT_BYTES: usize = 64_000;
+const LARGE_OBJECT_BYTES: usize = 4_000_000;
 
 /// Says how the store answers watches and lists without letting them wait.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -10,7 +10,7 @@
 use super::{expiry, jittered};
 use crate::prelude::*;
 use crate::router::log::ms;
-use crate::router::store_client::{InEra, StoreError};
+use crate::router::store_client::{InEra, StoreError, log_unread};
 use crate::router::{ActiveConfig, Router};
 
 /// The pause after a failed call. Refused calls have a cost too, and peers supply the
@@ -42,7 +42,8 @@
                 spdlog::warn!("config: watch history expired, reading the configuration again");
                 position = None;
             }
-            Err(_) => {
+            Err(e) => {
+                log_unread(CONFIG_KIND, &e);
                 // The store may have dropped changes from its history since the failed watch.
                 position = None;
                 tokio::time::sleep(jittered(RETRY_PAUSE)).await;
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -12,7 +12,7 @@
 use crate::prelude::*;
 use crate::router::Router;
 use crate::router::log::ms;
-use crate::router::store_client::{InEra, StoreError};
+use crate::router::store_client::{InEra, StoreError, log_unread};
 
 /// The pause after a failed call, because even a refused call has a cost. Peers supply the
 /// endpoints in the meantime.
@@ -47,7 +47,10 @@
                 position = None;
                 tokio::time::sleep(jittered(RELIST_PAUSE)).await;
             }
-            Err(_) => tokio::time::sleep(jittered(RETRY_PAUSE)).await,
+            Err(e) => {
+                log_unread(ENDPOINT_KIND, &e);
+                tokio::time::sleep(jittered(RETRY_PAUSE)).await;
+            }
         }
     }
 }
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -13,7 +13,7 @@
 use pistachioyard_policy::{EraNews, EraTracker, StoreEra, is_other_era};
 use tokio::sync::watch;
 
-use crate::client::{Answer, Call, HttpClient, Reuse};
+use crate::client::{Answer, Call, HttpClient, MAX_ANSWER_BYTES, Reuse};
 use crate::error::CallError;
 use crate::memory::SharedMemory;
 use crate::prelude::*;
@@ -26,6 +26,10 @@
 /// After which time without an answer a list that must not be late is requested once more, on a
 /// new connection.
 const HEDGE_AFTER: Duration = Duration::from_millis(250);
+/// The number of pages of a list. A fleet of 10,000 endpoints has 20 (`docs/CAPACITY.md`).
+const MAX_LIST_PAGES: usize = 64;
+/// The size of all objects of a list in memory, in bytes; as for a single page.
+const MAX_LIST_BYTES: usize = MAX_ANSWER_BYTES;
 
 /// Says why a call to the store failed.
 #[derive(Debug, thiserror::Error)]
@@ -36,6 +40,9 @@
     /// The store's answer is an error or cannot be decoded.
     #[error("{0}")]
     Fault(#[from] StoreAnswerError),
+    /// A list has more pages or objects than are read.
+    #[error("the list has more than {MAX_LIST_PAGES} pages or {MAX_LIST_BYTES} bytes")]
+    TooLong,
     /// The answer is from before the store came back from an older copy, so what it says may
     /// be gone.
     #[error("the answer is of era {} of the store, which is in era {}", answer.0, known.0)]
@@ -155,10 +162,20 @@
         stale: bool,
     ) -> Result<InEra<ListPage>, StoreError> {
         let mut list = self.list_page(client, kind, None, stale).await?;
+        let mut bytes = size(&list.value.objects);
+        let mut pages = 1;
         while let Some(after) = list.value.continue_after.take() {
             self.pace.wait_for_page().await;
             let page = self.list_page(client, kind, Some(&after), stale).await?;
             check_era(list.era, page.era)?;
+            if page.value.continue_after.as_ref() == Some(&after) {
+                return Err(StoreAnswerError::NoNextPage.into());
+            }
+            pages += 1;
+            bytes += size(&page.value.objects);
+            if pages > MAX_LIST_PAGES || bytes > MAX_LIST_BYTES {
+                return Err(StoreError::TooLong);
+            }
             list.value.objects.extend(page.value.objects);
             list.value.continue_after = page.value.continue_after;
         }
@@ -288,6 +305,25 @@
     }
 }
 
+/// Logs why the objects of a kind could not be read, unless no answer came or the store refused the
+/// call, which [`StoreClient`] logs when it begins.
+pub(super) fn log_unread(kind: ObjectKind, e: &StoreError) {
+    match e {
+        StoreError::Unanswered(_) | StoreError::Fault(StoreAnswerError::Refused { .. }) => {}
+        StoreError::Fault(_) | StoreError::TooLong | StoreError::EarlierEra { .. } => {
+            spdlog::warn!("store: cannot read", kv: {
+                kind = kind.0, why = e.to_string().as_str()
+            });
+        }
+    }
+}
+
+/// Returns how much memory objects take, in bytes.
+fn size(objects: &[Object]) -> usize {
+    let texts = objects.iter().map(|o| o.name.len() + o.spec.get().len());
+    texts.sum::<usize>() + std::mem::size_of_val(objects)
+}
+
 /// Checks that an answer is not of an earlier era than the known one.
 fn check_era(answer: Option<StoreEra>, known: Option<StoreEra>) -> Result<(), StoreError> {
     match (answer, known) {
