Bound the log lines about records of the store

Cause: each record that is invalid, changed or deleted has a line, and an answer of the store holds any number of them. 5,000 in each answer made 12,500 lines a second, of which the log's queue dropped what its reader did not take, lines about requests among them.

--- a/src/router.rs
+++ b/src/router.rs
@@ -14,6 +14,7 @@
 mod endpoint_order;
 mod filter;
 mod http_server;
+mod line_limit;
 mod load_control;
 mod log;
 mod losses;
@@ -150,6 +151,8 @@
     pub(crate) client: EndpointClient,
     pub(crate) peer_client: HttpClient,
     pub(crate) store: StoreClient,
+    /// The lines about records whose number others decide.
+    record_lines: line_limit::LineLimit,
     pub(crate) reports: filter::ReportCache,
     /// The memory that what others send takes together.
     pub(crate) memory: MemoryShares,
@@ -233,6 +236,7 @@
                 settings.store.address,
                 &memory.own_calls,
             ),
+            record_lines: line_limit::LineLimit::default(),
             reports: filter::ReportCache::default(),
             memory,
             settings,
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -112,15 +112,17 @@
     let table = match decode_config(source) {
         Ok(table) => table,
         Err(e) => {
-            spdlog::error!("config: rejected, keeping the active version", kv: {
-                from, why = e.to_string().as_str(), in_force = router.version()
-            });
+            if router.record_lines.allows() {
+                spdlog::error!("config: rejected, keeping the active version", kv: {
+                    from, why = e.to_string().as_str(), in_force = router.version()
+                });
+            }
             return;
         }
     };
     let mut config = router.config.write();
     let old = config.as_ref().map_or(0, |active| active.table.version);
-    if table.version < old {
+    if table.version < old && router.record_lines.allows() {
         spdlog::warn!("config: ignoring an older version", kv: {
             version = table.version, in_force = old
         });
--- a/src/router/controller/convictions.rs
+++ b/src/router/controller/convictions.rs
@@ -99,19 +99,25 @@
             return None;
         }
     };
-    let convictions: Vec<Conviction> = page.objects.iter().filter_map(decode).collect();
+    let convictions: Vec<Conviction> = page
+        .objects
+        .iter()
+        .filter_map(|o| decode(router, o))
+        .collect();
     let stored = convictions.iter().map(|c| (c.name(), c.state())).collect();
     adopt(router, convictions);
     Some(stored)
 }
 
-fn decode(object: &Object) -> Option<Conviction> {
+fn decode(router: &Router, object: &Object) -> Option<Conviction> {
     match object.decode::<Conviction>() {
         Ok(conviction) => Some(conviction),
         Err(e) => {
-            spdlog::warn!("quarantine: ignoring a malformed conviction", kv: {
-                name = object.name.as_str(), why = e.to_string().as_str()
-            });
+            if router.record_lines.allows() {
+                spdlog::warn!("quarantine: ignoring a malformed conviction", kv: {
+                    name = object.name.as_str(), why = e.to_string().as_str()
+                });
+            }
             None
         }
     }
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -61,7 +61,7 @@
     let InEra { value: page, era } = router.store.list_in_time(ENDPOINT_KIND).await?;
     let mut records = Vec::new();
     for part in page.objects.chunks(RECORDS_PER_TURN) {
-        records.extend(part.iter().filter_map(|object| decode(object, era)));
+        records.extend(part.iter().filter_map(|object| decode(router, object, era)));
         yield_turn().await;
     }
     let seen = StorePosition {
@@ -92,7 +92,7 @@
         yield_turn().await;
     }
     router.endpoints_freshness.lock().confirm(began);
-    log_all(&news, "store").await;
+    log_all(router, &news, "store").await;
     Ok(seen)
 }
 
@@ -122,8 +122,11 @@
         }
         if !change.deleted {
             note_position(router, era, change.object.revision);
-            let record = decode(&change.object, era);
-            if let Some(news) = record.and_then(|record| apply_stored(router, record)) {
+            let record = decode(router, &change.object, era);
+            let news = record.and_then(|record| apply_stored(router, record));
+            if let Some(news) = news
+                && router.record_lines.allows()
+            {
                 news.log("store");
             }
         } else if let Ok(endpoint) = EndpointId::try_from(change.object.name.as_str()) {
@@ -168,7 +171,7 @@
     router.endpoints_lag.lock().note(seen);
 }
 
-fn decode(object: &Object, era: Option<StoreEra>) -> Option<EndpointRecord> {
+fn decode(router: &Router, object: &Object, era: Option<StoreEra>) -> Option<EndpointRecord> {
     let changed_at = StorePosition {
         era,
         revision: object.revision,
@@ -176,10 +179,12 @@
     match decode_endpoint(&object.name, &*object.spec, changed_at) {
         Ok(record) => Some(record),
         Err(e) => {
-            spdlog::warn!("endpoints: ignoring an invalid record", kv: {
-                entry = object.name.as_str(), revision = object.revision,
-                why = e.to_string().as_str()
-            });
+            if router.record_lines.allows() {
+                spdlog::warn!("endpoints: ignoring an invalid record", kv: {
+                    entry = object.name.as_str(), revision = object.revision,
+                    why = e.to_string().as_str()
+                });
+            }
             None
         }
     }
@@ -188,9 +193,11 @@
 /// Applies a record from the store, unless the store came back from an older copy that holds it.
 fn apply_stored(router: &Router, record: EndpointRecord) -> Option<RecordNews> {
     if is_just_returned(router) && router.endpoints.lock().shows_older_copy(&record) {
-        spdlog::info!("endpoints: ignoring a record from an older copy", kv: {
-            endpoint = record.endpoint.as_str(), revision = record.changed_at.revision
-        });
+        if router.record_lines.allows() {
+            spdlog::info!("endpoints: ignoring a record from an older copy", kv: {
+                endpoint = record.endpoint.as_str(), revision = record.changed_at.revision
+            });
+        }
         return None;
     }
     apply(router, record)
@@ -229,9 +236,9 @@
 }
 
 /// Logs what a list has changed.
-pub(super) async fn log_all(news: &[RecordNews], from: &'static str) {
+pub(super) async fn log_all(router: &Router, news: &[RecordNews], from: &'static str) {
     for part in news.chunks(RECORDS_PER_TURN) {
-        for news in part {
+        for news in part.iter().filter(|_| router.record_lines.allows()) {
             news.log(from);
         }
         yield_turn().await;
@@ -266,9 +273,11 @@
     let kept_ms = retain_until.map_or(0, |until| {
         ms(until.saturating_duration_since(Instant::now()))
     });
-    spdlog::info!("endpoints: record deleted", kv: {
-        endpoint = endpoint.as_str(), is_removed, kept_ms
-    });
+    if router.record_lines.allows() {
+        spdlog::info!("endpoints: record deleted", kv: {
+            endpoint = endpoint.as_str(), is_removed, kept_ms
+        });
+    }
     if is_removed {
         router.endpoints_changed.notify_one();
     } else if let Some(until) = retain_until {
--- a/src/router/controller/peer_fallback.rs
+++ b/src/router/controller/peer_fallback.rs
@@ -142,5 +142,5 @@
         }
     }
     router.note_ended_runs();
-    endpoints::log_all(&news, "peer").await;
+    endpoints::log_all(router, &news, "peer").await;
 }
