Take a port for one destination, not for all

What callers saw: after some 28,000 requests that run at most once within a minute, 503 for all ('the service has no usable endpoint'), and other programs of the host could not connect either, a test to its own store for 20 s. Cause: outgoing sockets were bound to the own address with port 0 before the connect, which takes a port for all destinations; the entry closes first, so it is held for a minute more, and the system keeps one such entry a port for all addresses. One place opens all outgoing streams now, with IP_BIND_ADDRESS_NO_PORT; where the system refuses that, it binds as before and says so once.

--- a/src/client.rs
+++ b/src/client.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
+use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -19,10 +19,11 @@
 use crate::error::{AnswerPart, CallError};
 use crate::final_response::{FinalResponse, status_lost};
 use crate::memory::{ByteBuffer, HeldMemory, MemoryKind, SharedMemory};
+use crate::outgoing::Connector;
 use crate::prelude::*;
 
-/// The timeout of a connection attempt, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 400;
+/// The timeout of a connection attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long an idle connection is kept in the pool, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
 /// The maximum size of the head of a response, in bytes; several times that of a caller's
@@ -123,17 +124,14 @@
 /// Sends calls to other processes.
 #[derive(Clone)]
 pub(crate) struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    inner: Client<Connector, Full<Bytes>>,
     memory: Arc<SharedMemory>,
 }
 
 impl HttpClient {
     /// Creates a client whose connections are bound to `local`.
     pub(crate) fn new(local: Option<IpAddr>, reuse: Reuse) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_local_address(local);
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        let connector = Connector::new(local, CONNECT_TIMEOUT);
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_timer(TokioTimer::new());
         builder.http1_max_buf_size(MAX_HEAD_BYTES);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 #[cfg(feature = "entry")]
 mod metric;
 mod metrics_upkeep;
+mod outgoing;
 mod panic_hook;
 #[cfg(feature = "entry")]
 mod peer_link;
--- a/src/peer_link.rs
+++ b/src/peer_link.rs
@@ -18,6 +18,7 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Bytes, Message};
 
+use crate::outgoing::open_stream;
 use crate::prelude::*;
 
 /// The maximum number of peers that an entry dials.
@@ -117,11 +118,8 @@
 }
 
 async fn connect(node: &Node, address: SocketAddr) -> Option<WebSocketStream<TcpStream>> {
-    let socket = TcpSocket::new_v4().ok()?;
-    let local = SocketAddr::new(node.settings.peer_address.ip(), 0);
-    socket.bind(local).ok()?;
-    let stream = socket.connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+    let local = node.settings.peer_address.ip();
+    let stream = open_stream(Some(local), address).await.ok()?;
     let url = format!("ws://{address}/v1/peer");
     let limits = Some(message_limits());
     let dialed = tokio_tungstenite::client_async_with_config(url, stream, limits);
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -14,13 +14,13 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use pistachioyard_policy::{Reach, ReachTracker, Repeatability};
-use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
 use crate::client::{MAX_HEAD_BYTES, head_lost};
 use crate::error::CallError;
 use crate::final_response::FinalResponse;
 use crate::memory::SharedMemory;
+use crate::outgoing::open_stream;
 use crate::prelude::*;
 use crate::router::metric;
 use crate::router::short_reads::ShortReads;
@@ -224,16 +224,13 @@
 async fn connect(local: IpAddr, to: SocketAddr) -> Result<SendRequest<Full<Bytes>>, CallError> {
     metric::count_connect();
     let not_sent = CallError::NotSent { to };
-    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, open_stream(local, to)).await {
+    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, open_stream(Some(local), to)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
             return Err(CallError::Refused { to });
         }
         Ok(Err(_)) | Err(_) => return Err(not_sent),
     };
-    if stream.set_nodelay(true).is_err() {
-        return Err(not_sent);
-    }
     let handshake = http1::Builder::new()
         .max_header_size(MAX_HEAD_BYTES)
         .max_buf_size(MAX_HEAD_BYTES)
@@ -246,9 +243,3 @@
     sender.ready().await.map_err(|_| not_sent)?;
     Ok(sender)
 }
-
-async fn open_stream(local: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(SocketAddr::new(local, 0))?;
-    socket.connect(to).await
-}
