Blame nobody else for what this host lacks

What callers saw: while an entry has no descriptor (or port) for another connection, all endpoints of a service are ejected, one after the other, and requests get 503 until each was probed again. Cause: any error of the connect counted as 'no connection', the endpoint's fault. EMFILE, ENFILE, EADDRINUSE, EADDRNOTAVAIL, ENOBUFS and ENOMEM are a CallError::Shortage now: it ejects no endpoint, counts for no reach, probe, opinion or report, and the request is refused at once as not run; a line a second and a counter tell what is short.

--- a/src/client.rs
+++ b/src/client.rs
@@ -171,7 +171,11 @@
         let connection = capture_connection(&mut req);
         let response = self.inner.request(req).await.map_err(|e| {
             if e.is_connect() {
-                return CallError::NotSent { to };
+                let cause = e.source().and_then(|source| source.downcast_ref());
+                return match cause.map(|e| CallError::of_connect(to, e)) {
+                    Some(e @ CallError::Shortage { .. }) => e,
+                    _ => CallError::NotSent { to },
+                };
             }
             match e.source().and_then(|source| source.downcast_ref()) {
                 Some(e) => head_lost(to, e),
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -64,6 +64,8 @@
             node.unsent_reports.lock().add(endpoint);
             node.admission.wake();
         }
+        // Nothing was learned of the endpoint.
+        Err(CallError::Shortage { .. }) => {}
         Err(error) => {
             let missed = {
                 let mut misses = misses.0.lock();
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of calls to other processes.
 
+use crate::shortage::Shortage;
+
 /// The reason why a call to another process gave no usable response.
 ///
 /// The variants differ in whether the other side may have acted on the call, which decides what
@@ -18,6 +20,15 @@
         /// The address that was called.
         to: std::net::SocketAddr,
     },
+    /// This host could not open a connection for want of something of its own, so no byte of the
+    /// call was sent.
+    #[error("no connection to {to}, this host is short of {}", of.as_str())]
+    Shortage {
+        /// The address that was called.
+        to: std::net::SocketAddr,
+        /// What the host lacks.
+        of: Shortage,
+    },
     /// The call may have been received; the response was lost.
     #[error("the response of {to} was lost")]
     AnswerLost {
@@ -59,12 +70,25 @@
 }
 
 impl CallError {
+    /// Returns the error for a connection attempt that failed, and logs what this host lacks.
+    pub(crate) fn of_connect(to: std::net::SocketAddr, e: &std::io::Error) -> Self {
+        match Shortage::of(e) {
+            Some(of) => {
+                of.log(to);
+                Self::Shortage { to, of }
+            }
+            None if e.kind() == std::io::ErrorKind::ConnectionRefused => Self::Refused { to },
+            None => Self::NotSent { to },
+        }
+    }
+
     /// Returns whether the other side answered, though not with a usable response.
     pub(crate) fn is_answered(&self) -> bool {
         match self {
             Self::Malformed { .. } | Self::Status { .. } | Self::TooLong { .. } => true,
             Self::Refused { .. }
             | Self::NotSent { .. }
+            | Self::Shortage { .. }
             | Self::AnswerLost { .. }
             | Self::Timeout { .. } => false,
         }
--- a/src/filter/dispatch.rs
+++ b/src/filter/dispatch.rs
@@ -57,6 +57,8 @@
     Refused(EndpointId),
     /// No part of the attempt was sent to the endpoint.
     NotReached(EndpointId),
+    /// This host could not connect to it for want of something of its own, so nothing was sent.
+    Short(EndpointId),
     /// An endpoint was lost while the attempt may have run there.
     Lost(EndpointId),
     /// The link from the first endpoint to the second is stalled.
@@ -216,6 +218,7 @@
                 AttemptEnd::Refused(head.endpoint.clone())
             }
             Err(CallError::NotSent { .. }) => AttemptEnd::NotReached(head.endpoint.clone()),
+            Err(CallError::Shortage { .. }) => AttemptEnd::Short(head.endpoint.clone()),
             Err(e) => {
                 spdlog::debug!("dispatch: the attempt at {} failed: {e}", head.endpoint);
                 self.may_have_run = true;
--- a/src/filter/operate.rs
+++ b/src/filter/operate.rs
@@ -128,7 +128,8 @@
                 hold.settle_later(outcome.clone());
                 return Ok(outcome);
             }
-            Ok(ServiceAnswer::NotRun) | Err(CallError::NotSent { .. }) => {}
+            Ok(ServiceAnswer::NotRun)
+            | Err(CallError::NotSent { .. } | CallError::Shortage { .. }) => {}
             Err(e) => {
                 spdlog::warn!("operate: the result from {endpoint} was lost: {e}");
                 return Err(Problem::new(
@@ -169,7 +170,8 @@
                     repeated: false,
                 });
             }
-            Ok(ServiceAnswer::NotRun) | Err(CallError::NotSent { .. }) => {}
+            Ok(ServiceAnswer::NotRun)
+            | Err(CallError::NotSent { .. } | CallError::Shortage { .. }) => {}
             Err(e) => {
                 spdlog::debug!("operate: the call to {endpoint} failed: {e}");
                 may_have_run = true;
--- a/src/filter/recover.rs
+++ b/src/filter/recover.rs
@@ -89,6 +89,10 @@
             fleet.note_unreachable(endpoint, now);
             "not_reached"
         }
+        AttemptEnd::Short(endpoint) => {
+            generation.exclude.insert(endpoint.clone());
+            "not_reached"
+        }
         AttemptEnd::Refused(endpoint) => {
             generation.exclude.insert(endpoint.clone());
             let mut fleet = generation.node.fleet.lock();
--- a/src/filter/suspect.rs
+++ b/src/filter/suspect.rs
@@ -145,8 +145,9 @@
 pub(crate) async fn all_stages_answer(node: &Node, stages: &[StageRef]) -> bool {
     let timeout = Duration::from_millis(CRASH_PROBE_TIMEOUT_MS);
     let probes = stages.iter().map(|stage| async move {
-        let answers = node.engines.report(stage.address, timeout).await.is_ok();
-        if !answers {
+        let report = node.engines.report(stage.address, timeout).await;
+        let answers = report.is_ok();
+        if !answers && !matches!(report, Err(CallError::Shortage { .. })) {
             let mut fleet = node.fleet.lock();
             fleet.note_unreachable(&stage.endpoint, Instant::now());
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 mod service;
 #[cfg(feature = "entry")]
 mod settings;
+mod shortage;
 mod start;
 mod supervisor;
 
--- a/src/router/controller/suspects.rs
+++ b/src/router/controller/suspects.rs
@@ -51,6 +51,11 @@
         // An endpoint of a plain service has no report, but it answers.
         Err(e) if e.is_answered() => (None, ProbeResult::Answered),
         Err(CallError::Refused { .. }) => (None, ProbeResult::Refused),
+        Err(CallError::Shortage { .. }) => {
+            // Nothing was learned of the endpoint, which stays due.
+            tokio::time::sleep(PROBE_TIMEOUT).await;
+            return;
+        }
         Err(_) => (None, ProbeResult::Silent),
     };
     let now = Instant::now();
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -4,7 +4,6 @@
 //! the request can have reached the endpoint, and it never retries a request on its own.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 
 use bytes::Bytes;
@@ -137,13 +136,14 @@
 
     /// Returns whether an endpoint accepts connections.
     pub(crate) async fn is_reachable(&self, to: SocketAddr) -> bool {
-        match self.connect(to).await {
-            Ok(sender) => {
-                self.keep(Connection { to, sender }, None);
-                true
-            }
-            Err(_) => false,
-        }
+        self.try_connect(to).await.is_ok()
+    }
+
+    /// Opens a connection to an endpoint and keeps it in the pool.
+    pub(crate) async fn try_connect(&self, to: SocketAddr) -> Result<(), CallError> {
+        let sender = self.connect(to).await?;
+        self.keep(Connection { to, sender }, None);
+        Ok(())
     }
 
     /// Returns a connection to the pool once its response was read to the end.
@@ -167,6 +167,7 @@
         let now = Instant::now();
         match &connected {
             Ok(_) => self.reach.lock().record_accepted(to, now),
+            Err(CallError::Shortage { of, .. }) => metric::count_shortage(*of),
             Err(_) => {
                 self.reach.lock().record_failed(to, now);
                 self.reach_doubtful.notify_one();
@@ -226,10 +227,8 @@
     let not_sent = CallError::NotSent { to };
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, open_stream(Some(local), to)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => {
-            return Err(CallError::Refused { to });
-        }
-        Ok(Err(_)) | Err(_) => return Err(not_sent),
+        Ok(Err(e)) => return Err(CallError::of_connect(to, &e)),
+        Err(_) => return Err(not_sent),
     };
     let handshake = http1::Builder::new()
         .max_header_size(MAX_HEAD_BYTES)
--- a/src/router/filter/plain.rs
+++ b/src/router/filter/plain.rs
@@ -217,6 +217,15 @@
         }
     }
 
+    /// Creates the problem for a request for which this host cannot open a connection.
+    fn no_connection_left(&self) -> Problem {
+        if self.started > 0 {
+            return result_lost("an attempt's answer was lost; no other connection can be opened");
+        }
+        let detail = "this entry cannot open a connection now; retry later";
+        no_capacity(detail, self.return_after_ms())
+    }
+
     fn return_after_ms(&self) -> u64 {
         self.router
             .return_after_ms(self.call, self.service, RETRY_AFTER_MS)
@@ -286,6 +295,11 @@
                 self.started -= 1;
                 NextStep::TryAnother("not_reached")
             }
+            AttemptResult::Short(detail) => {
+                record.log_attempt_failed(endpoint, &detail);
+                self.started -= 1;
+                NextStep::Refuse(self.no_connection_left())
+            }
             AttemptResult::Lost(detail) => {
                 record.log_attempt_failed(endpoint, &detail);
                 if !self.may_start_another() || !self.router.try_retry(self.service) {
--- a/src/router/filter/plain/attempt.rs
+++ b/src/router/filter/plain/attempt.rs
@@ -57,6 +57,8 @@
     Refused(Box<AnswerHead>, HeaderMap, Bytes),
     /// No connection was made, so nothing was sent.
     NotReached,
+    /// This host lacks what a connection takes, so nothing was sent; holds the reason.
+    Short(String),
     /// The request may have run, but its answer was lost.
     Lost(String),
     /// No answer arrived in the time given.
@@ -135,6 +137,7 @@
         Err(CallError::NotSent { .. } | CallError::Refused { .. }) => {
             return AttemptResult::NotReached;
         }
+        Err(e @ CallError::Shortage { .. }) => return AttemptResult::Short(e.to_string()),
         Err(e) => {
             if !matches!(e, CallError::TooLong { .. }) {
                 record_loss();
@@ -195,6 +198,7 @@
         Err(CallError::NotSent { .. } | CallError::Refused { .. }) => {
             return AttemptResult::NotReached;
         }
+        Err(e @ CallError::Shortage { .. }) => return AttemptResult::Short(e.to_string()),
         Err(e) => return AttemptResult::Lost(e.to_string()),
     };
     let (mut parts, body) = response.into_parts();
--- a/src/router/filter/relay/path_run.rs
+++ b/src/router/filter/relay/path_run.rs
@@ -269,6 +269,7 @@
                 self.router.suspect(first, SuspectReason::NoAnswer);
                 OpenResult::NotReached
             }
+            Err(CallError::Shortage { .. }) => OpenResult::NotRun,
             Err(e @ CallError::TooLong { .. }) => OpenResult::TooLong(e.to_string()),
             Err(e) => {
                 self.suspect_first_endpoint();
--- a/src/router/filter/report_cache.rs
+++ b/src/router/filter/report_cache.rs
@@ -98,11 +98,12 @@
         self.opinions.get(of, asked).await
     }
 
-    /// Returns whether an endpoint accepts a connection within the probe timeout.
+    /// Returns whether an endpoint accepts a connection within the probe timeout, or this host
+    /// cannot ask it.
     pub(crate) async fn is_alive(&self, client: &EndpointClient, to: SocketAddr) -> bool {
         let probe = async {
-            let reached = tokio::time::timeout(PROBE_TIMEOUT, client.is_reachable(to)).await;
-            reached.unwrap_or(false)
+            let connected = tokio::time::timeout(PROBE_TIMEOUT, client.try_connect(to)).await;
+            matches!(connected, Ok(Ok(()) | Err(CallError::Shortage { .. })))
         };
         self.probes.get(to, probe).await
     }
--- a/src/router/metric.rs
+++ b/src/router/metric.rs
@@ -12,6 +12,7 @@
 use crate::daemon::TurnMeter;
 use crate::prelude::*;
 use crate::router::Router;
+use crate::shortage::Shortage;
 
 /// The latency bucket bounds, in seconds; they surround the latency targets of the routes.
 const LATENCY_BUCKETS_SECONDS: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.2, 0.5, 1.0, 2.5, 20.0];
@@ -151,6 +152,12 @@
     counter!("router_store_calls_total", "answered" => answered).increment(1);
 }
 
+/// Counts a connection to an endpoint or a peer that was not opened, since this host lacks
+/// something.
+pub(crate) fn count_shortage(of: Shortage) {
+    counter!("router_host_shortages_total", "of" => of.as_str()).increment(1);
+}
+
 /// Counts a read of a kind that had to wait, since the store's answers leave no pause.
 pub(crate) fn count_paced_read(kind: &'static str) {
     counter!("router_store_reads_paced_total", "kind" => kind).increment(1);
--- a/src/router/peer_probe.rs
+++ b/src/router/peer_probe.rs
@@ -11,6 +11,7 @@
 
 use super::{Router, filter};
 use crate::client::Call;
+use crate::error::CallError;
 use crate::prelude::*;
 
 /// The path at which an entry probes an endpoint for a peer.
@@ -144,6 +145,7 @@
             Ok(_) => Opinion::Dead,
             // An endpoint of a plain service has no report, but it answers.
             Err(e) if e.is_answered() => Opinion::Alive,
+            Err(CallError::Shortage { .. }) => Opinion::Unknown,
             Err(_) => {
                 match self
                     .reaches_others(&record.service, record.address, since)
