Bound the interim answers to a request

What callers saw: an endpoint that sends 1xx without end holds each of its requests until its timeout (504 after 6.0 s), and reading them takes a whole core, which all other callers share. Cause: hyper skips interim answers in a loop and has no limit for them. InterimLimit counts them by hyper's own callback, and a call with more than 64 is dropped, which closes its connection; all clients, that of the store too, send through it.

--- a/src/client.rs
+++ b/src/client.rs
@@ -18,6 +18,7 @@
 
 use crate::error::{AnswerPart, CallError};
 use crate::final_response::{FinalResponse, status_lost};
+use crate::interim_limit::InterimLimit;
 use crate::memory::{ByteBuffer, HeldMemory, MemoryKind, SharedMemory};
 use crate::outgoing::Connector;
 use crate::prelude::*;
@@ -169,7 +170,9 @@
             .body(Full::new(call.body))
             .map_err(|_| CallError::NotSent { to })?;
         let connection = capture_connection(&mut req);
-        let response = self.inner.request(req).await.map_err(|e| {
+        let interim = InterimLimit::of(&mut req);
+        let response = interim.bound(to, self.inner.request(req)).await?;
+        let response = response.map_err(|e| {
             if e.is_connect() {
                 let cause = e.source().and_then(|source| source.downcast_ref());
                 return match cause.map(|e| CallError::of_connect(to, e)) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 #[cfg(feature = "entry")]
 mod filter;
 mod final_response;
+mod interim_limit;
 #[cfg(feature = "entry")]
 mod ledger;
 mod lifecycle;
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -18,6 +18,7 @@
 use crate::client::{MAX_HEAD_BYTES, head_lost};
 use crate::error::CallError;
 use crate::final_response::FinalResponse;
+use crate::interim_limit::InterimLimit;
 use crate::memory::SharedMemory;
 use crate::outgoing::open_stream;
 use crate::prelude::*;
@@ -106,8 +107,9 @@
         reuse: Reuse,
     ) -> Result<(FinalResponse, Connection), CallError> {
         let mut req = req;
+        let interim = InterimLimit::of(&mut req);
         while let Some(mut sender) = self.take_idle(to, reuse) {
-            match sender.try_send_request(req).await {
+            match interim.bound(to, sender.try_send_request(req)).await? {
                 Ok(response) => {
                     return Ok((
                         FinalResponse::check(to, response)?,
@@ -122,7 +124,7 @@
             }
         }
         let mut sender = self.connect(to).await?;
-        match sender.try_send_request(req).await {
+        match interim.bound(to, sender.try_send_request(req)).await? {
             Ok(response) => Ok((
                 FinalResponse::check(to, response)?,
                 Connection { to, sender },
