Pace the watches of 'entry' as those of the router

The same cause in the other daemon, found by reading: its watch of the configuration began again as soon as it was answered. Pace holds what StorePace, LineLimit and Shortage each did with a CallPacer of their own.

--- a/src/controller/config.rs
+++ b/src/controller/config.rs
@@ -9,6 +9,7 @@
     WriteAnswer, WriteCondition,
 };
 
+use crate::pace::Pace;
 use crate::prelude::*;
 
 /// The key of the head object, which holds the accepted configuration.
@@ -22,6 +23,10 @@
 const MAX_FILE_BYTES: usize = 400_000;
 /// How often the head object is compared with the held configuration, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 10_000;
+/// The number of watches that may begin at once, and the interval between those that follow. A
+/// platform that does not let them wait would set the pace otherwise.
+const WATCHES_AT_ONCE: u32 = 8;
+const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// The pause after a failed watch or apply, in milliseconds.
 const BACKOFF_MS: u64 = 250;
 /// The number of attempts after which an apply ends as undecided.
@@ -30,7 +35,9 @@
 /// Watches the head object and adopts its changes.
 pub(crate) async fn run(node: Arc<Node>) {
     let mut after = 0;
+    let pace = Pace::new(WATCHES_AT_ONCE, WATCH_INTERVAL);
     loop {
+        pace.wait().await;
         let sent_at = Instant::now();
         let wait = Duration::from_millis(WATCH_WAIT_MS);
         match node.platform.watch(WATCH_PREFIX, after, wait).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 mod metric;
 mod metrics_upkeep;
 mod outgoing;
+mod pace;
 mod panic_hook;
 #[cfg(feature = "entry")]
 mod peer_link;
--- a/src/router/line_limit.rs
+++ b/src/router/line_limit.rs
@@ -2,9 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use parking_lot::Mutex;
-use pistachioyard_policy::CallPacer;
-
+use crate::pace::Pace;
 use crate::prelude::*;
 
 /// The number of lines that may be logged at once: twice the endpoints of the largest deployment,
@@ -15,14 +13,14 @@
 
 /// Limits the rate of lines, and tells how many were left out.
 pub(super) struct LineLimit {
-    pacer: Mutex<CallPacer>,
+    pace: Pace,
     left_out: AtomicU64,
 }
 
 impl Default for LineLimit {
     fn default() -> Self {
         Self {
-            pacer: Mutex::new(CallPacer::new(LINES_AT_ONCE, LINE_INTERVAL)),
+            pace: Pace::new(LINES_AT_ONCE, LINE_INTERVAL),
             left_out: AtomicU64::new(0),
         }
     }
@@ -31,7 +29,7 @@
 impl LineLimit {
     /// Returns whether a line may be logged now; counts it otherwise.
     pub(super) fn allows(&self) -> bool {
-        if self.pacer.lock().take(Instant::now()).is_some() {
+        if self.pace.take().is_some() {
             self.left_out.fetch_add(1, Ordering::Relaxed);
             return false;
         }
--- a/src/router/store_pace.rs
+++ b/src/router/store_pace.rs
@@ -4,6 +4,7 @@
 use pistachioyard_platform::ObjectKind;
 use pistachioyard_policy::CallPacer;
 
+use crate::pace::Pace;
 use crate::prelude::*;
 use crate::router::log::ms;
 use crate::router::metric;
@@ -40,14 +41,14 @@
 /// Keeps the reads of the store from being as fast as its answers.
 pub(super) struct StorePace {
     kinds: Mutex<Vec<KindPace>>,
-    pages: Mutex<CallPacer>,
+    pages: Pace,
 }
 
 impl Default for StorePace {
     fn default() -> Self {
         Self {
             kinds: Mutex::default(),
-            pages: Mutex::new(CallPacer::new(PAGES_AT_ONCE, PAGE_INTERVAL)),
+            pages: Pace::new(PAGES_AT_ONCE, PAGE_INTERVAL),
         }
     }
 }
@@ -64,11 +65,7 @@
 
     /// Waits until the next page of a list may be read.
     pub(super) async fn wait_for_page(&self) {
-        loop {
-            let next = self.pages.lock().take(Instant::now());
-            let Some(at) = next else { return };
-            tokio::time::sleep_until(at.into()).await;
-        }
+        self.pages.wait().await;
     }
 
     /// Takes a read; if none is left, returns the time at which one is.
--- a/src/shortage.rs
+++ b/src/shortage.rs
@@ -4,9 +4,8 @@
 use std::net::SocketAddr;
 
 use nix::errno::Errno;
-use parking_lot::Mutex;
-use pistachioyard_policy::CallPacer;
 
+use crate::pace::Pace;
 use crate::prelude::*;
 
 /// The minimum interval between two log lines about shortages.
@@ -46,8 +45,8 @@
 
     /// Logs the shortage, unless one was logged within the last second.
     pub(crate) fn log(self, to: SocketAddr) {
-        static LINES: Mutex<CallPacer> = Mutex::new(CallPacer::new(1, LOG_INTERVAL));
-        if LINES.lock().take(Instant::now()).is_none() {
+        static LINES: Pace = Pace::new(1, LOG_INTERVAL);
+        if LINES.take().is_none() {
             spdlog::warn!("http: this host is short, cannot connect", kv: {
                 of = self.as_str(), address = to.to_string().as_str()
             });
--- a/tests/operations/main.rs
+++ b/tests/operations/main.rs
@@ -2,6 +2,7 @@
 //!
 //! The oracle is the number of effects that the services count, not what the router reports.
 
+mod hasty_platform;
 mod lost_answers;
 mod no_status;
 mod outages;
