--- a/src/router.rs
+++ b/src/router.rs
@@ -151,8 +151,8 @@
     pub(crate) client: EndpointClient,
     pub(crate) peer_client: HttpClient,
     pub(crate) store: StoreClient,
-    /// The lines about records whose number others decide.
-    record_lines: line_limit::LineLimit,
+    /// The lines whose number others decide.
+    other_lines: line_limit::LineLimit,
     pub(crate) reports: filter::ReportCache,
     /// The memory that what others send takes together.
     pub(crate) memory: MemoryShares,
@@ -236,7 +236,7 @@
                 settings.store.address,
                 &memory.own_calls,
             ),
-            record_lines: line_limit::LineLimit::default(),
+            other_lines: line_limit::LineLimit::default(),
             reports: filter::ReportCache::default(),
             memory,
             settings,
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -112,7 +112,7 @@
     let table = match decode_config(source) {
         Ok(table) => table,
         Err(e) => {
-            if router.record_lines.allows() {
+            if router.other_lines.allows() {
                 spdlog::error!("config: rejected, keeping the active version", kv: {
                     from, why = e.to_string().as_str(), in_force = router.version()
                 });
@@ -122,7 +122,7 @@
     };
     let mut config = router.config.write();
     let old = config.as_ref().map_or(0, |active| active.table.version);
-    if table.version < old && router.record_lines.allows() {
+    if table.version < old && router.other_lines.allows() {
         spdlog::warn!("config: ignoring an older version", kv: {
             version = table.version, in_force = old
         });
--- a/src/router/controller/convictions.rs
+++ b/src/router/controller/convictions.rs
@@ -113,7 +113,7 @@
     match object.decode::<Conviction>() {
         Ok(conviction) => Some(conviction),
         Err(e) => {
-            if router.record_lines.allows() {
+            if router.other_lines.allows() {
                 spdlog::warn!("quarantine: ignoring a malformed conviction", kv: {
                     name = object.name.as_str(), why = e.to_string().as_str()
                 });
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -125,7 +125,7 @@
             let record = decode(router, &change.object, era);
             let news = record.and_then(|record| apply_stored(router, record));
             if let Some(news) = news
-                && router.record_lines.allows()
+                && router.other_lines.allows()
             {
                 news.log("store");
             }
@@ -179,7 +179,7 @@
     match decode_endpoint(&object.name, &*object.spec, changed_at) {
         Ok(record) => Some(record),
         Err(e) => {
-            if router.record_lines.allows() {
+            if router.other_lines.allows() {
                 spdlog::warn!("endpoints: ignoring an invalid record", kv: {
                     entry = object.name.as_str(), revision = object.revision,
                     why = e.to_string().as_str()
@@ -193,7 +193,7 @@
 /// Applies a record from the store, unless the store came back from an older copy that holds it.
 fn apply_stored(router: &Router, record: EndpointRecord) -> Option<RecordNews> {
     if is_just_returned(router) && router.endpoints.lock().shows_older_copy(&record) {
-        if router.record_lines.allows() {
+        if router.other_lines.allows() {
             spdlog::info!("endpoints: ignoring a record from an older copy", kv: {
                 endpoint = record.endpoint.as_str(), revision = record.changed_at.revision
             });
@@ -238,7 +238,7 @@
 /// Logs what a list has changed.
 pub(super) async fn log_all(router: &Router, news: &[RecordNews], from: &'static str) {
     for part in news.chunks(RECORDS_PER_TURN) {
-        for news in part.iter().filter(|_| router.record_lines.allows()) {
+        for news in part.iter().filter(|_| router.other_lines.allows()) {
             news.log(from);
         }
         yield_turn().await;
@@ -273,7 +273,7 @@
     let kept_ms = retain_until.map_or(0, |until| {
         ms(until.saturating_duration_since(Instant::now()))
     });
-    if router.record_lines.allows() {
+    if router.other_lines.allows() {
         spdlog::info!("endpoints: record deleted", kv: {
             endpoint = endpoint.as_str(), is_removed, kept_ms
         });
--- a/src/router/controller/peers/receive.rs
+++ b/src/router/controller/peers/receive.rs
@@ -28,14 +28,14 @@
     if PermitMessage::is_one(datagram) {
         match ciborium::from_reader(datagram) {
             Ok(message) => router.receive_permit_message(message, from),
-            Err(e) => log_malformed(from, &e.to_string()),
+            Err(e) => log_malformed(router, from, &e.to_string()),
         }
         return;
     }
     let gossip: Gossip = match ciborium::from_reader(datagram) {
         Ok(gossip) => gossip,
         Err(e) => {
-            log_malformed(from, &e.to_string());
+            log_malformed(router, from, &e.to_string());
             return;
         }
     };
@@ -287,12 +287,17 @@
     };
     match notice.per_second.map(RequestRate::try_from).transpose() {
         Ok(rate) => router.note_limit(&run, rate, said_at, from.as_str()),
-        Err(e) => spdlog::warn!("peers: ignoring an invalid limit", kv: {
-            endpoint = endpoint.as_str(), from = from.as_str(), why = e.to_string().as_str()
-        }),
+        Err(e) if router.other_lines.allows() => {
+            spdlog::warn!("peers: ignoring an invalid limit", kv: {
+                endpoint = endpoint.as_str(), from = from.as_str(), why = e.to_string().as_str()
+            });
+        }
+        Err(_) => {}
     }
 }
 
-fn log_malformed(from: SocketAddr, why: &str) {
-    spdlog::warn!("peers: malformed datagram", kv: { from = from.to_string().as_str(), why });
+fn log_malformed(router: &Router, from: SocketAddr, why: &str) {
+    if router.other_lines.allows() {
+        spdlog::warn!("peers: malformed datagram", kv: { from = from.to_string().as_str(), why });
+    }
 }
--- a/src/router/controller/peers/registry.rs
+++ b/src/router/controller/peers/registry.rs
@@ -167,7 +167,7 @@
                     }
                     members.merge(&[record], now);
                 }
-                Err(e) if router.record_lines.allows() => {
+                Err(e) if router.other_lines.allows() => {
                     spdlog::warn!("peers: malformed registration", kv: {
                         entry = object.name.as_str(), why = e.to_string().as_str()
                     });
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -95,7 +95,9 @@
                     tokio::spawn(serve(router.clone(), stream, service.clone()));
                 }
                 Err(e) => {
-                    spdlog::error!("http: cannot accept", kv: { why = e.to_string().as_str() });
+                    if router.other_lines.allows() {
+                        spdlog::error!("http: cannot accept", kv: { why = e.to_string().as_str() });
+                    }
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             },
--- a/src/router/line_limit.rs
+++ b/src/router/line_limit.rs
@@ -35,7 +35,7 @@
         }
         let count = self.left_out.swap(0, Ordering::Relaxed);
         if count > 0 {
-            spdlog::warn!("store: lines about records left out", kv: { count });
+            spdlog::warn!("router: lines left out", kv: { count });
         }
         true
     }
--- a/tests/site/local_shortages.rs
+++ b/tests/site/local_shortages.rs
@@ -51,7 +51,10 @@
     for _ in 0..REQUESTS {
         assert!(caller.write("/record/a", &new_request_id(), &[]).await);
         let answer = tokio::time::timeout(REFUSAL_TIME, caller.read()).await;
-        outcomes.push(answer.expect("the request is refused at once"));
+        match answer.expect("the request is refused at once") {
+            Exchange::Complete(status, _) => outcomes.push(status),
+            Exchange::Cut(why) => panic!("{why}"),
+        }
     }
     drop(idle);
     tokio::time::sleep(CLOSE_TIME).await;
@@ -60,7 +63,7 @@
     let log = process.log().split_off(earlier);
     let blamed = log.matches("endpoints: ejected after a failure").count();
     let told = log.matches("http: this host is short").count();
-    println!("{outcomes:?}, then {answer:?}, {blamed} ejected, {told} lines");
+    println!("{outcomes:?}, {blamed} ejected, {told} lines");
     assert!(matches!(answer, Exchange::Complete(200, _)), "{answer:?}");
     assert_eq!(blamed, 0);
     assert!(told > 0, "nothing tells of the lack");
--- a/tests/site/odd_datagrams.rs
+++ b/tests/site/odd_datagrams.rs
@@ -21,6 +21,10 @@
 
 const SEED: u64 = 47;
 const DATAGRAMS: usize = 3_000;
+/// The number of datagrams that are none of the gossip's.
+const MALFORMED: usize = 10_000;
+/// The time between two rounds of these, in which the entry reads them.
+const ROUND_TIME: Duration = Duration::from_millis(20);
 /// The number of datagrams after which streams are sent, so that what was told is used.
 const DATAGRAMS_PER_ROUND: usize = 100;
 
@@ -157,6 +161,30 @@
     }
 }
 
+/// Guards against datagrams of which each makes a line, until the log loses those of requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn malformed_datagrams_do_not_fill_the_log() {
+    let site = Site::start(1).await;
+    let socket = UdpSocket::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let gossip_address = SocketAddr::new(site.entries[0].ip, ENTRY_PORTS[3]);
+    let earlier = site.entries[0].process.log().lines().count();
+    for sent in 1..=MALFORMED {
+        let result = socket.send_to(b"malformed", gossip_address).await;
+        result.expect("the datagram is sent");
+        if sent % DATAGRAMS_PER_ROUND == 0 {
+            tokio::time::sleep(ROUND_TIME).await;
+        }
+    }
+    let to = site.entries[0].caller_address();
+    assert_eq!(site.check_plain(to, "/lookup/a").await.result, Ok(()));
+    let log = site.entries[0].process.log();
+    assert!(log.contains("peers: malformed datagram"));
+    let lines = log.lines().count() - earlier;
+    assert!(lines < MALFORMED / 10, "{lines} lines");
+}
+
 /// Guards against numbers of a peer that end a task of the entry.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_numbers_of_a_peer_end_no_task() {
