--- a/tests/site/soak/ends.rs
+++ b/tests/site/soak/ends.rs
@@ -12,12 +12,12 @@
 use nix::sys::signal::Signal;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::explained_end::ExplainedEnd;
 use super::held::{MAX_BODY_BYTES, hold_bodies, hold_heads};
 use super::kept::KeptConnections;
-use super::plan::{Damage, Fault, Planned, Port, draw};
+use super::plan::{Damage, Fault, Planned, Port, draw, draw_haste};
 use super::{ENTRIES, RECOVERY_TIMEOUT, Repeatable, check_runs, env_number, send_requests};
 use crate::entry_supervisor::EntrySupervisor;
 use crate::layout::Layout;
@@ -50,7 +50,8 @@
     })
     .await;
     site.adopt_config_with(allow_large_bodies).await;
-    let planned = draw(entries, length, &mut rng);
+    let mut planned = draw(entries, length, &mut rng);
+    planned.extend(draw_haste(length, seed));
     for fault in &planned {
         println!("soak: seed {seed}: {fault:?}");
     }
@@ -171,6 +172,11 @@
             tokio::time::sleep(*time).await;
             site.set_store_fault(0).await;
         }
+        Fault::Haste(haste, time) => {
+            site.control_store("haste", json!(haste)).await;
+            tokio::time::sleep(*time).await;
+            site.control_store("haste", json!("none")).await;
+        }
     }
     let planned = planned.clone();
     let end = Instant::now();
--- a/tests/site/soak/plan.rs
+++ b/tests/site/soak/plan.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use rand::Rng;
 use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::support::ENTRY_PORTS;
@@ -22,6 +22,25 @@
 /// The bounds of the time for which a port is held or a settings file is damaged after a start.
 const HELD_TIME: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
 
+/// The time from the end of a store's haste to its next, at most.
+const CALM_TIME: Duration = Duration::from_secs(2);
+/// How long a store is hasty, at most.
+const HASTE_TIME: Duration = Duration::from_secs(2);
+/// How a store leaves no pause between its answers.
+const HASTES: [&str; 11] = [
+    "at_once",
+    "same_events",
+    "many_invalid",
+    "many_deleted",
+    "undecodable",
+    "rising_revision",
+    "rising_era",
+    "history_gone",
+    "same_page",
+    "endless_pages",
+    "nameless_page",
+];
+
 /// A fault and its parameters.
 #[derive(Clone, Debug)]
 pub(super) enum Fault {
@@ -47,6 +66,8 @@
     Configs(usize),
     /// A store that answers with errors.
     Store(Duration),
+    /// A store that leaves no pause between its answers, in this way.
+    Haste(&'static str, Duration),
 }
 
 impl Fault {
@@ -64,6 +85,7 @@
             Self::EndlessHeads => "endless heads",
             Self::Configs(_) => "configurations",
             Self::Store(_) => "store down",
+            Self::Haste(..) => "hasty store",
         }
     }
 }
@@ -108,6 +130,24 @@
     planned
 }
 
+/// Draws when the store is hasty, apart from the other faults of the seed.
+pub(super) fn draw_haste(length: Duration, seed: u64) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut planned = Vec::new();
+    let mut after = CALM_TIME.mul_f64(rng.random());
+    while after < length {
+        let haste = HASTES.choose(&mut rng).expect("there are some");
+        let time = HASTE_TIME.mul_f64(rng.random());
+        planned.push(Planned {
+            after,
+            entry: 0,
+            fault: Fault::Haste(haste, time),
+        });
+        after += time + CALM_TIME.mul_f64(rng.random());
+    }
+    planned
+}
+
 fn draw_fault(rng: &mut ChaCha8Rng) -> Fault {
     let [shortest, longest] = HELD_TIME;
     let held = rng.random_range(shortest..longest);
