--- a/tests/operations/hasty_platform.rs
+++ b/tests/operations/hasty_platform.rs
@@ -4,10 +4,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use pistachioyard_standins::{AddressPool, Launcher};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::starts::{EXEC, LoneEntry};
+
 /// How long the entry may take to start and to use up the watches that it may begin at once.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 /// How long watches are counted.
@@ -15,6 +16,9 @@
 /// The most watches in that time: eight at once and one each 100 ms.
 const MAX_WATCHES: usize = 8 + 30;
 
+/// An answer to a watch that tells of no change.
+const PAGE: &str = "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n{\"version\":1,\"changed\":[]}";
+
 /// Answers each watch at once and refuses all else.
 async fn serve_connection(mut stream: TcpStream, watches: Arc<AtomicUsize>) {
     let mut unread = Vec::new();
@@ -24,16 +28,11 @@
         }
         let is_watch = unread.starts_with(b"GET /watch");
         unread.clear();
-        let answer = if is_watch {
-            watches.fetch_add(1, Ordering::Relaxed);
-            let page = r#"{"version":1,"changed":[]}"#;
-            format!(
-                "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{page}",
-                page.len()
-            )
-        } else {
-            "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned()
+        let answer = match is_watch {
+            true => PAGE,
+            false => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
         };
+        watches.fetch_add(is_watch.into(), Ordering::Relaxed);
         if stream.write_all(answer.as_bytes()).await.is_err() {
             return;
         }
@@ -43,10 +42,9 @@
 /// Guards against an entry that watches as fast as the platform answers.
 #[tokio::test(flavor = "multi_thread")]
 async fn watches_that_are_answered_at_once_do_not_set_the_pace_of_an_entry() {
-    let pool = AddressPool::new().expect("addresses are free");
-    let next = || pool.next_address().expect("an address is free");
-    let (callers, peers, platform) = (next(), next(), next());
-    let listener = TcpListener::bind(platform).await.expect("it is free");
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port is free");
+    let platform = listener.local_addr().expect("it is bound");
     let watches = Arc::new(AtomicUsize::new(0));
     let counted = watches.clone();
     tokio::spawn(async move {
@@ -54,19 +52,7 @@
             tokio::spawn(serve_connection(stream, counted.clone()));
         }
     });
-    let files = tempfile::tempdir().expect("a directory can be created");
-    let file = files.path().join("entry.toml");
-    let text = format!(
-        "entry = \"one\"\ncaller_address = \"{callers}\"\npeer_address = \"{peers}\"\n\
-         platform = \"{platform}\"\ndata_centre = \"east\"\n"
-    );
-    std::fs::write(&file, text).expect("the settings can be written");
-    let launcher = Launcher::new().expect("the launcher can be set up");
-    let args = ["entry", "--config", file.to_str().expect("it is UTF-8")];
-    let program = env!("CARGO_BIN_EXE_pistachioyard");
-    let _entry = launcher
-        .spawn("entry", program.as_ref(), args)
-        .expect("the entry starts");
+    let (_entry, ()) = LoneEntry::start_beside(Some(platform), EXEC, |_, _| {});
     tokio::time::sleep(SETTLE_TIME).await;
     let earlier = watches.load(Ordering::Relaxed);
     assert!(earlier > 0, "the entry watches");
--- a/tests/operations/starts.rs
+++ b/tests/operations/starts.rs
@@ -23,11 +23,13 @@
 /// Runs a program whose output is a full pipe, which nobody reads.
 const UNREAD_OUTPUT: &str = "mkfifo \"$3.out\"; exec 9<>\"$3.out\"; timeout 1 yes >&9; \
                              exec \"$0\" \"$@\" >&9 2>&9";
+/// Runs a program as it is.
+pub(super) const EXEC: &str = "exec \"$0\" \"$@\"";
 /// The lines that say whether a start was held up.
 const OUTCOMES: [&str; 2] = ["start: step failed", "serves callers on"];
 
 /// Holds an entry whose platform does not answer; it serves nothing but runs.
-struct LoneEntry {
+pub(super) struct LoneEntry {
     child: Child,
     callers: SocketAddr,
     peers: SocketAddr,
@@ -38,17 +40,26 @@
 impl LoneEntry {
     /// Starts an entry after `prepare` was called with its addresses for callers and peers.
     fn start<T>(prepare: impl FnOnce(SocketAddr, SocketAddr) -> T) -> (Self, T) {
-        Self::start_in_shell("exec \"$0\" \"$@\"", prepare)
+        Self::start_in_shell(EXEC, prepare)
     }
 
     /// Does the same through a shell script; `$0` is the program, and its arguments follow.
     fn start_in_shell<T>(
         script: &str,
         prepare: impl FnOnce(SocketAddr, SocketAddr) -> T,
+    ) -> (Self, T) {
+        Self::start_beside(None, script, prepare)
+    }
+
+    /// Does the same with a platform at an address; without one, nothing answers there.
+    pub(super) fn start_beside<T>(
+        platform: Option<SocketAddr>,
+        script: &str,
+        prepare: impl FnOnce(SocketAddr, SocketAddr) -> T,
     ) -> (Self, T) {
         let pool = AddressPool::new().expect("addresses are free");
         let next = || pool.next_address().expect("an address is free");
-        let (callers, peers, platform) = (next(), next(), next());
+        let (callers, peers, platform) = (next(), next(), platform.unwrap_or_else(next));
         let prepared = prepare(callers, peers);
         let files = tempfile::tempdir().expect("a directory can be created");
         let file = files.path().join("entry.toml");
--- a/tests/site/hasty_store.rs
+++ b/tests/site/hasty_store.rs
@@ -64,59 +64,27 @@
     check_peak(&site);
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn watches_that_are_answered_at_once_do_not_set_the_pace() {
-    check_pace("at_once", true).await;
+/// Defines a test for each way in which a store leaves no pause.
+macro_rules! check_paces {
+    ($($test:ident: $haste:literal, $is_told:literal;)*) => {$(
+        #[tokio::test(flavor = "multi_thread")]
+        async fn $test() {
+            check_pace($haste, $is_told).await;
+        }
+    )*};
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn changes_that_are_told_again_and_again_do_not_set_the_pace() {
-    check_pace("same_events", true).await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn many_invalid_changes_do_not_fill_the_log() {
-    check_pace("many_invalid", false).await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn many_deletions_of_what_is_not_known_do_not_fill_the_log() {
-    check_pace("many_deleted", false).await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn changes_that_cannot_be_decoded_do_not_set_the_pace() {
-    check_pace("undecodable", true).await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn revisions_that_rise_with_each_answer_do_not_set_the_pace() {
-    check_pace("rising_revision", false).await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn eras_that_rise_with_each_answer_do_not_set_the_pace() {
-    check_pace("rising_era", true).await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_history_that_is_always_gone_does_not_set_the_pace() {
-    check_pace("history_gone", true).await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_list_that_has_the_same_page_for_ever_does_not_set_the_pace() {
-    check_pace("same_page", false).await;
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_list_without_an_end_does_not_set_the_pace() {
-    check_pace("endless_pages", false).await;
-}
-
-/// Guards against a list that counts as complete although it goes on after a page that does not
-/// name where, so that all endpoints on later pages count as gone.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_list_that_does_not_tell_where_it_goes_on_removes_no_endpoint() {
-    check_pace("nameless_page", false).await;
+check_paces! {
+    watches_that_are_answered_at_once_do_not_set_the_pace: "at_once", true;
+    changes_that_are_told_again_and_again_do_not_set_the_pace: "same_events", true;
+    many_invalid_changes_do_not_fill_the_log: "many_invalid", false;
+    many_deletions_of_what_is_not_known_do_not_fill_the_log: "many_deleted", false;
+    changes_that_cannot_be_decoded_do_not_set_the_pace: "undecodable", true;
+    revisions_that_rise_with_each_answer_do_not_set_the_pace: "rising_revision", false;
+    eras_that_rise_with_each_answer_do_not_set_the_pace: "rising_era", true;
+    a_history_that_is_always_gone_does_not_set_the_pace: "history_gone", true;
+    a_list_that_has_the_same_page_for_ever_does_not_set_the_pace: "same_page", false;
+    a_list_without_an_end_does_not_set_the_pace: "endless_pages", false;
+    // Such a list counted as complete, so that all endpoints on later pages were gone.
+    a_list_that_does_not_tell_where_it_goes_on_removes_no_endpoint: "nameless_page", false;
 }
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -17,7 +17,6 @@
 mod layout;
 mod leaving;
 mod limited;
-mod local_shortages;
 mod logs;
 mod long_heads;
 mod long_turns;
--- a/tests/site/scarce.rs
+++ b/tests/site/scarce.rs
@@ -7,6 +7,8 @@
 use nix::unistd::Pid;
 use pistachioyard_standins::wait_until;
 
+use super::caller::new_request_id;
+use super::raw::{Exchange, RawConnection};
 use super::support::Site;
 
 /// How long a start may take to succeed or to log what holds it up.
@@ -21,6 +23,12 @@
 const FEW_CONNECTIONS: &str = "ulimit -n 48; exec \"$0\" \"$@\"";
 /// More connections than that.
 const CONNECTIONS: usize = 64;
+/// The number of requests for which an entry cannot connect.
+const REQUESTS: usize = 20;
+/// The time within which a request is refused that cannot be served.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// How long an entry may take to notice that connections were closed.
+const CLOSE_TIME: Duration = Duration::from_millis(300);
 /// Runs a program that finds too few descriptors for its runtime.
 const FEW_DESCRIPTORS: &str = "ulimit -n 6; exec \"$0\" \"$@\"";
 /// How long a program that writes without end may take to fill a pipe.
@@ -84,9 +92,8 @@
     }
 }
 
-/// Guards against connections that take an entry's last descriptors and end it.
-#[tokio::test(flavor = "multi_thread")]
-async fn connections_without_descriptors_do_not_end_an_entry() {
+/// Starts a site whose entry can hold some connections.
+async fn start_with_few_connections() -> Site {
     let mut site = Site::start(1).await;
     let launcher = site.launcher.clone();
     let process = &mut site.entries[0].process;
@@ -95,16 +102,28 @@
     process.run_in_shell(FEW_CONNECTIONS, args);
     process.start(&launcher);
     site.await_service().await;
+    site
+}
+
+/// Opens connections to the entry until it has no descriptor for another one.
+async fn use_up_descriptors(site: &Site) -> Vec<std::net::TcpStream> {
     let to = site.entries[0].caller_address();
     let connect = |_| std::net::TcpStream::connect(to).expect("the system accepts");
-    let connections: Vec<_> = (0..CONNECTIONS).map(connect).collect();
+    let connections = (0..CONNECTIONS).map(connect).collect();
     let refused = "http: cannot accept";
     let process = &site.entries[0].process;
     let met = wait_until(START_TIMEOUT, refused, || async {
         process.log().contains(refused)
     });
     met.await.expect("the descriptors run out");
-    drop(connections);
+    connections
+}
+
+/// Guards against connections that take an entry's last descriptors and end it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_without_descriptors_do_not_end_an_entry() {
+    let mut site = start_with_few_connections().await;
+    drop(use_up_descriptors(&site).await);
     site.await_service().await;
     let process = &mut site.entries[0].process;
     process.signal(Signal::SIGTERM);
@@ -112,6 +131,30 @@
     assert_eq!(ended.expect("the entry ends").code(), Some(0));
 }
 
+/// Guards against an entry without descriptors that ejects its endpoints for it, and so refuses
+/// requests after it has descriptors again.
+#[tokio::test(flavor = "multi_thread")]
+async fn endpoints_are_not_blamed_for_a_lack_of_descriptors() {
+    let site = start_with_few_connections().await;
+    let mut caller = RawConnection::open(site.entries[0].caller_address()).await;
+    let process = &site.entries[0].process;
+    let earlier = process.log().len();
+    let connections = use_up_descriptors(&site).await;
+    for _ in 0..REQUESTS {
+        assert!(caller.write("/record/a", &new_request_id(), &[]).await);
+        let answer = tokio::time::timeout(REFUSAL_TIME, caller.read()).await;
+        answer.expect("the request is refused at once");
+    }
+    drop(connections);
+    tokio::time::sleep(CLOSE_TIME).await;
+    assert!(caller.write("/record/a", &new_request_id(), &[]).await);
+    let answer = caller.read().await;
+    assert!(matches!(answer, Exchange::Complete(200, _)), "{answer:?}");
+    let log = process.log().split_off(earlier);
+    assert!(!log.contains("endpoints: ejected after a failure"), "{log}");
+    assert!(log.contains("http: this host is short"), "{log}");
+}
+
 /// Returns whether a process ignores SIGPIPE, as a program of Rust does from before its `main`.
 fn has_begun(id: u32) -> bool {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
