--- a/tests/operations/hasty_platform.rs
+++ b/tests/operations/hasty_platform.rs
@@ -58,6 +58,5 @@
     assert!(earlier > 0, "the entry watches");
     tokio::time::sleep(COUNT_TIME).await;
     let count = watches.load(Ordering::Relaxed) - earlier;
-    println!("{count} watches");
     assert!(count <= MAX_WATCHES, "{count} watches");
 }
