--- a/crates/pistachioyard_policy/tests/call_pacer.rs
+++ b/crates/pistachioyard_policy/tests/call_pacer.rs
@@ -56,9 +56,8 @@
     }
 }
 
-/// A wait that is given up takes no call, so the next one is due at the same time.
 #[test]
-fn asking_again_does_not_put_the_next_call_off() {
+fn a_wait_that_is_given_up_takes_no_call() {
     let mut pacer = CallPacer::new(1, INTERVAL);
     let now = Instant::now();
     assert_eq!(pacer.take(now), None);
