--- /dev/null
+++ b/review/stand-2/rng.rs
@@ -0,0 +1,25 @@
+//! A small generator of pseudo-random numbers, so that runs with one seed choose alike.
+
+pub struct Rng(u64);
+
+impl Rng {
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
+    }
+
+    pub fn next(&mut self) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0.wrapping_mul(0x2545_f491_4f6c_dd1d)
+    }
+
+    pub fn between(&mut self, least: u64, most: u64) -> u64 {
+        least + (self.next() >> 11) % (most - least + 1)
+    }
+
+    /// Returns true with this probability.
+    pub fn chance(&mut self, p: f64) -> bool {
+        ((self.next() >> 11) as f64 / (1u64 << 53) as f64) < p
+    }
+}
