review: case 6, a machine whose connections to workers are reset serves nothing

Cause: a service counts as out of reach by failed connects only; connections that are accepted and reset when a request comes on them are no such failure, so nothing is passed on to peers that reach the workers. The stand-in workers reset connections, and lose no answers any more.

--- a/review/stand-2/http.rs
+++ b/review/stand-2/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 over blocking sockets: one thread for each connection.
 
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Error, ErrorKind, Result, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -113,19 +114,32 @@
 /// The connections that a server has accepted.
 pub type Accepted = Arc<Mutex<Vec<TcpStream>>>;
 
-/// Serves a listener until it is shut down.
-pub fn serve(listener: TcpListener, handler: Arc<Handler>) -> Accepted {
+/// The sources whose connections are reset.
+pub type Cut = Arc<Mutex<BTreeSet<IpAddr>>>;
+
+/// Serves a listener until it is shut down. Connections of the sources in `cut` are reset when a
+/// request comes on them.
+pub fn serve(listener: TcpListener, handler: Arc<Handler>, cut: Cut) -> Accepted {
     let accepted = Accepted::default();
     let kept = accepted.clone();
     std::thread::spawn(move || {
-        while let Ok((stream, _)) = listener.accept() {
-            if let Ok(copy) = stream.try_clone() {
+        while let Ok((stream, from)) = listener.accept() {
+            let is_cut = |from: IpAddr| cut.lock().unwrap().contains(&from);
+            if !is_cut(from.ip())
+                && let Ok(copy) = stream.try_clone()
+            {
                 let mut kept = kept.lock().unwrap();
                 kept.retain(|stream| stream.peer_addr().is_ok());
                 kept.push(copy);
             }
-            let handler = handler.clone();
+            let (handler, cut) = (handler.clone(), cut.clone());
             std::thread::spawn(move || {
+                // Bytes that are not read make the close a reset.
+                let _ = stream.peek(&mut [0]);
+                let from = stream.peer_addr().map(|peer| peer.ip());
+                if from.is_ok_and(|from| cut.lock().unwrap().contains(&from)) {
+                    return;
+                }
                 let copy = stream.try_clone();
                 let _ = serve_connection(stream, &handler);
                 // Other copies would keep it open.
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -6,7 +6,6 @@
 //! if the rule was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the
 //! disruption out.
 
-mod attempts;
 mod drain;
 mod fleet;
 mod foreign;
@@ -14,6 +13,7 @@
 mod json;
 mod parts;
 mod record;
+mod reset;
 mod rng;
 mod store;
 mod streams;
@@ -55,7 +55,7 @@
     });
     let played = catch_unwind(AssertUnwindSafe(|| match case.as_str() {
         "drain" => drain::run(has_trouble, &record, &files),
-        "attempts" => attempts::run(has_trouble, &record, &files),
+        "reset" => reset::run(has_trouble, &record, &files),
         "foreign" => foreign::run(has_trouble, &record, &files),
         "parts" => parts::run(Kind::Unframed, has_trouble, &record, &files),
         "many" => parts::run(Kind::Many, has_trouble, &record, &files),
--- a/review/stand-2/rng.rs
+++ b/review/stand-2/rng.rs
@@ -17,9 +17,4 @@
     pub fn between(&mut self, least: u64, most: u64) -> u64 {
         least + (self.next() >> 11) % (most - least + 1)
     }
-
-    /// Returns true with this probability.
-    pub fn chance(&mut self, p: f64) -> bool {
-        ((self.next() >> 11) as f64 / (1u64 << 53) as f64) < p
-    }
 }
--- a/review/stand-2/store.rs
+++ b/review/stand-2/store.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{Request, Then, answer, serve};
+use crate::http::{Cut, Request, Then, answer, serve};
 use crate::json::Json;
 use crate::record::Record;
 use crate::rng::Rng;
@@ -53,7 +53,8 @@
         });
         let listener = TcpListener::bind(listen).expect("the store's address is free");
         let served = store.clone();
-        serve(listener, Arc::new(move |req, to| served.handle(req, to)));
+        let handler = Arc::new(move |req, to: &mut TcpStream| served.handle(req, to));
+        serve(listener, handler, Cut::default());
         store
     }
 
--- a/review/stand-2/streams.rs
+++ b/review/stand-2/streams.rs
@@ -6,9 +6,6 @@
 use crate::http::Client;
 use crate::worker::LAYERS;
 
-/// `max_attempts` of the route.
-pub const MAX_ATTEMPTS: usize = 2;
-
 /// What a client asks for.
 pub struct Ask<'a> {
     pub id: &'a str,
@@ -58,7 +55,7 @@
         "{{\"version\":3,\"routes\":[{{\"name\":\"narrativ\",\"host\":\"desk.example\",\
          \"path_prefix\":\"/narrativ/\",\"kind\":\"streaming\",\"timeout_ms\":20000,\
          \"target_latency_ms\":500,\"priority\":1,\"service\":\"pisar\",\
-         \"max_attempts\":{MAX_ATTEMPTS},\"anonymous\":false,\"resumable\":true,\"sticky\":true,\
+         \"max_attempts\":2,\"anonymous\":false,\"resumable\":true,\"sticky\":true,\
          \"gap_target_ms\":200}}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":10000}},\
          \"tenants\":[{{\"name\":\"one\",\"api_keys\":[\"key-one\"],\"priority\":1}},\
--- a/review/stand-2/worker.rs
+++ b/review/stand-2/worker.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::{Accepted, Head, Request, Then, answer, serve};
+use crate::http::{Accepted, Cut, Head, Request, Then, answer, serve};
 use crate::json::Json;
 use crate::record::Record;
 use crate::rng::Rng;
@@ -22,21 +22,6 @@
 
 unsafe extern "C" {
     fn shutdown(fd: i32, how: i32) -> i32;
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const Program, len: u32) -> i32;
-}
-
-#[repr(C)]
-struct Instruction {
-    code: u16,
-    jump_true: u8,
-    jump_false: u8,
-    k: u32,
-}
-
-#[repr(C)]
-struct Program {
-    len: u16,
-    instructions: *const Instruction,
 }
 
 /// One request that has reached a worker.
@@ -58,8 +43,6 @@
     work_ms: (u64, u64),
     /// The number of events in a stream.
     events: u64,
-    /// The share of the answers that are lost after the request has run, in thousandths.
-    lost_per_mille: AtomicU64,
     has_exited: AtomicBool,
     listener: Mutex<RawFd>,
     layers: Mutex<Option<(u64, u64)>>,
@@ -68,8 +51,8 @@
     record: Arc<Record>,
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     rng: Mutex<Rng>,
-    /// The sources from which connections were cut off.
-    cut: Mutex<BTreeSet<IpAddr>>,
+    /// The sources whose connections are reset.
+    cut: Cut,
     accepted: Mutex<Accepted>,
     /// The id of a prompt part that crashes the worker when it begins to write an answer on it.
     deadly_part: Option<&'static str>,
@@ -114,6 +97,7 @@
             .id
             .bytes()
             .fold(3u64, |sum, b| sum.wrapping_mul(31) + u64::from(b));
+        let cut = Cut::default();
         let worker = Arc::new(Self {
             id: terms.id,
             service: terms.service,
@@ -122,7 +106,6 @@
             card: terms.card,
             work_ms: terms.work_ms,
             events: terms.events,
-            lost_per_mille: AtomicU64::new(0),
             has_exited: AtomicBool::new(false),
             listener: Mutex::new(listener.as_raw_fd()),
             layers: Mutex::default(),
@@ -131,13 +114,14 @@
             record: record.clone(),
             arrivals: arrivals.clone(),
             rng: Mutex::new(Rng::new(seed)),
-            cut: Mutex::default(),
+            cut: cut.clone(),
             accepted: Mutex::default(),
             deadly_part: terms.deadly_part,
             framing: terms.framing,
         });
         let served = worker.clone();
-        let accepted = serve(listener, Arc::new(move |req, to| served.handle(req, to)));
+        let handler = Arc::new(move |req, to: &mut TcpStream| served.handle(req, to));
+        let accepted = serve(listener, handler, cut);
         *worker.accepted.lock().unwrap() = accepted;
         worker.register(store);
         worker
@@ -164,35 +148,17 @@
         self.has_exited.load(Ordering::SeqCst)
     }
 
-    pub fn lose_answers(&self, per_mille: u64) {
-        self.lost_per_mille.store(per_mille, Ordering::SeqCst);
-    }
-
-    /// Cuts a machine off from this worker: its new connections hang, the others are reset.
-    pub fn cut_off(&self, sources: &[Ipv4Addr]) {
-        *self.cut.lock().unwrap() = sources.iter().map(|ip| IpAddr::V4(*ip)).collect();
-        let step = |code, jump_true, jump_false, k| Instruction {
-            code,
-            jump_true,
-            jump_false,
-            k,
-        };
-        let mut program = Vec::new();
-        for source in sources {
-            // Drops packets to the listening socket by their source address.
-            program.push(step(0x20, 0, 0, 0xfff0_0000 + 12));
-            program.push(step(0x15, 0, 1, u32::from(*source)));
-            program.push(step(0x06, 0, 0, 0));
+    /// Resets the connections of these sources: the open ones at once, new ones as soon as a
+    /// request comes on them.
+    pub fn reset(&self, sources: &[Ipv4Addr]) {
+        let sources: BTreeSet<IpAddr> = sources.iter().map(|ip| IpAddr::V4(*ip)).collect();
+        for stream in self.accepted.lock().unwrap().lock().unwrap().iter() {
+            let from = stream.peer_addr().map(|peer| peer.ip());
+            if from.is_ok_and(|from| sources.contains(&from)) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
         }
-        program.push(step(0x06, 0, 0, u32::MAX));
-        let value = Program {
-            len: program.len() as u16,
-            instructions: program.as_ptr(),
-        };
-        let listener = *self.listener.lock().unwrap();
-        // SAFETY: the program outlives the call; SOL_SOCKET is 1 and SO_ATTACH_FILTER is 26.
-        let set = unsafe { setsockopt(listener, 1, 26, &value, size_of::<Program>() as u32) };
-        assert_eq!(set, 0, "the filter is accepted");
+        *self.cut.lock().unwrap() = sources;
     }
 
     /// Returns an entry for this process under another service, as another writer may have it.
@@ -222,7 +188,7 @@
     }
 
     fn handle(&self, req: Request, to: &mut TcpStream) -> Result<Then> {
-        if self.has_exited.load(Ordering::SeqCst) || self.cut.lock().unwrap().contains(&req.from) {
+        if self.has_exited() {
             return Ok(Then::Close);
         }
         let path = req.head.word(1);
@@ -286,20 +252,12 @@
         });
         self.record
             .line(&format!("{} runs {id}, sent by {}", self.id, req.from));
-        let lost = self.lost_per_mille.load(Ordering::SeqCst) as f64 / 1000.0;
-        let (work_ms, loses) = {
-            let mut rng = self.rng.lock().unwrap();
-            (
-                rng.between(self.work_ms.0, self.work_ms.1),
-                rng.chance(lost),
-            )
-        };
+        let work_ms = self
+            .rng
+            .lock()
+            .unwrap()
+            .between(self.work_ms.0, self.work_ms.1);
         std::thread::sleep(Duration::from_millis(work_ms));
-        if loses {
-            self.record
-                .line(&format!("{} has run {id}, the answer is lost", self.id));
-            return Ok(Then::Close);
-        }
         let signature = format!("sig.{}.{id}", self.id);
         if self.card.is_none() {
             if self.has_exited.load(Ordering::SeqCst) {
