Set records of unnamed services aside

Cause: a record takes the place of another one at its address if it started no earlier, whatever its service. Entries of another writer that name no service of the configuration and repeat the workers' addresses and starts removed them.

Evidence: the entry's log has 'endpoints: changed { endpoint=w-3-sidecar news=Joined }' at 49.0 s, and only 'no usable endpoint' from then on. Ruled out: the adoption of the version (46.0 s, before it), and the workers' own entries, which had joined and were not deleted.

Change: records whose service the configuration does not name are set aside, and applied when a version names it. They are still told to peers and count for the digest of the list and for positions in the store.

--- a/crates/pistachioyard_policy/src/endpoint_registry.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry.rs
@@ -17,9 +17,10 @@
 mod record;
 mod start_up;
 mod tracked;
+mod unnamed;
 mod update;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -48,6 +49,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointRegistry {
     by_id: BTreeMap<EndpointId, TrackedEndpoint>,
+    /// The services that the configuration names; all if there is no such list.
+    named: Option<BTreeSet<ServiceName>>,
+    /// The records of other services.
+    set_aside: BTreeMap<EndpointId, EndpointRecord>,
     addresses: AddressIndex,
     deletions: Deletions,
     notices: RunNotices,
--- a/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/deletion.rs
@@ -13,7 +13,9 @@
 impl EndpointRegistry {
     /// Returns whether a record is older than what is known of its endpoint.
     pub(super) fn is_outdated(&self, record: &EndpointRecord) -> bool {
-        let known = self.get(&record.endpoint).map(|known| known.changed_at);
+        let known = self.get(&record.endpoint);
+        let known = known.or_else(|| self.set_aside.get(&record.endpoint));
+        let known = known.map(|known| known.changed_at);
         let deleted = self.deletions.position(&record.endpoint);
         let newer = known.into_iter().chain(deleted);
         newer.into_iter().any(|at| record.changed_at.is_before(at))
@@ -21,7 +23,7 @@
 
     /// Returns the latest known position in the store.
     pub fn latest_position(&self) -> StorePosition {
-        let changed = self.by_id.values().map(|tracked| tracked.record.changed_at);
+        let changed = self.stored_records().map(|record| record.changed_at);
         let deleted = self.deletions.positions();
         let latest = |one: StorePosition, other| if one.is_before(other) { other } else { one };
         changed
@@ -35,6 +37,9 @@
         for tracked in self.by_id.values_mut() {
             tracked.record.changed_at = StorePosition::default();
         }
+        for record in self.set_aside.values_mut() {
+            record.changed_at = StorePosition::default();
+        }
     }
 
     /// Removes an endpoint whose record is gone; returns whether it was removed at once.
@@ -56,6 +61,9 @@
         if let Some(at) = deleted_at {
             self.deletions.note(endpoint, at, now);
         }
+        if self.set_aside.remove(endpoint).is_some() {
+            return true;
+        }
         let Some(tracked) = self.by_id.get_mut(endpoint) else {
             return false;
         };
--- a/crates/pistachioyard_policy/src/endpoint_registry/digest.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/digest.rs
@@ -3,6 +3,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::EndpointRegistry;
+use super::record::EndpointRecord;
 use super::tracked::TrackedEndpoint;
 
 impl EndpointRegistry {
@@ -14,6 +15,8 @@
         *self.digest.get_or_insert_with(|| {
             // Addition makes the order of the records irrelevant.
             let digests = self.by_id.values().map(TrackedEndpoint::digest);
+            let set_aside = self.set_aside.values();
+            let digests = digests.chain(set_aside.map(|record| digest(record, false)));
             digests.fold(0, u64::wrapping_add)
         })
     }
@@ -21,12 +24,15 @@
 
 impl TrackedEndpoint {
     fn digest(&self) -> u64 {
-        let changed_at = self.record.changed_at;
-        let era = changed_at.era.map_or(0, |era| era.0);
-        let is_deleted = u64::from(self.grace_until.is_some());
-        let seed = [changed_at.revision, era, is_deleted]
-            .iter()
-            .fold(0, |seed, part| xxh3_64_with_seed(&part.to_le_bytes(), seed));
-        xxh3_64_with_seed(self.record.endpoint.as_str().as_bytes(), seed)
+        digest(&self.record, self.grace_until.is_some())
     }
 }
+
+fn digest(record: &EndpointRecord, is_deleted: bool) -> u64 {
+    let changed_at = record.changed_at;
+    let era = changed_at.era.map_or(0, |era| era.0);
+    let seed = [changed_at.revision, era, u64::from(is_deleted)]
+        .iter()
+        .fold(0, |seed, part| xxh3_64_with_seed(&part.to_le_bytes(), seed));
+    xxh3_64_with_seed(record.endpoint.as_str().as_bytes(), seed)
+}
--- a/crates/pistachioyard_policy/src/endpoint_registry/record.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/record.rs
@@ -121,6 +121,8 @@
     Leaves,
     /// The endpoint holds different layers.
     Layers,
+    /// The endpoint is new, and its service is not named.
+    SetAside,
     /// Only the heartbeat was renewed.
     Renewed,
     /// The record is older than what is known, and was ignored.
--- a/crates/pistachioyard_policy/src/endpoint_registry/update.rs
+++ b/crates/pistachioyard_policy/src/endpoint_registry/update.rs
@@ -23,8 +23,16 @@
         }
         self.digest = None;
         self.deletions.forget(&record.endpoint);
-        for endpoint in self.displaced_by(&record) {
-            self.forget(&endpoint);
+        let is_named = self.is_named(&record.service);
+        if !is_named && !self.by_id.contains_key(&record.endpoint) {
+            let known = self.set_aside.insert(record.endpoint.clone(), record);
+            return known.map_or(EndpointChange::SetAside, |_| EndpointChange::Renewed);
+        }
+        self.set_aside.remove(&record.endpoint);
+        if is_named {
+            for endpoint in self.displaced_by(&record) {
+                self.forget(&endpoint);
+            }
         }
         let Some(tracked) = self.by_id.get_mut(&record.endpoint) else {
             let tracked = TrackedEndpoint::new(record, now);
--- a/crates/pistachioyard_policy/src/routing.rs
+++ b/crates/pistachioyard_policy/src/routing.rs
@@ -186,6 +186,13 @@
         self.services.keys()
     }
 
+    /// Returns all services that the configuration names, also those that only routes name.
+    pub fn named_services(&self) -> BTreeSet<ServiceName> {
+        let routes = self.routes.values().flatten();
+        let of_routes = routes.flat_map(|route| route.services.iter().map(|(name, _)| name));
+        self.service_names().chain(of_routes).cloned().collect()
+    }
+
     /// Returns whether the requests for a service are of unlike urgency.
     pub fn is_ranked(&self, service: &ServiceName) -> bool {
         self.ranked.contains(service)
--- a/crates/pistachioyard_policy/tests/pipeline/revisions.rs
+++ b/crates/pistachioyard_policy/tests/pipeline/revisions.rs
@@ -123,6 +123,43 @@
     }
 }
 
+/// Guards against an entry of another writer that takes an endpoint away, though its service is not
+/// named; and against the loss of endpoints that register before their service is named.
+#[test]
+fn a_record_of_a_service_that_is_not_named_is_set_aside_until_it_is() {
+    let now = Instant::now();
+    let of_service = |name: &str, port, service: &str, revision| EndpointRecord {
+        service: service.try_into().expect("the name is valid"),
+        changed_at: at(1, revision),
+        ..record(name, port, None)
+    };
+    let other = || {
+        let mut other = of_service("other", 1, "probe", 3);
+        other.state.started_unix_ms = Some(u64::MAX);
+        other
+    };
+    let names = |names: &[&str]| {
+        let names = names.iter().map(|n| (*n).try_into());
+        names.collect::<Result<_, _>>().expect("they are valid")
+    };
+    let mut registry = EndpointRegistry::without_services();
+    registry.apply(of_service("one", 1, "model", 1), now);
+    registry.apply(of_service("two", 2, "later", 2), now);
+    assert_eq!(registry.apply(other(), now), EndpointChange::SetAside);
+    assert_eq!(registry.count(), 0);
+    assert_eq!(registry.name_services(names(&["model"]), now), 1);
+    assert_eq!(registry.apply(other(), now), EndpointChange::Renewed);
+    assert!(
+        registry.is_usable(&id("one"), now),
+        "its address is its own"
+    );
+    assert_eq!(registry.name_services(names(&["model", "later"]), now), 1);
+    assert!(registry.is_usable(&id("two"), now), "its service is named");
+    registry.remove(&id("other"), Some(at(1, 5)), None, now);
+    assert_eq!(registry.apply(other(), now), EndpointChange::Outdated);
+    assert_eq!(registry.stored_ids().count(), 2);
+}
+
 /// A store that has started again with less gives out lower revisions, whose records count.
 #[test]
 fn a_record_counts_after_the_revisions_have_begun_anew() {
--- a/src/router.rs
+++ b/src/router.rs
@@ -194,7 +194,7 @@
             tasks: Supervisor::new(metric::TASK_RESTARTS, move || stopping.is_stopping()),
             failing_peers: Mutex::default(),
             config: RwLock::new(None),
-            endpoints: Mutex::default(),
+            endpoints: Mutex::new(EndpointRegistry::without_services()),
             load: Mutex::default(),
             activity: Mutex::default(),
             members: Mutex::new(
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -134,12 +134,20 @@
         version = table.version, before = old, from,
         routes = table.route_count(), since_start_ms = ms(router.started_at.elapsed())
     });
+    let services = table.named_services();
     *config = Some(ActiveConfig {
         table: Arc::new(table),
         source: Arc::from(source.get()),
         adopted_at: Instant::now(),
     });
     drop(config);
+    let joined = router
+        .endpoints
+        .lock()
+        .name_services(services, Instant::now());
+    if joined > 0 {
+        spdlog::info!("endpoints: records of named services applied", kv: { count = joined });
+    }
     router.capacity_changed.notify_waiters();
     router.endpoints_changed.notify_one();
 }
--- a/src/router/controller/endpoints.rs
+++ b/src/router/controller/endpoints.rs
@@ -82,7 +82,9 @@
     let listed: BTreeSet<&str> = page.objects.iter().map(|o| o.name.as_str()).collect();
     let gone: Vec<EndpointId> = {
         let endpoints = router.endpoints.lock();
-        let gone = endpoints.ids().filter(|e| !listed.contains(e.as_str()));
+        let gone = endpoints
+            .stored_ids()
+            .filter(|e| !listed.contains(e.as_str()));
         gone.cloned().collect()
     };
     for part in gone.chunks(RECORDS_PER_TURN) {
@@ -224,7 +226,7 @@
     if change == EndpointChange::Renewed {
         return None;
     }
-    if change != EndpointChange::Outdated {
+    if !matches!(change, EndpointChange::Outdated | EndpointChange::SetAside) {
         router.capacity_changed.notify_waiters();
         router.endpoints_changed.notify_one();
     }
--- a/src/router/controller/peer_fallback.rs
+++ b/src/router/controller/peer_fallback.rs
@@ -44,7 +44,7 @@
     let state = State {
         config: Some(active.source.to_string()),
         is_current: router.store.is_reachable(),
-        endpoints: router.endpoints.lock().records().cloned().collect(),
+        endpoints: router.endpoints.lock().stored_records().cloned().collect(),
     };
     let mut body = Vec::new();
     match ciborium::into_writer(&state, &mut body) {
@@ -135,7 +135,7 @@
         .collect();
     let news = endpoints::apply_all(router, state.endpoints);
     if state.is_current {
-        let known: Vec<EndpointId> = router.endpoints.lock().ids().cloned().collect();
+        let known: Vec<EndpointId> = router.endpoints.lock().stored_ids().cloned().collect();
         for endpoint in known.iter().filter(|endpoint| !listed.contains(*endpoint)) {
             // The peer reaches the store, so the deletion needs no grace period.
             endpoints::remove(router, endpoint, None, None);
--- a/src/router/controller/record_news.rs
+++ b/src/router/controller/record_news.rs
@@ -16,14 +16,21 @@
     /// Logs the change and where the record came from.
     pub(super) fn log(&self, from: &'static str) {
         let endpoint = self.endpoint.as_str();
-        let news = self.change;
-        if news == EndpointChange::Outdated {
-            spdlog::info!("endpoints: ignoring an older record", kv: { endpoint, from });
-            return;
+        match self.change {
+            EndpointChange::Outdated => {
+                spdlog::info!("endpoints: ignoring an older record", kv: { endpoint, from });
+            }
+            EndpointChange::SetAside => {
+                spdlog::info!("endpoints: no service of the configuration", kv: {
+                    endpoint, from
+                });
+            }
+            news => {
+                let layers = self.layers.map(|l| l.to_string()).unwrap_or_default();
+                spdlog::info!("endpoints: changed", kv: {
+                    endpoint, news:?, layers = layers.as_str(), from
+                });
+            }
         }
-        let layers = self.layers.map(|l| l.to_string()).unwrap_or_default();
-        spdlog::info!("endpoints: changed", kv: {
-            endpoint, news:?, layers = layers.as_str(), from
-        });
     }
 }
