Look at all parts of a prompt in the search for crashing ones

Shorter lists did the same later on: 256 parts of a crash, sound ones included; 24 suspects and 16 sound marks in a report.

One bound covers the suspects of all crashes; sound ones take no room, recurring ones come first, and peers are told of the others in turn.

--- a/crates/pistachioyard_policy/src/part_quarantine.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine.rs
@@ -15,6 +15,7 @@
 
 mod explanation;
 mod report;
+mod sound_parts;
 mod writing_time;
 
 use std::cmp::Reverse;
@@ -25,12 +26,11 @@
 
 use explanation::{ObservedCrash, find_culprits};
 pub use report::PartFindings;
+use sound_parts::{PROOF_TTL, SoundParts};
 pub use writing_time::{PROOF_WRITING_TIME, WritingTime};
 
 /// How long a crash counts.
 const CRASH_TTL: Duration = Duration::from_secs(120);
-/// How long a part that was sound is no suspect.
-const PROOF_TTL: Duration = Duration::from_secs(180);
 /// How long requests with a convicted part are refused.
 const HOLD: Duration = Duration::from_secs(600);
 /// How long a conviction is kept, so that a single crash after the hold renews it.
@@ -38,8 +38,7 @@
 /// The maximum numbers of items kept; the oldest are forgotten first.
 const MAX_LOSSES: usize = 64;
 const MAX_CRASHES: usize = 64;
-const MAX_PARTS_PER_CRASH: usize = 256;
-const MAX_SOUND_PARTS: usize = 4_096;
+const MAX_SUSPECTS: usize = 32_768;
 const MAX_CONVICTIONS: usize = 64;
 
 /// Says whether a request may run.
@@ -86,8 +85,7 @@
     /// Lost answers whose endpoints are being probed.
     losses: BTreeMap<BootId, Crash>,
     crashes: BTreeMap<BootId, Crash>,
-    /// The newest proof that each part is sound.
-    sound: BTreeMap<PromptPart, Instant>,
+    sound: SoundParts,
     /// The time of each conviction.
     convicted: BTreeMap<PromptPart, Instant>,
     /// The parts that were convicted and turned out to be sound, with the time of the proof.
@@ -101,11 +99,17 @@
     /// [`PartQuarantine::confirm_crash`] or [`PartQuarantine::dismiss_loss`]. A request without
     /// suspects explains no crash, so its loss calls for no probe.
     pub fn record_loss(&mut self, run: BootId, parts: &[PromptPart], now: Instant) -> LossCheck {
-        if parts.iter().all(|part| self.is_sound(*part, now)) {
+        let suspects: Vec<PromptPart> = parts
+            .iter()
+            .copied()
+            .filter(|part| !self.sound.covers(*part, now))
+            .collect();
+        if suspects.is_empty() {
             return LossCheck::Known;
         }
+        let suspects = self.fit(suspects);
         if let Some(crash) = self.crashes.get_mut(&run) {
-            crash.add(parts);
+            crash.suspects.extend(suspects);
             return LossCheck::Known;
         }
         let is_new = !self.losses.contains_key(&run);
@@ -113,7 +117,7 @@
             remove_oldest(&mut self.losses, |loss| loss.at);
         }
         let loss = self.losses.entry(run).or_insert_with(|| Crash::new(now));
-        loss.add(parts);
+        loss.suspects.extend(suspects);
         match is_new {
             true => LossCheck::Probe,
             false => LossCheck::Known,
@@ -145,11 +149,7 @@
     /// those that are thereby acquitted.
     pub fn record_sound(&mut self, parts: &[PromptPart], now: Instant) -> Vec<PromptPart> {
         for part in parts {
-            if !self.sound.contains_key(part) && self.sound.len() >= MAX_SOUND_PARTS {
-                remove_oldest(&mut self.sound, |proved_at| *proved_at);
-            }
-            let proved_at = self.sound.entry(*part).or_insert(now);
-            *proved_at = now.max(*proved_at);
+            self.sound.record(*part, now);
         }
         let acquitted = parts.iter().copied();
         let acquitted: Vec<PromptPart> = acquitted
@@ -192,16 +192,25 @@
             .entry(run)
             .or_insert_with(|| Crash::new(loss.at));
         crash.at = crash.at.min(loss.at);
-        for part in loss.suspects {
-            crash.add(&[part]);
-        }
+        crash.suspects.extend(loss.suspects);
     }
 
-    /// Returns whether a part is no suspect in a crash at `at`. A proof also counts for crashes
-    /// before it.
-    fn is_sound(&self, part: PromptPart, at: Instant) -> bool {
-        let proved_at = self.sound.get(&part);
-        proved_at.is_some_and(|proved_at| at.saturating_duration_since(*proved_at) < PROOF_TTL)
+    /// Returns as many of these suspects as there is room for; those that were in other crashes
+    /// first, since a part that explains them must be among these.
+    fn fit(&self, suspects: Vec<PromptPart>) -> Vec<PromptPart> {
+        let held = self.crashes.values().chain(self.losses.values());
+        let held: usize = held.map(|crash| crash.suspects.len()).sum();
+        let room = MAX_SUSPECTS.saturating_sub(held);
+        if suspects.len() <= room {
+            return suspects;
+        }
+        let is_known = |part: &PromptPart| {
+            let mut crashes = self.crashes.values();
+            crashes.any(|crash| crash.suspects.contains(part))
+        };
+        let (mut known, new): (Vec<_>, Vec<_>) = suspects.into_iter().partition(is_known);
+        known.extend(new.into_iter().take(room));
+        known
     }
 
     /// Convicts the parts that explain the crashes; to be called regularly, since doubts are
@@ -235,7 +244,7 @@
                 run: *run,
                 at: crash.at,
                 suspects: suspects
-                    .filter(|part| !self.is_sound(*part, crash.at))
+                    .filter(|part| !self.sound.covers(*part, crash.at))
                     .collect(),
                 is_explained: self.is_explained(crash),
             }
@@ -250,7 +259,7 @@
             let crashed = self.crashes.iter().filter(|(_, crash)| {
                 crash.at >= *since + HOLD
                     && crash.suspects.contains(part)
-                    && !self.is_sound(*part, crash.at)
+                    && !self.sound.covers(*part, crash.at)
             });
             let crashed: Vec<BootId> = crashed.map(|(run, _)| *run).collect();
             if !crashed.is_empty() {
@@ -283,8 +292,7 @@
         self.losses.retain(|_, loss| is_within(loss.at, CRASH_TTL));
         self.crashes
             .retain(|_, crash| is_within(crash.at, CRASH_TTL));
-        self.sound
-            .retain(|_, proved_at| is_within(*proved_at, PROOF_TTL));
+        self.sound.expire(now);
         self.acquitted.retain(|_, at| is_within(*at, PROOF_TTL));
         self.convicted
             .retain(|_, since| is_within(*since, CONVICTION_TTL));
@@ -298,11 +306,6 @@
             suspects: BTreeSet::new(),
         }
     }
-
-    fn add(&mut self, parts: &[PromptPart]) {
-        let room = MAX_PARTS_PER_CRASH.saturating_sub(self.suspects.len());
-        self.suspects.extend(parts.iter().take(room));
-    }
 }
 
 fn remove_oldest<K: Copy + Ord, V>(items: &mut BTreeMap<K, V>, at: impl Fn(&V) -> Instant) {
--- a/crates/pistachioyard_policy/src/part_quarantine/report.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine/report.rs
@@ -11,8 +11,11 @@
 
 /// The maximum numbers of items in one report, which keep it small.
 const MAX_REPORTED_CRASHES: usize = 8;
-const MAX_REPORTED_PARTS_PER_CRASH: usize = 24;
-const MAX_REPORTED_MARKS: usize = 16;
+const MAX_REPORTED_SUSPECTS: usize = 192;
+const MAX_REPORTED_MARKS: usize = 64;
+/// How long the same suspects are told of a crash that has too many for one report; longer than
+/// the time between two reports.
+const SUSPECTS_PERIOD: Duration = Duration::from_millis(300);
 /// The maximum numbers of items that are accepted from one report of a peer.
 const MAX_MERGED_ITEMS: usize = 64;
 
@@ -32,22 +35,19 @@
         let crashes = self
             .unexplained()
             .map(|(run, crash)| (crash.at, (run, crash)));
-        let crashes = newest(crashes, MAX_REPORTED_CRASHES).into_iter();
-        let crashes = crashes.map(|(at, (run, crash))| {
-            let mut parts = self.ranked_suspects(crash, &counts);
-            parts.truncate(MAX_REPORTED_PARTS_PER_CRASH);
-            PartCrash {
-                run: *run,
-                parts,
-                age_ms: age_ms(now, at),
-            }
+        let crashes = newest(crashes, MAX_REPORTED_CRASHES);
+        let room = MAX_REPORTED_SUSPECTS / crashes.len().max(1);
+        let crashes = crashes.into_iter().map(|(at, (run, crash))| PartCrash {
+            run: *run,
+            parts: self.suspects_to_tell(crash, &counts, room, now),
+            age_ms: age_ms(now, at),
         });
         let convicted = self.convicted.iter().map(|(part, since)| (*since, *part));
         let convicted = convicted.filter(|(since, _)| now.saturating_duration_since(*since) < HOLD);
         let suspected: BTreeSet<&PromptPart> = counts.keys().chain(self.acquitted.keys()).collect();
         let sound = suspected.into_iter().filter_map(|part| {
-            let proved_at = self.sound.get(part)?;
-            Some((*proved_at, *part))
+            let proved_at = self.sound.proved_at(*part)?;
+            Some((proved_at, *part))
         });
         PartReport {
             crashes: crashes.collect(),
@@ -73,12 +73,35 @@
     ) -> Vec<PromptPart> {
         let suspects = crash.suspects.iter().copied();
         let mut suspects: Vec<PromptPart> = suspects
-            .filter(|part| !self.is_sound(*part, crash.at))
+            .filter(|part| !self.sound.covers(*part, crash.at))
             .collect();
         suspects.sort_by_key(|part| (Reverse(counts.get(part)), *part));
         suspects
     }
 
+    /// Returns the suspects of a crash to tell now: those in several crashes, and others in turn,
+    /// so that peers hear of all within some reports.
+    fn suspects_to_tell(
+        &self,
+        crash: &Crash,
+        counts: &BTreeMap<PromptPart, usize>,
+        room: usize,
+        now: Instant,
+    ) -> Vec<PromptPart> {
+        let mut parts = self.ranked_suspects(crash, counts);
+        if parts.len() > room {
+            let in_several = |part: &PromptPart| counts.get(part).is_some_and(|count| *count > 1);
+            let first_single = parts.partition_point(in_several).min(room / 2);
+            let singles = &mut parts[first_single..];
+            let periods =
+                now.saturating_duration_since(crash.at).as_millis() / SUSPECTS_PERIOD.as_millis();
+            let told = (periods as usize).saturating_mul(room - first_single);
+            singles.rotate_left(told % singles.len());
+            parts.truncate(room);
+        }
+        parts
+    }
+
     /// Merges the report of a peer.
     ///
     /// A part that is known to be sound is not convicted by a peer's report.
@@ -94,7 +117,7 @@
             let Some(since) = recorded_at(mark.age_ms, HOLD, now) else {
                 continue;
             };
-            if self.is_sound(mark.part, now) {
+            if self.sound.covers(mark.part, now) {
                 continue;
             }
             let known_since = self.convicted.get(&mark.part).copied();
@@ -111,7 +134,7 @@
         for reported in report.crashes.iter().take(MAX_MERGED_ITEMS) {
             if let Some(at) = recorded_at(reported.age_ms, super::CRASH_TTL, now) {
                 let mut crash = Crash::new(at);
-                crash.add(&reported.parts);
+                crash.suspects.extend(self.fit(reported.parts.clone()));
                 self.add_crash(reported.run, crash);
             }
         }
--- a/crates/pistachioyard_policy/tests/part_quarantine.rs
+++ b/crates/pistachioyard_policy/tests/part_quarantine.rs
@@ -271,3 +271,50 @@
     });
     assert_eq!(proofs.count(), 1);
 }
+
+/// Guards against a bad part that is left out of a crash, since others take the room for it.
+#[test]
+fn a_bad_part_is_refused_though_many_others_are_in_doubt() {
+    let mut quarantine = PartQuarantine::default();
+    let start = Instant::now();
+    let mut convicted = Vec::new();
+    for number in 0..3_u32 {
+        let own = |n: u64| PromptPart(1_000 + u64::from(number) * 20_000 + n);
+        let bystanders: Vec<PromptPart> = (0..16_000).map(own).collect();
+        let mut parts: Vec<PromptPart> = (16_000..18_000).map(own).collect();
+        parts.push(BAD);
+        let lost: [&[PromptPart]; 2] = [&bystanders, &parts];
+        let at = start + APART * number;
+        convicted = crash(&mut quarantine, number.into(), &lost, at);
+    }
+    assert_eq!(convicted, [BAD]);
+}
+
+/// Guards against entries that judge a part alone, since they tell peers of a few suspects only.
+#[test]
+fn entries_that_saw_one_crash_each_convict_one_of_many_suspects_together() {
+    let mut entries: Vec<PartQuarantine> = (0..3).map(|_| PartQuarantine::default()).collect();
+    let start = Instant::now();
+    for (number, entry) in entries.iter_mut().enumerate() {
+        let own = |n: u64| PromptPart(1_000 + number as u64 * 2_000 + n);
+        let mut parts: Vec<PromptPart> = (0..600).map(own).collect();
+        parts.push(PromptPart(u64::MAX));
+        let at = start + APART * number as u32;
+        crash(entry, number as u128, &[&parts], at);
+    }
+    // Reports come four times a second.
+    let mut now = start + APART * 2;
+    for _ in 0..12 {
+        now += Duration::from_millis(250);
+        let reports: Vec<_> = entries.iter().map(|entry| entry.report(now)).collect();
+        for entry in &mut entries {
+            for report in &reports {
+                entry.merge(report, now);
+            }
+        }
+    }
+    for entry in &entries {
+        assert!(is_refused(entry, PromptPart(u64::MAX), now));
+        assert!(!is_refused(entry, PromptPart(1_000), now));
+    }
+}
--- a/tests/site/poison_part.rs
+++ b/tests/site/poison_part.rs
@@ -23,6 +23,31 @@
 /// How long the endpoints may take to crash often enough.
 const CRASH_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The number of parts of a prompt of many that no other prompt has, which come before the others.
+const OWN_PARTS: usize = 36;
+
+/// Selects the prompts that are sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Prompts {
+    /// A few parts, most of them shared.
+    Few,
+    /// Many parts, most of them in no other prompt.
+    Many,
+}
+
+impl Prompts {
+    /// Returns the parts of a request's prompt before those that are shared.
+    fn own_parts(self, number: usize, first: usize) -> Vec<String> {
+        match self {
+            Self::Few => Vec::new(),
+            Self::Many => {
+                let part = |n| format!("{:08x}", first + number * OWN_PARTS + n);
+                (0..OWN_PARTS).map(part).collect()
+            }
+        }
+    }
+}
+
 /// Says what became of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
@@ -34,11 +59,14 @@
 }
 
 /// Sends a request whose prompt has these parts, followed by one of its own.
-async fn send(site: &Site, number: usize, shared: &[&str]) -> End {
+async fn send(site: &Site, number: usize, own: Vec<String>, shared: &[&str]) -> End {
     let id = new_request_id();
     let to = site.entries[number / 3 % site.entries.len()].caller_address();
-    let mut parts = shared
+    let shared = shared.iter().copied();
+    let mut parts = own
         .iter()
+        .map(String::as_str)
+        .chain(shared)
         .map(|part| format!("{part}:40"))
         .collect::<Vec<_>>();
     parts.push(format!("{:08x}:20", 0x5000_0000 + number));
@@ -63,22 +91,24 @@
 }
 
 /// Sends a sound request, which shares its caller and parts with the others.
-async fn send_sound(site: &Site, number: usize) -> End {
+async fn send_sound(site: &Site, prompts: Prompts, number: usize) -> End {
     let topic = format!("70{:06x}", number % 7);
+    let own = prompts.own_parts(number, 0x1000_0000);
     match number % 3 {
-        0 => send(site, number, &["a0000001"]).await,
-        1 => send(site, number, &["a0000001", &topic]).await,
-        _ => send(site, number, &["a0000002", &topic]).await,
+        0 => send(site, number, own, &["a0000001"]).await,
+        1 => send(site, number, own, &["a0000001", &topic]).await,
+        _ => send(site, number, own, &["a0000002", &topic]).await,
     }
 }
 
 /// Sends a request with the crashing part, no two alike.
-async fn send_bad(site: &Site, number: usize) -> End {
+async fn send_bad(site: &Site, prompts: Prompts, number: usize) -> End {
     let topic = format!("70{:06x}", number % 7);
+    let own = prompts.own_parts(number, 0x2000_0000);
     match number % 3 {
-        0 => send(site, number, &[CRASHING_PART]).await,
-        1 => send(site, number, &["a0000001", CRASHING_PART, &topic]).await,
-        _ => send(site, number, &[CRASHING_PART, "a0000002"]).await,
+        0 => send(site, number, own, &[CRASHING_PART]).await,
+        1 => send(site, number, own, &["a0000001", CRASHING_PART, &topic]).await,
+        _ => send(site, number, own, &[CRASHING_PART, "a0000002"]).await,
     }
 }
 
@@ -113,33 +143,45 @@
 /// and requests that share everything else with it are served.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_with_a_part_that_crashed_five_endpoints_are_not_sent_to_more() {
+    check_refusal(Prompts::Few).await;
+}
+
+/// Guards against a part that crashes endpoints and is never refused, or only by an entry that has
+/// seen three crashes, since it is one of many.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_crashed_endpoints_is_refused_though_prompts_have_many_others() {
+    check_refusal(Prompts::Many).await;
+}
+
+/// Sends requests with the crashing part until it is known, and checks those that come afterwards.
+async fn check_refusal(prompts: Prompts) {
     let mut site = Site::start(3).await;
     let supervisor = site.supervise_endpoints();
     let warm_up_until = Instant::now() + Duration::from_secs(1);
     let goes_on = || Instant::now() < warm_up_until;
-    let sound = send_steadily(SOUND_INTERVAL, goes_on, |n| send_sound(&site, n)).await;
+    let sound = send_steadily(SOUND_INTERVAL, goes_on, |n| send_sound(&site, prompts, n)).await;
     assert_eq!(count(&sound, End::Served), sound.len(), "{sound:?}");
 
     let started_at = Instant::now();
     let goes_on = || supervisor.crashes() < CRASHES_TO_KNOW && started_at.elapsed() < CRASH_TIMEOUT;
     tokio::join!(
-        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)),
-        send_steadily(SOUND_INTERVAL, goes_on, |n| send_sound(&site, n)),
+        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, prompts, n)),
+        send_steadily(SOUND_INTERVAL, goes_on, |n| send_sound(&site, prompts, n)),
     );
     let crashes_before = supervisor.crashes();
     let settled_at = Instant::now() + SETTLE_TIME;
     let goes_on = || Instant::now() < settled_at;
     tokio::join!(
-        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)),
-        send_steadily(SOUND_INTERVAL, goes_on, |n| send_sound(&site, n)),
+        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, prompts, n)),
+        send_steadily(SOUND_INTERVAL, goes_on, |n| send_sound(&site, prompts, n)),
     );
 
     let crashes_settled = supervisor.crashes();
     let end_at = Instant::now() + 2 * SETTLE_TIME;
     let goes_on = || Instant::now() < end_at;
     let (bad, sound) = tokio::join!(
-        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)),
-        send_steadily(SOUND_INTERVAL, goes_on, |n| send_sound(&site, n)),
+        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, prompts, n)),
+        send_steadily(SOUND_INTERVAL, goes_on, |n| send_sound(&site, prompts, n)),
     );
     let crashes = supervisor.crashes();
     site.endpoints = supervisor.stop().await;
@@ -166,16 +208,16 @@
     let supervisor = site.supervise_endpoints();
     let started_at = Instant::now();
     let goes_on = || supervisor.crashes() < CRASHES_TO_KNOW && started_at.elapsed() < CRASH_TIMEOUT;
-    send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)).await;
+    send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, Prompts::Few, n)).await;
     let settled_at = Instant::now() + SETTLE_TIME;
     let goes_on = || Instant::now() < settled_at;
-    send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)).await;
+    send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, Prompts::Few, n)).await;
     let settled = supervisor.crashes();
     for _ in 0..2 {
         site.restart_entries();
         let end_at = Instant::now() + SETTLE_TIME;
         let goes_on = || Instant::now() < end_at;
-        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, n)).await;
+        send_steadily(BAD_INTERVAL, goes_on, |n| send_bad(&site, Prompts::Few, n)).await;
     }
     let crashes = supervisor.crashes() - settled;
     site.endpoints = supervisor.stop().await;
