--- a/crates/pistachioyard_policy/tests/retry_budget_shared.rs
+++ b/crates/pistachioyard_policy/tests/retry_budget_shared.rs
@@ -107,3 +107,24 @@
     }
     assert!(used as f64 <= SLACK / 2.0, "{used}");
 }
+
+/// Guards against entries that start together, and each take the whole slack in the moment in which
+/// they know only themselves.
+#[test]
+fn entries_that_see_themselves_alone_at_first_stay_within_the_whole_budget() {
+    const SLACK: f64 = 200.0;
+    const STEP: Duration = Duration::from_millis(250);
+    let begin = Instant::now();
+    let start = || SharedRetryBudget::new(0.2, SLACK, Duration::from_secs(10), true);
+    let mut budgets: Vec<_> = (0..4).map(|_| start()).collect();
+    let mut retries = 0;
+    for step in 0..40 {
+        let parts = if step < 4 { 1 } else { 4 };
+        for budget in &mut budgets {
+            budget.rebalance(Some(parts), begin + STEP * step);
+            retries += (0..200).filter(|_| budget.try_retry()).count();
+        }
+    }
+    assert!(retries as f64 <= SLACK, "{retries}");
+    assert!(retries as f64 >= 0.6 * SLACK, "{retries}");
+}
--- a/crates/pistachioyard_standins/src/site/store.rs
+++ b/crates/pistachioyard_standins/src/site/store.rs
@@ -5,7 +5,8 @@
 //! `PUT /control/restore` makes the store come back from it in a new era, which every answer
 //! names. `PUT /control/odd` with a list of texts puts each, as it is, in front of the entries of
 //! workers in all lists, and in front of their changes. `PUT /control/hang` makes watches hang, and the next
-//! lists of a kind. `PUT /control/haste` makes it answer without letting watches wait.
+//! lists of a kind. `PUT /control/strangers` with an address puts it into the registrations of
+//! entries in place of their own, so that they never hear each other. `PUT /control/haste` makes it answer without letting watches wait.
 //! `GET /control/lists` returns the number of lists of each kind, `GET /control/reads` that of all
 //! reads and watches.
 
@@ -57,6 +58,8 @@
     objects: Objects,
     /// Texts of entries of another writer.
     odd: Vec<String>,
+    /// The address that registrations of entries get in place of their own; null for none.
+    strangers: Value,
 }
 
 #[derive(Default)]
@@ -169,6 +172,7 @@
                 let texts = texts.filter_map(|text| text.as_str().map(str::to_owned));
                 self.state.lock().odd = texts.collect();
             }
+            "strangers" => self.state.lock().strangers = body,
             "lists" => return json_response(StatusCode::OK, &json!(*self.lists.lock())),
             "reads" => {
                 let reads = self.reads.load(Ordering::SeqCst);
@@ -364,11 +368,14 @@
         }
         objects.revision += 1;
         let revision = objects.revision;
-        let object = json!({
+        let mut object = json!({
             "metadata": { "name": name, "revision": revision, "created": revision,
                 "finalizers": [], "deleting": false },
             "spec": body["spec"], "status": null,
         });
+        if kind == "entries" && !self.strangers.is_null() {
+            object["spec"]["peer_address"] = self.strangers.clone();
+        }
         objects.by_key.insert(key, object.clone());
         objects.record_event(kind, revision, &object, false);
         self.answer(StatusCode::OK, &object)
--- a/tests/site/retries.rs
+++ b/tests/site/retries.rs
@@ -5,6 +5,7 @@
 use futures_util::future::join_all;
 use http::Method;
 use pistachioyard_standins::{FaultKind, FaultRule, wait_until};
+use serde_json::json;
 
 use super::caller::new_request_id;
 use super::layout::Layout;
@@ -20,6 +21,10 @@
 const STREAMS_PER_LOOKUP: u32 = 4;
 /// The time between two look-ups.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(40);
+/// How long an entry is remembered that is not heard.
+const FORGET_TIME: Duration = Duration::from_millis(9_500);
+/// An address at which nobody listens.
+const NOBODY: &str = "127.0.0.1:9";
 /// How long entries may take to agree on their number; several reads of the registrations.
 const AGREEMENT_TIME: Duration = Duration::from_secs(12);
 
@@ -37,7 +42,8 @@
 /// Sends a look-up after a pause and returns its id.
 async fn look_up(site: &Site, n: u32, deadline_ms: &str) -> String {
     tokio::time::sleep(LOOKUP_INTERVAL * n).await;
-    let (id, to) = (new_request_id(), site.entries[0].caller_address());
+    let entry = &site.entries[n as usize % site.entries.len()];
+    let (id, to) = (new_request_id(), entry.caller_address());
     let path = format!("/lookup/{n}");
     let deadline = [("x-deadline-ms", deadline_ms)];
     // Endpoints fail on purpose, so only what they ran counts.
@@ -110,12 +116,49 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn entries_divide_the_slack_by_their_number() {
     let site = Site::start(3).await;
+    await_parts(&site).await;
+}
+
+/// Waits until the slack is divided by the number of entries, at each of them.
+async fn await_parts(site: &Site) {
+    let expected = format!("router_retry_parts {}", site.entries.len());
     for entry in &site.entries {
         wait_until(AGREEMENT_TIME, "parts of the slack", || async {
             let metrics = site.fetch_metrics(entry).await;
-            metrics.lines().any(|line| line == "router_retry_parts 3")
+            metrics.lines().any(|line| line == expected)
         })
         .await
         .expect("the slack is divided by all entries");
     }
 }
+
+/// Guards against sides of a cut that each take over the retries of the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_do_not_hear_each_other_share_one_budget() {
+    let mut site = Site::prepare(Layout {
+        entries: 4,
+        retry_slack: SLACK,
+        ..Layout::default()
+    });
+    site.start_store().await;
+    site.control_store("strangers", json!(NOBODY)).await;
+    assert!(site.apply_config().await, "the store accepts it");
+    site.start_endpoints();
+    site.start_entries();
+    site.await_service().await;
+    await_parts(&site).await;
+    // Two of them lose the store too, until after the others have forgotten them.
+    let cut = site.entries[2..].iter().map(|entry| FaultRule {
+        from: Some(entry.ip.to_string()),
+        to: Some(site.proxied_store),
+        kind: FaultKind::Cut,
+    });
+    let mut faults: Vec<FaultRule> = cut.collect();
+    site.set_proxy_faults(&faults).await;
+    tokio::time::sleep(FORGET_TIME).await;
+    // The end of each answer is lost with its connection.
+    faults.extend(rules(&site, FaultKind::DropAfter { bytes: 450 }));
+    site.set_proxy_faults(&faults).await;
+    let lookups = join_all((0..LOOKUPS).map(|n| look_up(&site, n, "1500"))).await;
+    check_retries(&site, &lookups).await;
+}
