Close connections whose buffers are smaller than the limit for heads

Cause of what is left on the same path: a connection's buffer is sized when it is accepted, 64 KiB or the limit if it is larger. Where a version raises the limit above it, open connections go on to refuse heads within the limit.

Change: such a connection is closed once its request is answered. Buffers have room for what an entry adds to a request that it passes on.

Evidence: connections_that_cannot_take_heads_within_the_limit_are_closed got 431 before and passes.

--- a/src/router.rs
+++ b/src/router.rs
@@ -95,6 +95,8 @@
     /// The peers that have told that a task of theirs keeps ending.
     pub(crate) failing_peers: Mutex<BTreeSet<EntryId>>,
     pub(crate) config: RwLock<Option<ActiveConfig>>,
+    /// The limit for heads in the active configuration, in bytes; 0 before the first one.
+    max_head_bytes: watch::Sender<usize>,
     pub(crate) endpoints: Mutex<EndpointRegistry>,
     pub(crate) load: Mutex<LoadTracker>,
     pub(crate) activity: Mutex<ActivityTracker>,
@@ -194,6 +196,7 @@
             tasks: Supervisor::new(metric::TASK_RESTARTS, move || stopping.is_stopping()),
             failing_peers: Mutex::default(),
             config: RwLock::new(None),
+            max_head_bytes: watch::Sender::new(0),
             endpoints: Mutex::new(EndpointRegistry::without_services()),
             load: Mutex::default(),
             activity: Mutex::default(),
@@ -253,6 +256,23 @@
         self.config.read().clone()
     }
 
+    /// Returns the limit for heads in the active configuration, in bytes; 0 if there is none yet.
+    pub(crate) fn max_head_bytes(&self) -> usize {
+        *self.max_head_bytes.borrow()
+    }
+
+    /// Sets the limit for heads, once the configuration that it is from is active.
+    pub(crate) fn set_max_head_bytes(&self, max_bytes: usize) {
+        self.max_head_bytes.send_replace(max_bytes);
+    }
+
+    /// Waits until the limit for heads is above `bytes`.
+    pub(crate) async fn wait_for_longer_heads(&self, bytes: usize) {
+        let mut limit = self.max_head_bytes.subscribe();
+        // The sender is part of this router, so the wait ends with a higher limit only.
+        let _ = limit.wait_for(|limit| *limit > bytes).await;
+    }
+
     /// Returns the version of the active configuration, or 0 if there is none.
     pub(crate) fn version(&self) -> u64 {
         let config = self.config.read();
--- a/src/router/controller/config.rs
+++ b/src/router/controller/config.rs
@@ -135,12 +135,14 @@
         routes = table.route_count(), since_start_ms = ms(router.started_at.elapsed())
     });
     let services = table.named_services();
+    let max_head_bytes = table.limits.max_header_bytes;
     *config = Some(ActiveConfig {
         table: Arc::new(table),
         source: Arc::from(source.get()),
         adopted_at: Instant::now(),
     });
     drop(config);
+    router.set_max_head_bytes(max_head_bytes);
     let joined = router
         .endpoints
         .lock()
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -40,8 +40,12 @@
 /// The most addresses that a caller takes from a directory response.
 const MAX_ADDRESSES: usize = 64;
 /// The size up to which the buffer of a connection grows, in bytes, unless the limit for heads is
-/// larger. It cannot be changed while the connection is open, and the limit may rise meanwhile.
+/// larger. It cannot be changed while the connection is open. The limit may rise meanwhile; once it
+/// exceeds the buffer, the connection is closed.
 const HEAD_BUFFER_BYTES: usize = 64 * 1024;
+/// The room in the buffer beyond the limit for heads, in bytes, for what a peer adds to a request
+/// that it passes on.
+const RELAY_HEAD_BYTES: usize = 4 * 1024;
 /// How long the head of a request that has begun to arrive may take on a connection that is about
 /// to be closed.
 const LAST_HEAD_LIMIT: Duration = Duration::from_millis(500);
@@ -111,8 +115,7 @@
         // The peer has already closed the connection.
         return;
     };
-    let limits = router.active_config().map(|active| active.table.limits);
-    let max_head = limits.map_or(0, |limits| limits.max_header_bytes);
+    let max_head = router.max_head_bytes().max(HEAD_BUFFER_BYTES);
     let is_caller = matches!(service, Service::Callers);
     let may_serve = is_caller || matches!(service, Service::Peers);
     let _open = may_serve.then(|| router.lifecycle.open_connection());
@@ -134,12 +137,13 @@
         }
     });
     let connection = http1::Builder::new()
-        .max_buf_size(max_head.max(HEAD_BUFFER_BYTES))
+        .max_buf_size(max_head + RELAY_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = &mut connection => Some(ended),
         () = activity.idle_limit_passed(&router) => None,
+        () = router.wait_for_longer_heads(max_head) => None,
         () = router.lifecycle.stopped() => None,
     };
     let ended = match ended {
--- a/tests/site/long_heads.rs
+++ b/tests/site/long_heads.rs
@@ -64,3 +64,25 @@
     assert_eq!(send(&mut kept, 17_000).await, Some(200));
     assert_eq!(send(&mut kept, 33_000).await, Some(431));
 }
+
+/// Guards against connections whose buffers are smaller than the limit in force, and which refuse
+/// heads within it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_cannot_take_heads_within_the_limit_are_closed() {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let mut kept = RawConnection::open(to).await;
+    assert_eq!(send(&mut kept, 10).await, Some(200));
+    site.adopt_config_with(|spec| spec["limits"]["max_header_bytes"] = 131_072.into())
+        .await;
+    let id = new_request_id();
+    let long = "x".repeat(100_000);
+    // The connection is closed by now, or takes the head.
+    let _ = kept.write("/lookup/a", &id, &[("X-Long", &long)]).await;
+    match kept.read().await {
+        Exchange::Complete(status, _) => assert_eq!(status, 200),
+        Exchange::Cut(_) => {}
+    }
+    let mut new = RawConnection::open(to).await;
+    assert_eq!(send(&mut new, 100_000).await, Some(200));
+}
