Take as many headers as a head within the limit can hold

What callers saw: 431 for proper heads with more than 100 headers (DENIED).

Cause: the HTTP library takes 100 by default, on both sides; the operators bound only the size of a head.

Change: requests, and answers of endpoints, may have 4,096 headers. The memory of their entries is counted with that of heads.

Evidence: a_head_within_the_limit_may_have_many_headers got 431 for 101 headers before and passes, also with 1,500. The stand-in's endpoints had the same limit and take as many now. Answers of endpoints have no test of their own.

--- a/crates/pistachioyard_standins/src/site/http.rs
+++ b/crates/pistachioyard_standins/src/site/http.rs
@@ -14,6 +14,9 @@
 use serde_json::Value;
 use tokio::net::TcpSocket;
 
+/// The maximum number of headers of a request; entries pass on as many as fit into a head.
+const MAX_HEADERS: usize = 4_096;
+
 /// The maximum number of connections waiting to be accepted.
 pub(crate) const BACKLOG: u32 = 256;
 
@@ -72,6 +75,7 @@
             });
             // A caller that disconnects is not an error of the stand-in.
             let _ = http1::Builder::new()
+                .max_headers(MAX_HEADERS)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
--- a/src/client.rs
+++ b/src/client.rs
@@ -28,7 +28,7 @@
 /// How long an idle connection is kept in the pool, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
 /// The maximum size of the head of a response, in bytes; several times that of a caller's
-/// request, whose headers an endpoint may repeat. Hyper limits the number of headers to 100.
+/// request, whose headers an endpoint may repeat.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// The maximum size of a response body that is read whole, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 8_000_000;
--- a/src/router/endpoint_client.rs
+++ b/src/router/endpoint_client.rs
@@ -22,6 +22,7 @@
 use crate::memory::SharedMemory;
 use crate::outgoing::open_stream;
 use crate::prelude::*;
+use crate::router::http_server::MAX_HEADERS;
 use crate::router::metric;
 use crate::router::short_reads::ShortReads;
 
@@ -241,6 +242,7 @@
     let handshake = http1::Builder::new()
         .max_header_size(MAX_HEAD_BYTES)
         .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
         .handshake(TokioIo::new(ShortReads::new(stream)));
     let Ok((mut sender, connection)) = handshake.await else {
         return Err(not_sent);
--- a/src/router/filter.rs
+++ b/src/router/filter.rs
@@ -31,6 +31,7 @@
 };
 
 use crate::lifecycle::{InFlight, stopping};
+use crate::memory::HeldMemory;
 use crate::prelude::*;
 use crate::router::admission::WorkspaceUse;
 use crate::router::answer::{self, AnswerBody};
@@ -61,6 +62,8 @@
     pub(crate) is_trial: bool,
     /// Counts it as in progress for its workspace, once it was admitted and competes with others.
     pub(crate) in_progress: OnceLock<Option<WorkspaceUse>>,
+    /// The memory that its headers take beside their text.
+    _header_memory: HeldMemory,
 }
 
 impl Call {
--- a/src/router/filter/identify.rs
+++ b/src/router/filter/identify.rs
@@ -13,6 +13,7 @@
 use super::Call;
 use super::body::{BodyTerms, read_body};
 use super::record::Record;
+use crate::memory::HeldMemory;
 use crate::prelude::*;
 use crate::router::http_server::RequestOrigin;
 use crate::router::{ActiveConfig, Router};
@@ -20,6 +21,12 @@
 /// The retry delay for callers while this process has no configuration yet, in ms; the store
 /// answers within a few ms.
 const NO_CONFIG_RETRY_MS: u64 = 300;
+/// The retry delay for callers whose headers find no memory, in ms; about the time that a few
+/// requests take.
+const NO_MEMORY_RETRY_MS: u64 = 500;
+/// The memory that a header takes beside its text, in bytes: its entries in the maps of the request
+/// and of the copy that is sent on.
+const HEADER_ENTRY_BYTES: usize = 256;
 /// The size of a head that is accepted whatever the limit is, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 
@@ -47,6 +54,7 @@
     let origin = parts.extensions.remove::<RequestOrigin>();
     let origin = origin.expect("the server adds it to each request");
     let caller = origin.address;
+    let header_memory = hold_headers(router, &parts, caller)?;
     let terms = BodyTerms {
         origin,
         max_bytes: config.table.limits.max_body_bytes,
@@ -54,18 +62,42 @@
     };
     let body = read_body(router, body, terms).await?;
     Ok(build_call(
-        parts, head, caller, body, config, route, workspace, arrived_at, deadline,
+        parts,
+        head,
+        caller,
+        body,
+        config,
+        route,
+        workspace,
+        arrived_at,
+        deadline,
+        header_memory,
     ))
 }
 
+/// Takes the memory of a request's headers, which may be many and short.
+fn hold_headers(router: &Router, parts: &Parts, caller: SocketAddr) -> Result<HeldMemory, Problem> {
+    let count = parts.headers.len();
+    let mut held = HeldMemory::new(router.memory.heads.clone(), caller);
+    if held.resize(count * HEADER_ENTRY_BYTES) {
+        return Ok(held);
+    }
+    let detail = format!(
+        "the requests in progress leave no memory for {count} headers; the request was not run, \
+         retry later or use another entry"
+    );
+    Err(Problem::new(ProblemKind::NoMemory, Outcome::NotRun, detail)
+        .with_retry_after_ms(NO_MEMORY_RETRY_MS))
+}
+
 /// Refuses a request whose head is longer than the configuration in force allows.
 ///
 /// The buffers of connections have room for more, since the limit may rise while they are open.
 pub(super) fn check_head(router: &Router, req: &Request<Incoming>) -> Result<(), Problem> {
-    let limits = router.active_config().map(|active| active.table.limits);
-    let Some(limit) = limits.map(|l| l.max_header_bytes.max(MIN_HEAD_BYTES)) else {
+    if router.active_config().is_none() {
         return Ok(());
-    };
+    }
+    let limit = router.max_head_bytes().max(MIN_HEAD_BYTES);
     if head_bytes(req) <= limit {
         return Ok(());
     }
@@ -101,6 +133,7 @@
     workspace: Option<Arc<Workspace>>,
     arrived_at: Instant,
     deadline: Instant,
+    header_memory: HeldMemory,
 ) -> Call {
     let path_and_query = parts
         .uri
@@ -129,6 +162,7 @@
         is_relayed: false,
         is_trial: false,
         in_progress: OnceLock::new(),
+        _header_memory: header_memory,
     }
 }
 
--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -46,6 +46,9 @@
 /// The room in the buffer beyond the limit for heads, in bytes, for what a peer adds to a request
 /// that it passes on.
 const RELAY_HEAD_BYTES: usize = 4 * 1024;
+/// The maximum number of headers of a request or an answer; as many as a head of 16 KiB can hold,
+/// whose size is what bounds them.
+pub(crate) const MAX_HEADERS: usize = 4_096;
 /// How long the head of a request that has begun to arrive may take on a connection that is about
 /// to be closed.
 const LAST_HEAD_LIMIT: Duration = Duration::from_millis(500);
@@ -138,6 +141,7 @@
     });
     let connection = http1::Builder::new()
         .max_buf_size(max_head + RELAY_HEAD_BYTES)
+        .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let ended = tokio::select! {
--- a/tests/site/long_heads.rs
+++ b/tests/site/long_heads.rs
@@ -86,3 +86,21 @@
     let mut new = RawConnection::open(to).await;
     assert_eq!(send(&mut new, 100_000).await, Some(200));
 }
+
+/// Guards against heads that are refused for the number of their headers, which no limit bounds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_within_the_limit_may_have_many_headers() {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let mut kept = RawConnection::open(to).await;
+    for count in [101, 1_500] {
+        let names: Vec<String> = (0..count).map(|n| format!("x{n}")).collect();
+        let extra: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "1")).collect();
+        let id = new_request_id();
+        assert!(kept.write("/lookup/a", &id, &extra).await);
+        match kept.read().await {
+            Exchange::Complete(status, _) => assert_eq!(status, 200, "{count} headers"),
+            Exchange::Cut(text) => panic!("{count} headers: {text}"),
+        }
+    }
+}
