Count a head in the shortest form in which it can have been sent

What callers saw: 431 for a head as long as the limit, if its headers are written without a space after the colon (DENIED).

Cause: the size was computed from the decoded headers as callers usually write them, so it could exceed what was sent by one byte a header.

Change: the shortest form counts, so that no head within the limit is refused.

Evidence: a_head_as_long_as_the_limit_is_taken got 431 before and passes.

--- a/src/router/filter/identify.rs
+++ b/src/router/filter/identify.rs
@@ -109,12 +109,12 @@
     ))
 }
 
-/// Returns the size of a request's head as callers usually send it.
+/// Returns the size of a request's head in the shortest form in which a caller can have sent it.
 fn head_bytes(req: &Request<Incoming>) -> usize {
     let path = req.uri().path_and_query().map_or(1, |p| p.as_str().len());
     let first_line = req.method().as_str().len() + path + "  HTTP/1.1\r\n".len();
     let line = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
-        name.as_str().len() + value.len() + ": \r\n".len()
+        name.as_str().len() + value.len() + ":\r\n".len()
     };
     first_line + req.headers().iter().map(line).sum::<usize>() + "\r\n".len()
 }
--- a/tests/site/long_heads.rs
+++ b/tests/site/long_heads.rs
@@ -6,8 +6,10 @@
 
 use super::caller::new_request_id;
 use super::raw::{Exchange, RawConnection};
-use super::support::Site;
+use super::support::{KEY, Site};
 
+/// The limit for heads in the configuration of a site.
+const MAX_HEADER_BYTES: usize = 16_384;
 /// How long an entry may take to start, and to adopt a configuration.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -104,3 +106,26 @@
         }
     }
 }
+
+/// Guards against a head that is refused though it is as long as the limit allows, since its
+/// headers are written without the usual space.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_as_long_as_the_limit_is_taken() {
+    let site = Site::start(1).await;
+    let to = site.entries[0].caller_address();
+    let id = new_request_id();
+    let mut head = format!(
+        "GET /lookup/a HTTP/1.1\r\nHost:{to}\r\nX-Attempt-Id:{id}\r\n\
+         Authorization:Bearer {KEY}\r\nX-Deadline-Ms:8000\r\n"
+    );
+    for n in 0..50 {
+        head.push_str(&format!("x{n}:1\r\n"));
+    }
+    let rest = MAX_HEADER_BYTES - head.len() - "X-Long:\r\n\r\n".len();
+    head.push_str(&format!("X-Long:{}\r\n\r\n", "x".repeat(rest)));
+    assert_eq!(head.len(), MAX_HEADER_BYTES);
+    let mut connection = RawConnection::open(to).await;
+    assert!(connection.write_text(&head).await);
+    let answer = connection.read().await;
+    assert!(matches!(answer, Exchange::Complete(200, _)), "{answer:?}");
+}
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -83,6 +83,11 @@
         self.stream.write_all(head.as_bytes()).await.is_ok()
     }
 
+    /// Writes the text of a request as it is; returns whether the connection took all of it.
+    pub(crate) async fn write_text(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
     /// Writes the beginning of a request's head.
     pub(crate) async fn write_half_head(&mut self) -> bool {
         let head = b"POST /record/a HTTP/1.1\r\nHost: ";
