--- a/src/router/http_server.rs
+++ b/src/router/http_server.rs
@@ -147,7 +147,7 @@
     let ended = tokio::select! {
         ended = &mut connection => Some(ended),
         () = activity.idle_limit_passed(&router) => None,
-        () = router.wait_for_longer_heads(max_head) => None,
+        () = router.wait_for_longer_heads(max_head), if may_serve => None,
         () = router.lifecycle.stopped() => None,
     };
     let ended = match ended {
