Let answers that end with their connections prove parts sound

Cause: the end of an answer without a length may be a crash and is judged like a loss. If the endpoint lives, the loss was dismissed and nothing was proved, so short answers never proved a part sound.

Change: such an answer proves its parts once the endpoint has answered a probe that was sent after its end.

--- a/crates/pistachioyard_policy/src/part_quarantine.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine.rs
@@ -93,6 +93,11 @@
 }
 
 impl PartQuarantine {
+    /// Returns whether any of these parts is not known to be sound.
+    pub fn has_suspects(&self, parts: &[PromptPart], now: Instant) -> bool {
+        parts.iter().any(|part| !self.sound.covers(*part, now))
+    }
+
     /// Records that an endpoint run lost a request with these parts, which may be a crash.
     ///
     /// For the first loss of a run, the caller probes the endpoint and then calls
--- a/src/router/filter/part_trial.rs
+++ b/src/router/filter/part_trial.rs
@@ -9,6 +9,15 @@
 use crate::prelude::*;
 use crate::router::Router;
 
+/// Says how an answer ended that does not mark its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+    /// It may be whole.
+    Whole,
+    /// It is not.
+    Broken,
+}
+
 /// Holds one attempt of a request with shared prompt parts at an endpoint.
 #[derive(Clone)]
 pub(super) struct PartTrial {
@@ -53,37 +62,54 @@
         }
     }
 
-    /// Records that a successful answer has ended.
+    /// Records that a successful answer has ended. Where its end may also be a crash, it proves the
+    /// parts sound once the endpoint has answered a probe that was sent later.
     pub(super) fn record_end(&self, framing: Framing) {
         match framing {
             Framing::Explicit => self.router.note_sound_parts(&self.parts),
-            Framing::UntilClose => self.record_loss(),
+            Framing::UntilClose => self.judge(Ending::Whole),
         }
     }
 
     /// Records that the connection broke before the end of the answer. If the endpoint has
     /// crashed, the parts are suspects.
     pub(super) fn record_loss(&self) {
-        let check = self
-            .router
-            .parts
-            .lock()
-            .record_loss(self.run, &self.parts, Instant::now());
-        match check {
-            LossCheck::Known => {}
-            LossCheck::Probe => {
-                let (router, id, address) = (self.router.clone(), self.run, self.address);
-                let run = EndpointRun {
-                    endpoint: self.endpoint.clone(),
-                    started_unix_ms: self.started_unix_ms,
-                };
-                tokio::spawn(async move {
-                    match router.find_fate(&run, address).last().await {
-                        RunFate::Ended => router.note_part_crash(&run.endpoint, id).await,
-                        RunFate::Alive | RunFate::Unknown => router.parts.lock().dismiss_loss(id),
-                    }
-                });
+        self.judge(Ending::Broken);
+    }
+
+    fn judge(&self, ending: Ending) {
+        let (check, is_in_doubt) = {
+            let (mut parts, now) = (self.router.parts.lock(), Instant::now());
+            let is_in_doubt = parts.has_suspects(&self.parts, now);
+            (parts.record_loss(self.run, &self.parts, now), is_in_doubt)
+        };
+        if is_in_doubt && (check == LossCheck::Probe || ending == Ending::Whole) {
+            tokio::spawn(self.clone().find_out(check, ending));
+        }
+    }
+
+    async fn find_out(self, check: LossCheck, ending: Ending) {
+        let run = EndpointRun {
+            endpoint: self.endpoint.clone(),
+            started_unix_ms: self.started_unix_ms,
+        };
+        let fate = self.router.find_fate(&run, self.address).last().await;
+        match (fate, check) {
+            (RunFate::Ended, LossCheck::Probe) => {
+                self.router.note_part_crash(&run.endpoint, self.run).await;
+            }
+            (RunFate::Alive | RunFate::Unknown, LossCheck::Probe) => {
+                self.router.parts.lock().dismiss_loss(self.run);
             }
+            (_, LossCheck::Known) => {}
+        }
+        if fate != RunFate::Alive || ending == Ending::Broken {
+            return;
+        }
+        // Others may have begun that judgement before this answer ended.
+        let later = self.router.find_fate(&run, self.address).last().await;
+        if later == RunFate::Alive {
+            self.router.note_sound_parts(&self.parts);
         }
     }
 }
--- a/tests/site/poison_part.rs
+++ b/tests/site/poison_part.rs
@@ -33,13 +33,16 @@
     Few,
     /// Many parts, most of them in no other prompt.
     Many,
+    /// The first part is that of all prompts. Answers end with their connections, in less time than
+    /// it takes to prove parts sound by writing.
+    Unframed,
 }
 
 impl Prompts {
     /// Returns the parts of a request's prompt before those that are shared.
     fn own_parts(self, number: usize, first: usize) -> Vec<String> {
         match self {
-            Self::Few => Vec::new(),
+            Self::Few | Self::Unframed => Vec::new(),
             Self::Many => {
                 let part = |n| format!("{:08x}", first + number * OWN_PARTS + n);
                 (0..OWN_PARTS).map(part).collect()
@@ -48,6 +51,16 @@
     }
 }
 
+impl Prompts {
+    /// Returns how the stand-in ends its answers.
+    fn answer_end(self) -> &'static str {
+        match self {
+            Self::Few | Self::Many => "framed",
+            Self::Unframed => "connection",
+        }
+    }
+}
+
 /// Says what became of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
@@ -59,7 +72,13 @@
 }
 
 /// Sends a request whose prompt has these parts, followed by one of its own.
-async fn send(site: &Site, number: usize, own: Vec<String>, shared: &[&str]) -> End {
+async fn send(
+    site: &Site,
+    prompts: Prompts,
+    number: usize,
+    own: Vec<String>,
+    shared: &[&str],
+) -> End {
     let id = new_request_id();
     let to = site.entries[number / 3 % site.entries.len()].caller_address();
     let shared = shared.iter().copied();
@@ -74,6 +93,7 @@
     let extra = [
         ("x-token-usage", "100,20"),
         ("x-prompt-prefix", parts.as_str()),
+        ("x-answer-end", prompts.answer_end()),
     ];
     let path = format!("/draft/{id}");
     let answer = site
@@ -82,8 +102,10 @@
     match answer {
         Ok((200, body)) => {
             let events = String::from_utf8_lossy(&body).matches("id: ").count();
-            assert_eq!(events as u64, site.layout.events, "the stream of {id}");
-            End::Served
+            let is_whole = events as u64 == site.layout.events;
+            // One without a length that a crash has ended cannot be told from a whole one.
+            assert!(is_whole || prompts == Prompts::Unframed, "{id}: {events}");
+            if is_whole { End::Served } else { End::Failed }
         }
         Ok((408 | 421 | 429 | 503, _)) => End::Refused,
         Ok(_) | Err(_) => End::Failed,
@@ -95,9 +117,12 @@
     let topic = format!("70{:06x}", number % 7);
     let own = prompts.own_parts(number, 0x1000_0000);
     match number % 3 {
-        0 => send(site, number, own, &["a0000001"]).await,
-        1 => send(site, number, own, &["a0000001", &topic]).await,
-        _ => send(site, number, own, &["a0000002", &topic]).await,
+        _ if prompts == Prompts::Unframed => {
+            send(site, prompts, number, own, &["a0000001", &topic]).await
+        }
+        0 => send(site, prompts, number, own, &["a0000001"]).await,
+        1 => send(site, prompts, number, own, &["a0000001", &topic]).await,
+        _ => send(site, prompts, number, own, &["a0000002", &topic]).await,
     }
 }
 
@@ -106,9 +131,21 @@
     let topic = format!("70{:06x}", number % 7);
     let own = prompts.own_parts(number, 0x2000_0000);
     match number % 3 {
-        0 => send(site, number, own, &[CRASHING_PART]).await,
-        1 => send(site, number, own, &["a0000001", CRASHING_PART, &topic]).await,
-        _ => send(site, number, own, &[CRASHING_PART, "a0000002"]).await,
+        _ if prompts == Prompts::Unframed => {
+            send(site, prompts, number, own, &["a0000001", CRASHING_PART]).await
+        }
+        0 => send(site, prompts, number, own, &[CRASHING_PART]).await,
+        1 => {
+            send(
+                site,
+                prompts,
+                number,
+                own,
+                &["a0000001", CRASHING_PART, &topic],
+            )
+            .await
+        }
+        _ => send(site, prompts, number, own, &[CRASHING_PART, "a0000002"]).await,
     }
 }
 
@@ -153,6 +190,13 @@
     check_refusal(Prompts::Many).await;
 }
 
+/// Guards against a sound part that is refused with the crashing one, since answers which end with
+/// their connections never prove it sound.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_sound_part_of_all_prompts_is_served_though_answers_end_with_their_connections() {
+    check_refusal(Prompts::Unframed).await;
+}
+
 /// Sends requests with the crashing part until it is known, and checks those that come afterwards.
 async fn check_refusal(prompts: Prompts) {
     let mut site = Site::start(3).await;
