Do not take a watch that was cut off for an outage

Cause: a watch without an answer counted as a failure of the store, and the removal of an entry within 2.2 s of one was not believed until then.

Change: a waiting watch whose connection ends does not count; a call that does not wait tells whether the store is away.

--- a/crates/pistachioyard_standins/src/site/http.rs
+++ b/crates/pistachioyard_standins/src/site/http.rs
@@ -30,6 +30,12 @@
         .boxed_unsync()
 }
 
+/// Returns a body that closes the connection before any byte of it.
+pub(crate) fn broken_body() -> Body {
+    let broken = std::future::ready(Err(std::io::ErrorKind::ConnectionAborted.into()));
+    http_body_util::StreamBody::new(futures_util::stream::once(broken)).boxed_unsync()
+}
+
 /// Returns an answer with a JSON body.
 pub(crate) fn json_response(status: StatusCode, value: &Value) -> Response<Body> {
     let mut answer = Response::new(full_body(value.to_string()));
--- a/crates/pistachioyard_standins/src/site/store.rs
+++ b/crates/pistachioyard_standins/src/site/store.rs
@@ -5,7 +5,8 @@
 //! `PUT /control/restore` makes the store come back from it in a new era, which every answer
 //! names. `PUT /control/odd` with a list of texts puts each, as it is, in front of the entries of
 //! workers in all lists, and in front of their changes. `PUT /control/hang` makes watches hang, and the next
-//! lists of a kind. `PUT /control/strangers` with an address puts it into the registrations of
+//! lists of a kind; `PUT /control/cut_watches` with a number of milliseconds closes their connections
+//! after that time. `PUT /control/strangers` with an address puts it into the registrations of
 //! entries in place of their own, so that they never hear each other. `PUT /control/haste` makes it answer without letting watches wait.
 //! `GET /control/lists` returns the number of lists of each kind, `GET /control/reads` that of all
 //! reads and watches.
@@ -28,7 +29,7 @@
 
 use self::haste::Haste;
 use self::orders::{CopyOrder, HangOrder, RestoreOrder};
-use super::http::{Body, full_body, json_response, read_json, serve, status_only};
+use super::http::{Body, broken_body, full_body, json_response, read_json, serve, status_only};
 
 /// The maximum number of events kept for watches.
 const MAX_EVENTS: usize = 4_096;
@@ -77,6 +78,8 @@
     is_silent: AtomicBool,
     /// The time before which no watch is answered.
     watches_wait_until: Mutex<Option<Instant>>,
+    /// How long a watch waits before its connection is closed, in ms; 0 if it is not.
+    watches_cut_ms: AtomicU64,
     /// The number of lists of each kind that are still to hang.
     hanging_lists: Mutex<BTreeMap<String, u64>>,
 }
@@ -173,6 +176,11 @@
                 self.state.lock().odd = texts.collect();
             }
             "strangers" => self.state.lock().strangers = body,
+            "cut_watches" => {
+                let after_ms = body.as_u64().unwrap_or_default();
+                self.watches_cut_ms.store(after_ms, Ordering::SeqCst);
+                self.changed.notify_waiters();
+            }
             "lists" => return json_response(StatusCode::OK, &json!(*self.lists.lock())),
             "reads" => {
                 let reads = self.reads.load(Ordering::SeqCst);
@@ -248,7 +256,8 @@
 
     async fn watch(&self, kind: &str, after: u64, wait_ms: Option<u64>) -> Response<Body> {
         let wait = Duration::from_millis(wait_ms.unwrap_or_default());
-        let deadline = Instant::now() + wait;
+        let began = Instant::now();
+        let deadline = began + wait;
         loop {
             let changed = self.changed.notified();
             let wait_until = *self.watches_wait_until.lock();
@@ -266,8 +275,18 @@
             if let Some(answer) = self.state.lock().changes(kind, after, is_over) {
                 return answer;
             }
+            let cut_ms = self.watches_cut_ms.load(Ordering::SeqCst);
+            let cut_at = began + Duration::from_millis(cut_ms);
+            if cut_ms > 0 && Instant::now() >= cut_at {
+                return self.state.lock().with_era(Response::new(broken_body()));
+            }
+            let until = if cut_ms > 0 {
+                deadline.min(cut_at)
+            } else {
+                deadline
+            };
             // At the deadline the changes are read once more.
-            let _ = tokio::time::timeout_at(deadline, changed).await;
+            let _ = tokio::time::timeout_at(until, changed).await;
         }
     }
 
--- a/crates/pistachioyard_standins/src/site/worker.rs
+++ b/crates/pistachioyard_standins/src/site/worker.rs
@@ -114,6 +114,8 @@
     is_leaving: bool,
     /// Whether the object in the store says that the worker leaves.
     is_draining: bool,
+    /// Whether the object in the store is left to expire or to be deleted.
+    is_unlisted: bool,
     /// The `Retry-After` with which requests are turned away, in seconds; 0 if they are not.
     pause_s: f64,
     /// The address that is named as at fault when requests are turned away, if not its own.
@@ -200,6 +202,9 @@
     loop {
         let heartbeats = {
             let mut state = worker.state.lock();
+            if state.is_unlisted {
+                return;
+            }
             state.heartbeats += 1;
             state.heartbeats
         };
--- a/crates/pistachioyard_standins/src/site/worker/control.rs
+++ b/crates/pistachioyard_standins/src/site/worker/control.rs
@@ -3,8 +3,8 @@
 //! `GET /control/runs` lists the ids of the requests started, `GET /control/turned_away` those of
 //! the requests turned away, and `GET /control/fence` returns the highest fencing token of an
 //! order. `PUT /control/leaving` makes all later answers say that the worker leaves, while its
-//! object in the store stays `ready`, and `PUT /control/draining` makes that `draining`; `PUT
-//! /control/pause` with a number of seconds makes it turn
+//! object in the store stays `ready`, `PUT /control/draining` makes that `draining`, and `PUT
+//! /control/unlisted` ends the writes of it; `PUT /control/pause` with a number of seconds makes it turn
 //! all requests away with that `Retry-After`, until it gets 0; `PUT /control/blame` with an
 //! address makes these refusals blame that one. `PUT /control/silence` with a number of
 //! milliseconds makes it fall silent for that time: it accepts no connection and answers nothing,
@@ -47,6 +47,10 @@
             state.is_draining = true;
             status_only(StatusCode::OK)
         }
+        "unlisted" => {
+            state.is_unlisted = true;
+            status_only(StatusCode::OK)
+        }
         "pause" => {
             state.pause_s = body.as_f64().unwrap_or_default();
             status_only(StatusCode::OK)
--- a/src/router/store_client.rs
+++ b/src/router/store_client.rs
@@ -26,6 +26,8 @@
 /// After which time without an answer a list that must not be late is requested once more, on a
 /// new connection.
 const HEDGE_AFTER: Duration = Duration::from_millis(250);
+/// The name of an object that no kind has; a call for it tells whether the store answers.
+const NO_OBJECT: &str = "-";
 /// The number of pages of a list. A fleet of 10,000 endpoints has 20 (`docs/CAPACITY.md`).
 const MAX_LIST_PAGES: usize = 64;
 /// The size of all objects of a list in memory, in bytes; as for a single page.
@@ -206,7 +208,15 @@
         self.pace.wait_for_read(kind).await;
         let wait_ms = super::log::ms(wait);
         let call = StoreCall::watch(kind, after_revision, wait_ms);
-        let InEra { value, era } = self.send(self.client(), &call).await?;
+        let InEra { value, era } = match self.send(self.client(), &call).await {
+            Err(StoreError::Unanswered(CallError::AnswerLost { to })) => {
+                // The store may cut off a watch; that it is away, a call that does not wait tells.
+                let asked = StoreCall::read(kind, NO_OBJECT);
+                let _ = self.send(&self.fresh, &asked).await;
+                return Err(StoreError::Unanswered(CallError::AnswerLost { to }));
+            }
+            answer => answer?,
+        };
         let value = decode_watch(value.status, &value.body)?;
         log_undecoded(kind, value.undecoded_count, &value.undecoded);
         Ok(InEra { value, era })
@@ -255,10 +265,13 @@
             let status = answer.status.as_u16();
             (status == 429 || status >= 500).then_some(status)
         });
-        self.record_result(answer.is_ok() && refused.is_none(), || match &answer {
-            Ok(answer) => format!("status {}", answer.status),
-            Err(e) => e.to_string(),
-        });
+        let is_cut_off = call.wait_ms > 0 && matches!(&answer, Err(CallError::AnswerLost { .. }));
+        if !is_cut_off {
+            self.record_result(answer.is_ok() && refused.is_none(), || match &answer {
+                Ok(answer) => format!("status {}", answer.status),
+                Err(e) => e.to_string(),
+            });
+        }
         let value = answer?;
         let era = self.note_era(&value, sent_at)?;
         Ok(InEra { value, era })
--- a/tests/site/stuck_watches.rs
+++ b/tests/site/stuck_watches.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
+use http::Method;
 use pistachioyard_standins::{FaultKind, FaultRule, wait_until};
 use serde_json::{Value, json};
 
+use super::layout::Layout;
 use super::support::Site;
 
 /// How long an endpoint that leaves may still get requests; `drain_ms` in the settings.
@@ -15,6 +17,12 @@
 const CONFIG_LIMIT: Duration = Duration::from_secs(2);
 /// How long watches hang; longer than the limits and the longest wait of a watch together.
 const HANG_MS: u64 = 12_000;
+/// How long the store lets a watch wait before it cuts it off.
+const CUT_AFTER_MS: u64 = 100;
+/// The number of endpoints that are removed one after the other, half of them.
+const REMOVALS: usize = 3;
+/// Longer than the interval at which endpoints write their entries.
+const HEARTBEAT: Duration = Duration::from_millis(500);
 /// The length of the silent outage of the store.
 const OUTAGE: Duration = Duration::from_millis(3_300);
 /// How long after a return of the store the limits hold; `settle_window_ms` of the operators.
@@ -44,6 +52,42 @@
         assert_eq!(self.count_endpoint_runs(leaving).await, runs);
     }
 
+    fn plain_endpoints(&self) -> Vec<usize> {
+        let indices = 0..self.endpoints.len();
+        indices.filter(|n| self.endpoints[*n].is_plain).collect()
+    }
+
+    /// Removes an endpoint's entry from the store, and checks that it gets no request later than the
+    /// limit after that.
+    async fn check_removal(&self, gone: usize) {
+        let path = format!("/objects/servers/{}", self.endpoints[gone].process.name);
+        self.control(gone, "unlisted", Value::Null).await;
+        // A write of the entry may be on its way.
+        tokio::time::sleep(HEARTBEAT).await;
+        let removed = self
+            .call(self.store, Method::DELETE, &path, Value::Null)
+            .await;
+        assert_eq!(removed, Some(200));
+        self.check_no_requests(gone).await;
+    }
+
+    /// Checks that an endpoint gets no request later than the limit after now.
+    async fn check_no_requests(&self, endpoint: usize) {
+        let limit = Instant::now() + DRAIN_LIMIT;
+        let send = || {
+            let entries = self.entries.iter().map(|entry| entry.caller_address());
+            join_all(entries.map(|to| self.send_plain_batch(to)))
+        };
+        while Instant::now() < limit {
+            send().await;
+        }
+        let runs = self.count_endpoint_runs(endpoint).await;
+        while limit.elapsed() < CHECK_TIME {
+            send().await;
+        }
+        assert_eq!(self.count_endpoint_runs(endpoint).await, runs);
+    }
+
     async fn hang_watches(&self) {
         self.control_store("hang", json!({ "watches_ms": HANG_MS }))
             .await;
@@ -58,6 +102,23 @@
     site.check_drain().await;
 }
 
+/// Guards against an endpoint that is kept after its removal, since watches that the store cut off
+/// are taken for an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_removed_endpoint_gets_no_request_after_the_limit_while_watches_are_cut_off() {
+    let site = Site::start_with(Layout {
+        entries: 4,
+        plain_endpoints: 3,
+        ..Layout::default()
+    })
+    .await;
+    site.control_store("cut_watches", json!(CUT_AFTER_MS)).await;
+    tokio::time::sleep(DRAIN_LIMIT).await;
+    for gone in site.plain_endpoints().into_iter().take(REMOVALS) {
+        site.check_removal(gone).await;
+    }
+}
+
 /// Guards against waiting for a list that hangs as well, as on a connection that went silent.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_endpoint_gets_no_request_after_the_limit_while_watches_and_a_list_hang() {
