--- a/crates/pistachioyard_standins/src/site/store.rs
+++ b/crates/pistachioyard_standins/src/site/store.rs
@@ -13,6 +13,7 @@
 
 mod haste;
 mod orders;
+mod state;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,7 +21,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::time::Duration;
 
-use ::http::{HeaderValue, Method, Request, Response, StatusCode};
+use ::http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -29,12 +30,8 @@
 
 use self::haste::Haste;
 use self::orders::{CopyOrder, HangOrder, RestoreOrder};
-use super::http::{Body, broken_body, full_body, json_response, read_json, serve, status_only};
-
-/// The maximum number of events kept for watches.
-const MAX_EVENTS: usize = 4_096;
-/// The header of every answer that counts the returns from a copy.
-const ERA_HEADER: &str = "store-era";
+use self::state::{Objects, State};
+use super::http::{Body, broken_body, json_response, read_json, serve, status_only};
 
 /// Holds the arguments of the store.
 #[derive(Clone, Debug, clap::Args)]
@@ -44,25 +41,6 @@
     pub listen: SocketAddr,
 }
 
-#[derive(Clone, Default)]
-struct Objects {
-    revision: u64,
-    by_key: BTreeMap<(String, String), Value>,
-    /// The kind, the revision and the event of each change.
-    events: Vec<(String, u64, Value)>,
-}
-
-/// Holds the objects and the number of times that they came from a copy.
-#[derive(Default)]
-struct State {
-    era: u64,
-    objects: Objects,
-    /// Texts of entries of another writer.
-    odd: Vec<String>,
-    /// The address that registrations of entries get in place of their own; null for none.
-    strangers: Value,
-}
-
 #[derive(Default)]
 struct Store {
     state: Mutex<State>,
@@ -302,122 +280,3 @@
         answer
     }
 }
-
-impl State {
-    /// Returns an answer in the current era.
-    fn answer(&self, status: StatusCode, value: &Value) -> Response<Body> {
-        self.with_era(json_response(status, value))
-    }
-
-    fn refuse(&self, status: StatusCode) -> Response<Body> {
-        self.with_era(status_only(status))
-    }
-
-    fn with_era(&self, mut answer: Response<Body>) -> Response<Body> {
-        let headers = answer.headers_mut();
-        headers.insert(ERA_HEADER, HeaderValue::from(self.era));
-        answer
-    }
-
-    fn list(&self, kind: &str) -> Response<Body> {
-        let objects = &self.objects;
-        let of_kind = objects.by_key.iter().filter(|((k, _), _)| k == kind);
-        let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-        let page = json!({ "items": items, "has_more": false, "current_rev": objects.revision });
-        let odd = self.odd_of(kind).join(",");
-        self.page(&page, "\"items\":[", &odd, items.is_empty())
-    }
-
-    /// Returns the texts of another writer among the objects of a kind.
-    fn odd_of(&self, kind: &str) -> Vec<String> {
-        match kind {
-            "servers" => self.odd.clone(),
-            _ => Vec::new(),
-        }
-    }
-
-    /// Returns a page with the text `odd` in front of what follows `start`.
-    fn page(&self, page: &Value, start: &str, odd: &str, is_empty: bool) -> Response<Body> {
-        if odd.is_empty() {
-            return self.answer(StatusCode::OK, page);
-        }
-        let separator = if is_empty { "" } else { "," };
-        let text = page.to_string();
-        let text = text.replacen(start, &format!("{start}{odd}{separator}"), 1);
-        self.with_era(Response::new(full_body(text)))
-    }
-
-    /// Returns the answer to a watch; none if there are no changes and its wait is not over.
-    fn changes(&self, kind: &str, after: u64, is_over: bool) -> Option<Response<Body>> {
-        let objects = &self.objects;
-        if after > objects.revision {
-            return Some(self.refuse(StatusCode::GONE));
-        }
-        let newer = objects
-            .events
-            .iter()
-            .filter(|(k, rev, _)| k == kind && *rev > after);
-        let events: Vec<&Value> = newer.map(|(_, _, event)| event).collect();
-        let page = json!({ "events": events, "current_rev": objects.revision });
-        let odd = self.odd_of(kind).into_iter();
-        let odd: Vec<String> = odd
-            .map(|text| format!("{{\"object\":{text},\"deleted\":false}}"))
-            .collect();
-        let answer = || self.page(&page, "\"events\":[", &odd.join(","), events.is_empty());
-        (is_over || !events.is_empty()).then(answer)
-    }
-
-    fn read(&self, kind: &str, name: &str) -> Response<Body> {
-        let key = (kind.to_owned(), name.to_owned());
-        match self.objects.by_key.get(&key) {
-            Some(object) => self.answer(StatusCode::OK, object),
-            None => self.refuse(StatusCode::NOT_FOUND),
-        }
-    }
-
-    fn write(&mut self, kind: &str, name: &str, body: &Value, create: bool) -> Response<Body> {
-        let objects = &mut self.objects;
-        let key = (kind.to_owned(), name.to_owned());
-        let old = objects.by_key.get(&key);
-        let expected = body["metadata"]["revision"].as_u64();
-        let current = old.and_then(|object| object["metadata"]["revision"].as_u64());
-        if create && old.is_some() || !create && expected.is_some() && expected != current {
-            let old = old.cloned().unwrap_or_default();
-            return self.answer(StatusCode::CONFLICT, &old);
-        }
-        objects.revision += 1;
-        let revision = objects.revision;
-        let mut object = json!({
-            "metadata": { "name": name, "revision": revision, "created": revision,
-                "finalizers": [], "deleting": false },
-            "spec": body["spec"], "status": null,
-        });
-        if kind == "entries" && !self.strangers.is_null() {
-            object["spec"]["peer_address"] = self.strangers.clone();
-        }
-        objects.by_key.insert(key, object.clone());
-        objects.record_event(kind, revision, &object, false);
-        self.answer(StatusCode::OK, &object)
-    }
-
-    fn delete(&mut self, kind: &str, name: &str) -> Response<Body> {
-        let objects = &mut self.objects;
-        let Some(mut object) = objects.by_key.remove(&(kind.to_owned(), name.to_owned())) else {
-            return self.refuse(StatusCode::NOT_FOUND);
-        };
-        objects.revision += 1;
-        let revision = objects.revision;
-        object["metadata"]["revision"] = revision.into();
-        objects.record_event(kind, revision, &object, true);
-        self.answer(StatusCode::OK, &object)
-    }
-}
-
-impl Objects {
-    fn record_event(&mut self, kind: &str, revision: u64, object: &Value, deleted: bool) {
-        let event = json!({ "object": object, "deleted": deleted });
-        self.events.push((kind.to_owned(), revision, event));
-        let surplus = self.events.len().saturating_sub(MAX_EVENTS);
-        self.events.drain(..surplus);
-    }
-}
