--- a/crates/pistachioyard_policy/src/part_quarantine.rs
+++ b/crates/pistachioyard_policy/src/part_quarantine.rs
@@ -39,6 +39,8 @@
 const MAX_LOSSES: usize = 64;
 const MAX_CRASHES: usize = 64;
 const MAX_SUSPECTS: usize = 32_768;
+/// The number of suspects that a crash has where there is no room, if they are in other crashes.
+const MAX_RECURRING: usize = 1_024;
 const MAX_CONVICTIONS: usize = 64;
 
 /// Says whether a request may run.
@@ -213,9 +215,10 @@
             let mut crashes = self.crashes.values();
             crashes.any(|crash| crash.suspects.contains(part))
         };
-        let (mut known, new): (Vec<_>, Vec<_>) = suspects.into_iter().partition(is_known);
-        known.extend(new.into_iter().take(room));
-        known
+        let (mut kept, new): (Vec<_>, Vec<_>) = suspects.into_iter().partition(is_known);
+        kept.truncate(room.max(MAX_RECURRING));
+        kept.extend(new.into_iter().take(room.saturating_sub(kept.len())));
+        kept
     }
 
     /// Convicts the parts that explain the crashes; to be called regularly, since doubts are
