--- a/crates/pistachioyard_policy/src/retry_budget.rs
+++ b/crates/pistachioyard_policy/src/retry_budget.rs
@@ -95,10 +95,6 @@
 /// tries. Few, because the number of such entries is not known.
 const UNSHARED_BURST: f64 = 2.0;
 
-/// How long the number of parts must have stayed the same for the first part to fill the bucket:
-/// entries that start together are listed one after the other, and each may see itself alone first.
-const FIRST_PART_SETTLE: Duration = Duration::from_secs(2);
-
 /// Holds one entry's part of a retry budget that all entries share: in every window, a share
 /// of the first tries plus a fixed number of retries, the slack.
 ///
@@ -110,18 +106,15 @@
     bucket: RetryBudget,
     slack: f64,
     window: Duration,
-    /// Whether the first part of the slack that stays the same fills the bucket.
+    /// Whether the first part of the slack fills the bucket.
     starts_full: bool,
-    /// The number of parts, and since when it has been the same; `None` while there is no part.
-    parts: Option<(usize, Instant)>,
     /// When the slack last accrued; `None` while this entry has no part of it.
     accrued_at: Option<Instant>,
 }
 
 impl SharedRetryBudget {
     /// Creates the budget of an entry that has no part of the slack yet. Its first part is used up
-    /// unless `is_first`, which says that all entries are starting for the first time; then it fills
-    /// the bucket once their number has settled.
+    /// unless `is_first`, which says that all entries are starting for the first time.
     pub fn new(share: f64, slack: f64, window: Duration, is_first: bool) -> Self {
         let slack = slack * GRANTED_SHARE;
         let mut bucket = RetryBudget::new(share * GRANTED_SHARE, slack.min(UNSHARED_BURST));
@@ -131,7 +124,6 @@
             slack,
             window,
             starts_full: is_first,
-            parts: None,
             accrued_at: None,
         }
     }
@@ -144,11 +136,8 @@
         let Some(parts) = parts else {
             self.bucket.limit_to(self.slack.min(UNSHARED_BURST));
             self.accrued_at = None;
-            self.parts = None;
             return;
         };
-        let known = self.parts.filter(|(known, _)| *known == parts);
-        let (_, same_since) = *self.parts.insert(known.unwrap_or((parts, now)));
         let slack = self.slack / parts.max(1) as f64;
         let burst = slack * BURST_SHARE;
         match self.accrued_at {
@@ -159,11 +148,13 @@
                 self.bucket
                     .refill(slack * (1.0 - BURST_SHARE) * windows.min(1.0));
             }
-            None => self.bucket.limit_to(burst),
-        }
-        if self.starts_full && now.saturating_duration_since(same_since) >= FIRST_PART_SETTLE {
-            self.bucket.fill();
-            self.starts_full = false;
+            None => {
+                self.bucket.limit_to(burst);
+                if self.starts_full {
+                    self.bucket.fill();
+                }
+                self.starts_full = false;
+            }
         }
         self.accrued_at = Some(now);
     }
